--- /dev/null
+++ b/refusal/refusal.go
@@ -0,0 +1,127 @@
+// Package refusal says why nutmeglock gave its own answer in place of an
+// upstream's, whether the request was run, and when to come back.
+package refusal
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome tells a caller what became of its request.
+type Outcome string
+
+const (
+	// NotRun means that no upstream has run or will run the request.
+	NotRun Outcome = "not-run"
+	// Unknown means that an upstream may have run the request, or may yet.
+	Unknown Outcome = "outcome-unknown"
+	// Run means that an upstream ran the request but its answer is not whole.
+	Run Outcome = "run"
+)
+
+// Reason is why a request was refused. Each has a counter of its own.
+type Reason string
+
+// The reasons. Their documentation for operators is docs/operator/refusals.md.
+const (
+	BadRequest         Reason = "bad-request"
+	BodyTooLarge       Reason = "body-too-large"
+	BodyTooSlow        Reason = "body-too-slow"
+	HeaderTooLarge     Reason = "header-too-large"
+	UnknownAccount     Reason = "unknown-account"
+	UnknownService     Reason = "unknown-service"
+	ServiceNotAllowed  Reason = "service-not-allowed"
+	AccountQueueFull   Reason = "account-queue-full"
+	RouterQueueFull    Reason = "router-queue-full"
+	DeadlineBeforeTurn Reason = "deadline-before-turn"
+	DeadlinePassed     Reason = "deadline-passed"
+	NoUpstream         Reason = "no-upstream"
+	UpstreamFailed     Reason = "upstream-failed"
+	UpstreamBusy       Reason = "upstream-busy"
+	RetriesExhausted   Reason = "retries-exhausted"
+	Stopping           Reason = "stopping"
+	NotReady           Reason = "not-ready"
+	ClaimsUnavailable  Reason = "claims-unavailable"
+	DuplicateInFlight  Reason = "duplicate-in-flight"
+	KeyReused          Reason = "idempotency-key-reused"
+	OutcomeLost        Reason = "outcome-lost"
+	BadResumeToken     Reason = "bad-resume-token"
+	ResumeExpired      Reason = "resume-expired"
+	CallerGone         Reason = "caller-gone"
+	Internal           Reason = "internal"
+)
+
+// Reasons lists every reason, for counters that start at zero.
+func Reasons() []Reason {
+	return []Reason{
+		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService,
+		ServiceNotAllowed, AccountQueueFull, RouterQueueFull, DeadlineBeforeTurn, DeadlinePassed,
+		NoUpstream, UpstreamFailed, UpstreamBusy, RetriesExhausted, Stopping, NotReady,
+		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
+		ResumeExpired, CallerGone, Internal,
+	}
+}
+
+// Error is a refusal on its way to the caller. Match it with errors.As.
+type Error struct {
+	Reason  Reason
+	Outcome Outcome
+	// Detail is one sentence for the caller.
+	Detail string
+	// RetryAfter is when to come back; zero means that a repeat will not help.
+	RetryAfter time.Duration
+	// Cause is kept for the log and not shown to the caller.
+	Cause error
+}
+
+// Error returns the reason, the outcome and the detail.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s (%s): %s", e.Reason, e.Outcome, e.Detail)
+	if e.Cause == nil {
+		return text
+	}
+	return text + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// New returns a refusal of a request that was not run.
+func New(reason Reason, detail string, retryAfter time.Duration) *Error {
+	return &Error{Reason: reason, Outcome: NotRun, Detail: detail, RetryAfter: retryAfter}
+}
+
+var statuses = map[Reason]int{
+	BadRequest:         http.StatusBadRequest,
+	BodyTooLarge:       http.StatusRequestEntityTooLarge,
+	BodyTooSlow:        http.StatusRequestTimeout,
+	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
+	UnknownAccount:     http.StatusUnauthorized,
+	UnknownService:     http.StatusNotFound,
+	ServiceNotAllowed:  http.StatusForbidden,
+	AccountQueueFull:   http.StatusTooManyRequests,
+	RouterQueueFull:    http.StatusServiceUnavailable,
+	DeadlineBeforeTurn: http.StatusServiceUnavailable,
+	DeadlinePassed:     http.StatusGatewayTimeout,
+	NoUpstream:         http.StatusServiceUnavailable,
+	UpstreamFailed:     http.StatusBadGateway,
+	UpstreamBusy:       http.StatusServiceUnavailable,
+	RetriesExhausted:   http.StatusBadGateway,
+	Stopping:           http.StatusServiceUnavailable,
+	NotReady:           http.StatusServiceUnavailable,
+	ClaimsUnavailable:  http.StatusServiceUnavailable,
+	DuplicateInFlight:  http.StatusConflict,
+	KeyReused:          http.StatusUnprocessableEntity,
+	OutcomeLost:        http.StatusConflict,
+	BadResumeToken:     http.StatusBadRequest,
+	ResumeExpired:      http.StatusGone,
+}
+
+// Status returns the HTTP status of a reason, 500 when it has none.
+func (r Reason) Status() int {
+	if status, ok := statuses[r]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
