--- /dev/null
+++ b/call/count.go
@@ -0,0 +1,25 @@
+package call
+
+import (
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+)
+
+func (r *Runner) countInFlight(request *Request, change float64) {
+	if r.Metrics != nil {
+		r.Metrics.InFlight.WithLabelValues(request.Service.GetId()).Add(change)
+	}
+}
+
+func (r *Runner) countService(request *Request, cost fleet.Tokens) {
+	if r.Metrics != nil {
+		r.Metrics.Service.WithLabelValues(request.Account.GetId()).Add(float64(cost))
+	}
+}
+
+func (r *Runner) countFirstByte(request *Request, wait time.Duration) {
+	if r.Metrics != nil {
+		r.Metrics.FirstByteSeconds.WithLabelValues(request.Service.GetId()).Observe(wait.Seconds())
+	}
+}
--- /dev/null
+++ b/call/try.go
@@ -0,0 +1,94 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"mime"
+	"net/http"
+	"time"
+
+	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/dispatch"
+	"nutmeglock.example/nutmeglock/refusal"
+)
+
+// try is one attempt at one upstream.
+type try struct {
+	*execution
+	slot    dispatch.Slot
+	address string
+	stream  string
+	meter   meter
+	// firstToken is the time to the first byte of the answer, zero before it.
+	firstToken time.Duration
+}
+
+func (e *execution) try(ctx context.Context, slot dispatch.Slot) error {
+	t := &try{execution: e, slot: slot, address: slot.Upstream().GetAddress(), meter: newMeter(e.request)}
+	if e.request.model() {
+		t.stream = newStreamID()
+	}
+	e.runner.countInFlight(e.request, 1)
+	defer e.runner.countInFlight(e.request, -1)
+	err := t.exchange(ctx)
+	t.settle(ctx, err)
+	return err
+}
+
+func (t *try) exchange(ctx context.Context) error {
+	answer, err := t.runner.Client.Do(ctx, t.address, attempt.Request{
+		ID: t.request.ID, Method: t.request.Method, Path: t.request.Path, Header: t.request.Header,
+		Body: t.request.Body, Stream: t.stream, Idempotent: t.request.Idempotent,
+	})
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	t.firstToken = answer.FirstByte
+	if t.request.model() && eventStream(answer.Header) {
+		return t.relayStream(ctx, answer)
+	}
+	return t.relayWhole(answer)
+}
+
+// settle gives the slot back and cancels what is left running at the upstream.
+func (t *try) settle(ctx context.Context, err error) {
+	done := dispatch.Done{Result: resultOf(err), FirstToken: t.firstToken}
+	if err == nil || outcomeOf(err) == refusal.Run {
+		done.Cost = t.meter.cost()
+	}
+	abandoned := err != nil && t.stream != "" && outcomeOf(err) != refusal.NotRun
+	switch {
+	case abandoned && t.keptForCaller(ctx):
+		done.Cost = max(done.Cost, t.request.Estimate)
+	case abandoned:
+		t.runner.cancelStream(t.request.ID, t.address, t.stream)
+	}
+	t.slot.Done(done)
+	t.runner.countService(t.request, done.Cost)
+}
+
+// keptForCaller reports whether a caller that went away may come back for the
+// rest of its stream. The rest is charged by its estimate, because the router
+// that resumes has no slot to charge it to.
+func (t *try) keptForCaller(ctx context.Context) bool {
+	gone := errors.Is(context.Cause(ctx), context.Canceled)
+	return gone && t.started && t.request.resumable()
+}
+
+func resultOf(err error) dispatch.Result {
+	var failed *attempt.Error
+	switch {
+	case err == nil:
+		return dispatch.Answered
+	case errors.As(err, &failed):
+		return failed.Result()
+	default:
+		return dispatch.Failed
+	}
+}
+
+func eventStream(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
