--- /dev/null
+++ b/command/checksettings.go
@@ -0,0 +1,50 @@
+package command
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/urfave/cli/v3"
+
+	"nutmeglock.example/nutmeglock/settings"
+)
+
+// CheckSettings returns the subcommand that checks settings files of routers
+// and prints everything that is wrong with them.
+func CheckSettings() *cli.Command {
+	return &cli.Command{
+		Name:      "check-settings",
+		Usage:     "check settings files of routers without starting one",
+		ArgsUsage: "FILE...",
+		Action:    checkSettings,
+	}
+}
+
+func checkSettings(_ context.Context, c *cli.Command) error {
+	if c.Args().Len() == 0 {
+		return cli.Exit("check-settings: name at least one file", ExitUsage)
+	}
+	failed := false
+	for _, file := range c.Args().Slice() {
+		if err := checkSettingsFile(file); err != nil {
+			failed = true
+			complain(c, err.Error())
+			continue
+		}
+		say(c, file+": valid")
+	}
+	if failed {
+		return cli.Exit("", ExitInvalid)
+	}
+	return nil
+}
+
+func checkSettingsFile(file string) error {
+	data, err := os.ReadFile(filepath.Clean(file))
+	if err != nil {
+		return err
+	}
+	_, err = settings.Read(file, data)
+	return err
+}
