share: fair order by virtual time, its exchange and keeper, and two baselines

Fair charges the estimate at the start, is corrected while requests stream, and lifts an account that returns from idle. Between exchanges it charges a surplus for the other dispatchers asked. Keeper sums cumulative reports. FirstCome and DeficitRoundRobin are the baselines.

Seen to fail: without the lift TestReturnFromIdleBringsNoCredit, TestForgottenAccountReturnsWithoutCredit; without the surplus TestDispatchersDoNotAllServeTheLowest; without the keeper's carry-over TestServiceOfALostDispatcherStays; without the fresh cumulative TestNewKeeperLearnsTheTotals; FirstCome exceeds the gap in TestFloodDoesNotTakeTheShareOfOthers. Ruled out: dropping idle accounts after a while, since cumulative reports would start again from zero and the keeper could not tell that from a settlement.

--- /dev/null
+++ b/share/exchange_test.go
@@ -0,0 +1,202 @@
+package share_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/share"
+)
+
+// pool is some dispatchers with one keeper between them.
+type pool struct {
+	dispatchers []*share.Fair[string]
+	keeper      share.Keeper[string, int]
+}
+
+func newPool(n int) *pool {
+	p := &pool{}
+	for range n {
+		p.dispatchers = append(p.dispatchers, &share.Fair[string]{})
+	}
+	return p
+}
+
+func (p *pool) wait(key string) {
+	for _, d := range p.dispatchers {
+		d.Wait(key, share.Waiting{Weight: 1, Requests: 9, Asked: len(p.dispatchers)})
+	}
+}
+
+func (p *pool) exchange(threshold fleet.Tokens) {
+	keys := make(map[string]bool)
+	for i, d := range p.dispatchers {
+		for _, report := range d.Reports(threshold) {
+			p.keeper.Report(i, report)
+			keys[report.Key] = true
+		}
+	}
+	for key := range keys {
+		for i, d := range p.dispatchers {
+			d.Observe(key, p.keeper.Total(i, key))
+		}
+	}
+}
+
+// An account gets all its service at one router while others are served at
+// another. A dispatcher that counts only what it sent itself would give the
+// account a second full share there.
+func TestServiceElsewhereCounts(t *testing.T) {
+	t.Parallel()
+	p := newPool(2)
+	p.wait("busy")
+	p.wait("other")
+	for range 10 {
+		p.dispatchers[0].Start("busy", 100)
+	}
+	next, _ := p.dispatchers[1].Next(nil)
+	require.Equal(t, "busy", next, "the second dispatcher does not know yet")
+	p.exchange(0)
+	require.Equal(t, fleet.Tokens(1000), p.dispatchers[1].Service("busy"))
+	next, _ = p.dispatchers[1].Next(nil)
+	require.Equal(t, "other", next)
+}
+
+// Between two exchanges every dispatcher sees the same lowest account and
+// serves it, so that it gets a multiple of what it lacked. The surplus charged
+// for the others makes each of them turn to the next account sooner, and is
+// dropped when the facts come.
+func TestDispatchersDoNotAllServeTheLowest(t *testing.T) {
+	t.Parallel()
+	taken := func(asked int) int {
+		p := newPool(6)
+		for i, d := range p.dispatchers {
+			d.Wait("behind", share.Waiting{Weight: 1, Requests: 99, Asked: asked})
+			d.Start("ahead", 6000)
+			p.keeper.Report(i, share.Report[string]{Key: "ahead", Cumulative: 6000})
+			d.Wait("ahead", share.Waiting{Weight: 1, Requests: 99, Asked: asked})
+			d.Observe("ahead", share.Total{Sum: 6000, Covered: 6000})
+		}
+		starts := 0
+		for _, d := range p.dispatchers {
+			for range 20 {
+				key, _ := d.Next(nil)
+				d.Start(key, 300)
+				if key == "behind" {
+					starts++
+				}
+			}
+		}
+		return starts
+	}
+	// It lacks 20 requests. After that half of each further start is its due.
+	require.Greater(t, taken(1), 100)
+	require.Less(t, taken(6), 80)
+}
+
+func TestRepeatedReportCountsOnce(t *testing.T) {
+	t.Parallel()
+	var keeper share.Keeper[string, int]
+	report := share.Report[string]{Key: "a", Cumulative: 700, Floor: 900}
+	require.Equal(t, share.Total{Sum: 900, Covered: 700}, keeper.Report(1, report))
+	require.Equal(t, share.Total{Sum: 900, Covered: 700}, keeper.Report(1, report))
+}
+
+// The keeper's router is killed and another takes the account over with
+// nothing remembered. Were the totals to start from nothing, an account would
+// get its past service a second time; were floors and cumulative amounts both
+// counted, it would be held back for as long.
+func TestNewKeeperLearnsTheTotals(t *testing.T) {
+	t.Parallel()
+	p := newPool(3)
+	p.wait("a")
+	for i, d := range p.dispatchers {
+		d.Start("a", fleet.Tokens(1000*(i+1)))
+	}
+	p.exchange(0)
+	require.Equal(t, fleet.Tokens(6000), p.dispatchers[0].Service("a"))
+
+	p.keeper = share.Keeper[string, int]{}
+	for _, d := range p.dispatchers {
+		d.Reassigned("a")
+	}
+	p.exchange(1 << 40)
+	p.dispatchers[1].Start("a", 50)
+	p.exchange(0)
+	for _, d := range p.dispatchers {
+		require.Equal(t, fleet.Tokens(6050), d.Service("a"))
+	}
+}
+
+// A router is killed and comes back with nothing remembered. What it had
+// charged was service that the accounts did get.
+func TestServiceOfALostDispatcherStays(t *testing.T) {
+	t.Parallel()
+	p := newPool(2)
+	p.wait("a")
+	p.dispatchers[0].Start("a", 4000)
+	p.exchange(0)
+	p.keeper.Gone(0)
+	p.dispatchers[0] = &share.Fair[string]{}
+	p.wait("a")
+	p.dispatchers[0].Start("a", 10)
+	p.exchange(0)
+	require.Equal(t, fleet.Tokens(4010), p.dispatchers[1].Service("a"))
+	require.Equal(t, fleet.Tokens(4010), p.dispatchers[0].Service("a"))
+}
+
+// A lift at one dispatcher is part of the account's service everywhere, and a
+// total that does not contain it yet does not undo it.
+func TestLiftOutlivesAnOlderTotal(t *testing.T) {
+	t.Parallel()
+	p := newPool(2)
+	p.wait("steady")
+	p.dispatchers[0].Start("steady", 5000)
+	p.exchange(0)
+	p.wait("returned")
+	p.dispatchers[0].Observe("returned", share.Total{})
+	require.Equal(t, fleet.Tokens(5000), p.dispatchers[0].Service("returned"))
+	p.dispatchers[0].Start("returned", 100)
+	p.exchange(0)
+	require.Equal(t, fleet.Tokens(5100), p.dispatchers[1].Service("returned"))
+}
+
+func TestReportsPassTheThreshold(t *testing.T) {
+	t.Parallel()
+	var fair share.Fair[string]
+	fair.Wait("a", share.Waiting{Weight: 1, Requests: 1})
+	fair.Start("a", 300)
+	require.Empty(t, fair.Reports(300))
+	fair.Correct("a", 1)
+	require.Len(t, fair.Reports(300), 1)
+	require.Empty(t, fair.Reports(0))
+	fair.Correct("a", -1)
+	require.Len(t, fair.Reports(0), 1)
+}
+
+// However charges, settlements and exchanges interleave, all dispatchers end
+// with the same service once every report has come through.
+func TestDispatchersAgreeInTheEnd(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPool(rapid.IntRange(2, 6).Draw(t, "dispatchers"))
+		p.wait("a")
+		var sum fleet.Tokens
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "exchange") {
+				p.exchange(200)
+				continue
+			}
+			amount := fleet.Tokens(rapid.IntRange(-100, 500).Draw(t, "amount"))
+			sum += amount
+			rapid.SampledFrom(p.dispatchers).Draw(t, "dispatcher").Correct("a", amount)
+		}
+		p.exchange(0)
+		p.exchange(0)
+		for _, d := range p.dispatchers {
+			require.Equal(t, sum, d.Service("a"))
+		}
+	})
+}
--- a/share/share.go
+++ b/share/share.go
@@ -1,5 +1,39 @@
 // Package share decides whose waiting request starts next, so that client
 // accounts receive service in proportion to their weights.
+//
+// It answers the load of accounts that together ask for more than the
+// upstreams give, of which some ask for far more than others. First come first
+// served gives each account what it asks for, so one that floods takes nearly
+// everything; a static share per router strands capacity where accounts sit
+// unevenly. Fair serves the account with the least virtual time: its service
+// across the fleet divided by its weight.
+//
+// A request's cost is known only at its end, so an estimate is charged when it
+// starts. Charging at the end instead lets an account start many requests
+// before the first is counted. What it takes beyond the estimate is charged
+// while it streams, and the rest is settled at the end.
+//
+// An account that returns from idle is lifted to the virtual time of those
+// that wait. Otherwise it would have saved up credit while idle, and the
+// others would wait until it had spent it all.
+//
+// # Bound
+//
+// For accounts i and j that both wait at the same dispatchers throughout an
+// interval, with service S in weighted tokens and weight w,
+//
+//	|S(i)/w(i) - S(j)/w(j)| <= 2 * (C + E + L) / min(w(i), w(j))
+//
+// where C is the cost of the largest request (it is started whole), E is the
+// largest difference between what an account was charged and what it was
+// served for its requests in flight (the estimate not yet streamed, less than
+// the account's slots times the largest estimate), and L is what the other
+// dispatchers charged it that this one has not observed: at most
+// (dispatchers-1) * (threshold + rate * age), with the threshold of Reports, the
+// rate at which one dispatcher charges the account, and the age of the total.
+// Where an account's work waits at several dispatchers, each charges between
+// two exchanges as if the others did the same, which turns L from a bias that
+// all dispatchers share into the difference between them.
 package share
 
 import (
@@ -30,10 +64,13 @@
 	// Next returns the waiting key whose turn it is among those that eligible
 	// accepts, and whether there is one. It changes nothing.
 	Next(eligible func(key K) bool) (K, bool)
-	// Start charges key for a request that is sent now.
+	// Start charges key for a request that is sent now. It leaves what waits
+	// as it was; a Wait follows.
 	Start(key K, estimate fleet.Tokens)
 	// Correct adds to what key was charged; a negative amount gives back.
 	Correct(key K, amount fleet.Tokens)
+	// Forget drops all that is known of key, which no longer exists.
+	Forget(key K)
 }
 
 // Exchange is the part of an Order that compares service across the fleet.
@@ -44,15 +81,21 @@
 	// Observe takes what the whole fleet charged a key, reports of this
 	// dispatcher included up to the cumulative amount that the total covers.
 	Observe(key K, total Total)
+	// Reassigned says that key has another keeper, or that its keeper started
+	// again. The next Reports return key with its known service as the floor
+	// and a cumulative amount that starts again from zero, so that what the
+	// former keeper knew is neither lost nor counted twice.
+	Reassigned(key K)
 }
 
-// Report is what one dispatcher charged an account since it started. It is
-// cumulative, so that a lost or repeated report does no harm.
+// Report is what one dispatcher charged an account since the dispatcher
+// started or the account was reassigned. It is cumulative, so that a lost or
+// repeated report does no harm.
 type Report[K comparable] struct {
 	Key        K
 	Cumulative fleet.Tokens
-	// Floor is the least total that the account is to have, because it
-	// returned from idle; zero when it did not.
+	// Floor is the least total that the account is to have once Cumulative is
+	// counted in, because it returned from idle; zero when it did not.
 	Floor fleet.Tokens
 }
 
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,309 @@
+package share_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/share"
+)
+
+// Properties are drawn from a fixed seed, so that each run checks the same.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// bench plays one dispatcher with a number of slots in turns: at each turn the
+// request that ends next is settled and the free slot is given away.
+type bench struct {
+	order   share.Order[string]
+	random  *rand.Rand
+	running []request
+	service map[string]fleet.Tokens
+	demand  map[string]*demand
+	turn    int
+}
+
+type request struct {
+	account  string
+	cost     fleet.Tokens
+	estimate fleet.Tokens
+	ends     int
+}
+
+type demand struct {
+	weight  uint32
+	waiting int
+	// refill keeps that many waiting.
+	refill int
+	cost   func() fleet.Tokens
+	since  time.Time
+}
+
+func newBench(order share.Order[string], slots int) *bench {
+	return &bench{
+		order:   order,
+		random:  rand.New(rand.NewPCG(1, 2)),
+		running: make([]request, slots),
+		service: make(map[string]fleet.Tokens),
+		demand:  make(map[string]*demand),
+	}
+}
+
+func (b *bench) add(account string, d demand) {
+	d.since = epoch.Add(time.Duration(b.turn) * time.Second)
+	b.demand[account] = &d
+	b.wait(account)
+}
+
+func (b *bench) wait(account string) {
+	d := b.demand[account]
+	b.order.Wait(account, share.Waiting{
+		Weight: d.weight, Requests: d.waiting, Estimate: 320, Asked: 1, Since: d.since,
+	})
+}
+
+// step settles what has ended and fills the free slots.
+func (b *bench) step() {
+	b.turn++
+	for i, r := range b.running {
+		if r.ends > b.turn {
+			continue
+		}
+		if r.account != "" {
+			b.order.Correct(r.account, r.cost-r.estimate)
+			b.service[r.account] += r.cost
+		}
+		b.running[i] = b.start()
+	}
+}
+
+func (b *bench) start() request {
+	account, ok := b.order.Next(nil)
+	if !ok {
+		return request{}
+	}
+	d := b.demand[account]
+	cost := d.cost()
+	b.order.Start(account, 320)
+	d.waiting = max(d.waiting-1, d.refill)
+	if d.refill < 1000 {
+		d.since = epoch.Add(time.Duration(b.turn) * time.Second)
+	}
+	b.wait(account)
+	return request{account: account, cost: cost, estimate: 320, ends: b.turn + int(cost/16)}
+}
+
+func constant(cost fleet.Tokens) func() fleet.Tokens {
+	return func() fleet.Tokens { return cost }
+}
+
+func orders() map[string]share.Order[string] {
+	return map[string]share.Order[string]{
+		"fair":           &share.Fair[string]{},
+		"first-come":     &share.FirstCome[string]{},
+		"deficit-robin":  &share.DeficitRoundRobin[string]{},
+		"fair-one-fleet": &share.Fair[string]{},
+	}
+}
+
+// One client account sends a thousand requests at once while others send a
+// few each and always have one waiting. Served in order of arrival, the users
+// of the small accounts wait until the whole flood is through. Fair gives each
+// the same service, whatever it asks for; first come first served does not.
+func TestFloodDoesNotTakeTheShareOfOthers(t *testing.T) {
+	t.Parallel()
+	gap := func(order share.Order[string]) fleet.Tokens {
+		b := newBench(order, 16)
+		b.add("flood", demand{weight: 1, refill: 1000, waiting: 1000, cost: constant(320)})
+		for i := range 15 {
+			b.add(fmt.Sprintf("small-%d", i), demand{weight: 1, refill: 1, waiting: 1, cost: constant(320)})
+		}
+		for range 4000 {
+			b.step()
+		}
+		least := b.service["flood"]
+		most := least
+		for i := range 15 {
+			s := b.service[fmt.Sprintf("small-%d", i)]
+			least, most = min(least, s), max(most, s)
+		}
+		return most - least
+	}
+	require.LessOrEqual(t, gap(&share.Fair[string]{}), fleet.Tokens(2*320))
+	require.LessOrEqual(t, gap(&share.DeficitRoundRobin[string]{}), fleet.Tokens(2*320))
+	require.Greater(t, gap(&share.FirstCome[string]{}), fleet.Tokens(100*320))
+}
+
+// An account with long requests among short ones would get more service than
+// the others if each start counted the same. It is the tokens that count.
+func TestLongAmongShortCountsTokens(t *testing.T) {
+	t.Parallel()
+	const long = 4000
+	b := newBench(&share.Fair[string]{}, 32)
+	b.add("long", demand{weight: 1, refill: 100, waiting: 100, cost: constant(long)})
+	b.add("short", demand{weight: 1, refill: 100, waiting: 100, cost: constant(100)})
+	for range 20_000 {
+		b.step()
+	}
+	// Each of the 32 slots may hold one long request that was charged its
+	// estimate only, as this bench corrects at the end.
+	require.InDelta(t, int64(b.service["long"]), int64(b.service["short"]), 32*long)
+	require.InEpsilon(t, int64(b.service["long"]), int64(b.service["short"]), 0.05)
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	t.Parallel()
+	b := newBench(&share.Fair[string]{}, 16)
+	b.add("one", demand{weight: 1, refill: 50, waiting: 50, cost: constant(320)})
+	b.add("three", demand{weight: 3, refill: 50, waiting: 50, cost: constant(320)})
+	for range 4000 {
+		b.step()
+	}
+	require.InEpsilon(t, int64(3*b.service["one"]), int64(b.service["three"]), 0.01)
+}
+
+// An account is idle for an hour and then sends a burst. Had it saved up
+// credit, everyone else would stand still until the burst is through.
+func TestReturnFromIdleBringsNoCredit(t *testing.T) {
+	t.Parallel()
+	b := newBench(&share.Fair[string]{}, 16)
+	b.add("steady", demand{weight: 1, refill: 50, waiting: 50, cost: constant(320)})
+	for range 4000 {
+		b.step()
+	}
+	before := b.service["steady"]
+	b.add("returned", demand{weight: 1, refill: 50, waiting: 50, cost: constant(320)})
+	for range 400 {
+		b.step()
+	}
+	require.InDelta(t, int64(b.service["returned"]), int64(b.service["steady"]-before), 17*320)
+	require.Positive(t, b.service["steady"]-before)
+}
+
+// A withdrawn account is dropped so that memory stays bounded. If the drop
+// reset its service to nothing, publishing it anew would bring credit.
+func TestForgottenAccountReturnsWithoutCredit(t *testing.T) {
+	t.Parallel()
+	var fair share.Fair[string]
+	fair.Wait("stays", share.Waiting{Weight: 1, Requests: 9})
+	for range 100 {
+		fair.Start("stays", 500)
+	}
+	fair.Forget("comes")
+	fair.Wait("comes", share.Waiting{Weight: 1, Requests: 9})
+	require.Equal(t, fair.Service("stays"), fair.Service("comes"))
+	fair.Forget("comes")
+	require.Equal(t, 1, fair.Len())
+}
+
+func TestAccountThatReturnsGoesFirstAmongEquals(t *testing.T) {
+	t.Parallel()
+	var fair share.Fair[string]
+	fair.Wait("flood", share.Waiting{Weight: 1, Requests: 99})
+	fair.Start("flood", 320)
+	fair.Wait("single", share.Waiting{Weight: 1, Requests: 1})
+	next, ok := fair.Next(nil)
+	require.True(t, ok)
+	require.Equal(t, "single", next)
+}
+
+func TestNextSkipsWhatIsNotEligible(t *testing.T) {
+	t.Parallel()
+	for name, order := range orders() {
+		order.Wait("a", share.Waiting{Weight: 1, Requests: 1, Since: epoch})
+		order.Wait("b", share.Waiting{Weight: 1, Requests: 1, Since: epoch.Add(1)})
+		next, ok := order.Next(func(key string) bool { return key == "b" })
+		require.True(t, ok, name)
+		require.Equal(t, "b", next, name)
+		_, ok = order.Next(func(string) bool { return false })
+		require.False(t, ok, name)
+	}
+}
+
+// Whatever the accounts ask for and the requests cost, an order gives a slot
+// away whenever someone eligible waits, and never to one that does not wait.
+func TestOrdersConserveWork(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		for name, order := range orders() {
+			waiting := make(map[int]int)
+			keyed := order
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				key := rapid.IntRange(0, 9).Draw(t, "key")
+				switch rapid.IntRange(0, 2).Draw(t, "step") {
+				case 0:
+					waiting[key] = rapid.IntRange(0, 3).Draw(t, "waiting")
+					keyed.Wait(fmt.Sprint(key), share.Waiting{Weight: uint32(key), Requests: waiting[key], Asked: key, Since: epoch})
+				case 1:
+					keyed.Start(fmt.Sprint(key), fleet.Tokens(rapid.IntRange(0, 900).Draw(t, "estimate")))
+				default:
+					keyed.Correct(fmt.Sprint(key), fleet.Tokens(rapid.IntRange(-400, 900).Draw(t, "amount")))
+				}
+				expected := 0
+				for _, n := range waiting {
+					expected += min(n, 1)
+				}
+				seen := 0
+				_, found := keyed.Next(func(key string) bool {
+					seen++
+					require.NotZero(t, waiting[int(key[0]-'0')], name)
+					return false
+				})
+				require.False(t, found, name)
+				require.Equal(t, expected, seen, name)
+			}
+		}
+	})
+}
+
+// The bound of the package comment at one dispatcher: whatever requests cost,
+// two accounts that both wait throughout differ by no more than the largest
+// request and what is in flight.
+func TestGapBetweenBackloggedAccountsIsBounded(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 24).Draw(t, "slots")
+		largest := fleet.Tokens(rapid.IntRange(16, 2000).Draw(t, "largest"))
+		b := newBench(&share.Fair[string]{}, slots)
+		accounts := rapid.IntRange(2, 8).Draw(t, "accounts")
+		for i := range accounts {
+			b.add(fmt.Sprint(i), demand{
+				weight: 1, refill: 5, waiting: 5,
+				cost: func() fleet.Tokens { return 1 + fleet.Tokens(b.random.Int64N(int64(largest))) },
+			})
+		}
+		bound := 2 * (largest + fleet.Tokens(slots)*max(largest, 320))
+		for range 300 {
+			b.step()
+			for i := 1; i < accounts; i++ {
+				require.LessOrEqual(t, max(b.service["0"]-b.service[fmt.Sprint(i)], b.service[fmt.Sprint(i)]-b.service["0"]), bound)
+			}
+		}
+	})
+}
+
+func BenchmarkNext(b *testing.B) {
+	for _, accounts := range []int{16, 360, 3600, 36000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			var fair share.Fair[int]
+			for i := range accounts {
+				fair.Wait(i, share.Waiting{Weight: 1, Requests: 1 << 30})
+			}
+			b.ResetTimer()
+			for range b.N {
+				key, _ := fair.Next(nil)
+				fair.Start(key, 320)
+				fair.Correct(key, 20)
+			}
+		})
+	}
+}
