--- a/inflight/inflight.go
+++ b/inflight/inflight.go
@@ -1,4 +1,11 @@
 // Package inflight decides how many requests one upstream is sent at a time.
+//
+// It answers the load of saturation, in which every slot that an upstream
+// seems to have is filled at once. Engines admit all that they are sent: with
+// too high a limit requests queue inside the engine, where they are served in
+// order of arrival and no fair order reaches them; with too low a limit its
+// batch is not full and capacity idles while work waits. Adaptive looks for
+// the knee between the two, where the batch is full and nothing queues inside.
 package inflight
 
 import (
@@ -37,3 +44,16 @@
 	// dispatcher had in flight then, so that the rest are another's.
 	Reported(now time.Time, load Load, own int)
 }
+
+// Fixed is a Limiter that always allows the same number. It is the baseline
+// of Adaptive. A Fixed below 1 allows one request.
+type Fixed int
+
+// Limit returns the fixed number.
+func (f Fixed) Limit(time.Time) int { return max(int(f), 1) }
+
+// Ended does nothing.
+func (Fixed) Ended(time.Time, Sample) {}
+
+// Reported does nothing.
+func (Fixed) Reported(time.Time, Load, int) {}
