router: refuse bad requests with a typed answer; slow callers hear at once

Cause of a hang seen in the test of a slow body: after the bound had passed the read deadline was taken away again, and net/http then read the rest of the body, without a bound, before it sent the refusal. The deadline now stays when reading fails.

--- a/router/answer.go
+++ b/router/answer.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"nutmeglock.example/nutmeglock/call"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -21,10 +22,14 @@
 	refused := asRefusal(err)
 	r.Metrics.Refusals.WithLabelValues(string(refused.Reason)).Inc()
 	r.log(c, refused)
-	if c.Response().Committed {
+	if !c.Response().Committed {
+		writeRefusal(c, refused)
 		return
 	}
-	writeRefusal(c, refused)
+	// An answer that broke off would look whole if its connection were closed
+	// in order: a caller would take half a finding for all of it. Aborting the
+	// handler cuts the connection, so that every HTTP client reports an error.
+	panic(http.ErrAbortHandler)
 }
 
 func asRefusal(err error) *refusal.Error {
@@ -32,6 +37,13 @@
 	if errors.As(err, &refused) {
 		return refused
 	}
+	var broken *call.BrokenError
+	if errors.As(err, &broken) {
+		return &refusal.Error{
+			Reason: refusal.UpstreamFailed, Outcome: broken.Outcome,
+			Detail: "the answer broke off", Cause: err,
+		}
+	}
 	var web *echo.HTTPError
 	if errors.As(err, &web) && web.Code < http.StatusInternalServerError {
 		return &refusal.Error{
--- a/router/body.go
+++ b/router/body.go
@@ -20,11 +20,15 @@
 	// A writer without deadlines is one of a test; it has no slow callers.
 	_ = control.SetReadDeadline(time.Now().Add(r.Limits.BodyTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.Limits.BodyBytes))
-	_ = control.SetReadDeadline(time.Time{})
-	if err == nil {
-		return body, nil
+	if err != nil {
+		// The deadline stays: net/http reads the rest of a body before it sends
+		// the answer. Without a deadline it would wait for the slow caller, who
+		// would wait for the refusal.
+		w.Header().Set("Connection", "close")
+		return nil, r.bodyRefusal(err)
 	}
-	return nil, r.bodyRefusal(err)
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
 }
 
 func (r *Router) bodyRefusal(err error) *refusal.Error {
--- a/router/caller.go
+++ b/router/caller.go
@@ -22,9 +22,7 @@
 	HeaderRequestID     = "nutmeglock-request-id"
 	HeaderTimeout       = "nutmeglock-timeout-ms"
 	HeaderNonIdempotent = "nutmeglock-non-idempotent"
-	HeaderResumable     = "nutmeglock-resumable"
 	HeaderIdempotency   = "Idempotency-Key"
-	HeaderLastEvent     = "Last-Event-ID"
 )
 
 const (
--- a/router/chat.go
+++ b/router/chat.go
@@ -15,7 +15,6 @@
 // looks at. The body goes to the upstream unchanged.
 type chatRequest struct {
 	Model               string          `json:"model"`
-	Stream              bool            `json:"stream"`
 	MaxTokens           int             `json:"max_tokens"`
 	MaxCompletionTokens int             `json:"max_completion_tokens"`
 	Messages            json.RawMessage `json:"messages"`
@@ -39,7 +38,6 @@
 		return refused
 	}
 	request := in.request(c, service)
-	request.Stream = chat.Stream
 	request.Idempotent = c.Request().Header.Get(HeaderNonIdempotent) != "true"
 	request.Prefix = prefixBlocks(chat.Messages)
 	request.Estimate = r.Estimator.Model(in.account, service, len(in.body), chat.maxTokens())
--- a/router/intake.go
+++ b/router/intake.go
@@ -52,16 +52,15 @@
 func (in intake) request(c echo.Context, service *schema.Service) call.Request {
 	req := c.Request()
 	return call.Request{
-		ID:             requestID(c),
-		Account:        in.account,
-		Service:        service,
-		Method:         req.Method,
-		Path:           req.URL.RequestURI(),
-		Header:         forwarded(req.Header),
-		Body:           in.body,
-		IdempotencyKey: in.key,
-		Deadline:       in.deadline,
-		Resumable:      req.Header.Get(HeaderResumable) == "true",
+		ID:       requestID(c),
+		Account:  in.account,
+		Service:  service,
+		Method:   req.Method,
+		Path:     req.URL.RequestURI(),
+		Header:   forwarded(req.Header),
+		Body:     in.body,
+		Key:      in.key,
+		Deadline: in.deadline,
 	}
 }
 
@@ -83,13 +82,12 @@
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 	"Proxy-Authorization", "Authorization", "Content-Length", "Accept-Encoding",
-	HeaderTimeout, HeaderNonIdempotent, HeaderResumable,
+	HeaderTimeout, HeaderNonIdempotent,
 }
 
 // run hands an accepted request on and returns what became of it.
 func (r *Router) run(c echo.Context, request call.Request) error {
-	ctx := c.Request().Context()
-	return r.Runner.Run(ctx, c.Response(), request)
+	return r.Runner.Run(c.Request().Context(), c.Response(), request)
 }
 
 // plain passes a call on to a plain service.
--- a/router/router.go
+++ b/router/router.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
@@ -27,10 +28,18 @@
 	MaxDeadline     time.Duration
 }
 
+// Runner runs accepted requests.
+type Runner interface {
+	// Run writes the answer to w. It returns nil when the answer is out whole,
+	// *refusal.Error when nothing was written, and *call.BrokenError when the
+	// answer broke off. ctx ends when the caller is gone.
+	Run(ctx context.Context, w http.ResponseWriter, request call.Request) error
+}
+
 // Options are the parts that a Router is made of. All are required.
 type Options struct {
 	Notes     note.Source
-	Runner    call.Runner
+	Runner    Runner
 	Estimator Estimator
 	Limits    Limits
 	Metrics   *metric.Set
@@ -67,7 +76,6 @@
 	e.HTTPErrorHandler = r.handleError
 	e.Use(r.identify, r.admit)
 	e.POST("/v1/chat/completions", r.chat)
-	e.GET("/v1/streams/:token", r.resume)
 	e.Any("/v1/services/:service", r.plain)
 	e.Any("/v1/services/:service/*", r.plain)
 	return e
