--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -162,6 +162,9 @@
 	defer e.leave(s)
 	response := c.Response()
 	response.Header().Set(echo.HeaderContentType, "text/event-stream")
+	if s.id != "" {
+		response.Header().Set(headerStreamID, s.id)
+	}
 	response.WriteHeader(http.StatusOK)
 	response.Flush()
 	limit, limited := c.Get(breakAfter).(int)
