--- /dev/null
+++ b/scenario/count.go
@@ -0,0 +1,117 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+)
+
+// runs checks how many times an upstream has run a call:
+//
+//	runs UPSTREAM KEY N
+func runs(w *World, a arguments) error {
+	if err := a.need(3, "runs UPSTREAM KEY N"); err != nil {
+		return err
+	}
+	counts, err := w.counts(a.words[0])
+	if err != nil {
+		return err
+	}
+	if found := strconv.Itoa(counts[a.words[1]]); found != a.words[2] {
+		return fmt.Errorf("%s was run %s times, expected %s: %v", a.words[1], found, a.words[2], counts)
+	}
+	return nil
+}
+
+// total checks how many runs an upstream has made in all for the fleet:
+//
+//	total UPSTREAM N
+func total(w *World, a arguments) error {
+	if err := a.need(2, "total UPSTREAM N"); err != nil {
+		return err
+	}
+	counts, err := w.counts(a.words[0])
+	if err != nil {
+		return err
+	}
+	if found := sum(counts); strconv.Itoa(found) != a.words[1] {
+		return fmt.Errorf("%d runs, expected %s: %v", found, a.words[1], counts)
+	}
+	return nil
+}
+
+func sum(counts map[string]int) int {
+	total := 0
+	for _, n := range counts {
+		total += n
+	}
+	return total
+}
+
+// quiet makes calls through a router and checks that none of them reached the
+// named engines:
+//
+//	quiet ENGINE... through=ROUTER account=NAME service=NAME [calls=12]
+func quiet(w *World, a arguments) error {
+	if err := a.allow("through", "account", "service", "calls"); err != nil {
+		return err
+	}
+	calls, err := a.number("calls", 12)
+	if err != nil {
+		return err
+	}
+	before, err := w.totals(a.words)
+	if err != nil {
+		return err
+	}
+	for i := range calls {
+		call := arguments{words: []string{a.options["through"], a.options["account"], a.options["service"], "quiet " + strconv.Itoa(i)}}
+		if err := chat(w, call); err != nil {
+			return err
+		}
+	}
+	after, err := w.totals(a.words)
+	if err == nil && before != after {
+		err = fmt.Errorf("%d of %d calls went to %v", after-before, calls, a.words)
+	}
+	return err
+}
+
+// totals returns the runs of several upstreams together.
+func (w *World) totals(upstreams []string) (int, error) {
+	total := 0
+	for _, name := range upstreams {
+		counts, err := w.counts(name)
+		if err != nil {
+			return 0, err
+		}
+		total += sum(counts)
+	}
+	return total, nil
+}
+
+// counts returns an upstream's runs without those that a script asked for itself.
+func (w *World) counts(upstream string) (map[string]int, error) {
+	p, err := w.find(upstream)
+	if err != nil {
+		return nil, err
+	}
+	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + "/runs"})
+	if r.err != nil {
+		return nil, r.err
+	}
+	var body struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := json.Unmarshal([]byte(r.body), &body); err != nil {
+		return nil, err
+	}
+	for key := range body.Runs {
+		if strings.HasPrefix(key, directKey) {
+			delete(body.Runs, key)
+		}
+	}
+	return body.Runs, nil
+}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -2,12 +2,9 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
-	"regexp"
 	"strconv"
 	"strings"
 
@@ -104,84 +101,6 @@
 	})
 }
 
-// placeholder is ${NAME} for a process's address and ${key:ACCOUNT} for the
-// hash of an account's key.
-var placeholder = regexp.MustCompile(`\$\{[^}]*\}`)
-
-func (w *World) expand(text string) (string, error) {
-	var missing []error
-	expanded := placeholder.ReplaceAllStringFunc(text, func(found string) string {
-		name := found[2 : len(found)-1]
-		if account, ok := strings.CutPrefix(name, "key:"); ok {
-			return note.HashKey(account + keySuffix)
-		}
-		p, err := w.find(name)
-		if err != nil {
-			missing = append(missing, err)
-			return found
-		}
-		return p.address
-	})
-	return expanded, errors.Join(missing...)
-}
-
-// publish publishes the release note in a file through a router:
-//
-//	publish ROUTER FILE [status=201] [contains=TEXT]
-func publish(w *World, a arguments) error {
-	if err := a.need(2, "publish ROUTER FILE"); err != nil {
-		return err
-	}
-	if err := a.allow("status", "contains"); err != nil {
-		return err
-	}
-	p, err := w.find(a.words[0])
-	if err != nil {
-		return err
-	}
-	data, err := os.ReadFile(filepath.Join(w.dir, a.words[1]))
-	if err != nil {
-		return err
-	}
-	text, err := w.expand(string(data))
-	if err != nil {
-		return err
-	}
-	status, err := a.number("status", http.StatusCreated)
-	if err != nil {
-		return err
-	}
-	r := w.send(request{method: http.MethodPost, url: "http://" + p.admin + "/v1/notes", body: text, key: operatorKey})
-	if r.err != nil {
-		return r.err
-	}
-	if r.status != status || !strings.Contains(r.body, a.options["contains"]) {
-		return fmt.Errorf("publishing is answered with %d: %s", r.status, r.body)
-	}
-	return nil
-}
-
-// version checks that a release note version is in force at routers:
-//
-//	version N ROUTER...
-func version(w *World, a arguments) error {
-	if err := a.need(2, "version N ROUTER..."); err != nil {
-		return err
-	}
-	expected := a.words[0]
-	a.words = a.words[1:]
-	return w.each(a, func(p *process) error {
-		found, err := w.gauge(p, "nutmeglock_note_version")
-		if err != nil {
-			return err
-		}
-		if text := strconv.FormatFloat(found, 'f', -1, 64); text != expected {
-			return fmt.Errorf("version %s is in force, expected %s", text, expected)
-		}
-		return nil
-	})
-}
-
 // metric checks a figure of a router's metrics; a missing one counts as zero:
 //
 //	metric ROUTER 'NAME{LABELS}' [is=N] [least=N] [most=N]
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -106,7 +106,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	table := map[string]command{
 		"start": start, "restart": restart, "shutdown": shutdown, "abort": abort, "freeze": freeze, "thaw": thaw, "exited": exited,
-		"ready": isReady, "unready": unready, "publish": publish, "version": version, "vms": vms,
+		"ready": isReady, "unready": unready, "publish": publish, "race": race, "quiet": quiet, "version": version, "vms": vms,
 		"fault": setFault, "limits": limits, "drain": drain, "crash": crash, "restore": restore,
 		"chat": chat, "call": callService, "resume": resume, "join": join, "events": events, "cut": cut,
 		"runs": runs, "total": total, "metric": metric, "load": startLoad, "unload": endLoad,
--- a/standin/lag/lag.go
+++ b/standin/lag/lag.go
@@ -34,15 +34,6 @@
 	return v.entries[0].value, v.entries[0].at
 }
 
-// Newest returns the value that was set last, whether it is visible or not.
-func (v *Value[T]) Newest() T {
-	if len(v.entries) == 0 {
-		var zero T
-		return zero
-	}
-	return v.entries[len(v.entries)-1].value
-}
-
 // prune drops the entries that a newer visible one replaces.
 func (v *Value[T]) prune(now time.Time) {
 	visible := 0
