platform in memory: operations are counted; scenario: cut one router off from the platform

A claim's group commit is only seen in the number of transactions, so the stand-in counts what it was asked for. Each router reaches the platform over a line of its own, which a script can cut while the others still reach it.

--- a/scenario/count.go
+++ b/scenario/count.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"nutmeglock.example/nutmeglock/platform/wire"
 )
 
 // runs checks how many times an upstream has run a call:
@@ -115,3 +117,40 @@
 	}
 	return body.Runs, nil
 }
+
+// operations checks how many operations of a kind a platform was asked for:
+//
+//	operations PLATFORM read|scan|commit|put|get|list [least=N] [most=N]
+func operations(w *World, a arguments) error {
+	if err := a.need(2, "operations PLATFORM KIND"); err != nil {
+		return err
+	}
+	if err := a.allow("least", "most"); err != nil {
+		return err
+	}
+	p, err := w.find(a.words[0])
+	if err != nil {
+		return err
+	}
+	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + wire.CountsPath})
+	if r.err != nil {
+		return r.err
+	}
+	counts := map[string]int{}
+	if err := json.Unmarshal([]byte(r.body), &counts); err != nil {
+		return err
+	}
+	found := counts[a.words[1]]
+	least, err := a.number("least", 0)
+	if err != nil {
+		return err
+	}
+	most, err := a.number("most", found)
+	if err != nil {
+		return err
+	}
+	if found < least || found > most {
+		return fmt.Errorf("%d operations of kind %s, expected %d to %d", found, a.words[1], least, most)
+	}
+	return nil
+}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -45,10 +45,10 @@
 
 // prepareRouter allocates a router's addresses and writes its settings.
 func (w *World) prepareRouter(p *process, a arguments) error {
-	store, err := w.find(a.options["platform"])
-	if err != nil {
+	if err := w.connectPlatform(p, a.options["platform"]); err != nil {
 		return err
 	}
+	var err error
 	for _, address := range []*string{&p.address, &p.peer, &p.admin} {
 		if *address, err = freePort(); err != nil {
 			return err
@@ -57,7 +57,7 @@
 	settings := routerSettings{
 		ID: p.name, DataCenter: dataCenter,
 		CallerAddress: p.address, PeerAddress: p.peer, AdminAddress: p.admin,
-		Platform:     platformSettings{URL: "http://" + store.address},
+		Platform:     platformSettings{URL: "http://" + p.line.address()},
 		FleetKey:     fleetKey,
 		OperatorKeys: []operator{{Name: operatorName, Key: note.HashKey(operatorKey)}},
 	}
--- a/scenario/process.go
+++ b/scenario/process.go
@@ -38,6 +38,8 @@
 	admin   string
 	peer    string
 	args    []string
+	// line is a router's connection to the platform.
+	line *line
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -91,6 +91,9 @@
 	}
 	for _, p := range w.processes {
 		p.end()
+		if p.line != nil {
+			p.line.close()
+		}
 	}
 	tb, ok := t.(testing.TB)
 	if !ok || !tb.Failed() {
@@ -108,8 +111,9 @@
 		"start": start, "restart": restart, "shutdown": shutdown, "abort": abort, "freeze": freeze, "thaw": thaw, "exited": exited,
 		"ready": isReady, "unready": unready, "publish": publish, "race": race, "quiet": quiet, "version": version, "vms": vms,
 		"fault": setFault, "limits": limits, "drain": drain, "crash": crash, "restore": restore,
+		"sever": sever, "rejoin": rejoin,
 		"chat": chat, "call": callService, "resume": resume, "join": join, "events": events, "cut": cut,
-		"runs": runs, "total": total, "metric": metric, "load": startLoad, "unload": endLoad,
+		"runs": runs, "total": total, "operations": operations, "metric": metric, "load": startLoad, "unload": endLoad,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range table {
