--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,111 @@
+package keeper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/keeper"
+)
+
+var (
+	key   = keeper.Key{Service: 1, Account: 2}
+	start = time.Unix(1_000_000, 0)
+)
+
+func TestTotalSumsTheDispatchers(t *testing.T) {
+	t.Parallel()
+	k := keeper.New(keeper.Options{})
+	k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 100})
+	total := k.Report(start, "b", 1, keeper.Report{Key: key, Cumulative: 50})
+	require.Equal(t, keeper.Total{Sum: 150, Covered: 50}, total)
+	// A settlement below the estimate lowers the sum.
+	total = k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 80})
+	require.Equal(t, keeper.Total{Sum: 130, Covered: 80}, total)
+}
+
+// A dispatcher is killed and starts again with nothing remembered, so it
+// counts from zero. Were its report taken for what it is, the account's total
+// would fall and the others would see it served twice for the same credit.
+func TestRestartedDispatcherDoesNotLowerTheTotal(t *testing.T) {
+	t.Parallel()
+	k := keeper.New(keeper.Options{})
+	k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 100})
+	k.Report(start, "b", 1, keeper.Report{Key: key, Cumulative: 40})
+	total := k.Report(start, "a", 2, keeper.Report{Key: key, Cumulative: 5})
+	require.Equal(t, keeper.Total{Sum: 145, Covered: 5}, total)
+	// A late report of the first life changes nothing.
+	total = k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 300})
+	require.Equal(t, keeper.Total{Sum: 145, Covered: 5}, total)
+}
+
+// A keeper is killed. The next one knows no account; without the floor it
+// would answer with a total of next to nothing, and an account that was served
+// for hours would stand before all others until it was served as much again.
+func TestNewKeeperGoesOnFromTheFloor(t *testing.T) {
+	t.Parallel()
+	k := keeper.New(keeper.Options{})
+	total := k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 100, Floor: 5000, Restored: true})
+	require.Equal(t, fleet.Tokens(5000), total.Sum)
+	// The floors of two dispatchers overlap: the second one's amount is in the
+	// first one's floor, too.
+	total = k.Report(start, "b", 1, keeper.Report{Key: key, Cumulative: 4900, Floor: 5010, Restored: true})
+	require.Equal(t, fleet.Tokens(5010), total.Sum)
+	total = k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 130})
+	require.Equal(t, fleet.Tokens(5040), total.Sum)
+}
+
+func TestFloorLiftsAnAccountThatReturnsFromIdle(t *testing.T) {
+	t.Parallel()
+	k := keeper.New(keeper.Options{})
+	k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 10})
+	total := k.Report(start, "b", 1, keeper.Report{Key: key, Cumulative: 20, Floor: 700})
+	require.Equal(t, fleet.Tokens(700), total.Sum)
+	// A floor that arrives twice or late lifts nothing again.
+	k.Report(start, "a", 1, keeper.Report{Key: key, Cumulative: 60})
+	total = k.Report(start, "b", 1, keeper.Report{Key: key, Cumulative: 20, Floor: 700})
+	require.Equal(t, fleet.Tokens(750), total.Sum)
+}
+
+func TestForgetsIdleAccountsAndStaysWithinItsBound(t *testing.T) {
+	t.Parallel()
+	k := keeper.New(keeper.Options{Idle: time.Minute, Max: 3})
+	for i := range 10 {
+		at := start.Add(time.Duration(i) * time.Second)
+		k.Report(at, "a", 1, keeper.Report{Key: keeper.Key{Service: 1, Account: fleet.Number(i)}, Cumulative: 1})
+	}
+	require.Equal(t, 3, k.Len())
+	k.Tick(start.Add(2 * time.Minute))
+	require.Zero(t, k.Len())
+}
+
+// Messages between routers get lost, repeated and late over a reconnection.
+// Whatever arrived, the next report of each dispatcher makes the total exact,
+// and without settlements it never falls in between.
+func TestLostAndRepeatedReportsDoNoHarm(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		k := keeper.New(keeper.Options{})
+		routers := []fleet.RouterID{"a", "b", "c"}
+		charged := make(map[fleet.RouterID]fleet.Tokens)
+		var highest fleet.Tokens
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			router := rapid.SampledFrom(routers).Draw(t, "router")
+			charged[router] += fleet.Tokens(rapid.IntRange(0, 50).Draw(t, "cost"))
+			for range rapid.IntRange(0, 2).Draw(t, "copies") {
+				total := k.Report(start, router, 1, keeper.Report{Key: key, Cumulative: charged[router]})
+				require.GreaterOrEqual(t, total.Sum, highest)
+				highest = total.Sum
+			}
+		}
+		var want, got fleet.Tokens
+		for _, router := range routers {
+			want += charged[router]
+			got = k.Report(start, router, 1, keeper.Report{Key: key, Cumulative: charged[router]}).Sum
+		}
+		require.Equal(t, want, got)
+	})
+}
