scheduler, membership: a router's part in the fleet's dispatch, over in-process routers

Requests wait at the router that the caller reached; asks, grants, releases and held requests go to the upstream's dispatcher. Found by the tests: a grant on its way while an upstream changes hands was told to no dispatcher (5 in flight at 4 slots after a planned stop); it is now announced when it starts.

--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -217,3 +217,22 @@
 		exchange.Observe(account, total)
 	}
 }
+
+// Reassigned says that an account's use of a service has another keeper.
+func (d *Dispatcher[O, L, P]) Reassigned(service, account fleet.Number) {
+	s := d.services[service]
+	if s == nil {
+		return
+	}
+	if exchange, ok := any(s.order).(share.Exchange[fleet.Number]); ok {
+		exchange.Reassigned(account)
+	}
+}
+
+// Forget drops what is known of accounts that were withdrawn.
+func (d *Dispatcher[O, L, P]) Forget(account fleet.Number) {
+	for _, s := range d.services {
+		delete(s.demands, account)
+		s.order.Forget(account)
+	}
+}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/share"
 )
 
 // Defaults of Options.
@@ -44,39 +45,18 @@
 	Account fleet.Number
 }
 
-// Report is what one dispatcher charged since it started.
-type Report struct {
-	Key        Key
-	Cumulative fleet.Tokens
-	// Floor is the least total that the account is to have.
-	Floor fleet.Tokens
-	// Restored is true when Floor holds all of Cumulative, as another keeper
-	// had summed it.
-	Restored bool
-}
-
-// Total is what all dispatchers charged.
-type Total struct {
-	Sum fleet.Tokens
-	// Covered is the reporter's own part that Sum contains.
-	Covered fleet.Tokens
-}
-
 // Keeper sums reports. It is used by one goroutine.
 type Keeper struct {
-	options  Options
-	accounts map[Key]*account
-}
-
-type account struct {
-	sum       fleet.Tokens
-	reporters map[fleet.RouterID]reporter
-	heard     time.Time
+	options Options
+	sums    share.Keeper[Key, reporter]
+	heard   map[Key]time.Time
+	latest  map[fleet.RouterID]fleet.Incarnation
 }
 
+// reporter is one life of a router, which counts from zero.
 type reporter struct {
+	router      fleet.RouterID
 	incarnation fleet.Incarnation
-	cumulative  fleet.Tokens
 }
 
 // New returns a Keeper that knows no account.
@@ -87,71 +67,62 @@
 	if options.Max <= 0 {
 		options.Max = DefaultMax
 	}
-	return &Keeper{options: options, accounts: make(map[Key]*account)}
+	return &Keeper{
+		options: options,
+		heard:   make(map[Key]time.Time),
+		latest:  make(map[fleet.RouterID]fleet.Incarnation),
+	}
 }
 
 // Report takes a dispatcher's report and returns the account's total. A report
-// of an older incarnation of the router changes nothing.
-func (k *Keeper) Report(now time.Time, from fleet.RouterID, incarnation fleet.Incarnation, report Report) Total {
-	a := k.account(now, report.Key)
-	known, reported := a.reporters[from]
-	if reported && known.incarnation > incarnation {
-		return Total{Sum: a.sum, Covered: known.cumulative}
+// of an older incarnation of the router changes nothing, and the total that
+// it gets covers nothing.
+func (k *Keeper) Report(now time.Time, from fleet.RouterID, incarnation fleet.Incarnation, report share.Report[Key]) share.Total {
+	latest := k.latest[from]
+	if incarnation < latest {
+		return k.sums.Total(reporter{from, incarnation}, report.Key)
 	}
-	a.sum += report.Cumulative - known.base(incarnation, report)
-	a.reporters[from] = reporter{incarnation, report.Cumulative}
-	a.sum = max(a.sum, report.Floor)
-	return Total{Sum: a.sum, Covered: report.Cumulative}
-}
-
-// base returns how much of a report's cumulative amount the sum holds already.
-// A router that started anew counts from zero; what it charged before stays in
-// the sum, or the account would be served twice for it. A keeper that is new
-// to all reporters takes the highest of their floors, and each one's amount
-// only from then on: floors overlap, so adding amounts would count them twice.
-func (r reporter) base(incarnation fleet.Incarnation, report Report) fleet.Tokens {
-	switch {
-	case r.incarnation == incarnation:
-		return r.cumulative
-	case r.incarnation == 0 && report.Restored:
-		return report.Cumulative
-	default:
-		return 0
+	if incarnation > latest {
+		// The router counts from zero; what it charged before stays in the
+		// sums, or each account would be served twice for it.
+		k.sums.Gone(reporter{from, latest})
+		k.latest[from] = incarnation
 	}
+	k.hear(now, report.Key)
+	return k.sums.Report(reporter{from, incarnation}, report)
 }
 
-func (k *Keeper) account(now time.Time, key Key) *account {
-	a := k.accounts[key]
-	if a == nil {
-		if len(k.accounts) >= k.options.Max {
-			k.forgetOldest()
-		}
-		a = &account{reporters: make(map[fleet.RouterID]reporter)}
-		k.accounts[key] = a
+func (k *Keeper) hear(now time.Time, key Key) {
+	if _, known := k.heard[key]; !known && len(k.heard) >= k.options.Max {
+		k.forgetOldest()
 	}
-	a.heard = now
-	return a
+	k.heard[key] = now
 }
 
 func (k *Keeper) forgetOldest() {
 	var oldest Key
 	var at time.Time
-	for key, a := range k.accounts {
-		if at.IsZero() || a.heard.Before(at) {
-			oldest, at = key, a.heard
+	for key, heard := range k.heard {
+		if at.IsZero() || heard.Before(at) {
+			oldest, at = key, heard
 		}
 	}
-	delete(k.accounts, oldest)
+	k.forget(oldest)
+}
+
+func (k *Keeper) forget(key Key) {
+	delete(k.heard, key)
+	k.sums.Forget(key)
 }
 
 // Tick forgets accounts that nobody reported for a while.
 func (k *Keeper) Tick(now time.Time) {
-	for key, a := range k.accounts {
-		if now.Sub(a.heard) >= k.options.Idle {
-			delete(k.accounts, key)
+	for key, heard := range k.heard {
+		if now.Sub(heard) >= k.options.Idle {
+			k.forget(key)
 		}
 	}
 }
 
 // Len returns how many accounts are remembered.
-func (k *Keeper) Len() int { return len(k.accounts) }
+func (k *Keeper) Len() int { return len(k.heard) }
--- /dev/null
+++ b/scheduler/fleet_test.go
@@ -0,0 +1,386 @@
+package scheduler_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/dispatch"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/inflight"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/placement"
+	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/scheduler"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/share"
+)
+
+// wire is the one-way time between two routers.
+const wire = 500 * time.Microsecond
+
+// network carries batches between the routers of a test.
+type network struct {
+	mu    sync.Mutex
+	ports map[fleet.RouterID]*port
+	links map[[2]fleet.RouterID]*link
+	bytes int
+}
+
+type port struct {
+	net     *network
+	self    fleet.RouterID
+	life    fleet.Incarnation
+	onBatch func(fleet.RouterID, *schema.Batch)
+	change  func(peer.Change)
+}
+
+// link is one direction of a connection.
+type link struct {
+	queue  chan []byte
+	closed chan struct{}
+	paused bool
+	held   [][]byte
+}
+
+func newNetwork() *network {
+	return &network{ports: make(map[fleet.RouterID]*port), links: make(map[[2]fleet.RouterID]*link)}
+}
+
+func (p *port) OnBatch(fn func(fleet.RouterID, *schema.Batch)) { p.onBatch = fn }
+func (p *port) OnChange(fn func(peer.Change))                  { p.change = fn }
+func (p *port) Target(map[fleet.RouterID]string)               {}
+
+func (p *port) Send(to fleet.RouterID, batch *schema.Batch) {
+	data, _ := proto.Marshal(batch)
+	p.net.mu.Lock()
+	defer p.net.mu.Unlock()
+	p.net.bytes += len(data)
+	l := p.net.links[[2]fleet.RouterID{p.self, to}]
+	switch {
+	case l == nil:
+	case l.paused:
+		l.held = append(l.held, data)
+	default:
+		l.queue <- data
+	}
+}
+
+func (n *network) port(id fleet.RouterID, life fleet.Incarnation) *port {
+	p := &port{net: n, self: id, life: life}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ports[id] = p
+	return p
+}
+
+func (n *network) connect(a, b fleet.RouterID) {
+	n.direction(a, b)
+	n.direction(b, a)
+}
+
+func (n *network) direction(from, to fleet.RouterID) {
+	l := &link{queue: make(chan []byte, 100_000), closed: make(chan struct{})}
+	n.mu.Lock()
+	n.links[[2]fleet.RouterID{from, to}] = l
+	sender, receiver := n.ports[from], n.ports[to]
+	n.mu.Unlock()
+	receiver.change(peer.Change{Router: from, Incarnation: sender.life, Connected: true})
+	go func() {
+		for {
+			select {
+			case <-l.closed:
+				return
+			case data := <-l.queue:
+				time.Sleep(wire)
+				batch := &schema.Batch{}
+				_ = proto.Unmarshal(data, batch)
+				receiver.onBatch(from, batch)
+			}
+		}
+	}()
+}
+
+// cut breaks the connection between two routers; either may be gone.
+func (n *network) cut(a, b fleet.RouterID) {
+	for _, d := range [][2]fleet.RouterID{{a, b}, {b, a}} {
+		n.mu.Lock()
+		l, receiver := n.links[d], n.ports[d[1]]
+		delete(n.links, d)
+		n.mu.Unlock()
+		if l == nil {
+			continue
+		}
+		close(l.closed)
+		if receiver != nil {
+			receiver.change(peer.Change{Router: d[0]})
+		}
+	}
+}
+
+// pause keeps what is sent from one router to another unread.
+func (n *network) pause(from, to fleet.RouterID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[[2]fleet.RouterID{from, to}].paused = true
+}
+
+// lose breaks the connection from a router that stands still, as seen by the
+// other side only.
+func (n *network) lose(from, to fleet.RouterID) {
+	n.mu.Lock()
+	l, receiver := n.links[[2]fleet.RouterID{from, to}], n.ports[to]
+	delete(n.links, [2]fleet.RouterID{from, to})
+	n.mu.Unlock()
+	close(l.closed)
+	receiver.change(peer.Change{Router: from})
+}
+
+// wake lets a router read what was sent to it before, then see that its
+// connection is gone, and connect again.
+func (n *network) wake(from, to fleet.RouterID) {
+	n.mu.Lock()
+	l, receiver := n.links[[2]fleet.RouterID{from, to}], n.ports[to]
+	delete(n.links, [2]fleet.RouterID{from, to})
+	held := l.held
+	n.mu.Unlock()
+	close(l.closed)
+	for _, data := range held {
+		batch := &schema.Batch{}
+		_ = proto.Unmarshal(data, batch)
+		receiver.onBatch(from, batch)
+	}
+	receiver.change(peer.Change{Router: from})
+	n.connect(from, to)
+}
+
+// upstreams counts what is in flight at each upstream, as the upstream sees it.
+type upstreams struct {
+	mu      sync.Mutex
+	running map[string]int
+	most    map[string]int
+	served  map[string]int
+	cost    map[string]fleet.Tokens
+}
+
+func (u *upstreams) begin(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running[id]++
+	u.most[id] = max(u.most[id], u.running[id])
+}
+
+func (u *upstreams) end(id, account string, cost fleet.Tokens) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running[id]--
+	u.served[account]++
+	u.cost[account] += cost
+}
+
+// total returns what runs at all upstreams now.
+func (u *upstreams) total() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	sum := 0
+	for _, n := range u.running {
+		sum += n
+	}
+	return sum
+}
+
+func (u *upstreams) resetMost() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	clear(u.most)
+}
+
+// fixed is a limiter that never adapts.
+type fixed int
+
+func (f fixed) Limit(time.Time) int                  { return int(f) }
+func (fixed) Ended(time.Time, inflight.Sample)       {}
+func (fixed) Reported(time.Time, inflight.Load, int) {}
+func newFixed(slots int) fixed                       { return fixed(slots) }
+
+// emptiest picks the candidate with the most room.
+type emptiest struct{}
+
+func (emptiest) Pick(candidates []placement.Candidate) (int, bool) {
+	best := -1
+	for i, c := range candidates {
+		if c.InFlight < c.Limit && (best < 0 || c.InFlight < candidates[best].InFlight) {
+			best = i
+		}
+	}
+	return best, best >= 0
+}
+
+// bounded admits as long as the account's bound is kept.
+type bounded struct{}
+
+func (bounded) Admit(_, _ time.Time, queue admission.Queue) *refusal.Error {
+	if queue.Account >= queue.AccountBound {
+		return refusal.New(refusal.AccountQueueFull, "too many wait", time.Second)
+	}
+	return nil
+}
+
+type fixedView struct{ view *note.View }
+
+func (f fixedView) Current() *note.View { return f.view }
+
+func viewOf(accounts, ups, slots int) *note.View {
+	state := &schema.FleetState{Version: 1, Services: []*schema.Service{{Id: "model", Kind: "model", Number: 1}}}
+	for i := range accounts {
+		state.Accounts = append(state.Accounts, &schema.Account{Id: fmt.Sprintf("account-%d", i), Weight: 1, Number: uint32(100 + i)})
+	}
+	for i := range ups {
+		state.Upstreams = append(state.Upstreams, &schema.Upstream{
+			Id: fmt.Sprintf("upstream-%d", i), Service: "model", Address: "127.0.0.1:1", Slots: uint32(slots), Number: uint32(1000 + i),
+		})
+	}
+	return note.NewView(state)
+}
+
+// testFleet is several routers in one process.
+type testFleet struct {
+	t       *testing.T
+	net     *network
+	ups     *upstreams
+	view    *note.View
+	routers map[fleet.RouterID]*testRouter
+	sharing scheduler.Sharing
+}
+
+type testRouter struct {
+	*scheduler.Scheduler
+	stop context.CancelFunc
+	ctx  context.Context
+	done chan struct{}
+}
+
+func newFleet(t *testing.T, view *note.View) *testFleet {
+	t.Helper()
+	f := &testFleet{
+		t: t, net: newNetwork(), view: view, routers: make(map[fleet.RouterID]*testRouter),
+		ups: &upstreams{
+			running: make(map[string]int), most: make(map[string]int),
+			served: make(map[string]int), cost: make(map[string]fleet.Tokens),
+		},
+	}
+	return f
+}
+
+// start starts a router with nothing remembered and connects it to the others.
+func (f *testFleet) start(id fleet.RouterID, life fleet.Incarnation) {
+	f.t.Helper()
+	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], fixed, emptiest]{
+		Self: id, Incarnation: life, Notes: fixedView{f.view}, Peers: f.net.port(id, life),
+		Order: func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} }, Limiter: newFixed,
+		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing,
+	})
+	ctx, cancel := context.WithCancel(f.t.Context())
+	r := &testRouter{Scheduler: s, stop: cancel, ctx: ctx, done: make(chan struct{})}
+	go func() {
+		defer close(r.done)
+		_ = s.Run(ctx)
+	}()
+	for other := range f.routers {
+		f.net.connect(id, other)
+	}
+	f.routers[id] = r
+}
+
+func (f *testFleet) startAll(n int) []fleet.RouterID {
+	var ids []fleet.RouterID
+	for i := range n {
+		id := fleet.RouterID(fmt.Sprintf("router-%d", i))
+		f.start(id, 1)
+		ids = append(ids, id)
+	}
+	time.Sleep(3 * time.Second)
+	return ids
+}
+
+// kill ends a router without a word: its requests end, its connections break.
+func (f *testFleet) kill(id fleet.RouterID) {
+	r := f.routers[id]
+	delete(f.routers, id)
+	r.stop()
+	<-r.done
+	f.net.mu.Lock()
+	delete(f.net.ports, id)
+	f.net.mu.Unlock()
+	for other := range f.routers {
+		f.net.cut(id, other)
+	}
+}
+
+func (f *testFleet) stopAll() {
+	for id := range f.routers {
+		f.kill(id)
+	}
+}
+
+// one runs one request through the first router.
+func (f *testFleet) one(account string, took time.Duration) error {
+	return f.run(f.routers["router-0"], account, 300, took)
+}
+
+func (f *testFleet) run(r *testRouter, account string, cost fleet.Tokens, took time.Duration) error {
+	slot, err := r.Acquire(r.ctx, dispatch.Work{
+		Account: f.view.Account(fleet.AccountID(account)), Service: f.view.Service("model"), Estimate: 300,
+		Deadline: time.Now().Add(time.Hour),
+	})
+	if err != nil {
+		return err
+	}
+	upstream := slot.Upstream().GetId()
+	f.ups.begin(upstream)
+	select {
+	case <-time.After(took):
+		f.ups.end(upstream, account, cost)
+		slot.Done(dispatch.Done{Result: dispatch.Answered, Cost: cost, FirstToken: took / 10})
+	case <-r.ctx.Done():
+		f.ups.end(upstream, account, 0)
+	}
+	return nil
+}
+
+// load keeps n requests of an account at a router until the router is killed.
+func (f *testFleet) load(id fleet.RouterID, account string, n int, took time.Duration) {
+	r := f.routers[id]
+	for range n {
+		go func() {
+			for r.ctx.Err() == nil {
+				if err := f.run(r, account, 300, took); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func (f *testFleet) state(id fleet.RouterID) scheduler.State {
+	state, err := f.routers[id].State(f.t.Context())
+	require.NoError(f.t, err)
+	return state
+}
+
+// atMost checks that no upstream ever ran more than limit since the last reset.
+func (f *testFleet) atMost(limit int) {
+	f.t.Helper()
+	f.ups.mu.Lock()
+	defer f.ups.mu.Unlock()
+	for id, most := range f.ups.most {
+		require.LessOrEqual(f.t, most, limit, id)
+	}
+}
--- /dev/null
+++ b/scheduler/hold.go
@@ -0,0 +1,167 @@
+package scheduler
+
+import (
+	"time"
+
+	"nutmeglock.example/nutmeglock/dispatch"
+	"nutmeglock.example/nutmeglock/dispatcher"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// hold is a slot that a request of this router takes at an upstream.
+type hold struct {
+	key      holdKey
+	account  fleet.Number
+	upstream fleet.Number
+	service  *schema.Service
+	// announced is the cost that the settling dispatcher knows of.
+	announced fleet.Tokens
+}
+
+// holdKey names a grant among those of all dispatchers.
+type holdKey struct {
+	granter fleet.RouterID
+	id      dispatcher.GrantID
+}
+
+// settler returns the router that charges a hold's cost: the granter, which
+// charged the estimate, or when that is gone the upstream's present dispatcher.
+func (s *Scheduler) settler(h *hold) fleet.RouterID {
+	if s.reaches(h.key.granter) {
+		return h.key.granter
+	}
+	return s.assigned.dispatchers[h.upstream]
+}
+
+// progress tells the settling dispatcher that a request costs more.
+func (e *entry) progress(s *Scheduler, h *hold, cost fleet.Tokens) {
+	if e.holds[h.key] != h || cost <= h.announced {
+		return
+	}
+	h.announced = cost
+	out := s.outbox.to(s.settler(h))
+	out.Held = append(out.Held, heldMessage(h))
+}
+
+func heldMessage(h *hold) *schema.Held {
+	return &schema.Held{
+		Upstream: uint32(h.upstream), Ids: []uint64{uint64(h.key.id)},
+		Accounts: []uint32{uint32(h.account)}, Costs: []uint32{clampUint32(h.announced)},
+	}
+}
+
+// giveBack returns a slot for which there is no use.
+func (e *entry) giveBack(s *Scheduler, h *hold) {
+	e.release(s, h, dispatch.Done{Result: dispatch.Unused})
+}
+
+// release gives a slot back. The dispatcher that settles is told the cost; one
+// that only counts the slot, as both do while an upstream changes hands, is
+// told what it knows already.
+func (e *entry) release(s *Scheduler, h *hold, done dispatch.Done) {
+	delete(e.holds, h.key)
+	settler, present := s.settler(h), s.assigned.dispatchers[h.upstream]
+	s.sendRelease(settler, h, done, done.Cost)
+	if present != settler && present != "" && done.Result != dispatch.Unused {
+		s.sendRelease(present, h, done, h.announced)
+	}
+	s.countService(h, done)
+}
+
+func (s *Scheduler) sendRelease(to fleet.RouterID, h *hold, done dispatch.Done, cost fleet.Tokens) {
+	out := s.outbox.to(to)
+	out.Releases = append(out.Releases, &schema.Release{
+		Id: uint64(h.key.id), Cost: clampUint32(cost), Result: messageOf(done.Result),
+		FirstTokenMs: clampUint32(done.FirstToken.Milliseconds()),
+	})
+	s.outbox.within(to, releaseDelay)
+}
+
+// releaseDelay is short beside the residence of a request, so that a slot is
+// hardly idle for it, and lets releases share a frame with asks.
+const releaseDelay = 3 * time.Millisecond
+
+func messageOf(result dispatch.Result) schema.Result {
+	switch result {
+	case dispatch.Refused:
+		return schema.Result_RESULT_REFUSED
+	case dispatch.Failed:
+		return schema.Result_RESULT_FAILED
+	case dispatch.Draining:
+		return schema.Result_RESULT_DRAINING
+	case dispatch.Unused:
+		return schema.Result_RESULT_UNUSED
+	default:
+		return schema.Result_RESULT_ANSWERED
+	}
+}
+
+func (s *Scheduler) countService(h *hold, done dispatch.Done) {
+	if s.metrics == nil || done.Cost <= 0 {
+		return
+	}
+	if a := s.view.AccountByNumber(h.account); a != nil {
+		s.metrics.Service.WithLabelValues(a.GetId()).Add(float64(done.Cost))
+	}
+}
+
+// heldFor returns what a router has to know of the holds here: those that it
+// granted, and those at the upstreams that it dispatches.
+func (e *entry) heldFor(s *Scheduler, router fleet.RouterID) []*schema.Held {
+	return e.collect(func(h *hold) bool {
+		return h.key.granter == router || s.assigned.dispatchers[h.upstream] == router
+	})
+}
+
+func (e *entry) collect(wanted func(h *hold) bool) []*schema.Held {
+	byUpstream := make(map[fleet.Number]*schema.Held)
+	var all []*schema.Held
+	for _, h := range e.holds {
+		if !wanted(h) {
+			continue
+		}
+		message := byUpstream[h.upstream]
+		if message == nil {
+			message = &schema.Held{Upstream: uint32(h.upstream)}
+			byUpstream[h.upstream] = message
+			all = append(all, message)
+		}
+		message.Ids = append(message.Ids, uint64(h.key.id))
+		message.Accounts = append(message.Accounts, uint32(h.account))
+		message.Costs = append(message.Costs, clampUint32(h.announced))
+	}
+	return all
+}
+
+// announceMoved tells new dispatchers what is in flight at their upstreams.
+// Without it a dispatcher that takes over would fill each upstream once more.
+func (s *Scheduler) announceMoved(before assignment) {
+	told := make(map[fleet.RouterID]bool)
+	for _, h := range s.entry.holds {
+		now := s.assigned.dispatchers[h.upstream]
+		if now == before.dispatchers[h.upstream] || now == "" || told[now] {
+			continue
+		}
+		told[now] = true
+		out := s.outbox.to(now)
+		out.Held = append(out.Held, s.entry.collect(func(h *hold) bool {
+			return s.assigned.dispatchers[h.upstream] == now && before.dispatchers[h.upstream] != now
+		})...)
+		s.outbox.urgent(now)
+	}
+}
+
+// announceForeign tells the present dispatcher of a request that another one
+// granted. The grant was on its way when the upstream changed hands, so it
+// was not among those that announceMoved told of; the new dispatcher would
+// send the upstream one request too much.
+func (s *Scheduler) announceForeign(h *hold) {
+	present := s.assigned.dispatchers[h.upstream]
+	if present == h.key.granter || present == "" {
+		return
+	}
+	out := s.outbox.to(present)
+	out.Held = append(out.Held, heldMessage(h))
+	s.outbox.urgent(present)
+}
--- /dev/null
+++ b/scheduler/inbox.go
@@ -0,0 +1,126 @@
+package scheduler
+
+import (
+	"time"
+
+	"nutmeglock.example/nutmeglock/dispatcher"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// connectionChanged takes note that a connection came or went.
+func (s *Scheduler) connectionChanged(change peer.Change) {
+	now := s.timer.Now()
+	r := s.routers[change.Router]
+	if r == nil {
+		r = &router{}
+		s.routers[change.Router] = r
+	}
+	s.outbox.drop(change.Router)
+	r.connected = change.Connected
+	if !change.Connected {
+		s.members.Disconnected(now, change.Router)
+		s.slots.Gone(now, change.Router)
+		s.entry.lost(change.Router)
+		s.refresh(now)
+		return
+	}
+	if change.Incarnation != r.incarnation {
+		r.restarted = r.incarnation != 0
+		// The new life counts its grants from the beginning.
+		delete(s.entry.through, change.Router)
+	}
+	r.incarnation, r.fresh, r.leaving = change.Incarnation, true, false
+	s.members.Connected(now, change.Router, change.Address)
+	s.refresh(now)
+	if s.view != nil {
+		s.exchange.reassign(s)
+	}
+	s.sendComplete(now, change.Router)
+}
+
+// sendComplete sends all that this router asks of another and has in flight
+// of it. It is the first message of a connection, and repeated at times.
+func (s *Scheduler) sendComplete(now time.Time, to fleet.RouterID) {
+	out := s.outbox.to(to)
+	out.Complete = true
+	out.Asks = s.entry.asksFor(s, now, to)
+	out.Held = s.entry.heldFor(s, to)
+	out.Leaving = s.members.Leaving(s.self)
+	s.outbox.urgent(to)
+}
+
+// receive takes a batch from another router.
+func (s *Scheduler) receive(from fleet.RouterID, batch *schema.Batch) {
+	r := s.routers[from]
+	if r == nil || !r.connected || s.view == nil {
+		// The rest of a connection that is gone: its sender's asks and grants
+		// were given up with it.
+		return
+	}
+	now := s.timer.Now()
+	if batch.GetLeaving() && !r.leaving {
+		r.leaving = true
+		s.members.Leave(now, from)
+		s.refresh(now)
+	}
+	s.take(now, from, r, batch)
+}
+
+// deliverOwn handles what this router has for itself and reports whether
+// there was anything.
+func (s *Scheduler) deliverOwn(now time.Time) bool {
+	batch := s.outbox.takeOwn()
+	if batch == nil {
+		return false
+	}
+	batch.GrantedThrough = uint64(s.entry.through[s.self])
+	s.take(now, s.self, &router{incarnation: s.incarnation}, batch)
+	return true
+}
+
+func (s *Scheduler) take(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
+	s.takeHeld(now, from, r, batch)
+	for _, message := range batch.GetReleases() {
+		s.slots.Release(now, from, message)
+	}
+	for _, message := range batch.GetAsks() {
+		s.slots.Ask(now, from, dispatcher.GrantID(batch.GetGrantedThrough()), message)
+		s.free.asked(fleet.Number(message.GetService()))
+	}
+	for _, message := range batch.GetGrants() {
+		s.entry.granted(s, now, from, message)
+	}
+	for _, message := range batch.GetReports() {
+		s.exchange.report(s, now, from, r.incarnation, message)
+	}
+	for _, message := range batch.GetTotals() {
+		s.exchange.total(s, message)
+	}
+	for _, message := range batch.GetFree() {
+		s.entry.offered(s, now, from, fleet.Number(message.GetService()))
+	}
+}
+
+func (s *Scheduler) takeHeld(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
+	if batch.GetComplete() {
+		ids := make(map[dispatcher.GrantID]bool)
+		for _, message := range batch.GetHeld() {
+			for _, id := range message.GetIds() {
+				ids[dispatcher.GrantID(id)] = true
+			}
+		}
+		if r.fresh {
+			s.slots.Connected(now, from, ids, r.restarted)
+			r.fresh, r.restarted = false, false
+		} else {
+			s.slots.Complete(now, from, ids)
+		}
+	}
+	for _, message := range batch.GetHeld() {
+		if u := s.view.UpstreamByNumber(fleet.Number(message.GetUpstream())); u != nil {
+			s.slots.Held(now, from, s.assigned.services[fleet.ServiceID(u.GetService())], message)
+		}
+	}
+}
