--- a/peer/frame.go
+++ b/peer/frame.go
@@ -112,6 +112,7 @@
 	rejected  atomic.Int64
 	overflown atomic.Int64
 	silent    atomic.Int64
+	duplicate atomic.Int64
 }
 
 // Faults is how many connections were closed, by cause.
@@ -124,6 +125,8 @@
 	Overflown int64
 	// Silent were not heard for three heartbeats.
 	Silent int64
+	// Duplicate were second connections to the same router.
+	Duplicate int64
 }
 
 // Faults returns how many connections were closed, by cause.
@@ -131,5 +134,6 @@
 	return Faults{
 		Malformed: p.faults.malformed.Load(), Rejected: p.faults.rejected.Load(),
 		Overflown: p.faults.overflown.Load(), Silent: p.faults.silent.Load(),
+		Duplicate: p.faults.duplicate.Load(),
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -208,10 +208,7 @@
 	life := fleet.Incarnation(l.hello.GetIncarnation())
 	p.mu.Lock()
 	before := p.links[id]
-	if life < p.latest[id] {
-		p.faults.rejected.Add(1)
-	}
-	if p.closed || life < p.latest[id] || (before != nil && before.life() == life && before.preferred() && !l.preferred()) {
+	if p.closed || !p.mayReplace(before, l) {
 		p.mu.Unlock()
 		return false
 	}
@@ -229,6 +226,20 @@
 	return true
 }
 
+// mayReplace reports whether a new connection to a router stands, and counts
+// why not. The lock must be held.
+func (p *Peers) mayReplace(before, l *link) bool {
+	switch {
+	case l.life() < p.latest[fleet.RouterID(l.hello.GetRouter())]:
+		p.faults.rejected.Add(1)
+		return false
+	case before != nil && before.life() == l.life() && before.preferred() && !l.preferred():
+		p.faults.duplicate.Add(1)
+		return false
+	}
+	return true
+}
+
 // remove takes note that a connection ended.
 func (p *Peers) remove(l *link) {
 	p.changes.Lock()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -154,9 +154,26 @@
 	connected(t, a, b)
 }
 
-// Both routers of each pair dial at once. If each kept the connection that it
-// liked, messages would go into one that the other side closes.
-func TestOneConnectionForEachPair(t *testing.T) {
+// Two routers are connected, and the one with the greater id dials as well,
+// because a seed did not tell it whom it would reach. Were the second
+// connection taken, the first would break and all that is in flight between
+// the two be announced anew.
+func TestSecondConnectionIsTurnedAway(t *testing.T) {
+	t.Parallel()
+	a := start(t, setup{id: "a"})
+	wire := newProxy(t, a.address)
+	wire.cut()
+	b := start(t, setup{id: "b", seeds: []string{wire.address}})
+	a.Target(map[fleet.RouterID]string{"b": b.address})
+	connected(t, a, b)
+	wire.mend()
+	require.Eventually(t, func() bool { return a.Faults().Duplicate+b.Faults().Duplicate > 0 }, patience, often)
+	require.Zero(t, a.lost()+b.lost())
+	b.Send("a", number(3))
+	require.Eventually(t, func() bool { return len(a.received()) == 1 }, patience, often)
+}
+
+func TestSixRoutersConnectEachWithEach(t *testing.T) {
 	t.Parallel()
 	var nodes []*node
 	targets := make(map[fleet.RouterID]string)
@@ -194,8 +211,15 @@
 	require.Eventually(t, func() bool {
 		return a.Faults().Rejected+stranger.Faults().Rejected > 0
 	}, patience, often)
-	require.Empty(t, a.Routers())
-	require.Empty(t, stranger.Routers())
+	// A router that the stranger's listener answers in its turn lets nothing in either.
+	a.Target(map[fleet.RouterID]string{"b": stranger.address})
+	seen := a.Faults().Rejected
+	require.Eventually(t, func() bool { return a.Faults().Rejected > seen }, patience, often)
+	for _, n := range []*node{a, stranger} {
+		n.mu.Lock()
+		require.Empty(t, n.changes)
+		n.mu.Unlock()
+	}
 }
 
 // Something other than a router connects and sends what it likes: a port
