--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
@@ -222,6 +223,28 @@
 	}
 }
 
+// A process without the fleet key speaks the protocol, takes no offence at
+// what the router proves to it, and makes up its own proof.
+func TestMadeUpProofIsNotLetIn(t *testing.T) {
+	t.Parallel()
+	a := start(t, setup{id: "a"})
+	c, err := net.Dial("tcp", a.address)
+	require.NoError(t, err)
+	defer c.Close()
+	for _, hello := range []*schema.Hello{
+		{Router: "b", Incarnation: 1, Nonce: make([]byte, 16)}, {Proof: make([]byte, 32)},
+	} {
+		data, err := proto.Marshal(hello)
+		require.NoError(t, err)
+		_, err = c.Write(append([]byte{1, byte(len(data))}, data...))
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return a.Faults().Rejected == 1 }, patience, often)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	require.Empty(t, a.changes)
+}
+
 // Something other than a router connects and sends what it likes: a port
 // scanner, or a frame that claims to be huge so that the router runs out of
 // memory. The connection is closed before the payload is read.
