--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,117 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/refusal"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func TestAdmit(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name     string
+		deadline time.Duration
+		queue    admission.Queue
+		reason   refusal.Reason
+		atLeast  time.Duration
+		atMost   time.Duration
+	}{
+		{"room and time", time.Minute, admission.Queue{Account: 9, AccountBound: 10, TotalBound: 10, Drain: 1}, "", 0, 0},
+		{"rate unknown", time.Second, admission.Queue{Account: 9, AccountBound: 10, TotalBound: 10}, "", 0, 0},
+		{"deadline passed", 0, admission.Queue{AccountBound: 1, TotalBound: 1}, refusal.DeadlinePassed, 0, 0},
+		{"account full", time.Minute, admission.Queue{Account: 40, AccountBound: 40, TotalBound: 100, Drain: 1}, refusal.AccountQueueFull, 11 * time.Second, 14 * time.Second},
+		{"account full, rate unknown", time.Minute, admission.Queue{Account: 40, AccountBound: 40, TotalBound: 100}, refusal.AccountQueueFull, 5 * time.Second, 7 * time.Second},
+		{"router full", time.Minute, admission.Queue{Account: 3, AccountBound: 40, Total: 100, TotalBound: 100, Drain: 10}, refusal.RouterQueueFull, time.Second, 2 * time.Second},
+		{"turn after the deadline", 10 * time.Second, admission.Queue{Account: 29, AccountBound: 40, TotalBound: 100, Drain: 2}, refusal.DeadlineBeforeTurn, 5 * time.Second, 7 * time.Second},
+		{"stalled", 10 * time.Second, admission.Queue{Account: 29, AccountBound: 40, TotalBound: 100, Drain: 1e-300}, refusal.DeadlineBeforeTurn, time.Minute, 75 * time.Second},
+	}
+	for _, c := range cases {
+		refused := admission.Bounded{}.Admit(epoch, epoch.Add(c.deadline), c.queue)
+		if c.reason == "" {
+			require.Nil(t, refused, c.name)
+			continue
+		}
+		require.NotNil(t, refused, c.name)
+		require.Equal(t, c.reason, refused.Reason, c.name)
+		require.Equal(t, refusal.NotRun, refused.Outcome, c.name)
+		require.GreaterOrEqual(t, refused.RetryAfter, c.atLeast, c.name)
+		require.LessOrEqual(t, refused.RetryAfter, c.atMost, c.name)
+	}
+}
+
+// Twice as much arrives as is served, and each caller gives up after ten
+// seconds. Let in without looking at the rate, every request waits until just
+// before its deadline or beyond, and its caller hears nothing until then.
+// Refused at once, a caller can do something else, and those let in are served.
+func TestSaturationIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	late := func(policy admission.Policy) (lateStarts, refusals int) {
+		var drain admission.Drain
+		var queue []time.Time
+		for tick := range 600 {
+			now := epoch.Add(time.Duration(tick) * 100 * time.Millisecond)
+			deadline := now.Add(10 * time.Second)
+			refused := policy.Admit(now, deadline, admission.Queue{
+				Account: len(queue), AccountBound: 1000, TotalBound: 1000, Drain: drain.Rate(now),
+			})
+			if refused != nil {
+				refusals++
+			} else {
+				queue = append(queue, deadline)
+			}
+			if tick%2 == 0 && len(queue) > 0 {
+				if queue[0].Before(now) {
+					lateStarts++
+				}
+				queue = queue[1:]
+				drain.Started(now)
+			}
+			drain.Waits(now, len(queue) > 0)
+		}
+		return lateStarts, refusals
+	}
+	lateStarts, refusals := late(admission.Bounded{})
+	require.LessOrEqual(t, lateStarts, 6)
+	require.Greater(t, refusals, 200)
+	lateStarts, _ = late(admission.Unbounded{})
+	require.Greater(t, lateStarts, 100, "the baseline serves callers that are gone")
+}
+
+// Hundreds of callers are refused in the same second. Told the same time, they
+// come back together and are refused together again.
+func TestRefusedCallersDoNotReturnTogether(t *testing.T) {
+	t.Parallel()
+	waits := make(map[time.Duration]bool)
+	for i := range 200 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		refused := admission.Bounded{}.Admit(now, now.Add(time.Minute), admission.Queue{Account: 256, AccountBound: 256, TotalBound: 4096, Drain: 8})
+		waits[refused.RetryAfter.Truncate(100*time.Millisecond)] = true
+	}
+	require.Greater(t, len(waits), 15)
+}
+
+func TestDrainMeasuresOnlyWhileWorkWaits(t *testing.T) {
+	t.Parallel()
+	var drain admission.Drain
+	require.Zero(t, drain.Rate(epoch))
+	now := epoch
+	drain.Waits(now, true)
+	for range 100 {
+		now = now.Add(250 * time.Millisecond)
+		drain.Started(now)
+	}
+	require.InEpsilon(t, 4, drain.Rate(now), 0.05)
+	drain.Waits(now, false)
+	now = now.Add(time.Hour)
+	require.InEpsilon(t, 4, drain.Rate(now), 0.05, "idle time is no evidence")
+	drain.Waits(now, true)
+	now = now.Add(30 * time.Second)
+	require.Less(t, drain.Rate(now), 0.5, "a stall is")
+	require.Positive(t, drain.Rate(now.Add(time.Hour)))
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,4 +1,10 @@
 // Package retry decides whether a failed attempt is followed by another.
+//
+// It answers a slow or failing upstream under load. Each failed request that
+// is simply repeated adds to the load of the upstreams that still work; with
+// two repeats each, a fleet at its limit that loses a third of its answers is
+// asked for half as much again, and loses more. Budget bounds retries to a part
+// of the first tries, and allows only those that do no harm.
 package retry
 
 import (
@@ -34,7 +40,10 @@
 	Idempotent bool
 	// AnswerStarted is true once a byte went out to the caller.
 	AnswerStarted bool
-	Deadline      time.Time
+	// Resumable is true when the next attempt goes on with the same run of the
+	// request, after the last byte that went out.
+	Resumable bool
+	Deadline  time.Time
 	// Expected is how long another attempt takes until its first byte.
 	Expected time.Duration
 }
