estimate: test that accounts in use are kept, sharper

Forgetting accounts in use had passed: the test taught the account anew in each round. Now it reads only, and fails without the move to the recent generation.

--- a/estimate/estimate_test.go
+++ b/estimate/estimate_test.go
@@ -50,12 +50,14 @@
 func TestMemoryIsBoundedAndUsersAreKept(t *testing.T) {
 	t.Parallel()
 	e := estimate.Estimator{Capacity: 100}
-	for i := range 1000 {
+	for range 10 {
 		e.Ended(key("steady"), 2000)
+	}
+	for i := range 1000 {
+		require.Equal(t, int64(2000), e.Output(key("steady"), 0))
 		e.Ended(key(fmt.Sprint(i)), 10)
 	}
 	require.LessOrEqual(t, e.Len(), 100)
-	require.Equal(t, int64(2000), e.Output(key("steady"), 0))
 }
 
 func TestEstimatorIsSharedByGoroutines(t *testing.T) {
