--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -10,16 +10,17 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/waiting"
 )
 
 // waiter is a request that waits for its turn here.
 type waiter struct {
-	work    dispatch.Work
-	arrived time.Time
+	work dispatch.Work
+	item *waiting.Item[queueKey, *waiter]
 	// avoided are the upstreams of work.Avoid by number.
 	avoided   []uint32
 	preferred []fleet.Number
-	// passed counts the requests behind this one that were started before it.
+	// passed counts how often a request behind this one was started before it.
 	passed int
 	queue  *queue
 	// given is set once the waiter has its answer; only the control goroutine uses it.
@@ -100,7 +101,7 @@
 
 func (s *Scheduler) observeWait(w *waiter, now time.Time) {
 	if s.metrics != nil {
-		s.metrics.QueueSeconds.WithLabelValues(w.work.Service.GetId()).Observe(now.Sub(w.arrived).Seconds())
+		s.metrics.QueueSeconds.WithLabelValues(w.work.Service.GetId()).Observe(now.Sub(w.item.Since()).Seconds())
 	}
 }
 
--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -22,8 +22,8 @@
 // rank returns the dispatchers that a queue asks, those that can be reached.
 func (e *entry) rank(s *Scheduler, q *queue) []fleet.RouterID {
 	var preferred []fleet.Number
-	if len(q.waiters) > 0 {
-		preferred = q.waiters[0].preferred
+	if head := e.line.Head(q.key); head != nil {
+		preferred = head.Value().preferred
 	}
 	ranked := s.assigned.ranked(q.key.service, q.key.account, preferred)
 	return slices.DeleteFunc(ranked, func(router fleet.RouterID) bool { return !s.reaches(router) })
@@ -40,7 +40,7 @@
 // ask tells dispatchers what waits in a queue, where their count is off by too
 // much or changed is true.
 func (e *entry) ask(s *Scheduler, now time.Time, q *queue, changed bool) {
-	want := len(q.waiters)
+	want := e.line.Len(q.key)
 	if want == 0 {
 		q.targets = nil
 	} else if len(q.targets) == 0 {
@@ -60,8 +60,8 @@
 }
 
 func (e *entry) sendAsk(s *Scheduler, now time.Time, q *queue, router fleet.RouterID) {
-	message := q.askFor(now)
-	q.asked[router] = len(q.waiters)
+	message := e.askFor(now, q)
+	q.asked[router] = e.line.Len(q.key)
 	e.putAsk(s, router, message)
 }
 
@@ -87,10 +87,11 @@
 func (e *entry) widen(s *Scheduler, now time.Time) {
 	for _, q := range e.queues {
 		asked := len(q.targets)
-		if len(q.waiters) == 0 || asked == 0 || asked > len(widenAfter) {
+		head := e.line.Head(q.key)
+		if head == nil || asked == 0 || asked > len(widenAfter) {
 			continue
 		}
-		if now.Sub(q.waiters[0].arrived) < widenAfter[asked-1] {
+		if now.Sub(head.Since()) < widenAfter[asked-1] {
 			continue
 		}
 		for _, router := range e.rank(s, q) {
@@ -106,7 +107,7 @@
 // offered takes note that a dispatcher has idle slots for a service.
 func (e *entry) offered(s *Scheduler, now time.Time, from fleet.RouterID, service fleet.Number) {
 	for _, q := range e.queues {
-		if q.key.service != service || len(q.waiters) == 0 || slices.Contains(q.targets, from) {
+		if q.key.service != service || e.line.Len(q.key) == 0 || slices.Contains(q.targets, from) {
 			continue
 		}
 		q.targets = append(q.targets, from)
@@ -119,7 +120,7 @@
 func (e *entry) repeat(s *Scheduler, now time.Time) {
 	for _, q := range e.queues {
 		for _, router := range q.targets {
-			if q.asked[router] != len(q.waiters) {
+			if q.asked[router] != e.line.Len(q.key) {
 				e.sendAsk(s, now, q, router)
 			}
 		}
@@ -138,9 +139,9 @@
 func (e *entry) asksFor(_ *Scheduler, now time.Time, router fleet.RouterID) []*schema.Ask {
 	var asks []*schema.Ask
 	for _, q := range e.queues {
-		if len(q.waiters) > 0 && slices.Contains(q.targets, router) {
-			q.asked[router] = len(q.waiters)
-			asks = append(asks, q.askFor(now))
+		if e.line.Len(q.key) > 0 && slices.Contains(q.targets, router) {
+			q.asked[router] = e.line.Len(q.key)
+			asks = append(asks, e.askFor(now, q))
 		}
 	}
 	return asks
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -9,18 +9,17 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/waiting"
 )
 
 // entry is the part of a router that callers reach: what waits here, and what
 // it has in flight.
 type entry struct {
-	queues  map[queueKey]*queue
-	holds   map[holdKey]*hold
-	waiting int
+	line   waiting.Queue[queueKey, *waiter]
+	queues map[queueKey]*queue
+	holds  map[holdKey]*hold
 	// through is the highest id of each dispatcher's grants that was seen.
 	through map[fleet.RouterID]dispatcher.GrantID
-	// nextDeadline is not later than that of any waiting request.
-	nextDeadline time.Time
 }
 
 func newEntry() *entry {
@@ -31,9 +30,14 @@
 	}
 }
 
-// noUpstreamRetry is when to come back to a service without upstreams: about
-// the time that a release note takes to come into force.
-const noUpstreamRetry = 5 * time.Second
+const (
+	// noUpstreamRetry is when to come back to a service without upstreams:
+	// about the time that a release note takes to come into force.
+	noUpstreamRetry = 5 * time.Second
+	// leastRetry and mostRetry bound when to come back after a deadline passed.
+	leastRetry = time.Second
+	mostRetry  = time.Minute
+)
 
 // add lets a request wait, or refuses it.
 func (e *entry) add(s *Scheduler, now time.Time, w *waiter) {
@@ -41,16 +45,9 @@
 		w.answer <- answer{refused: refused}
 		return
 	}
-	q := w.queue
-	w.arrived = now
-	q.used = now
-	q.drain.pass(now, len(q.waiters) > 0)
-	q.waiters = append(q.waiters, w)
-	e.waiting++
-	if e.waiting == 1 || w.work.Deadline.Before(e.nextDeadline) {
-		e.nextDeadline = w.work.Deadline
-	}
-	e.ask(s, now, q, len(w.avoided) > 0)
+	w.item = e.line.Push(w.queue.key, w, now, w.work.Deadline)
+	w.queue.drain.Waits(now, true)
+	e.ask(s, now, w.queue, len(w.avoided) > 0)
 }
 
 func (e *entry) admit(s *Scheduler, now time.Time, w *waiter) *refusal.Error {
@@ -76,8 +73,8 @@
 	w.avoided = avoidedNumbers(s, w, targets)
 	w.preferred = s.assigned.preferredFor(key.service, w.work.Prefix)
 	return s.admission.Admit(now, w.work.Deadline, admission.Queue{
-		Account: len(q.waiters), AccountBound: s.bound(q), Total: e.waiting, TotalBound: s.maxWaitingTotal,
-		Drain: q.drain.rate(),
+		Account: e.line.Len(key), AccountBound: s.bound(q), Total: e.line.Total(), TotalBound: s.maxWaitingTotal,
+		Drain: q.drain.Rate(now),
 	})
 }
 
@@ -91,6 +88,9 @@
 // avoidedNumbers returns the upstreams to avoid, none when they are all that
 // there is: a request must not wait for an upstream that does not exist.
 func avoidedNumbers(s *Scheduler, w *waiter, targets []target) []uint32 {
+	if len(w.work.Avoid) == 0 {
+		return nil
+	}
 	var avoided []uint32
 	for _, t := range targets {
 		u := s.view.UpstreamByNumber(t.upstream)
@@ -110,18 +110,18 @@
 		e.giveBack(s, w.given)
 		return
 	}
-	if w.queue == nil || !slices.Contains(w.queue.waiters, w) {
-		return
+	if e.remove(now, w) {
+		e.ask(s, now, w.queue, false)
 	}
-	e.remove(now, w)
-	e.ask(s, now, w.queue, false)
 }
 
-// remove takes a request out of its queue.
-func (e *entry) remove(now time.Time, w *waiter) {
-	w.queue.drain.pass(now, true)
-	w.queue.take(w)
-	e.waiting--
+// remove takes a request out of the line and reports whether it waited there.
+func (e *entry) remove(now time.Time, w *waiter) bool {
+	removed := e.line.Remove(w.item)
+	if removed {
+		w.queue.drain.Waits(now, e.line.Len(w.queue.key) > 0)
+	}
+	return removed
 }
 
 func (e *entry) refuse(now time.Time, w *waiter, refused *refusal.Error) {
@@ -129,9 +129,18 @@
 	w.answer <- answer{refused: refused}
 }
 
+// waiters returns the requests of a queue, oldest first.
+func (e *entry) waiters(q *queue) []*waiter {
+	all := make([]*waiter, 0, e.line.Len(q.key))
+	for item := e.line.Head(q.key); item != nil; item = item.Next() {
+		all = append(all, item.Value())
+	}
+	return all
+}
+
 func (e *entry) refuseAll(refused *refusal.Error) {
 	for _, q := range e.queues {
-		for _, w := range slices.Clone(q.waiters) {
+		for _, w := range e.waiters(q) {
 			e.refuse(q.used, w, refused)
 		}
 	}
@@ -139,27 +148,26 @@
 
 // expire refuses the requests whose deadline has passed.
 func (e *entry) expire(s *Scheduler, now time.Time) {
-	if e.waiting == 0 || now.Before(e.nextDeadline) {
-		return
-	}
-	e.nextDeadline = now.Add(time.Hour)
-	for _, q := range e.queues {
-		for _, w := range slices.Clone(q.waiters) {
-			if w.work.Deadline.After(now) {
-				e.nextDeadline = earlier(e.nextDeadline, w.work.Deadline)
-				continue
-			}
-			e.refuse(now, w, refusal.New(refusal.DeadlinePassed, "the deadline passed before the request's turn", q.retryAfter()))
-		}
+	for _, item := range e.line.Expire(now) {
+		w := item.Value()
+		q := w.queue
+		q.drain.Waits(now, e.line.Len(q.key) > 0)
+		w.answer <- answer{refused: refusal.New(
+			refusal.DeadlinePassed, "the deadline passed before the request's turn", e.retryAfter(now, q),
+		)}
 		e.ask(s, now, q, false)
 	}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
+// retryAfter returns when a caller whose request was given up should come
+// back: when what waits now has been started.
+func (e *entry) retryAfter(now time.Time, q *queue) time.Duration {
+	rate := q.drain.Rate(now)
+	if rate == 0 {
+		return leastRetry
 	}
-	return a
+	seconds := min(float64(e.line.Len(q.key)+1)/rate, mostRetry.Seconds())
+	return max(time.Duration(seconds*float64(time.Second)), leastRetry)
 }
 
 // review refuses requests that were let in but won't have their turn in time
@@ -168,17 +176,16 @@
 func (e *entry) review(s *Scheduler, now time.Time) {
 	const forgetAfter = 5 * time.Minute
 	for key, q := range e.queues {
-		if len(q.waiters) == 0 {
+		if e.line.Len(key) == 0 {
 			if now.Sub(q.used) > forgetAfter {
 				delete(e.queues, key)
 			}
 			continue
 		}
-		q.drain.pass(now, true)
-		rate := q.drain.rate()
-		for i, w := range slices.Clone(q.waiters) {
+		rate := q.drain.Rate(now)
+		for i, w := range e.waiters(q) {
 			refused := s.admission.Admit(now, w.work.Deadline, admission.Queue{
-				Account: i, AccountBound: len(q.waiters) + 1, TotalBound: 1, Drain: rate,
+				Account: i, AccountBound: i + 1, TotalBound: 1, Drain: rate,
 			})
 			if refused != nil && refused.Reason == refusal.DeadlineBeforeTurn {
 				e.refuse(now, w, refused)
@@ -191,12 +198,12 @@
 // reassigned takes note that dispatchers or the release note changed.
 func (e *entry) reassigned(s *Scheduler, now time.Time) {
 	for _, q := range e.queues {
-		if refused := e.withdrawn(s, q); refused != nil {
-			for _, w := range slices.Clone(q.waiters) {
+		refused := e.withdrawn(s, q)
+		for _, w := range e.waiters(q) {
+			if refused != nil {
 				e.refuse(now, w, refused)
+				continue
 			}
-		}
-		for _, w := range q.waiters {
 			w.preferred = s.assigned.preferredFor(q.key.service, w.work.Prefix)
 			w.avoided = avoidedNumbers(s, w, s.assigned.byService[q.key.service])
 		}
@@ -236,7 +243,7 @@
 		return
 	}
 	q.asked[from] = max(0, q.asked[from]-1)
-	w := q.choose(h.upstream)
+	w := choose(e.line.Head(q.key), h.upstream)
 	if w == nil {
 		// The dispatcher takes the ask for withdrawn when it gets the slot back.
 		q.asked[from] = 0
@@ -249,7 +256,7 @@
 
 func (e *entry) start(s *Scheduler, now time.Time, w *waiter, h *hold, u *schema.Upstream) {
 	e.remove(now, w)
-	w.queue.drain.starts++
+	w.queue.drain.Started(now)
 	h.service = w.queue.service
 	h.announced = w.work.Estimate
 	e.holds[h.key] = h
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -185,6 +185,12 @@
 	u.cost[account] += cost
 }
 
+func (u *upstreams) servedOf(account string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.served[account]
+}
+
 // total returns what runs at all upstreams now.
 func (u *upstreams) total() int {
 	u.mu.Lock()
--- /dev/null
+++ b/scheduler/loopback_test.go
@@ -0,0 +1,151 @@
+package scheduler_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/dispatch"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/inflight"
+	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/placement"
+	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/scheduler"
+	"nutmeglock.example/nutmeglock/share"
+)
+
+// vmList is the platform's list in a test.
+type vmList struct {
+	mu  sync.Mutex
+	vms []platform.VM
+}
+
+func (l *vmList) List(context.Context) ([]platform.VM, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]platform.VM(nil), l.vms...), nil
+}
+
+// tcpRouter is a scheduler with its peers over TCP.
+type tcpRouter struct {
+	*scheduler.Scheduler
+	metrics *metric.Set
+}
+
+func startTCP(tb testing.TB, n int, view *note.View) []*tcpRouter {
+	tb.Helper()
+	list := &vmList{}
+	var listeners []net.Listener
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(tb, err)
+		listeners = append(listeners, listener)
+		list.vms = append(list.vms, platform.VM{
+			Name: fmt.Sprintf("router-%d", i), Role: platform.RouterVM, Address: listener.Addr().String(),
+		})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	tb.Cleanup(func() {
+		cancel()
+		group.Wait()
+	})
+	var routers []*tcpRouter
+	for i, listener := range listeners {
+		id := fleet.RouterID(fmt.Sprintf("router-%d", i))
+		set := metric.New(prometheus.NewRegistry())
+		peers := peer.New(peer.Options{
+			Self: id, Incarnation: 1, Address: listener.Addr().String(), Key: []byte("the key of the fleet"),
+			Listener: listener, Metrics: set,
+		})
+		s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.Affinity]{
+			Self: id, Incarnation: 1, Notes: fixedView{view}, Peers: peers, VMs: list, Metrics: set,
+			Order:   func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} },
+			Limiter: func(slots int) inflight.Fixed { return inflight.Fixed(slots) }, Admission: admission.Bounded{},
+		})
+		group.Go(func() { _ = peers.Run(ctx) })
+		group.Go(func() { _ = s.Run(ctx) })
+		routers = append(routers, &tcpRouter{s, set})
+	}
+	for _, r := range routers {
+		require.Eventually(tb, func() bool {
+			state, err := r.State(ctx)
+			if err != nil {
+				return false
+			}
+			dispatching := 0
+			for _, other := range state.Routers {
+				if other.Dispatches && other.Connected {
+					dispatching++
+				}
+			}
+			return dispatching == n
+		}, 20*time.Second, 10*time.Millisecond)
+	}
+	return routers
+}
+
+func (r *tcpRouter) once(tb testing.TB, view *note.View, account string, took time.Duration) string {
+	tb.Helper()
+	slot, err := r.Acquire(tb.Context(), dispatch.Work{
+		Account: view.Account(fleet.AccountID(account)), Service: view.Service("model"), Estimate: 300,
+		Deadline: time.Now().Add(time.Minute),
+	})
+	require.NoError(tb, err)
+	time.Sleep(took)
+	slot.Done(dispatch.Done{Result: dispatch.Answered, Cost: 310, FirstToken: took})
+	return slot.Upstream().GetId()
+}
+
+func (r *tcpRouter) controlBytes(direction string) float64 {
+	var value dto.Metric
+	_ = r.metrics.ControlBytes.WithLabelValues(direction, metric.Peer).Write(&value)
+	return value.GetCounter().GetValue()
+}
+
+func TestSixRoutersOverLoopback(t *testing.T) {
+	t.Parallel()
+	view := viewOf(4, 6, 4)
+	routers := startTCP(t, 6, view)
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	used := make(map[string]int)
+	for i, r := range routers {
+		for range 20 {
+			group.Go(func() {
+				upstream := r.once(t, view, fmt.Sprintf("account-%d", i%4), 5*time.Millisecond)
+				mu.Lock()
+				defer mu.Unlock()
+				used[upstream]++
+			})
+		}
+	}
+	group.Wait()
+	require.Len(t, used, 6)
+	for _, r := range routers {
+		require.Eventually(t, func() bool {
+			state, err := r.State(t.Context())
+			if err != nil {
+				return false
+			}
+			for _, u := range state.Upstreams {
+				if u.InFlight+u.Here > 0 {
+					return false
+				}
+			}
+			return true
+		}, 10*time.Second, 10*time.Millisecond)
+		require.Positive(t, r.controlBytes(metric.Sent))
+	}
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -4,21 +4,23 @@
 	"slices"
 	"time"
 
+	"nutmeglock.example/nutmeglock/admission"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/waiting"
 )
 
-// queue is what waits here of one account for one service.
+// queue is what is known of one account's requests for one service. The
+// requests themselves wait in the entry's line.
 type queue struct {
 	key     queueKey
 	service *schema.Service
 	account *schema.Account
-	waiters []*waiter
 	// asked is how many requests each dispatcher is taken to count as waiting.
 	asked map[fleet.RouterID]int
 	// targets are the dispatchers that are asked, in that order.
 	targets []fleet.RouterID
-	drain   drain
+	drain   admission.Drain
 	used    time.Time
 }
 
@@ -34,36 +36,32 @@
 
 // choose returns the request that is started at an upstream: the first of the
 // oldest few with affinity to it, else the oldest that does not avoid it, nil
-// when there is none.
-func (q *queue) choose(upstream fleet.Number) *waiter {
-	var first *waiter
-	for i, w := range q.waiters {
+// when there is none. It counts that the ones before it were passed.
+func choose(head *waiting.Item[queueKey, *waiter], upstream fleet.Number) *waiter {
+	var first, chosen *waiter
+	depth := 0
+	for item := head; item != nil && depth < choiceDepth; item = item.Next() {
+		w := item.Value()
 		if slices.Contains(w.avoided, uint32(upstream)) {
 			continue
 		}
+		depth++
 		if first == nil {
 			first = w
 		}
-		if i >= choiceDepth || first.passed >= choiceDepth {
+		if first.passed >= choiceDepth {
 			break
 		}
 		if slices.Contains(w.preferred, upstream) {
-			return w
+			chosen = w
+			break
 		}
 	}
-	return first
-}
-
-// take removes a request and counts how often those before it were passed.
-func (q *queue) take(w *waiter) {
-	i := slices.Index(q.waiters, w)
-	if i < 0 {
-		return
+	if chosen == nil || chosen == first {
+		return first
 	}
-	for _, before := range q.waiters[:i] {
-		before.passed++
-	}
-	q.waiters = slices.Delete(q.waiters, i, i+1)
+	first.passed++
+	return chosen
 }
 
 // needsAsk reports whether a dispatcher that counts so many requests has to be
@@ -85,16 +83,17 @@
 }
 
 // askFor returns the message that tells a dispatcher what waits here now.
-func (q *queue) askFor(now time.Time) *schema.Ask {
+func (e *entry) askFor(now time.Time, q *queue) *schema.Ask {
 	message := &schema.Ask{
-		Service: uint32(q.key.service), Account: uint32(q.key.account), Waiting: clampUint32(len(q.waiters)),
+		Service: uint32(q.key.service), Account: uint32(q.key.account), Waiting: clampUint32(e.line.Len(q.key)),
 	}
-	if len(q.waiters) == 0 {
+	item := e.line.Head(q.key)
+	if item == nil {
 		return message
 	}
-	head := q.waiters[0]
+	head := item.Value()
 	message.Estimate = clampUint32(head.work.Estimate)
-	message.WaitedMs = clampUint32(now.Sub(head.arrived).Milliseconds())
+	message.WaitedMs = clampUint32(now.Sub(item.Since()).Milliseconds())
 	if len(q.targets) > 1 {
 		message.Asked = uint32(len(q.targets))
 	}
@@ -104,49 +103,3 @@
 	}
 	return message
 }
-
-// drain measures how fast a queue's requests are started while some wait. Time
-// in which nothing waits is left out: the rate of a small account that is
-// served at once says nothing of how fast a burst of it would be.
-type drain struct {
-	starts  float64
-	seconds float64
-	since   time.Time
-}
-
-// drainWindow is the time over which the rate is averaged: a few residences
-// of a request, short beside the usual deadline of two minutes.
-const drainWindow = 20.0
-
-// pass counts the time up to now, in which something waited or not.
-func (d *drain) pass(now time.Time, waiting bool) {
-	if waiting && !d.since.IsZero() {
-		d.seconds += now.Sub(d.since).Seconds()
-	}
-	d.since = now
-	if d.seconds > drainWindow {
-		d.starts *= drainWindow / d.seconds
-		d.seconds = drainWindow
-	}
-}
-
-// rate returns the starts per second, zero while they are too few to tell.
-func (d *drain) rate() float64 {
-	const enoughStarts, enoughSeconds = 3, 0.2
-	if d.starts < enoughStarts || d.seconds < enoughSeconds {
-		return 0
-	}
-	return d.starts / d.seconds
-}
-
-// retryAfter returns when a caller that is turned away should come back: when
-// what waits now has been started.
-func (q *queue) retryAfter() time.Duration {
-	const least, most = time.Second, time.Minute
-	rate := q.drain.rate()
-	if rate == 0 {
-		return least
-	}
-	wait := time.Duration(float64(len(q.waiters)) / rate * float64(time.Second))
-	return min(max(wait, least), most)
-}
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -95,7 +95,7 @@
 	for _, q := range s.entry.queues {
 		state.Queues = append(state.Queues, QueueState{
 			Account: fleet.AccountID(q.account.GetId()), Service: fleet.ServiceID(q.service.GetId()),
-			Waiting: len(q.waiters), Drain: q.drain.rate(), Asked: q.targets,
+			Waiting: s.entry.line.Len(q.key), Drain: q.drain.Rate(now), Asked: q.targets,
 		})
 	}
 	return state
@@ -108,7 +108,7 @@
 	}
 	waiting, inFlight := make(map[string]int), make(map[string]int)
 	for _, q := range s.entry.queues {
-		waiting[q.service.GetId()] += len(q.waiters)
+		waiting[q.service.GetId()] += s.entry.line.Len(q.key)
 	}
 	for _, h := range s.entry.holds {
 		inFlight[h.service.GetId()]++
