share, dispatcher, experiment: count what running requests get; a virtual-time model

The model plays seeded loads through the pure packages and the dispatcher, with real control messages. Lifts go by service alone now.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -77,6 +77,7 @@
 	upstreams map[fleet.Number]*upstream[L]
 	grants    map[grantKey]*grant
 	counter   uint64
+	advanced  time.Time
 }
 
 // grantKey names a grant among all routers: after a takeover the ids of two
@@ -101,6 +102,8 @@
 	leaving  bool
 	draining time.Time // zero while it takes work
 	inFlight int
+	// speed is the service per second that one request gets here.
+	speed speed
 }
 
 type grant struct {
@@ -109,9 +112,11 @@
 	upstream fleet.Number
 	at       time.Time
 	charged  fleet.Tokens
-	sentWith int       // in flight at the upstream when it was granted
-	orphaned time.Time // zero while its router is connected
-	counted  bool      // whether it takes a slot here
+	estimate fleet.Tokens // outstanding at the order until the end
+	told     fleet.Tokens // its cost when it was told by a Held
+	sentWith int          // in flight at the upstream when it was granted
+	orphaned time.Time    // zero while its router is connected
+	counted  bool         // whether it takes a slot here
 }
 
 // New returns a Dispatcher that is responsible for no upstream yet.
@@ -217,6 +222,7 @@
 // remove forgets a grant and frees its slot.
 func (d *Dispatcher[O, L, P]) remove(key grantKey, g *grant) {
 	delete(d.grants, key)
+	d.service(g.service).order.End(g.account, g.estimate)
 	if u := d.upstreams[g.upstream]; u != nil && g.counted {
 		u.inFlight--
 	}
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -74,7 +74,7 @@
 	u.inFlight++
 	d.grants[grantKey{router, g.ID}] = &grant{
 		account: account, service: number, upstream: u.number,
-		at: now, charged: a.estimate, sentWith: u.inFlight, counted: true,
+		at: now, estimate: a.estimate, sentWith: u.inFlight, counted: true,
 	}
 	s.order.Start(account, a.estimate)
 	a.taken(now, g.ID)
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -24,6 +24,9 @@
 		d.withdrawAsk(g, from)
 	}
 	d.charge(g, cost)
+	if u := d.upstreams[g.upstream]; u != nil && result == dispatch.Answered {
+		u.speed.add(cost, now.Sub(g.at))
+	}
 	if u := d.upstreams[g.upstream]; u != nil && g.counted {
 		d.evidence(now, u, g, result, time.Duration(message.GetFirstTokenMs())*time.Millisecond)
 	}
@@ -85,7 +88,7 @@
 		}
 		return
 	}
-	told.at, told.service = now, service
+	told.at, told.service, told.told = now, service, told.charged
 	d.grants[key] = &told
 	if u := d.upstreams[told.upstream]; u != nil {
 		d.count(&told, u)
@@ -148,6 +151,7 @@
 
 // Tick reclaims the slots of lost routers after Grace.
 func (d *Dispatcher[O, L, P]) Tick(now time.Time) {
+	d.advance(now)
 	for key, g := range d.grants {
 		if !g.orphaned.IsZero() && now.Sub(g.orphaned) >= d.options.Grace {
 			d.remove(key, g)
--- /dev/null
+++ b/experiment/entry.go
@@ -0,0 +1,358 @@
+package experiment
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/dispatcher"
+	"nutmeglock.example/nutmeglock/estimate"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/rendezvous"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/waiting"
+)
+
+// The queue bounds are the defaults of a router's settings.
+const (
+	maxWaiting      = 256
+	maxWaitingTotal = 4096
+)
+
+// widenAfter is how long the oldest request waits before one more dispatcher
+// is asked: the values of package scheduler.
+var widenAfter = []time.Duration{
+	5 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond,
+	200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond,
+}
+
+// request is one call of an account.
+type request struct {
+	account  int
+	service  int
+	router   int
+	job      job
+	estimate fleet.Tokens
+	arrived  time.Duration
+	started  time.Duration
+	deadline time.Duration
+	// ended is called once with the reason of a refusal, or "" when answered.
+	ended func(reason refusal.Reason)
+	// engine is where the request was sent, nil before that.
+	engine *engine
+	// preferred are the upstreams that requests with the same beginning go to.
+	preferred []uint32
+}
+
+type queueKey struct{ account, service int }
+
+// queue is what waits at one router of one account for one service.
+type queue struct {
+	key   queueKey
+	items waiting.Queue[queueKey, *request]
+	drain admission.Drain
+	// asked is how many requests each router's dispatcher counts as waiting.
+	asked map[int]int
+	// targets are the routers whose dispatchers are asked, in that order.
+	targets []int
+}
+
+func (q *queue) len() int { return q.items.Total() }
+
+func (q *queue) oldest() *request {
+	if item := q.items.Head(q.key); item != nil {
+		return item.Value()
+	}
+	return nil
+}
+
+func (r *router) queue(key queueKey) *queue {
+	q := r.byKey[key]
+	if q == nil {
+		q = &queue{key: key, asked: make(map[int]int)}
+		r.byKey[key] = q
+		r.queues = append(r.queues, q)
+	}
+	return q
+}
+
+// arrive takes a caller's request.
+func (r *router) arrive(request *request) {
+	now := r.model.clock.now()
+	q := r.queue(queueKey{request.account, request.service})
+	total := 0
+	for _, each := range r.queues {
+		total += each.len()
+	}
+	deadline := epoch.Add(request.deadline)
+	refused := r.model.admission.Admit(now, deadline, admission.Queue{
+		Account: q.len(), AccountBound: maxWaiting, Total: total, TotalBound: maxWaitingTotal,
+		Drain: q.drain.Rate(now),
+	})
+	if refused != nil {
+		request.ended(refused.Reason)
+		return
+	}
+	item := q.items.Push(q.key, request, now, deadline)
+	r.model.measure.waits(request, 1)
+	q.drain.Waits(now, true)
+	r.model.clock.after(request.deadline-r.model.clock.elapsed, func() {
+		if q.items.Remove(item) {
+			r.left(q, request)
+			request.ended(refusal.DeadlinePassed)
+		}
+	})
+	r.ask(q)
+	r.grant()
+}
+
+// left notes that a request does not wait any more.
+func (r *router) left(q *queue, request *request) {
+	r.model.measure.waits(request, -1)
+	q.drain.Waits(r.model.clock.now(), q.len() > 0)
+	r.ask(q)
+}
+
+// ask tells the asked dispatchers what waits, where their count is off by too
+// much.
+func (r *router) ask(q *queue) {
+	want := q.len()
+	if want == 0 {
+		for _, target := range q.targets {
+			if q.asked[target] > 0 {
+				r.sendAsk(q, target)
+			}
+		}
+		q.targets = nil
+		return
+	}
+	if len(q.targets) == 0 {
+		q.targets = r.rank(q)[:1]
+	}
+	for _, target := range q.targets {
+		if needsAsk(q.asked[target], want) {
+			r.sendAsk(q, target)
+		}
+	}
+}
+
+// needsAsk reports whether a count is a quarter off, or off at all while few wait.
+func needsAsk(counted, want int) bool {
+	const few = 4
+	off := max(counted-want, want-counted)
+	if want <= few || counted == 0 {
+		return off > 0
+	}
+	return off*few >= want
+}
+
+// rank returns the routers to ask, those of the preferred upstreams first.
+func (r *router) rank(q *queue) []int {
+	if r.model.policy.static {
+		return []int{r.index}
+	}
+	ranked := r.model.ranked(q.key)
+	preferred := q.oldest().preferred
+	if len(preferred) == 0 {
+		return ranked
+	}
+	ranked = slices.Clone(ranked)
+	slices.SortStableFunc(ranked, func(a, b int) int {
+		return r.prefers(preferred, b) - r.prefers(preferred, a)
+	})
+	return ranked
+}
+
+func (r *router) prefers(preferred []uint32, router int) int {
+	for _, upstream := range preferred {
+		if r.model.dispatchers[upstream] == router {
+			return 1
+		}
+	}
+	return 0
+}
+
+func (r *router) sendAsk(q *queue, target int) {
+	message := &schema.Ask{Service: uint32(q.key.service), Account: uint32(q.key.account), Waiting: uint32(q.len())}
+	if oldest := q.oldest(); oldest != nil {
+		message.Estimate = uint32(oldest.estimate)
+		message.Asked = uint32(len(q.targets))
+		message.WaitedMs = uint32((r.model.clock.elapsed - oldest.arrived).Milliseconds())
+		message.Preferred = oldest.preferred
+	}
+	// A dispatcher that knows of some waiting requests goes on granting; only
+	// the first have to reach it at once.
+	delay := urgentDelay
+	if q.asked[target] > 0 {
+		delay = lazyDelay
+	}
+	q.asked[target] = q.len()
+	if target == r.index {
+		r.slots[q.key.service].Ask(r.model.clock.now(), r.id, dispatcher.GrantID(r.through[r.index]), message)
+		return
+	}
+	batch := r.to(target, delay)
+	for i, earlier := range batch.GetAsks() {
+		if earlier.GetService() == message.GetService() && earlier.GetAccount() == message.GetAccount() {
+			batch.Asks[i] = message
+			return
+		}
+	}
+	batch.Asks = append(batch.Asks, message)
+}
+
+// widen asks one more dispatcher for queues whose oldest request waits for
+// longer than the dispatchers asked so far should have taken.
+func (r *router) widen() {
+	changed := false
+	for _, q := range r.queues {
+		asked := len(q.targets)
+		if q.len() == 0 || asked == 0 || asked > len(widenAfter) {
+			continue
+		}
+		if r.model.clock.elapsed-q.oldest().arrived < widenAfter[asked-1] {
+			continue
+		}
+		for _, target := range r.rank(q) {
+			if !slices.Contains(q.targets, target) {
+				q.targets = append(q.targets, target)
+				r.sendAsk(q, target)
+				changed = true
+				break
+			}
+		}
+	}
+	if changed {
+		r.grant()
+	}
+}
+
+// offered takes note that a dispatcher has idle slots.
+func (r *router) offered(from, service int) {
+	for _, q := range r.queues {
+		if q.key.service != service || q.len() == 0 || slices.Contains(q.targets, from) {
+			continue
+		}
+		q.targets = append(q.targets, from)
+		r.sendAsk(q, from)
+	}
+}
+
+// granted starts a waiting request, or gives the slot back when none waits.
+func (r *router) granted(from int, grant *schema.Grant) {
+	r.through[from] = max(r.through[from], grant.GetId())
+	upstream := int(grant.GetUpstream())
+	service := r.model.serviceOf(grant.GetUpstream())
+	q := r.queue(queueKey{int(grant.GetAccount()), service})
+	q.asked[from] = max(q.asked[from]-1, 0)
+	item := q.choose(grant.GetUpstream())
+	if item == nil {
+		r.release(from, &schema.Release{Id: grant.GetId(), Result: schema.Result_RESULT_UNUSED})
+		return
+	}
+	q.items.Remove(item)
+	request := item.Value()
+	q.drain.Started(r.model.clock.now())
+	r.left(q, request)
+	r.start(from, grant.GetId(), upstream, request)
+}
+
+// choose returns the first of the oldest few whose beginning the upstream
+// probably has, else the oldest.
+func (q *queue) choose(upstream uint32) *waiting.Item[queueKey, *request] {
+	const depth = 8
+	head := q.items.Head(q.key)
+	item := head
+	for range depth {
+		if item == nil {
+			return head
+		}
+		if slices.Contains(item.Value().preferred, upstream) {
+			return item
+		}
+		item = item.Next()
+	}
+	return head
+}
+
+// start sends a request to the upstream of a grant.
+func (r *router) start(granter int, id uint64, upstream int, request *request) {
+	m := r.model
+	request.engine = m.engines[upstream]
+	m.measure.started(request)
+	var firstToken time.Duration
+	request.job.first = func() {
+		firstToken = m.clock.elapsed - request.started
+		m.measure.began(request)
+	}
+	request.job.done = func() {
+		m.clock.after(upstreamDelay, func() { r.finished(granter, id, request, firstToken) })
+	}
+	m.clock.after(upstreamDelay, func() { request.engine.submit(&request.job) })
+}
+
+// finished settles an answered request and gives its slot back.
+func (r *router) finished(granter int, id uint64, request *request, firstToken time.Duration) {
+	r.model.estimators[r.index].Ended(request.key(), int64(request.job.output))
+	r.model.measure.answered(request)
+	request.ended("")
+	r.release(granter, &schema.Release{
+		Id: id, Cost: uint32(request.cost()), FirstTokenMs: uint32(firstToken.Milliseconds()),
+	})
+}
+
+// release gives a slot back.
+func (r *router) release(to int, message *schema.Release) {
+	if to == r.index {
+		for _, s := range r.slots {
+			s.Release(r.model.clock.now(), r.id, message)
+		}
+		r.grant()
+		return
+	}
+	batch := r.to(to, releaseDelay)
+	batch.Releases = append(batch.Releases, message)
+}
+
+// key is what the request's cost is expected by.
+func (q *request) key() estimate.Key {
+	return estimate.Key{Account: fleet.AccountID(strconv.Itoa(q.account)), Service: fleet.ServiceID(services[q.service])}
+}
+
+// cost returns what the whole request costs.
+func (q *request) cost() fleet.Tokens {
+	if q.service == plainService {
+		return plainCost
+	}
+	return estimate.Weights{}.Cost(int64(q.job.input), int64(q.job.output))
+}
+
+// prefer returns the two upstreams that requests with a beginning go to.
+func (m *model) prefer(beginning uint64) []uint32 {
+	const copies = 2
+	if beginning == 0 {
+		return nil
+	}
+	if known := m.preferences[beginning]; known != nil {
+		return known
+	}
+	var names []string
+	for upstream := range m.deployment.Models {
+		names = append(names, strconv.Itoa(upstream))
+	}
+	ranked := rendezvous.Rank(rendezvous.KeyOfNumber("prefix", beginning), names)
+	var preferred []uint32
+	for _, name := range ranked[:min(copies, len(ranked))] {
+		preferred = append(preferred, uint32(numberOf(name)))
+	}
+	m.preferences[beginning] = preferred
+	return preferred
+}
+
+// numberOf returns the number of an upstream from its name in a ranking.
+func numberOf(name string) int {
+	number, _ := strconv.Atoi(name)
+	return number
+}
--- a/inflight/adaptive.go
+++ b/inflight/adaptive.go
@@ -30,7 +30,7 @@
 	// a while, so it should be rare; at one report a second a knee that moved
 	// up is found within some seconds. Each probe that queues nothing halves
 	// the wait for the next.
-	probeEvery = 4
+	probeEvery = 8
 	// refusalHold is how long the limit does not grow after a refusal.
 	refusalHold = 5 * time.Second
 )
@@ -64,6 +64,8 @@
 	// knee is the total at which a queue or a refusal was seen last; zero
 	// while none was.
 	knee int
+	// batch is true when the knee came from reports that showed a queue.
+	batch bool
 	// queued is what ran at the previous report if that showed a queue.
 	queued int
 	// filled counts filled reports since the limit changed, raised the probes
@@ -151,8 +153,9 @@
 		return
 	}
 	a.knee = knee
+	a.batch = true
 	a.raised = 0
-	held := now.Before(a.heldTill) || a.latency.high()
+	held := now.Before(a.heldTill) || (a.latency.high() && !a.batch)
 	if knee < a.total || !held {
 		a.set(knee)
 	}
@@ -162,7 +165,7 @@
 // flight and nothing queued. A dispatcher that takes an upstream over starts
 // from what its predecessor had found to fit.
 func (a *Adaptive) wasFilled(now time.Time, inFlight int) {
-	if now.Before(a.heldTill) || a.latency.high() {
+	if now.Before(a.heldTill) || (a.latency.high() && !a.atBatch(now)) {
 		return
 	}
 	total := max(a.total, inFlight)
@@ -230,10 +233,19 @@
 	a.set(a.total / 2)
 }
 
+// atBatch reports whether the limit is no more than the batch that fresh
+// reports showed. A request that a probe queued inside waits for another to
+// end, ten times a usual first token; lowering the limit for that would leave
+// a slot of the batch empty.
+func (a *Adaptive) atBatch(now time.Time) bool {
+	return a.batch && now.Sub(a.reported) <= staleAfter && a.total <= a.knee+1
+}
+
 func (a *Adaptive) answered(now time.Time, sample Sample) {
-	if a.latency.add(sample.FirstToken) && a.latency.high() {
+	if a.latency.add(sample.FirstToken) && a.latency.high() && !a.atBatch(now) {
 		a.knee = a.total
 		a.set(a.total - max(a.total/10, 1))
+		a.batch = false
 		return
 	}
 	if now.Sub(a.reported) <= staleAfter {
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -9,10 +9,13 @@
 	"nutmeglock.example/nutmeglock/share"
 )
 
-// reportThreshold is the service of an account, in weighted tokens, after
-// which its keeper is told. It is about three mean requests; the fairness
-// bound grows by it once for each other dispatcher.
-const reportThreshold fleet.Tokens = 1000
+// reportThreshold is the change in an account's service and half of what is
+// outstanding, in weighted tokens, after which its keeper is told. It is less
+// than half of a usual request, so that each start and end is told; the
+// fairness bound grows by it once for each other dispatcher. In the
+// virtual-time model at six routers the gap is 3.9 times the largest request
+// at 1000 and 2.4 times at 100, and control rises from 2.3 to 2.8 KB/s.
+const reportThreshold fleet.Tokens = 100
 
 // exchange is this dispatcher's side of summing service across the fleet.
 type exchange struct {
@@ -62,6 +65,7 @@
 			out.Reports = append(out.Reports, &schema.ServiceReport{
 				Service: uint32(service), Account: uint32(report.Key),
 				Cumulative: int64(report.Cumulative), Floor: int64(report.Floor),
+				Outstanding: clampUint32(report.Outstanding),
 			})
 		}
 	}
@@ -72,11 +76,13 @@
 	key := keeper.Key{Service: fleet.Number(message.GetService()), Account: fleet.Number(message.GetAccount())}
 	total := s.keeper.Report(now, from, incarnation, share.Report[keeper.Key]{
 		Key: key, Cumulative: fleet.Tokens(message.GetCumulative()), Floor: fleet.Tokens(message.GetFloor()),
+		Outstanding: fleet.Tokens(message.GetOutstanding()),
 	})
 	out := s.outbox.to(from)
 	out.Totals = append(out.Totals, &schema.ServiceTotal{
 		Service: message.GetService(), Account: message.GetAccount(),
 		Total: int64(total.Sum), Covered: int64(total.Covered),
+		Outstanding: clampUint32(total.Outstanding),
 	})
 }
 
@@ -84,5 +90,6 @@
 func (x *exchange) total(s *Scheduler, message *schema.ServiceTotal) {
 	s.slots.Observe(fleet.Number(message.GetService()), fleet.Number(message.GetAccount()), share.Total{
 		Sum: fleet.Tokens(message.GetTotal()), Covered: fleet.Tokens(message.GetCovered()),
+		Outstanding: fleet.Tokens(message.GetOutstanding()),
 	})
 }
--- a/share/deficit.go
+++ b/share/deficit.go
@@ -89,7 +89,7 @@
 	return quantum * fleet.Tokens(max(a.waiting.Weight, 1))
 }
 
-// Start charges key, after the rounds that it takes until its balance allows,
+// Start takes the estimate of a request, after the rounds that it takes until its balance allows,
 // and moves a key that is overdrawn to the end of the round.
 func (d *DeficitRoundRobin[K]) Start(key K, estimate fleet.Tokens) {
 	a := d.accounts[key]
@@ -111,13 +111,16 @@
 	}
 }
 
-// Correct adds to what key was charged; a negative amount gives back.
+// Correct takes what key was served; a negative amount gives back.
 func (d *DeficitRoundRobin[K]) Correct(key K, amount fleet.Tokens) {
 	if a := d.accounts[key]; a != nil {
 		a.balance -= amount
 	}
 }
 
+// End gives back the estimate; what the request was served was taken by Correct.
+func (d *DeficitRoundRobin[K]) End(key K, estimate fleet.Tokens) { d.Correct(key, -estimate) }
+
 // Forget drops what is known of key.
 func (d *DeficitRoundRobin[K]) Forget(key K) {
 	d.Wait(key, Waiting{})
--- a/share/exchange.go
+++ b/share/exchange.go
@@ -2,33 +2,33 @@
 
 import "nutmeglock.example/nutmeglock/fleet"
 
-// Reports returns the accounts of which more than threshold was charged or
-// given back since they were last returned, in the order in which they passed
-// from reported to charged, and those that were reassigned.
+// Reports returns the accounts whose load changed by more than threshold since
+// they were last returned, in the order of their first change after that, and
+// those that were reassigned.
 func (f *Fair[K]) Reports(threshold fleet.Tokens) []Report[K] {
 	var reports []Report[K]
-	kept := f.charged[:0]
-	for _, a := range f.charged {
-		if !a.isCharged {
+	kept := f.change[:0]
+	for _, a := range f.change {
+		if !a.isChanged {
 			continue
 		}
-		change := a.own - a.reported
+		change := a.load() - a.reported
 		if !a.due && max(change, -change) <= threshold {
 			kept = append(kept, a)
 			continue
 		}
 		reports = append(reports, a.report())
 	}
-	clear(f.charged[len(kept):])
-	f.charged = kept
+	clear(f.change[len(kept):])
+	f.change = kept
 	return reports
 }
 
 func (a *account[K]) report() Report[K] {
-	a.reported = a.own
-	a.isCharged = false
+	a.reported = a.load()
+	a.isChanged = false
 	a.due = false
-	report := Report[K]{Key: a.key, Cumulative: a.own}
+	report := Report[K]{Key: a.key, Cumulative: a.own, Outstanding: a.outstanding}
 	if a.lifted {
 		report.Floor = a.least + a.own
 	}
@@ -36,17 +36,18 @@
 }
 
 // Observe takes the fleet's total and drops the surplus that stood in for it,
-// but for the part that the total does not cover yet. A total that is lower
+// but for what changed since this dispatcher's latest report. A total that is lower
 // than a lift that the keeper has not counted does not undo the lift.
 func (f *Fair[K]) Observe(key K, total Total) {
 	a := f.account(key)
 	a.base = total.Sum - total.Covered
+	a.elsewhere = total.Outstanding
 	if a.lifted {
 		a.lifted = a.base < a.least
 		a.base = max(a.base, a.least)
 	}
 	others := fleet.Tokens(max(a.waiting.Asked, 1) - 1)
-	a.surplus = others * max(a.own-total.Covered, 0)
+	a.surplus = others * max(a.load()-a.reported, 0)
 	f.place(a)
 }
 
@@ -63,7 +64,6 @@
 	}
 	a.base += a.own
 	a.own = 0
-	a.reported = 0
 	a.least = a.base
 	a.lifted = true
 	a.due = true
--- a/share/exchange_test.go
+++ b/share/exchange_test.go
@@ -54,7 +54,7 @@
 	p.wait("busy")
 	p.wait("other")
 	for range 10 {
-		p.dispatchers[0].Start("busy", 100)
+		p.dispatchers[0].Correct("busy", 100)
 	}
 	next, _ := p.dispatchers[1].Next(nil)
 	require.Equal(t, "busy", next, "the second dispatcher does not know yet")
@@ -74,8 +74,10 @@
 		p := newPool(6)
 		for i, d := range p.dispatchers {
 			d.Wait("behind", share.Waiting{Weight: 1, Requests: 99, Asked: asked})
-			d.Start("ahead", 6000)
-			p.keeper.Report(i, share.Report[string]{Key: "ahead", Cumulative: 6000})
+			d.Correct("ahead", 6000)
+			for _, report := range d.Reports(0) {
+				p.keeper.Report(i, report)
+			}
 			d.Wait("ahead", share.Waiting{Weight: 1, Requests: 99, Asked: asked})
 			d.Observe("ahead", share.Total{Sum: 6000, Covered: 6000})
 		}
@@ -84,6 +86,7 @@
 			for range 20 {
 				key, _ := d.Next(nil)
 				d.Start(key, 300)
+				d.Correct(key, 150)
 				if key == "behind" {
 					starts++
 				}
@@ -91,7 +94,8 @@
 		}
 		return starts
 	}
-	// It lacks 20 requests. After that half of each further start is its due.
+	// Half of each request has streamed, so it lacks 20 requests. After that
+	// half of each further start is its due.
 	require.Greater(t, taken(1), 100)
 	require.Less(t, taken(6), 80)
 }
@@ -113,7 +117,7 @@
 	p := newPool(3)
 	p.wait("a")
 	for i, d := range p.dispatchers {
-		d.Start("a", fleet.Tokens(1000*(i+1)))
+		d.Correct("a", fleet.Tokens(1000*(i+1)))
 	}
 	p.exchange(0)
 	require.Equal(t, fleet.Tokens(6000), p.dispatchers[0].Service("a"))
@@ -123,7 +127,7 @@
 		d.Reassigned("a")
 	}
 	p.exchange(1 << 40)
-	p.dispatchers[1].Start("a", 50)
+	p.dispatchers[1].Correct("a", 50)
 	p.exchange(0)
 	for _, d := range p.dispatchers {
 		require.Equal(t, fleet.Tokens(6050), d.Service("a"))
@@ -136,12 +140,12 @@
 	t.Parallel()
 	p := newPool(2)
 	p.wait("a")
-	p.dispatchers[0].Start("a", 4000)
+	p.dispatchers[0].Correct("a", 4000)
 	p.exchange(0)
 	p.keeper.Gone(0)
 	p.dispatchers[0] = &share.Fair[string]{}
 	p.wait("a")
-	p.dispatchers[0].Start("a", 10)
+	p.dispatchers[0].Correct("a", 10)
 	p.exchange(0)
 	require.Equal(t, fleet.Tokens(4010), p.dispatchers[1].Service("a"))
 	require.Equal(t, fleet.Tokens(4010), p.dispatchers[0].Service("a"))
@@ -153,12 +157,12 @@
 	t.Parallel()
 	p := newPool(2)
 	p.wait("steady")
-	p.dispatchers[0].Start("steady", 5000)
+	p.dispatchers[0].Correct("steady", 5000)
 	p.exchange(0)
 	p.wait("returned")
 	p.dispatchers[0].Observe("returned", share.Total{})
 	require.Equal(t, fleet.Tokens(5000), p.dispatchers[0].Service("returned"))
-	p.dispatchers[0].Start("returned", 100)
+	p.dispatchers[0].Correct("returned", 100)
 	p.exchange(0)
 	require.Equal(t, fleet.Tokens(5100), p.dispatchers[1].Service("returned"))
 }
@@ -167,7 +171,7 @@
 	t.Parallel()
 	var fair share.Fair[string]
 	fair.Wait("a", share.Waiting{Weight: 1, Requests: 1})
-	fair.Start("a", 300)
+	fair.Correct("a", 300)
 	require.Empty(t, fair.Reports(300))
 	fair.Correct("a", 1)
 	require.Len(t, fair.Reports(300), 1)
@@ -200,3 +204,21 @@
 		}
 	})
 }
+
+// A flood's requests in flight stand at one dispatcher. Another that doesn't
+// know of them would start as many again before their service shows.
+func TestRequestsInFlightElsewhereCount(t *testing.T) {
+	t.Parallel()
+	p := newPool(2)
+	p.wait("busy")
+	p.wait("other")
+	p.dispatchers[0].Start("busy", 4000)
+	p.exchange(0)
+	p.dispatchers[1].Start("other", 400)
+	p.dispatchers[1].Start("busy", 10)
+	p.exchange(0)
+	next, _ := p.dispatchers[1].Next(nil)
+	require.Equal(t, "other", next)
+	p.keeper.Gone(0)
+	require.Zero(t, p.keeper.Total(1, "busy").Outstanding)
+}
--- a/share/fair.go
+++ b/share/fair.go
@@ -12,18 +12,19 @@
 type Fair[K comparable] struct {
 	accounts map[K]*account[K]
 	waiting  queue[*account[K]]
-	// charged are the accounts that were charged since they were last reported.
-	charged []*account[K]
-	// last is the virtual time of the account that was started last, to which
-	// an account is lifted that returns when none waits.
+	// change are the accounts whose load changed since they were last reported.
+	change []*account[K]
+	// last is the service of the account that was started last, to which an
+	// account is lifted that returns when none waits.
 	last   float64
 	starts uint64
 }
 
 // account is what a Fair knows of one account.
 //
-// Its service across the fleet is base + own: own is what this dispatcher
-// charged, base is what the others did, as far as known, and lifts.
+// Its service across the fleet is base + own: own is what it was served for
+// this dispatcher's requests, base is what it was served for the others', as
+// far as known, and lifts.
 type account[K comparable] struct {
 	key     K
 	waiting Waiting
@@ -32,29 +33,37 @@
 	// least bounds base from below until the keeper's total has caught up with
 	// a lift.
 	least fleet.Tokens
-	// surplus is charged for what the other asked dispatchers may have started
+	// outstanding is the sum of the estimates of requests in flight, elsewhere
+	// that of the other dispatchers'.
+	outstanding fleet.Tokens
+	elsewhere   fleet.Tokens
+	// surplus is counted for what the other asked dispatchers may have done
 	// since the last exchange.
 	surplus fleet.Tokens
-	// reported is own when it was last returned by Reports.
+	// reported is load when the account was last returned by Reports.
 	reported fleet.Tokens
 	// lifted is set while least has to be reported.
 	lifted bool
 	// due makes the next Reports return the account whatever the threshold is.
 	due       bool
-	isCharged bool
+	isChanged bool
 	// started numbers the account's latest start, to break ties in turn.
 	started  uint64
 	tag      float64
 	position int
 }
 
-// virtual returns the account's service over its weight.
-func (a *account[K]) virtual() float64 {
+// service returns what the account was served, over its weight.
+func (a *account[K]) service() float64 {
 	return float64(a.base+a.own) / float64(max(a.waiting.Weight, 1))
 }
 
-// less orders by virtual time with the surplus; the account that was served
-// least recently goes first among equals.
+// load returns what counts here of the account: service and half of what is
+// outstanding.
+func (a *account[K]) load() fleet.Tokens { return a.own + a.outstanding/2 }
+
+// less orders by virtual time; the account that was served least recently goes
+// first among equals.
 func (a *account[K]) less(other *account[K]) bool {
 	if a.tag != other.tag {
 		return a.tag < other.tag
@@ -80,15 +89,13 @@
 	f.place(a)
 }
 
-// lift raises an account that returns from idle to the virtual time of the
-// account whose turn it is. Without it the account would be served alone until
-// it had caught up with the service that the others got while it was idle.
-// The surplus of that account is left out, since the next exchange drops it
-// while a lift stays.
+// lift raises an account that returns from idle to the service of the account
+// whose turn it is. Without it the account would be served alone until it had
+// caught up with what the others got while it was idle.
 func (f *Fair[K]) lift(a *account[K]) {
 	target := f.last
 	if head, ok := f.waiting.least(); ok {
-		target = head.virtual()
+		target = head.service()
 	}
 	floor := fleet.Tokens(target * float64(max(a.waiting.Weight, 1)))
 	if floor <= a.base+a.own {
@@ -110,22 +117,33 @@
 	return a.key, true
 }
 
-// Start charges key the estimate of a request that is sent now.
+// Start makes the estimate of a request that is sent now outstanding.
 func (f *Fair[K]) Start(key K, estimate fleet.Tokens) {
 	a := f.account(key)
-	f.last = a.virtual()
+	f.last = a.service()
 	f.starts++
 	a.started = f.starts
-	f.charge(a, estimate)
+	a.outstanding += estimate
+	f.changed(a, estimate/2)
 }
 
-// Correct adds to what key was charged; a negative amount gives back.
+// Correct adds to what key was served; a negative amount takes back.
 func (f *Fair[K]) Correct(key K, amount fleet.Tokens) {
-	f.charge(f.account(key), amount)
+	a := f.account(key)
+	a.own += amount
+	f.changed(a, amount)
 }
 
-func (f *Fair[K]) charge(a *account[K], amount fleet.Tokens) {
-	a.own += amount
+// End takes the estimate of a request that has ended out of what is outstanding.
+func (f *Fair[K]) End(key K, estimate fleet.Tokens) {
+	a := f.account(key)
+	before := a.outstanding
+	a.outstanding = max(before-estimate, 0)
+	f.changed(a, (a.outstanding-before)/2)
+}
+
+// changed takes note that an account's load changed by amount.
+func (f *Fair[K]) changed(a *account[K], amount fleet.Tokens) {
 	others := fleet.Tokens(max(a.waiting.Asked, 1) - 1)
 	a.surplus = max(a.surplus+others*amount, 0)
 	f.mark(a)
@@ -137,18 +155,19 @@
 	if a.waiting.Requests == 0 {
 		return
 	}
-	a.tag = float64(a.base+a.own+a.surplus) / float64(max(a.waiting.Weight, 1))
+	virtual := a.base + a.own + (a.outstanding+a.elsewhere)/2 + a.surplus
+	a.tag = float64(virtual) / float64(max(a.waiting.Weight, 1))
 	f.waiting.update(a)
 }
 
 func (f *Fair[K]) mark(a *account[K]) {
-	if !a.isCharged {
-		a.isCharged = true
-		f.charged = append(f.charged, a)
+	if !a.isChanged {
+		a.isChanged = true
+		f.change = append(f.change, a)
 	}
 }
 
-// Service returns what the fleet is known to have charged key, lifts included.
+// Service returns what the fleet is known to have served key, lifts included.
 func (f *Fair[K]) Service(key K) fleet.Tokens {
 	a := f.accounts[key]
 	if a == nil {
@@ -161,7 +180,7 @@
 func (f *Fair[K]) Len() int { return len(f.accounts) }
 
 // Forget drops all that is known of key. An account that comes back after it
-// starts with the virtual time of those that wait, like any new one.
+// starts with the service of those that wait, like any new one.
 func (f *Fair[K]) Forget(key K) {
 	a := f.accounts[key]
 	if a == nil {
@@ -169,7 +188,7 @@
 	}
 	f.waiting.remove(a)
 	delete(f.accounts, key)
-	a.isCharged = false
+	a.isChanged = false
 }
 
 func (f *Fair[K]) account(key K) *account[K] {
--- a/share/first_come.go
+++ b/share/first_come.go
@@ -66,6 +66,9 @@
 // Correct does nothing: service does not count here.
 func (f *FirstCome[K]) Correct(K, fleet.Tokens) {}
 
+// End does nothing: service does not count here.
+func (f *FirstCome[K]) End(K, fleet.Tokens) {}
+
 // Forget drops what is known of key.
 func (f *FirstCome[K]) Forget(key K) {
 	a := f.accounts[key]
--- a/share/keeper.go
+++ b/share/keeper.go
@@ -2,7 +2,7 @@
 
 import "nutmeglock.example/nutmeglock/fleet"
 
-// Keeper sums what all dispatchers charged the accounts that it keeps. D is
+// Keeper sums what all dispatchers served the accounts that it keeps. D is
 // what it tells dispatchers apart by. Its zero value is ready to use, and it
 // is used by one goroutine.
 type Keeper[K, D comparable] struct {
@@ -11,23 +11,32 @@
 
 // kept is what a Keeper knows of one account.
 type kept[D comparable] struct {
-	cumulative map[D]fleet.Tokens
-	sum        fleet.Tokens
+	dispatchers map[D]part
+	sum         fleet.Tokens
+	outstanding fleet.Tokens
 	// lift is what the account has beyond the sum, from floors and from
 	// dispatchers that are gone.
 	lift fleet.Tokens
 }
 
+// part is what one dispatcher last reported of an account.
+type part struct {
+	cumulative  fleet.Tokens
+	outstanding fleet.Tokens
+}
+
 // Report counts a dispatcher's report in and returns the total. The same
 // report counts once, however often it comes.
 func (k *Keeper[K, D]) Report(from D, report Report[K]) Total {
 	a := k.account(report.Key)
-	a.sum += report.Cumulative - a.cumulative[from]
-	a.cumulative[from] = report.Cumulative
+	before := a.dispatchers[from]
+	a.sum += report.Cumulative - before.cumulative
+	a.outstanding += report.Outstanding - before.outstanding
+	a.dispatchers[from] = part{report.Cumulative, report.Outstanding}
 	if report.Floor > 0 {
 		a.lift = max(a.lift, report.Floor-a.sum)
 	}
-	return Total{Sum: a.sum + a.lift, Covered: report.Cumulative}
+	return a.total(from)
 }
 
 // Total returns the total of key as dispatcher to sees it.
@@ -36,21 +45,27 @@
 	if a == nil {
 		return Total{}
 	}
-	return Total{Sum: a.sum + a.lift, Covered: a.cumulative[to]}
+	return a.total(to)
+}
+
+func (a *kept[D]) total(to D) Total {
+	own := a.dispatchers[to]
+	return Total{Sum: a.sum + a.lift, Covered: own.cumulative, Outstanding: a.outstanding - own.outstanding}
 }
 
 // Gone says that a dispatcher ended or started again, so that its cumulative
-// amounts start again from zero. What it charged stays in the totals: without
+// amounts start again from zero. What it served stays in the totals: without
 // it each account would be given credit for the service it got there.
 func (k *Keeper[K, D]) Gone(dispatcher D) {
 	for _, a := range k.accounts {
-		amount, ok := a.cumulative[dispatcher]
+		last, ok := a.dispatchers[dispatcher]
 		if !ok {
 			continue
 		}
-		delete(a.cumulative, dispatcher)
-		a.sum -= amount
-		a.lift += amount
+		delete(a.dispatchers, dispatcher)
+		a.sum -= last.cumulative
+		a.lift += last.cumulative
+		a.outstanding -= last.outstanding
 	}
 }
 
@@ -68,7 +83,7 @@
 	if k.accounts == nil {
 		k.accounts = make(map[K]*kept[D])
 	}
-	a = &kept[D]{cumulative: make(map[D]fleet.Tokens)}
+	a = &kept[D]{dispatchers: make(map[D]part)}
 	k.accounts[key] = a
 	return a
 }
--- a/share/share.go
+++ b/share/share.go
@@ -8,14 +8,22 @@
 // unevenly. Fair serves the account with the least virtual time: its service
 // across the fleet divided by its weight.
 //
-// A request's cost is known only at its end, so an estimate is charged when it
-// starts. Charging at the end instead lets an account start many requests
-// before the first is counted. What it takes beyond the estimate is charged
-// while it streams, and the rest is settled at the end.
+// A request's cost is known only at its end. What it was served counts while
+// it streams, and besides, from its start to its end, half of its estimate is
+// outstanding: what a request in flight has still to get on average. Counting
+// only at the end would let an account start many requests before the first is
+// counted. Counting the whole estimate at the start and nothing until the end
+// would take accounts whose requests are near their end for ones that had as
+// much as those whose requests have just begun; the gap is twice as wide then.
+// A larger outstanding part starts requests in larger lumps, a smaller one
+// fills slots faster than their service shows; a half was best or nearly so
+// among a quarter, a half, three quarters, one and one and a half.
 //
-// An account that returns from idle is lifted to the virtual time of those
-// that wait. Otherwise it would have saved up credit while idle, and the
-// others would wait until it had spent it all.
+// An account that returns from idle is lifted to what those that wait were
+// served, over weight. Otherwise it would have saved up credit while idle, and
+// the others would wait until it had spent it all. What is outstanding of the
+// others is left out: slots that a flood took before the return are no reason
+// to let the account that returns wait until as many have been given to it.
 //
 // # Bound
 //
@@ -24,16 +32,20 @@
 //
 //	|S(i)/w(i) - S(j)/w(j)| <= 2 * (C + E + L) / min(w(i), w(j))
 //
-// where C is the cost of the largest request (it is started whole), E is the
-// largest difference between what an account was charged and what it was
-// served for its requests in flight (the estimate not yet streamed, less than
-// the account's slots times the largest estimate), and L is what the other
-// dispatchers charged it that this one has not observed: at most
+// where C is the cost of the largest request (it is started whole and may not
+// be interrupted), E is the largest error of what an account was taken to be
+// served for its requests in flight, at most its slots times the largest
+// request and zero where each token is told, and L is what the other
+// dispatchers served it that this one has not observed: at most
 // (dispatchers-1) * (threshold + rate * age), with the threshold of Reports, the
-// rate at which one dispatcher charges the account, and the age of the total.
-// Where an account's work waits at several dispatchers, each charges between
+// rate at which one dispatcher serves the account, and the age of the total.
+// Where an account's work waits at several dispatchers, each counts between
 // two exchanges as if the others did the same, which turns L from a bias that
 // all dispatchers share into the difference between them.
+//
+// The bound holds once both have waited for the longest residence: slots are
+// not taken back, so an account that begins to wait beside one that holds more
+// slots is served less until enough of those have ended.
 package share
 
 import (
@@ -64,21 +76,24 @@
 	// Next returns the waiting key whose turn it is among those that eligible
 	// accepts, and whether there is one. It changes nothing.
 	Next(eligible func(key K) bool) (K, bool)
-	// Start charges key for a request that is sent now. It leaves what waits
-	// as it was; a Wait follows.
+	// Start makes the estimate of a request that is sent now outstanding. It
+	// leaves what waits as it was; a Wait follows.
 	Start(key K, estimate fleet.Tokens)
-	// Correct adds to what key was charged; a negative amount gives back.
+	// Correct adds to what key was served; a negative amount takes back.
 	Correct(key K, amount fleet.Tokens)
+	// End says that a request that was started with that estimate has ended.
+	// What it was served was told by Correct.
+	End(key K, estimate fleet.Tokens)
 	// Forget drops all that is known of key, which no longer exists.
 	Forget(key K)
 }
 
 // Exchange is the part of an Order that compares service across the fleet.
 type Exchange[K comparable] interface {
-	// Reports returns the keys of which more than threshold was charged here
-	// since they were last returned.
+	// Reports returns the keys of which the service here, or half of what is
+	// outstanding, changed by more than threshold since they were last returned.
 	Reports(threshold fleet.Tokens) []Report[K]
-	// Observe takes what the whole fleet charged a key, reports of this
+	// Observe takes what the whole fleet served a key, reports of this
 	// dispatcher included up to the cumulative amount that the total covers.
 	Observe(key K, total Total)
 	// Reassigned says that key has another keeper, or that its keeper started
@@ -88,7 +103,7 @@
 	Reassigned(key K)
 }
 
-// Report is what one dispatcher charged an account since the dispatcher
+// Report is what one dispatcher served an account since the dispatcher
 // started or the account was reassigned. It is cumulative, so that a lost or
 // repeated report does no harm.
 type Report[K comparable] struct {
@@ -97,11 +112,16 @@
 	// Floor is the least total that the account is to have once Cumulative is
 	// counted in, because it returned from idle; zero when it did not.
 	Floor fleet.Tokens
+	// Outstanding is the sum of the estimates of its requests in flight.
+	Outstanding fleet.Tokens
 }
 
-// Total is what the fleet charged an account.
+// Total is what the fleet served an account.
 type Total struct {
 	Sum fleet.Tokens
 	// Covered is this dispatcher's own cumulative amount within Sum.
 	Covered fleet.Tokens
+	// Outstanding is the sum of the estimates of the account's requests that
+	// other dispatchers have in flight.
+	Outstanding fleet.Tokens
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -79,7 +79,8 @@
 			continue
 		}
 		if r.account != "" {
-			b.order.Correct(r.account, r.cost-r.estimate)
+			b.order.Correct(r.account, r.cost)
+			b.order.End(r.account, r.estimate)
 			b.service[r.account] += r.cost
 		}
 		b.running[i] = b.start()
@@ -195,9 +196,7 @@
 	t.Parallel()
 	var fair share.Fair[string]
 	fair.Wait("stays", share.Waiting{Weight: 1, Requests: 9})
-	for range 100 {
-		fair.Start("stays", 500)
-	}
+	fair.Correct("stays", 50_000)
 	fair.Forget("comes")
 	fair.Wait("comes", share.Waiting{Weight: 1, Requests: 9})
 	require.Equal(t, fair.Service("stays"), fair.Service("comes"))
@@ -239,12 +238,14 @@
 			keyed := order
 			for range rapid.IntRange(1, 60).Draw(t, "steps") {
 				key := rapid.IntRange(0, 9).Draw(t, "key")
-				switch rapid.IntRange(0, 2).Draw(t, "step") {
+				switch rapid.IntRange(0, 3).Draw(t, "step") {
 				case 0:
 					waiting[key] = rapid.IntRange(0, 3).Draw(t, "waiting")
 					keyed.Wait(fmt.Sprint(key), share.Waiting{Weight: uint32(key), Requests: waiting[key], Asked: key, Since: epoch})
 				case 1:
 					keyed.Start(fmt.Sprint(key), fleet.Tokens(rapid.IntRange(0, 900).Draw(t, "estimate")))
+				case 2:
+					keyed.End(fmt.Sprint(key), fleet.Tokens(rapid.IntRange(0, 900).Draw(t, "estimate")))
 				default:
 					keyed.Correct(fmt.Sprint(key), fleet.Tokens(rapid.IntRange(-400, 900).Draw(t, "amount")))
 				}
@@ -307,3 +308,25 @@
 		})
 	}
 }
+
+// An account returns from idle beside one that has taken a hundred slots.
+// Were it lifted by what is outstanding there, it would wait until as many
+// slots had been given to it as to the flood, while the flood is served.
+func TestReturningAccountDoesNotWaitForAFloodsSlots(t *testing.T) {
+	t.Parallel()
+	var fair share.Fair[string]
+	fair.Wait("flood", share.Waiting{Weight: 1, Requests: 900})
+	for range 100 {
+		fair.Start("flood", 400)
+	}
+	fair.Wait("small", share.Waiting{Weight: 1, Requests: 9})
+	// The flood's requests end one by one, with short answers; none of their
+	// slots may go back to it while it holds more than the small account.
+	for range 9 {
+		fair.Correct("flood", 100)
+		fair.End("flood", 400)
+		next, _ := fair.Next(nil)
+		require.Equal(t, "small", next)
+		fair.Start("small", 400)
+	}
+}
