--- a/inflight/inflight_test.go
+++ b/inflight/inflight_test.go
@@ -28,6 +28,11 @@
 
 func (e *engine) second() {
 	e.now = e.now.Add(time.Second)
+	// A request that queues inside waits for another to end.
+	firstToken := 200 * time.Millisecond
+	if e.queued > 0 {
+		firstToken = 2 * time.Second
+	}
 	kept := e.ends[:0]
 	for _, end := range e.ends {
 		if end.After(e.now) {
@@ -35,7 +40,7 @@
 			continue
 		}
 		e.limiter.Ended(e.now, inflight.Sample{
-			Result: dispatch.Answered, FirstToken: 200 * time.Millisecond, InFlight: len(e.ends),
+			Result: dispatch.Answered, FirstToken: firstToken, InFlight: len(e.ends),
 		})
 	}
 	e.ends = kept
@@ -93,6 +98,19 @@
 	require.Less(t, fixed.running, fixed.batch-1)
 }
 
+// Probing queues a request inside from time to time, and its first token comes
+// ten times later. Taken for a slow engine it would lower the limit below the
+// batch, and a slot in each engine would stand idle while work waits.
+func TestProbesDoNotEmptyTheBatch(t *testing.T) {
+	t.Parallel()
+	e := &engine{batch: 16, limiter: &inflight.Adaptive{}}
+	play(e, 60)
+	for range 600 {
+		e.second()
+		require.Equal(t, 16, e.running)
+	}
+}
+
 func TestLimitFollowsAKneeThatMoves(t *testing.T) {
 	t.Parallel()
 	e := &engine{batch: 24, limiter: &inflight.Adaptive{}}
