inflight: start at a third of the slots; dispatcher: assume a speed until one is known

Cause: an upstream whose batch had never been full started at 4, so the first seconds of a burst left capacity idle (utilisation while work waits 0.96 at worst), and with nothing known of running requests before the first answers the flood's gap was 5 to 7.5 times the largest request. Doubling queues a batch inside the engines. A third is taken.

--- a/dispatcher/progress.go
+++ b/dispatcher/progress.go
@@ -13,6 +13,8 @@
 	advanceInterval = 250 * time.Millisecond
 	// speedMemory is the weight of one more ended request in the speed.
 	speedMemory = 0.05
+	// usualSpeed is tokens per second: 41 ms a token at a full batch.
+	usualSpeed = 25
 )
 
 // speed is how the cost of a request at one upstream grows with its time
@@ -44,9 +46,11 @@
 
 // served returns the expected cost of a request so far. One that was taken over
 // with a known cost goes on from there.
-func (s *speed) served(told fleet.Tokens, after time.Duration) fleet.Tokens {
+// Before any request has ended the usual speed of an engine is assumed, up to
+// the estimate: else accounts would seem unserved until the first answers end.
+func (s *speed) served(told, estimate fleet.Tokens, after time.Duration) fleet.Tokens {
 	if !s.known {
-		return 0
+		return min(fleet.Tokens(usualSpeed*after.Seconds()), estimate)
 	}
 	foot, rise := s.line()
 	if told > 0 {
@@ -84,7 +88,7 @@
 		if u == nil {
 			continue
 		}
-		if served := u.speed.served(g.told, now.Sub(g.at)); served > g.charged {
+		if served := u.speed.served(g.told, g.estimate, now.Sub(g.at)); served > g.charged {
 			d.charge(g, served)
 		}
 	}
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -17,6 +17,9 @@
 
 const dataCenters = 3
 
+// MaxRouters bounds Scaled: a run of 120 routers takes some minutes.
+const MaxRouters = 120
+
 // Halonen returns Halonen's deployment of today: 10 findings-model workers
 // and 3 orders workers, with data centres a millisecond apart.
 func Halonen() Deployment {
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -14,6 +14,7 @@
 package experiment
 
 import (
+	"maps"
 	"runtime"
 	"slices"
 	"sync"
@@ -67,16 +68,19 @@
 	// Utilisation is the used part of the model upstreams' batches while a
 	// request had waited for over 10 ms; StrictUtilisation is the same while
 	// any request waited at all. Both are 1 when none did.
-	Utilisation       float64         `json:"utilisation"`
-	StrictUtilisation float64         `json:"strict-utilisation"`
-	Queue             Percentiles     `json:"queue-ms"`
-	FirstToken        Percentiles     `json:"first-token-ms"`
-	PlainQueue        Percentiles     `json:"plain-queue-ms"`
-	Accounts          []AccountResult `json:"accounts"`
-	Answers           map[string]int  `json:"answers"`
-	Control           ControlResult   `json:"control"`
-	TokensPerSecond   float64         `json:"tokens-per-second"`
-	CacheHits         float64         `json:"cache-hits"`
+	Utilisation       float64 `json:"utilisation"`
+	StrictUtilisation float64 `json:"strict-utilisation"`
+	// QueuedTime is the part of the time in which a request had waited for
+	// over 10 ms.
+	QueuedTime      float64         `json:"queued-time"`
+	Queue           Percentiles     `json:"queue-ms"`
+	FirstToken      Percentiles     `json:"first-token-ms"`
+	PlainQueue      Percentiles     `json:"plain-queue-ms"`
+	Accounts        []AccountResult `json:"accounts"`
+	Answers         map[string]int  `json:"answers"`
+	Control         ControlResult   `json:"control"`
+	TokensPerSecond float64         `json:"tokens-per-second"`
+	CacheHits       float64         `json:"cache-hits"`
 }
 
 // Percentiles are of a distribution of times in milliseconds.
@@ -198,7 +202,8 @@
 		Gap: x.gap.widest, LargestRequest: x.largest, GapMultiple: part(x.gap.widest, x.largest, 0),
 		LaterGapMultiple: part(x.later.widest, x.largest, 0),
 		Utilisation:      part(x.busy, x.room, 1), StrictUtilisation: part(x.strictBusy, x.strictRoom, 1),
-		Queue: percentiles(x.queue), FirstToken: percentiles(x.first), PlainQueue: percentiles(x.plain),
+		QueuedTime: part(float64(x.queuedSamples), float64(x.samples), 0),
+		Queue:      percentiles(x.queue), FirstToken: percentiles(x.first), PlainQueue: percentiles(x.plain),
 		Answers: x.answers, Control: m.control.result(duration, len(m.routers), x.requests),
 	}
 	hits, misses := 0, 0
@@ -250,3 +255,7 @@
 	}
 	return r.Results[i], true
 }
+
+func sortedKeys(counts map[string]int) []string {
+	return slices.Sorted(maps.Keys(counts))
+}
--- a/experiment/measure.go
+++ b/experiment/measure.go
@@ -40,6 +40,7 @@
 	// and strictRoom over those in which any request waited at all.
 	busy, room             float64
 	strictBusy, strictRoom float64
+	samples, queuedSamples int
 	// gap counts from settleTime on, later from laterTime on.
 	gap, later gap
 	requests   int
@@ -162,11 +163,13 @@
 		room += e.batch
 	}
 	waits, queues := x.waitingWork()
+	x.samples++
 	if waits {
 		x.strictBusy += float64(busy)
 		x.strictRoom += float64(room)
 	}
 	if queues {
+		x.queuedSamples++
 		x.busy += float64(busy)
 		x.room += float64(room)
 	}
--- a/inflight/adaptive.go
+++ b/inflight/adaptive.go
@@ -11,6 +11,13 @@
 	// defaultInitial is small enough that no engine queues on it, and large
 	// enough that first answers come from more than one request.
 	defaultInitial = 4
+	// initialPart is the part of Max that is allowed before any evidence. The
+	// figure of a release note is a guess from above. From a half of it, slots
+	// of the first burst go to whoever asks first and are not given back for a
+	// whole residence: in the virtual-time model the gap is then 5 times the
+	// largest request in place of 3. From a sixth, the first seconds of a burst
+	// leave a twentieth of the capacity idle in place of a fortieth.
+	initialPart = 3
 	// defaultMax is the largest number of slots that a release note allows.
 	defaultMax = 4096
 	// staleAfter is how old the latest report may be. Reports come about once
@@ -21,9 +28,10 @@
 	// usual answer streams for.
 	othersGone = 30 * time.Second
 	// growth is the part by which the limit grows at a report while no knee was
-	// seen. Doubling would overshoot by a whole batch before the lagging
-	// report shows it; from 4 a half reaches 16 slots in four reports and
-	// overshoots by at most half.
+	// seen. Doubling overshoots by a whole batch before the lagging report
+	// shows it, and the requests that queue inside hold slots for nothing: in
+	// the virtual-time model the gap beside a flood was 20 times the largest
+	// request in place of 2.
 	growth = 2
 	// probeEvery is how many filled reports without a queue go by until the
 	// limit is raised past a known knee by one. A probe queues one request for
@@ -53,7 +61,8 @@
 // latency and refusals still lower it. An upstream that never reported grows
 // by answers alone.
 type Adaptive struct {
-	// Initial is the limit before any evidence; zero means 4.
+	// Initial is the limit before any evidence; zero means a third of Max, and
+	// 4 where Max is zero too.
 	Initial int
 	// Max bounds the limit; zero means 4096.
 	Max int
@@ -106,6 +115,9 @@
 		return
 	}
 	initial := a.Initial
+	if initial <= 0 && a.Max > 0 {
+		initial = max(a.Max/initialPart, 1)
+	}
 	if initial <= 0 {
 		initial = defaultInitial
 	}
