--- a/document/document.go
+++ b/document/document.go
@@ -214,3 +214,17 @@
 	r.lastOffset = offset
 	return Position{Line: r.lastLine + 1, Column: offset - r.lineStart + 1}
 }
+
+// Locate fills in the file and the positions of faults that were found in the
+// message without its document.
+func (d *Document[M]) Locate(faults []Fault) []Fault {
+	located := slices.Clone(faults)
+	for i, f := range located {
+		if f.Line > 0 {
+			continue
+		}
+		located[i].File = d.File
+		located[i].Position = d.position(f.Path)
+	}
+	return located
+}
--- a/note/refuse.go
+++ b/note/refuse.go
@@ -37,3 +37,31 @@
 		return ctx.Err()
 	}
 }
+
+// Checked is a note that could be accepted.
+type Checked struct {
+	// Version is the one that it was checked against.
+	Version fleet.Version
+	// ClashesUnchecked is true when the history could not be read.
+	ClashesUnchecked bool
+}
+
+// Check returns what Publish would say of a note against what is in force at
+// this router, without publishing it. It fails with *document.FaultsError or *ClashError.
+func (p *Publisher) Check(ctx context.Context, d *Document) (Checked, error) {
+	state := p.holder.state()
+	result := Checked{Version: fleet.Version(state.GetVersion())}
+	if err := CheckDocument(state, d); err != nil {
+		return result, err
+	}
+	t := &try{Publisher: p, note: d.Message, base: fleet.Version(d.Message.GetBasedOn())}
+	if t.base == 0 || t.base >= result.Version {
+		return result, nil
+	}
+	err := t.clashes(ctx, result.Version)
+	if refuses(err) {
+		return result, err
+	}
+	result.ClashesUnchecked = err != nil
+	return result, nil
+}
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,101 @@
+// Package operator is the administration API of a router over HTTP, and the
+// client of it that the operators' commands use.
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// State is what the administration API tells of the router that it runs in.
+type State interface {
+	// Ready returns why the router takes no requests, or nothing when it does.
+	Ready() (reason string)
+	// Router returns the state of this router.
+	Router() *schema.RouterState
+	// Routers returns the fleet as this router sees it, itself included.
+	Routers() []*schema.RouterState
+	// AccountLoad returns an account's work at this router, or nil.
+	AccountLoad(id fleet.AccountID) *schema.AccountLoad
+	// UpstreamLoad returns what this router knows of an upstream, or nil.
+	UpstreamLoad(id fleet.UpstreamID) *schema.UpstreamLoad
+}
+
+// Options are the parts that the API works with. All but Metrics and Registry are needed.
+type Options struct {
+	Keys      []*schema.OperatorKey
+	Store     *note.Store
+	Publisher *note.Publisher
+	Holder    *note.Holder
+	State     State
+	// Metrics answers /metrics.
+	Metrics http.Handler
+	// Registry takes the counter of answers by reason.
+	Registry prometheus.Registerer
+}
+
+// PublishIDHeader names one wish to publish over all its repeats.
+const PublishIDHeader = "nutmeglock-publish-id"
+
+const (
+	// publishTimeout bounds a publish. The tries of one wait 3.5 s between them at most.
+	publishTimeout = 10 * time.Second
+	// bodyTimeout bounds the time that an operator's command takes to send a note of up to 8 MB.
+	bodyTimeout = 30 * time.Second
+)
+
+type api struct {
+	Options
+	keys    keyring
+	answers *prometheus.CounterVec
+}
+
+// New returns the handler of the administration address.
+func New(options Options) http.Handler {
+	a := &api{Options: options, keys: newKeyring(options.Keys), answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "nutmeglock", Name: "operator_errors_total", Help: "Answers of the administration API that were no success, by reason.",
+	}, []string{"reason"})}
+	for _, reason := range reasons() {
+		a.answers.WithLabelValues(string(reason))
+	}
+	if options.Registry != nil {
+		options.Registry.MustRegister(a.answers)
+	}
+	e := echo.New()
+	e.HTTPErrorHandler = a.fail
+	e.GET("/healthz", a.health)
+	e.GET("/readyz", a.ready)
+	if options.Metrics != nil {
+		e.GET("/metrics", echo.WrapHandler(options.Metrics))
+	}
+	a.route(e.Group("/v1", a.authenticate))
+	return e
+}
+
+func (a *api) route(v1 *echo.Group) {
+	v1.POST("/notes", a.publish)
+	v1.POST("/notes/check", a.check)
+	v1.GET("/notes", a.history)
+	v1.GET("/notes/:version", a.record)
+	v1.GET("/accounts", a.accounts)
+	v1.GET("/services", a.services)
+	v1.GET("/upstreams", a.upstreams)
+	v1.GET("/routers", a.routers)
+	v1.GET("/state", a.state)
+}
+
+func (a *api) health(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
+
+func (a *api) ready(c echo.Context) error {
+	if reason := a.State.Ready(); reason != "" {
+		return c.String(http.StatusServiceUnavailable, reason+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
