--- /dev/null
+++ b/attempt/attempt_test.go
@@ -0,0 +1,275 @@
+package attempt_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/refusal"
+)
+
+// The same cases come in each run; -rapid.seed tries others.
+func init() { _ = flag.Set("rapid.seed", "7") }
+
+// upstream is a raw server that reads cut bytes of each request, writes reply
+// and closes. It keeps what it received.
+type upstream struct {
+	net.Listener
+	cut   int
+	reply string
+
+	mu       sync.Mutex
+	conns    int
+	received [][]byte
+	wg       sync.WaitGroup
+}
+
+func listen(t interface{ Fatal(args ...any) }, cut int, reply string) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{Listener: l, cut: cut, reply: reply}
+	u.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.wg.Go(func() { u.serve(c) })
+		}
+	})
+	return u
+}
+
+func (u *upstream) serve(c net.Conn) {
+	defer c.Close()
+	u.mu.Lock()
+	u.conns++
+	u.mu.Unlock()
+	got, _ := io.ReadAll(io.LimitReader(c, int64(u.cut)))
+	_, _ = io.WriteString(c, u.reply)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.received = append(u.received, got)
+}
+
+func (u *upstream) stop() [][]byte {
+	_ = u.Close()
+	u.wg.Wait()
+	return u.received
+}
+
+func request(method, body string, idempotent bool) attempt.Request {
+	return attempt.Request{
+		ID: "r-1", Method: method, Path: "/orders?x=1", Body: []byte(body), Idempotent: idempotent,
+		Header: http.Header{"Idempotency-Key": {"k"}, "Authorization": {"Bearer secret"}},
+	}
+}
+
+func outcome(t require.TestingT, err error) refusal.Outcome {
+	var failed *attempt.Error
+	require.ErrorAs(t, err, &failed)
+	return failed.Facts.Outcome()
+}
+
+// An upstream or a network breaks a call at any byte. The caller is told
+// whether its order was run, and acts on it: a wrong not-run doubles the order.
+// So wherever the cut falls, not-run must mean that no server can have acted.
+func TestNotRunMeansThatNoServerHadTheHeader(t *testing.T) {
+	t.Parallel()
+	words := map[refusal.Outcome]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		body := strings.Repeat("b", rapid.SampledFrom([]int{0, 1, 100, 9000, 12 << 20}).Draw(t, "body"))
+		method := rapid.SampledFrom([]string{"GET", "POST", "DELETE"}).Draw(t, "method")
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		cut := rapid.IntRange(0, 300+min(len(body), 9000)).Draw(t, "cut")
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+		reply := answer[:rapid.IntRange(0, len(answer)-1).Draw(t, "reply")]
+		u := listen(t, cut, reply)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		var client attempt.Client
+		got, err := client.Do(ctx, u.Addr().String(), request(method, body, idempotent))
+		if err == nil {
+			_, err = io.ReadAll(got.Body)
+			_ = got.Body.Close()
+		}
+		require.Error(t, err)
+		word := outcome(t, err)
+		words[word]++
+		whole := 0
+		for _, bytesIn := range u.stop() {
+			if bytes.Contains(bytesIn, []byte("\r\n\r\n")) {
+				whole++
+			}
+		}
+		require.LessOrEqual(t, whole, 1, "sent twice")
+		require.NotContains(t, string(bytes.Join(u.received, nil)), "secret")
+		if word == refusal.NotRun {
+			require.Zero(t, whole, "called not-run, but the header arrived")
+		}
+	})
+	require.NotZero(t, words[refusal.Unknown])
+	require.NotZero(t, words[refusal.Run])
+}
+
+func TestOutcomeOfEachCut(t *testing.T) {
+	t.Parallel()
+	for name, c := range map[string]struct {
+		facts attempt.Facts
+		word  refusal.Outcome
+	}{
+		"before connect":             {attempt.Facts{}, refusal.NotRun},
+		"connected":                  {attempt.Facts{Connected: true}, refusal.NotRun},
+		"in the header":              {attempt.Facts{Connected: true, Written: 9}, refusal.NotRun},
+		"in the body":                {attempt.Facts{Connected: true, Written: 99, HeaderWhole: true}, refusal.Unknown},
+		"before the answer":          {attempt.Facts{Connected: true, Written: 99, HeaderWhole: true, BodyWhole: true}, refusal.Unknown},
+		"early answer":               {attempt.Facts{Connected: true, Written: 9, AnswerByte: true}, refusal.Unknown},
+		"in the answer":              {attempt.Facts{Connected: true, HeaderWhole: true, AnswerByte: true, AnswerHeader: true}, refusal.Run},
+		"refused unrun":              {attempt.Facts{Connected: true, HeaderWhole: true, BodyWhole: true, AnswerByte: true, Refused: attempt.Full}, refusal.NotRun},
+		"refused in a broken answer": {attempt.Facts{Connected: true, HeaderWhole: true, AnswerByte: true}, refusal.Unknown},
+	} {
+		require.Equal(t, c.word, c.facts.Outcome(), name)
+	}
+}
+
+func TestConnectionRefusedIsNotRun(t *testing.T) {
+	t.Parallel()
+	u := listen(t, 0, "")
+	u.stop()
+	var client attempt.Client
+	_, err := client.Do(t.Context(), u.Addr().String(), request("POST", "b", false))
+	require.Equal(t, refusal.NotRun, outcome(t, err))
+}
+
+// The caller gives up at the moment at which its request is about to be
+// written. net/http returns at once, and its writing goroutine may still send
+// the request, which was then called not-run and run all the same.
+func TestNothingIsSentAfterNotRunWasSaid(t *testing.T) {
+	t.Parallel()
+	for range 300 {
+		u := listen(t, 1<<20, "")
+		ctx, cancel := context.WithCancel(t.Context())
+		go cancel()
+		var client attempt.Client
+		_, err := client.Do(ctx, u.Addr().String(), request("POST", strings.Repeat("b", 9000), true))
+		word := outcome(t, err)
+		client.Close()
+		for _, got := range u.stop() {
+			if word == refusal.NotRun {
+				require.NotContains(t, string(got), "\r\n\r\n")
+			}
+		}
+	}
+}
+
+// An upstream closes idle connections while a request is on its way on one.
+// net/http then repeats some requests on a new connection by itself. An order
+// would run twice, with one attempt in the router's log.
+func TestNoRequestIsRepeatedByTheTransport(t *testing.T) {
+	t.Parallel()
+	for _, method := range []string{"GET", "POST", "DELETE"} {
+		for _, body := range []string{"", "body"} {
+			for _, idempotent := range []bool{true, false} {
+				address, runs := answerOnce(t)
+				var client attempt.Client
+				first, err := client.Do(t.Context(), address, request("GET", "", true))
+				require.NoError(t, err)
+				_, _ = io.Copy(io.Discard, first.Body)
+				_ = first.Body.Close()
+
+				_, err = client.Do(t.Context(), address, request(method, body, idempotent))
+
+				require.Equal(t, refusal.Unknown, outcome(t, err))
+				client.Close()
+				require.Equal(t, 2, runs(), "%s with %q was sent again", method, body)
+			}
+		}
+	}
+}
+
+// answerOnce starts a server that answers the first request and drops the
+// connection of each later one after reading it. runs stops it and returns how
+// many requests it read.
+func answerOnce(t *testing.T) (address string, runs func() int) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var (
+		wg    sync.WaitGroup
+		count atomic.Int64
+	)
+	serve := func(c net.Conn) {
+		defer c.Close()
+		in := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if count.Add(1) > 1 {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wg.Go(func() { serve(c) })
+		}
+	})
+	return l.Addr().String(), func() int {
+		_ = l.Close()
+		wg.Wait()
+		return int(count.Load())
+	}
+}
+
+// The same, step by step: a write that begins after the exchange was judged
+// must fail, and one that was under way counts as if all of it had arrived.
+func TestSealedConnectionWritesNothing(t *testing.T) {
+	t.Parallel()
+	near, far := net.Pipe()
+	tracked, begin := attempt.Tracked(near)
+	seal := begin()
+	returned := make(chan struct{})
+	go func() {
+		defer close(returned)
+		_, _ = tracked.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+	}()
+	first := make([]byte, 5)
+	_, err := io.ReadFull(far, first)
+	require.NoError(t, err)
+
+	written, headerWhole := seal()
+
+	require.Equal(t, int64(18), written)
+	require.True(t, headerWhole)
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	<-returned
+	_, err = tracked.Write([]byte("more"))
+	require.Error(t, err)
+	begin()
+	_, err = tracked.Write([]byte("next"))
+	require.NoError(t, err)
+	require.NoError(t, far.Close())
+}
