--- a/call/streamed.go
+++ b/call/streamed.go
@@ -2,17 +2,21 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
 
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
+	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/stream"
 )
 
@@ -28,7 +32,12 @@
 	relay := &stream.Relay{Stream: t.stream, Source: link, Again: func(ctx context.Context, cause error) bool {
 		return t.started && again.allow(ctx, cause)
 	}}
-	return relay.Run(ctx, &stream.Connection{Stream: named, Body: answer.Body}, &streamSink{try: t, answer: answer})
+	sink := &streamSink{try: t, answer: answer}
+	err := relay.Run(ctx, &stream.Connection{Stream: named, Body: answer.Body}, sink)
+	if err != nil && t.started {
+		sink.fail(ctx, err)
+	}
+	return err
 }
 
 // streamSink writes events to the caller and follows their cost.
@@ -54,6 +63,26 @@
 	return s.flush.Flush()
 }
 
+// fail writes an event without an id that holds the refusal, so that a caller
+// which reads events learns why its stream ends early. A caller that ignores
+// it still sees the connection cut before the last event.
+func (s *streamSink) fail(ctx context.Context, cause error) {
+	var gone *stream.SinkError
+	if errors.As(cause, &gone) || errors.Is(context.Cause(ctx), context.Canceled) {
+		return
+	}
+	refused := s.refuse(ctx, cause)
+	body, err := protojson.Marshal(&schema.RefusalBody{Error: &schema.RefusalDetail{
+		RequestId: string(s.request.ID), Outcome: string(refusal.Run), Reason: string(refused.Reason),
+		Message: "The stream broke off and could not be resumed.",
+	}})
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(s.w, "event: error\ndata: %s\n\n", body)
+	_ = s.flush.Flush()
+}
+
 func (s *streamSink) charge(event stream.Event) {
 	if event.Data == nil || event.Last() {
 		return
