--- /dev/null
+++ b/claim/table_test.go
@@ -0,0 +1,138 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+
+	"nutmeglock.example/nutmeglock/platform"
+)
+
+// fault is what befalls one call of the table.
+type fault int
+
+const (
+	none fault = iota
+	down
+	replyLost
+	requestLost
+	late
+	stale
+)
+
+var errFault = errors.New("fault")
+
+// table is a platform table whose faults are drawn by next.
+type table struct {
+	next    func(write bool) fault
+	rows    map[platform.Key][]platform.Row
+	version platform.RowVersion
+	commits int
+	pending []platform.Txn
+}
+
+func (t *table) fault(write bool) fault {
+	if t.next == nil {
+		return none
+	}
+	return t.next(write)
+}
+
+func (t *table) latest(key platform.Key) platform.Row {
+	if all := t.rows[key]; len(all) > 0 {
+		return all[len(all)-1]
+	}
+	return platform.Row{Key: key}
+}
+
+func (t *table) Read(_ context.Context, keys ...platform.Key) ([]platform.Row, error) {
+	f := t.fault(false)
+	if f == down {
+		return nil, &platform.UnavailableError{Operation: "read", Cause: errFault}
+	}
+	out := make([]platform.Row, 0, len(keys))
+	for _, key := range keys {
+		row := t.latest(key)
+		if n := len(t.rows[key]); f == stale && n > 0 {
+			row = platform.Row{Key: key}
+			if n > 1 {
+				row = t.rows[key][n-2]
+			}
+		}
+		out = append(out, row)
+	}
+	return out, nil
+}
+
+func (t *table) Scan(_ context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
+	if t.fault(false) == down {
+		return nil, &platform.UnavailableError{Operation: "scan", Cause: errFault}
+	}
+	var out []platform.Row
+	for key := range t.rows {
+		if row := t.latest(key); row.Version > 0 && strings.HasPrefix(string(key), string(prefix)) && key > after {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	return out[:min(limit, len(out))], nil
+}
+
+func (t *table) Commit(_ context.Context, txn platform.Txn) error {
+	t.commits++
+	lost := &platform.IndefiniteError{Operation: "commit", Cause: errFault}
+	switch t.fault(true) {
+	case down:
+		return &platform.UnavailableError{Operation: "commit", Cause: errFault}
+	case replyLost:
+		_ = t.apply(txn)
+		return lost
+	case requestLost:
+		return lost
+	case late:
+		t.pending = append(t.pending, txn)
+		return lost
+	default:
+		return t.apply(txn)
+	}
+}
+
+func (t *table) apply(txn platform.Txn) error {
+	for _, check := range txn.Checks {
+		if found := t.latest(check.Key).Version; found != check.Version {
+			return &platform.ConflictError{Key: check.Key, Expected: check.Version, Found: found}
+		}
+	}
+	if t.rows == nil {
+		t.rows = map[platform.Key][]platform.Row{}
+	}
+	t.version++
+	for _, w := range txn.Writes {
+		row := platform.Row{Key: w.Key}
+		if !w.Delete {
+			row = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+		}
+		t.rows[w.Key] = append(t.rows[w.Key], row)
+	}
+	return nil
+}
+
+// land lets the pending transaction at i take effect, if its checks hold.
+func (t *table) land(i int) {
+	txn := t.pending[i]
+	t.pending = slices.Delete(t.pending, i, i+1)
+	_ = t.apply(txn)
+}
+
+// script returns faults in turn, then none.
+func script(faults ...fault) func(bool) fault {
+	return func(bool) fault {
+		if len(faults) == 0 {
+			return none
+		}
+		f := faults[0]
+		faults = faults[1:]
+		return f
+	}
+}
