--- a/call/request.go
+++ b/call/request.go
@@ -50,6 +50,10 @@
 
 func (r *Request) model() bool { return r.Service.GetKind() == kindModel }
 
+// claimed reports whether the request needs a claim. Without a key a claim
+// could not be related to the caller's repeat.
+func (r *Request) claimed() bool { return !r.Idempotent && r.Key != "" }
+
 func (r *Request) resumable() bool {
 	return strings.EqualFold(r.Header.Get(ResumableHeader), "true")
 }
--- a/call/runner.go
+++ b/call/runner.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/claim"
 	"nutmeglock.example/nutmeglock/dispatch"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
@@ -24,6 +25,9 @@
 	Source dispatch.Source
 	Retry  retry.Policy
 	Client *attempt.Client
+	// Claims lets calls with an idempotency key run once; without it they are
+	// refused.
+	Claims *claim.Store
 	// Timer tells the time; nil means the machine's clock.
 	Timer timer.Service
 	// Metrics may be nil.
@@ -69,15 +73,33 @@
 	outcome refusal.Outcome
 	// started is true once a byte of an answer went out.
 	started bool
+	// claim is the right to send a call that may run once; nil without a key.
+	claim *claim.Claim
 }
 
 func (e *execution) run(ctx context.Context) error {
+	err := e.repeat(ctx)
+	e.endClaim(ctx, err)
+	return err
+}
+
+// repeat makes attempts until one answers, or none may follow.
+func (e *execution) repeat(ctx context.Context) error {
 	e.runner.Retry.First(e.arrived)
 	for {
 		slot, err := e.acquire(ctx)
 		if err != nil {
 			return e.refuse(ctx, err)
 		}
+		if e.request.claimed() && e.claim == nil {
+			var replayed bool
+			if replayed, err = e.takeClaim(ctx, slot); replayed || err != nil {
+				return err
+			}
+			var cancel context.CancelFunc
+			ctx, cancel = e.outliveCaller(ctx)
+			defer cancel()
+		}
 		e.tries++
 		err = e.try(ctx, slot)
 		if err == nil {
--- a/call/streamed.go
+++ b/call/streamed.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/claim"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -34,7 +35,11 @@
 	}}
 	sink := &streamSink{try: t, answer: answer}
 	err := relay.Run(ctx, &stream.Connection{Stream: named, Body: answer.Body}, sink)
-	if err != nil && t.started {
+	switch {
+	case err == nil:
+		t.keepAnswer(ctx, answer, sink.kept)
+		return sink.gone
+	case t.started:
 		sink.fail(ctx, err)
 	}
 	return err
@@ -45,6 +50,11 @@
 	*try
 	answer *attempt.Answer
 	flush  *http.ResponseController
+	// kept is the stream so far, if it is kept for repeats.
+	kept []byte
+	// gone is why the caller takes no more of a stream that is read to its end
+	// all the same, to be kept.
+	gone error
 }
 
 // Event writes one event.
@@ -53,12 +63,22 @@
 		s.writeHeader(s.answer)
 		s.flush = http.NewResponseController(s.w)
 	}
-	if _, err := s.w.Write(event.Raw); err != nil {
-		return err
-	}
 	s.charge(event)
-	if more {
-		return nil
+	if s.claim == nil {
+		return s.write(event, more)
+	}
+	if len(s.kept) <= claim.MaxKept {
+		s.kept = append(s.kept, event.Raw...)
+	}
+	if s.gone == nil {
+		s.gone = s.write(event, more)
+	}
+	return nil
+}
+
+func (s *streamSink) write(event stream.Event, more bool) error {
+	if _, err := s.w.Write(event.Raw); err != nil || more {
+		return err
 	}
 	return s.flush.Flush()
 }
--- a/call/try.go
+++ b/call/try.go
@@ -36,6 +36,9 @@
 }
 
 func (t *try) exchange(ctx context.Context) error {
+	if t.claim != nil && !t.claim.Ready() {
+		return refusal.New(refusal.DeadlinePassed, "The router was held up past the deadline before it sent the request.", retryAfter)
+	}
 	answer, err := t.runner.Client.Do(ctx, t.address, attempt.Request{
 		ID: t.request.ID, Method: t.request.Method, Path: t.request.Path, Header: t.request.Header,
 		Body: t.request.Body, Stream: t.stream, Idempotent: t.request.Idempotent,
@@ -48,7 +51,7 @@
 	if t.request.model() && eventStream(answer.Header) {
 		return t.relayStream(ctx, answer)
 	}
-	return t.relayWhole(answer)
+	return t.relayWhole(ctx, answer)
 }
 
 // settle gives the slot back and cancels what is left running at the upstream.
--- a/call/whole.go
+++ b/call/whole.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -18,9 +19,10 @@
 
 // relayWhole passes on an answer that is no event stream. A model's answer is
 // held until it is whole, since its usage stands at its end and a caller can
-// do nothing with a part; a plain service's goes out as it arrives.
-func (t *try) relayWhole(answer *attempt.Answer) error {
-	if !t.request.model() {
+// do nothing with a part; so is one that is kept for repeats. Other answers of
+// plain services go out as they arrive.
+func (t *try) relayWhole(ctx context.Context, answer *attempt.Answer) error {
+	if !t.request.model() && t.claim == nil {
 		return t.pass(answer, answer.Body)
 	}
 	held, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld))
@@ -33,6 +35,7 @@
 	if usage, ok := stream.ReadUsage(held); ok {
 		t.meter.settle(usage)
 	}
+	t.keepAnswer(ctx, answer, held)
 	return t.pass(answer, bytes.NewReader(held))
 }
 
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,7 +30,7 @@
 )
 
 // Sweeper removes expired rows, a page at a time, at most one a second. Each
-// router runs one, from a random place on, so that they share the table
+// router runs one, from a place on that its id gives, so that they share the table
 // without agreeing on anything.
 type Sweeper struct {
 	Store *Store
@@ -71,9 +70,7 @@
 // fails with the table's errors; what it did not remove, a later pass does.
 func (w *Sweeper) Sweep(ctx context.Context) (int, error) {
 	if w.cursor == "" {
-		var start [2]byte
-		start[0], start[1] = byte(rand.IntN(256)), byte(rand.IntN(256))
-		w.cursor = Prefix + platform.Key(hex.EncodeToString(start[:]))
+		w.cursor = Prefix + platform.Key(hex.EncodeToString(digest(string(w.Store.Router))))
 	}
 	rows, err := w.Store.Table.Scan(ctx, Prefix, w.cursor, sweepPage)
 	if err != nil {
