--- a/call/streamed.go
+++ b/call/streamed.go
@@ -38,7 +38,9 @@
 	switch {
 	case err == nil:
 		t.keepAnswer(ctx, answer, sink.kept)
-		return sink.gone
+		if sink.gone != nil {
+			return &stream.SinkError{Cause: sink.gone}
+		}
 	case t.started:
 		sink.fail(ctx, err)
 	}
--- a/call/try.go
+++ b/call/try.go
@@ -10,6 +10,7 @@
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/dispatch"
 	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/stream"
 )
 
 // try is one attempt at one upstream.
@@ -56,7 +57,7 @@
 
 // settle gives the slot back and cancels what is left running at the upstream.
 func (t *try) settle(ctx context.Context, err error) {
-	done := dispatch.Done{Result: resultOf(err), FirstToken: t.firstToken}
+	done := dispatch.Done{Result: t.result(ctx, err), FirstToken: t.firstToken}
 	if err == nil || outcomeOf(err) == refusal.Run {
 		done.Cost = t.meter.cost()
 	}
@@ -79,10 +80,21 @@
 	return gone && t.started && t.request.resumable()
 }
 
-func resultOf(err error) dispatch.Result {
-	var failed *attempt.Error
+// result returns what dispatch is to learn of the upstream. A caller that goes
+// away, or a deadline within an answer, is no failure of the upstream; counted
+// as one, a few impatient callers would make a sound upstream seem broken.
+func (t *try) result(ctx context.Context, err error) dispatch.Result {
+	var (
+		failed  *attempt.Error
+		refused *refusal.Error
+		gone    *stream.SinkError
+	)
 	switch {
-	case err == nil:
+	case err == nil, errors.As(err, &gone), errors.Is(context.Cause(ctx), context.Canceled):
+		return dispatch.Answered
+	case errors.As(err, &refused):
+		return dispatch.Unused
+	case ctx.Err() != nil && t.firstToken > 0:
 		return dispatch.Answered
 	case errors.As(err, &failed):
 		return failed.Result()
