--- a/call/call_test.go
+++ b/call/call_test.go
@@ -110,9 +110,9 @@
 	}
 }
 
-func answer(from, last int) string {
+func answer(last int) string {
 	var all strings.Builder
-	for n := from; n <= last; n++ {
+	for n := 1; n <= last; n++ {
 		all.WriteString(event(n, last))
 	}
 	return all.String()
@@ -191,7 +191,7 @@
 
 	require.NoError(t, newRunner(source).Run(t.Context(), w, chat()))
 
-	require.Equal(t, answer(1, 10), w.Body.String())
+	require.Equal(t, answer(10), w.Body.String())
 	require.Len(t, source.done, 1)
 	require.Equal(t, dispatch.Answered, source.done[0].Result)
 	require.Equal(t, fleet.Tokens(400/4+8), source.done[0].Cost)
@@ -208,7 +208,7 @@
 
 	require.NoError(t, newRunner(source).Run(t.Context(), w, chat()))
 
-	require.Equal(t, answer(1, 12), w.Body.String())
+	require.Equal(t, answer(12), w.Body.String())
 	require.Equal(t, []string{"3", "6"}, e.resumed)
 	require.Equal(t, 1, e.runs)
 }
@@ -230,7 +230,7 @@
 		require.ErrorAs(t, runner.Run(t.Context(), w, chat()), &broken)
 
 		require.Equal(t, refusal.Run, broken.Outcome)
-		body, found := strings.CutPrefix(w.Body.String(), answer(1, 12)[:len(event(1, 12))*3])
+		body, found := strings.CutPrefix(w.Body.String(), answer(12)[:len(event(1, 12))*3])
 		require.True(t, found)
 		require.Contains(t, body, "event: error\ndata: {")
 		runner.Wait()
--- /dev/null
+++ b/call/resume.go
@@ -0,0 +1,101 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/stream"
+)
+
+// Resumption is a caller's wish to take up a stream that broke off, be it at
+// this router or at another.
+type Resumption struct {
+	ID      fleet.RequestID
+	Account *schema.Account
+	// Token is the text of the resume token.
+	Token string
+	// After is the id of the last event that the caller has.
+	After    stream.EventID
+	Deadline time.Time
+}
+
+// Resume writes the rest of a stream to w. It fails as Run does, with
+// bad-resume-token and resume-expired besides. It takes no slot: the stream
+// runs already, and was charged by the router that began it. A stream that
+// breaks off again stays alive at its engine for as long as that keeps one.
+func (r *Runner) Resume(ctx context.Context, w http.ResponseWriter, resumption Resumption) error {
+	if r.Tokens == nil {
+		return refusal.New(refusal.BadResumeToken, "This router issues no resume tokens.", 0)
+	}
+	token, err := r.Tokens.Open(resumption.Token, resumption.Account.GetId(), r.now())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, resumption.Deadline)
+	defer cancel()
+	again := &spacing{runner: r, deadline: resumption.Deadline}
+	relay := &stream.Relay{
+		Stream: token.GetStream(), After: resumption.After, Again: again.allow,
+		Source: &engineLink{client: r.Client, request: resumption.ID, address: token.GetAddress(), stream: token.GetStream()},
+	}
+	sink := &restSink{out: newEventWriter(w), token: resumption.Token}
+	err = relay.Open(ctx, sink)
+	switch {
+	case err == nil:
+		return nil
+	case sink.started:
+		sink.out.fail(ctx, resumption.ID, err)
+		return &BrokenError{Outcome: refusal.Run, Cause: err}
+	default:
+		return notResumed(ctx, err)
+	}
+}
+
+// notResumed returns the refusal of a resumption that gave no event. The
+// request itself was run, or is.
+func notResumed(ctx context.Context, err error) *refusal.Error {
+	refused := &refusal.Error{Outcome: refusal.Run, Cause: err}
+	var (
+		gone   *stream.GoneError
+		splice *stream.SpliceError
+		order  *stream.OrderError
+	)
+	switch {
+	case errors.As(err, &gone), errors.As(err, &splice), errors.As(err, &order):
+		refused.Reason, refused.Detail = refusal.ResumeExpired, "The stream can no longer be resumed."
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		refused.Reason, refused.Detail = refusal.CallerGone, "The caller closed the connection."
+	case ctx.Err() != nil:
+		refused.Reason, refused.Detail = refusal.DeadlinePassed, "The deadline passed before the stream went on."
+		refused.RetryAfter = retryAfter
+	default:
+		refused.Reason, refused.Detail = refusal.UpstreamFailed, "The stream's upstream could not be reached."
+		refused.RetryAfter = retryAfter
+	}
+	return refused
+}
+
+// restSink writes the rest of a stream.
+type restSink struct {
+	out     *eventWriter
+	token   string
+	started bool
+}
+
+// Event writes one event.
+func (s *restSink) Event(event stream.Event, more bool) error {
+	if !s.started {
+		header := s.out.w.Header()
+		header.Set("Content-Type", "text/event-stream")
+		header.Set("Cache-Control", "no-store")
+		header.Set(ResumeTokenHeader, s.token)
+		s.started = true
+		s.out.w.WriteHeader(http.StatusOK)
+	}
+	return s.out.write(event, more)
+}
--- a/call/runner.go
+++ b/call/runner.go
@@ -15,6 +15,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/resume"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -28,6 +29,8 @@
 	// Claims lets calls with an idempotency key run once; without it they are
 	// refused.
 	Claims *claim.Store
+	// Tokens issues resume tokens; without it streams have none.
+	Tokens *resume.Issuer
 	// Timer tells the time; nil means the machine's clock.
 	Timer timer.Service
 	// Metrics may be nil.
