claim: group commit, and collectors for a large fleet

Seen to fail first: each router for itself, no way round a silent collector, a conflict that fails its whole group, two claims of a key in one commit, and an unavailable table reported as definite after a forwarded commit.

--- /dev/null
+++ b/claim/group_test.go
@@ -0,0 +1,197 @@
+package claim_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/claim"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/standin/fault"
+	"nutmeglock.example/nutmeglock/timer"
+)
+
+func insert(key platform.Key) platform.Txn {
+	return platform.Txn{Checks: []platform.Check{{Key: key}}, Writes: []platform.Write{{Key: key, Value: []byte("v")}}}
+}
+
+// Among many claims in one commit is one whose key another router holds, and
+// two for one key. Only those that lost may hear of it.
+func TestConflictInAGroupConcernsOneClaim(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New(timer.System{})
+		require.NoError(t, table.Commit(t.Context(), insert("held")))
+		group := &claim.Group{Table: table}
+		keys := []platform.Key{"a", "held", "b", "twice", "twice", "c"}
+		conflicts := map[platform.Key]int{}
+		var (
+			mu sync.Mutex
+			wg sync.WaitGroup
+		)
+		for _, key := range keys {
+			wg.Go(func() {
+				err := group.Commit(t.Context(), insert(key))
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					var conflict *platform.ConflictError
+					require.ErrorAs(t, err, &conflict)
+					conflicts[key]++
+				}
+			})
+		}
+		wg.Wait()
+		require.Equal(t, map[platform.Key]int{"held": 1, "twice": 1}, conflicts)
+		require.Equal(t, uint64(2), table.Commits(), "the row that was there, and one group")
+	})
+}
+
+// network connects the routers of a test; lost routers answer no more, and
+// mute ones do what they are asked but their replies are lost.
+type network struct {
+	mu      sync.Mutex
+	routers map[fleet.RouterID]*claim.Collected
+	lost    map[fleet.RouterID]bool
+	mute    map[fleet.RouterID]bool
+	bytes   atomic.Int64
+}
+
+type port struct {
+	*network
+	self fleet.RouterID
+}
+
+func (p port) Routers() []fleet.RouterID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []fleet.RouterID
+	for id := range p.routers {
+		if id != p.self {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func (p port) Call(ctx context.Context, to fleet.RouterID, _ string, params, result any) error {
+	in, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	router, lost, mute := p.routers[to], p.lost[to], p.mute[to]
+	p.mu.Unlock()
+	if lost {
+		return errFault
+	}
+	time.Sleep(time.Millisecond)
+	reply, err := router.Serve(ctx, in)
+	if err != nil || mute {
+		return errFault
+	}
+	out, err := json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	p.bytes.Add(int64(len(in) + len(out)))
+	time.Sleep(time.Millisecond)
+	return json.Unmarshal(out, result)
+}
+
+func newNetwork(table platform.Table, routers int) (*network, []*claim.Store) {
+	n := &network{
+		routers: map[fleet.RouterID]*claim.Collected{},
+		lost:    map[fleet.RouterID]bool{}, mute: map[fleet.RouterID]bool{},
+	}
+	stores := make([]*claim.Store, 0, routers)
+	for i := range routers {
+		id := fleet.RouterID(fmt.Sprintf("router-%03d", i))
+		collected := &claim.Collected{
+			Table: table, Self: id, Peers: port{n, id},
+			Group: &claim.Group{Table: table, Delay: claim.CollectDelay},
+		}
+		n.routers[id] = collected
+		stores = append(stores, &claim.Store{Table: collected, Router: id})
+	}
+	return n, stores
+}
+
+// A collector dies, or does its work and its reply is lost. The claims that
+// it was sent must be settled all the same.
+func TestCollectorThatDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New(timer.System{})
+		n, stores := newNetwork(table, 40)
+		for id := range n.routers {
+			n.lost[id] = id[len(id)-1]%2 == 0
+			n.mute[id] = !n.lost[id]
+		}
+		for i := range 20 {
+			request := order(fmt.Sprint(i), time.Now().Add(deadline))
+			held, _, err := stores[i].Claim(t.Context(), request)
+			require.NoError(t, err)
+			held.Finish(t.Context(), claim.Answer{Status: 200})
+			_, answer, err := stores[i+1].Claim(t.Context(), request)
+			require.NoError(t, err)
+			require.Equal(t, 200, answer.Status)
+		}
+
+		// With the table down, too, nobody knows what the collector did.
+		table.Faults.Set(fault.Fault{Kind: fault.Down})
+		collected, ok := stores[0].Table.(*claim.Collected)
+		require.True(t, ok)
+		var indefinite *platform.IndefiniteError
+		require.ErrorAs(t, collected.Commit(t.Context(), insert("claims/x")), &indefinite)
+	})
+}
+
+// At the size that the fleet has to carry, 460 routers claim 690 requests a
+// second together. The table takes several hundred writes a second.
+func TestClaimsOfALargeFleetStayWithinTheWriteAllowance(t *testing.T) {
+	t.Parallel()
+	const (
+		routers = 460
+		rate    = 690
+		seconds = 10
+	)
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New(timer.System{})
+		n, stores := newNetwork(table, routers)
+		random := rand.New(rand.NewPCG(1, 2))
+		var (
+			wg    sync.WaitGroup
+			worst atomic.Int64
+		)
+		for i := range rate * seconds {
+			time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+			store := stores[random.IntN(routers)]
+			wg.Go(func() {
+				start := time.Now()
+				held, _, err := store.Claim(t.Context(), order(fmt.Sprint(i), start.Add(deadline)))
+				require.NoError(t, err)
+				if took := int64(time.Since(start)); took > worst.Load() {
+					worst.Store(took)
+				}
+				time.Sleep(100 * time.Millisecond)
+				held.Finish(t.Context(), claim.Answer{Status: 200, Body: []byte("booked")})
+			})
+		}
+		wg.Wait()
+		commits := float64(table.Commits()) / seconds
+		t.Logf("%.0f commits/s for %d claims/s; slowest claim %v; %.0f bytes/s of JSON at a router",
+			commits, rate, time.Duration(worst.Load()), float64(n.bytes.Load())/seconds/routers*2)
+		require.Less(t, commits, 250.0)
+	})
+}
