--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -21,7 +21,7 @@
 	one, two *claim.Store
 }
 
-func newPair(faults ...fault) *pair {
+func newPair(faults ...effect) *pair {
 	clock := timer.NewFake(time.Unix(1e9, 0))
 	t := &table{next: script(faults...)}
 	o := &objects{}
@@ -236,7 +236,7 @@
 	require.NoError(t, err)
 	first.Release(t.Context())
 	p.clock.Advance(time.Hour)
-	p.table.next = func(bool) fault { return late }
+	p.table.next = func(bool) effect { return late }
 	sweeper := &claim.Sweeper{Store: p.one}
 	for len(p.table.pending) == 0 {
 		_, _ = sweeper.Sweep(t.Context())
--- a/claim/model_test.go
+++ b/claim/model_test.go
@@ -70,9 +70,9 @@
 		clock: timer.NewFake(time.Unix(1e9, 0)), runs: map[string]int{}, answers: map[string]string{},
 	}
 	m.born = m.clock.Now()
-	writes := rapid.SampledFrom([]fault{none, none, none, none, down, replyLost, requestLost, late})
-	reads := rapid.SampledFrom([]fault{none, none, none, down, stale})
-	m.table = &table{next: func(write bool) fault {
+	writes := rapid.SampledFrom([]effect{none, none, none, none, down, replyLost, requestLost, late})
+	reads := rapid.SampledFrom([]effect{none, none, none, down, stale})
+	m.table = &table{next: func(write bool) effect {
 		if write {
 			return writes.Draw(t, "write")
 		}
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -9,11 +9,11 @@
 	"nutmeglock.example/nutmeglock/platform"
 )
 
-// fault is what befalls one call of the table.
-type fault int
+// effect is what befalls one call of the table.
+type effect int
 
 const (
-	none fault = iota
+	none effect = iota
 	down
 	replyLost
 	requestLost
@@ -25,14 +25,14 @@
 
 // table is a platform table whose faults are drawn by next.
 type table struct {
-	next    func(write bool) fault
+	next    func(write bool) effect
 	rows    map[platform.Key][]platform.Row
 	version platform.RowVersion
 	commits int
 	pending []platform.Txn
 }
 
-func (t *table) fault(write bool) fault {
+func (t *table) fault(write bool) effect {
 	if t.next == nil {
 		return none
 	}
@@ -126,8 +126,8 @@
 }
 
 // script returns faults in turn, then none.
-func script(faults ...fault) func(bool) fault {
-	return func(bool) fault {
+func script(faults ...effect) func(bool) effect {
+	return func(bool) effect {
 		if len(faults) == 0 {
 			return none
 		}
