call: a broken stream is tried again for some eight seconds, and asks the retry policy once

Two tries within 100 ms lost each stream of a link that flapped for a second, while the engine kept it for ten. Further tries of one break are not charged to the retry budget: they read what is already being made. Tries are given back after an event (seen to fail without: the sixth break of a stream ended it).

--- a/call/call_test.go
+++ b/call/call_test.go
@@ -21,6 +21,7 @@
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/timer"
 )
 
 // engine is a model engine that cuts the first cuts connections of a stream
@@ -154,15 +155,6 @@
 	s.owner.done = append(s.owner.done, done)
 }
 
-// upTo allows a number of attempts, and only safe ones.
-type upTo int
-
-func (upTo) First(time.Time) {}
-
-func (n upTo) Allow(_ time.Time, a retry.Attempt) bool {
-	return a.Count < int(n) && !a.AnswerStarted && (a.Idempotent || a.Outcome == refusal.NotRun)
-}
-
 func upstreams(addresses ...string) *slots {
 	s := &slots{}
 	for _, address := range addresses {
@@ -171,8 +163,15 @@
 	return s
 }
 
+// hasty is a timer whose delays are over at once.
+type hasty struct{ timer.System }
+
+func (hasty) After(_ time.Duration, fn func(time.Time)) timer.Subscription {
+	return timer.System{}.After(0, fn)
+}
+
 func newRunner(source *slots) *call.Runner {
-	return &call.Runner{Source: source, Retry: upTo(4), Client: &attempt.Client{}}
+	return &call.Runner{Source: source, Retry: &retry.Budget{Attempts: 4}, Client: &attempt.Client{}, Timer: hasty{}}
 }
 
 func chat() call.Request {
@@ -198,18 +197,18 @@
 	require.Len(t, source.progress, 9)
 }
 
-// An engine's connection breaks off in the middle of a stream, twice. The
-// caller must not notice.
+// An engine's connection breaks off in the middle of a stream, more often than
+// one break is tried again. The caller must not notice.
 func TestBrokenStreamIsResumed(t *testing.T) {
 	t.Parallel()
-	e := newEngine(t, 12, 4, 7)
+	e := newEngine(t, 12, 2, 3, 4, 5, 6, 7, 8)
 	source := upstreams(e.URL)
 	w := httptest.NewRecorder()
 
 	require.NoError(t, newRunner(source).Run(t.Context(), w, chat()))
 
 	require.Equal(t, answer(12), w.Body.String())
-	require.Equal(t, []string{"3", "6"}, e.resumed)
+	require.Equal(t, []string{"1", "2", "3", "4", "5", "6", "7"}, e.resumed)
 	require.Equal(t, 1, e.runs)
 }
 
--- a/call/link.go
+++ b/call/link.go
@@ -49,38 +49,49 @@
 
 func closeBody(body io.Closer) { _ = body.Close() }
 
-const (
-	firstPause = 20 * time.Millisecond
-	maxPause   = time.Second
-)
+// pauses are the times before each try to reach an engine again after one
+// break: a lost packet is mended at once, a link that flaps within seconds.
+// Their sum stays below the ten seconds for which an engine keeps a stream
+// without a reader.
+var pauses = []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second}
 
-// spacing puts pauses between the tries to reach an engine again.
+// spacing decides on the tries to reach an engine again.
 type spacing struct {
 	runner   *Runner
 	deadline time.Time
-	count    int
+	// tries counts those since the last event.
+	tries int
+	after stream.EventID
 }
 
-// allow reports whether a broken stream is asked for again, after a pause that
-// doubles. It is asked as an idempotent request that was not run: reading the
-// rest of a stream runs nothing, and no event goes out twice.
-func (a *spacing) allow(ctx context.Context, _ error) bool {
-	a.count++
-	now := a.runner.now()
-	if !a.runner.Retry.Allow(now, retry.Attempt{
-		Count: a.count, Outcome: refusal.NotRun, Idempotent: true, Deadline: a.deadline,
-	}) {
+// allow reports whether a broken stream is asked for again, after a pause. The
+// retry policy is asked once for each break: the further tries repeat a read
+// that never reached the engine or ended at once, and add no work there.
+// A connection that brought an event ends its break, or a long answer over a
+// poor network would run out of tries although each break was mended.
+func (a *spacing) allow(ctx context.Context, after stream.EventID) bool {
+	if after > a.after {
+		a.after, a.tries = after, 0
+	}
+	if a.tries == len(pauses) || (a.tries == 0 && !a.allowed()) {
 		return false
 	}
+	a.tries++
 	a.runner.countRetry(retry.StreamBroken)
-	if a.count == 1 {
-		return true
-	}
-	return a.runner.pause(ctx, min(maxPause, firstPause<<min(a.count, 10)))
+	return a.runner.pause(ctx, pauses[a.tries-1])
+}
+
+func (a *spacing) allowed() bool {
+	return a.runner.Retry.Allow(a.runner.now(), retry.Attempt{
+		Count: 1, Outcome: refusal.Run, Resumable: true, AnswerStarted: true, Deadline: a.deadline,
+	})
 }
 
 // pause waits and reports false when ctx ends before.
 func (r *Runner) pause(ctx context.Context, length time.Duration) bool {
+	if length <= 0 {
+		return ctx.Err() == nil
+	}
 	over := make(chan struct{})
 	wait := r.clock().After(length, func(time.Time) { close(over) })
 	defer wait.Cancel()
--- a/call/resume.go
+++ b/call/resume.go
@@ -38,11 +38,12 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, resumption.Deadline)
 	defer cancel()
-	again := &spacing{runner: r, deadline: resumption.Deadline}
+	again := &spacing{runner: r, deadline: resumption.Deadline, after: resumption.After}
 	relay := &stream.Relay{
-		Stream: token.GetStream(), After: resumption.After, Again: again.allow,
+		Stream: token.GetStream(), After: resumption.After,
 		Source: &engineLink{client: r.Client, request: resumption.ID, address: token.GetAddress(), stream: token.GetStream()},
 	}
+	relay.Again = func(ctx context.Context, _ error) bool { return again.allow(ctx, relay.After) }
 	sink := &restSink{out: newEventWriter(w), token: resumption.Token}
 	err = relay.Open(ctx, sink)
 	switch {
--- a/call/streamed.go
+++ b/call/streamed.go
@@ -22,9 +22,8 @@
 		named = t.stream
 	}
 	again := &spacing{runner: t.runner, deadline: t.request.Deadline}
-	relay := &stream.Relay{Stream: t.stream, Source: t.link(), Again: func(ctx context.Context, cause error) bool {
-		return t.started && again.allow(ctx, cause)
-	}}
+	relay := &stream.Relay{Stream: t.stream, Source: t.link()}
+	relay.Again = func(ctx context.Context, _ error) bool { return t.started && again.allow(ctx, relay.After) }
 	sink := &streamSink{try: t, answer: answer, out: newEventWriter(t.w)}
 	err := relay.Run(ctx, &stream.Connection{Stream: named, Body: answer.Body}, sink)
 	if err != nil {
