--- a/call/call_test.go
+++ b/call/call_test.go
@@ -197,6 +197,24 @@
 	require.Len(t, source.progress, 9)
 }
 
+// An engine sends its header at once and its first token when the prompt is
+// processed. The limit of requests in flight is set by the second.
+func TestFirstTokenIsTimedByTheFirstEvent(t *testing.T) {
+	t.Parallel()
+	const prefill = 20 * time.Millisecond
+	address, _ := plain(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(prefill)
+		_, _ = io.WriteString(w, answer(3))
+	})
+	source := upstreams(address)
+
+	require.NoError(t, newRunner(source).Run(t.Context(), httptest.NewRecorder(), chat()))
+
+	require.GreaterOrEqual(t, source.done[0].FirstToken, prefill)
+}
+
 // An engine's connection breaks off in the middle of a stream, more often than
 // one break is tried again. The caller must not notice.
 func TestBrokenStreamIsResumed(t *testing.T) {
--- a/call/streamed.go
+++ b/call/streamed.go
@@ -96,6 +96,9 @@
 	if event.Data == nil || event.Last() {
 		return
 	}
+	if s.firstToken == 0 {
+		s.firstToken = s.runner.now().Sub(s.sent)
+	}
 	if usage, ok := stream.ReadUsage(event.Data); ok {
 		s.meter.settle(usage)
 	} else {
--- a/call/try.go
+++ b/call/try.go
@@ -20,7 +20,10 @@
 	address string
 	stream  string
 	meter   meter
-	// firstToken is the time to the first byte of the answer, zero before it.
+	sent    time.Time
+	// firstToken is the time to the first event of a stream, or to the header
+	// of a plain answer. It is zero for a model's whole answer, which comes
+	// when its last token does and tells nothing of the first.
 	firstToken time.Duration
 }
 
@@ -40,6 +43,7 @@
 	if t.claim != nil && !t.claim.Ready() {
 		return refusal.New(refusal.DeadlinePassed, "The router was held up past the deadline before it sent the request.", retryAfter)
 	}
+	t.sent = t.runner.now()
 	answer, err := t.runner.Client.Do(ctx, t.address, attempt.Request{
 		ID: t.request.ID, Method: t.request.Method, Path: t.request.Path, Header: t.request.Header,
 		Body: t.request.Body, Stream: t.stream, Idempotent: t.request.Idempotent,
@@ -48,10 +52,12 @@
 		return err
 	}
 	defer answer.Body.Close()
-	t.firstToken = answer.FirstByte
 	if t.request.model() && eventStream(answer.Header) {
 		return t.relayStream(ctx, answer)
 	}
+	if !t.request.model() {
+		t.firstToken = answer.FirstByte
+	}
 	return t.relayWhole(ctx, answer)
 }
 
@@ -94,7 +100,7 @@
 		return dispatch.Answered
 	case errors.As(err, &refused):
 		return dispatch.Unused
-	case ctx.Err() != nil && t.firstToken > 0:
+	case ctx.Err() != nil && t.started:
 		return dispatch.Answered
 	case errors.As(err, &failed):
 		return failed.Result()
