--- a/claim/claim.go
+++ b/claim/claim.go
@@ -42,6 +42,14 @@
 // Prefix is where the rows are in the table.
 const Prefix platform.Key = "claims/"
 
+// Lengths of the parts of a row, in bytes. Rows cross the connections between
+// routers, where each byte counts.
+const (
+	keySize         = 16
+	fingerprintSize = 8
+	attemptSize     = 12
+)
+
 // Request is what is claimed.
 type Request struct {
 	Account fleet.AccountID
@@ -58,27 +66,26 @@
 // row returns the key of the request's row. Accounts can't meet each other's
 // keys, because the account is part of what is hashed.
 func (r Request) row() platform.Key {
-	return Prefix + platform.Key(hex.EncodeToString(digest(string(r.Account), r.Key)))
+	return Prefix + platform.Key(hex.EncodeToString(digest(keySize, string(r.Account), r.Key)))
 }
 
 func (r Request) fingerprint() []byte {
-	return digest(r.Method, r.Path, string(r.Body))
+	return digest(fingerprintSize, r.Method, r.Path, string(r.Body))
 }
 
-// digest hashes parts so that no two lists of parts run together. Half of the
-// hash is kept, since rows are many.
-func digest(parts ...string) []byte {
+// digest hashes parts to size bytes, so that no two lists of parts run together.
+func digest(size int, parts ...string) []byte {
 	hash := sha256.New()
 	for _, part := range parts {
 		_, _ = fmt.Fprintf(hash, "%d:%s", len(part), part)
 	}
-	return hash.Sum(nil)[:sha256.Size/2]
+	return hash.Sum(nil)[:size]
 }
 
 type attemptID string
 
 func newAttemptID() attemptID {
-	var id [16]byte
+	var id [attemptSize]byte
 	_, _ = rand.Read(id[:])
 	return attemptID(id[:])
 }
--- a/claim/collect.go
+++ b/claim/collect.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
+	"encoding/hex"
 	"errors"
 	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,11 +15,10 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/platform"
 	"nutmeglock.example/nutmeglock/rendezvous"
+	"nutmeglock.example/nutmeglock/schema"
 )
 
 const (
-	// CollectMethod is the call between routers that carries a transaction.
-	CollectMethod = "claim-collect"
 	// CollectDelay is the delay of the Group of a large fleet's collector.
 	// Eight of them commit at most 200 times a second together.
 	CollectDelay = 40 * time.Millisecond
@@ -29,18 +31,20 @@
 	// collectTimeout bounds the wait for a collector, which answers within
 	// CollectDelay, a commit and a round trip unless it is gone.
 	collectTimeout = 500 * time.Millisecond
+	// maxCollecting bounds what a collector holds for others at a time.
+	maxCollecting = 4096
 )
 
 // Peers reaches the other routers.
 type Peers interface {
 	// Routers returns the live routers but this one.
 	Routers() []fleet.RouterID
-	// Call calls a method of another router.
-	Call(ctx context.Context, to fleet.RouterID, method string, params, result any) error
+	// Send hands a batch to a router. It may be lost.
+	Send(to fleet.RouterID, batch *schema.Batch)
 }
 
-// Collected is a platform.Table that sends transactions on one row to a router
-// that collects those of many, once the fleet is large.
+// Collected is a platform.Table that sends transactions on one claim to a
+// router that collects those of many, once the fleet is large.
 //
 // At 460 routers and 690 claims a second a router has three writes a second,
 // and no group of its own to speak of; the fleet would make some 1,400 commits
@@ -48,50 +52,37 @@
 // do only make smaller groups. A collector that does not answer is passed by,
 // and the same transaction committed here, which settles what became of it,
 // because each row names the attempt that wrote it.
+//
+// All fields have to be set, and Receive be called with each batch of a peer.
+// It is safe for concurrent use.
 type Collected struct {
 	platform.Table
 	Self  fleet.RouterID
 	Peers Peers
 	// Group commits what this router has to commit, its own and others'.
 	Group *Group
-}
 
-// collectRequest is a transaction that checks and writes one row.
-type collectRequest struct {
-	Key     platform.Key        `json:"key"`
-	Version platform.RowVersion `json:"version"`
-	Value   []byte              `json:"value"`
-}
-
-type verdict string
-
-const (
-	applied     verdict = "applied"
-	conflicting verdict = "conflict"
-	unavailable verdict = "unavailable"
-	indefinite  verdict = "indefinite"
-)
-
-type collectReply struct {
-	Verdict verdict             `json:"verdict"`
-	Found   platform.RowVersion `json:"found,omitempty"`
-	Cause   string              `json:"cause,omitempty"`
+	collecting atomic.Int64
+	mu         sync.Mutex
+	last       uint32
+	waiting    map[uint32]chan *schema.ClaimVerdict
 }
 
 // Commit applies a transaction. It fails as the table does.
 func (c *Collected) Commit(ctx context.Context, txn platform.Txn) error {
-	request, ok := oneRow(txn)
-	to := c.collector(request.Key)
-	if !ok || to == c.Self {
+	write, ok := claimWrite(txn)
+	if !ok {
 		return c.Group.Commit(ctx, txn)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, collectTimeout)
-	defer cancel()
-	var reply collectReply
-	if err := c.Peers.Call(callCtx, to, CollectMethod, request, &reply); err == nil {
-		return reply.error(request)
+	to := c.collector(write.GetClaim())
+	if to == c.Self {
+		return c.Group.Commit(ctx, txn)
 	}
-	return definiteOnly(c.Group.Commit(ctx, txn))
+	verdict := c.ask(ctx, to, write)
+	if verdict == nil {
+		return definiteOnly(c.Group.Commit(ctx, txn))
+	}
+	return verdictError(verdict, txn.Checks[0])
 }
 
 // definiteOnly weakens an error of a second commit of the same transaction:
@@ -104,68 +95,131 @@
 	return err
 }
 
-// Serve commits a transaction for another router. Register it under
-// CollectMethod.
-func (c *Collected) Serve(ctx context.Context, params json.RawMessage) (any, error) {
-	var request collectRequest
-	if err := json.Unmarshal(params, &request); err != nil {
-		return nil, eris.Wrap(err, "decode claim")
+// ask sends a write to a collector and returns its verdict, nil without one.
+func (c *Collected) ask(ctx context.Context, to fleet.RouterID, write *schema.ClaimWrite) *schema.ClaimVerdict {
+	answer := make(chan *schema.ClaimVerdict, 1)
+	c.mu.Lock()
+	if c.waiting == nil {
+		c.waiting = map[uint32]chan *schema.ClaimVerdict{}
+	}
+	c.last++
+	write.Id = c.last
+	c.waiting[write.GetId()] = answer
+	c.mu.Unlock()
+	defer c.forget(write.GetId())
+	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
+	defer cancel()
+	c.Peers.Send(to, &schema.Batch{ClaimWrites: []*schema.ClaimWrite{write}})
+	select {
+	case verdict := <-answer:
+		return verdict
+	case <-ctx.Done():
+		return nil
 	}
-	return replyTo(c.Group.Commit(ctx, request.txn())), nil
 }
 
-func oneRow(txn platform.Txn) (collectRequest, bool) {
-	if len(txn.Checks) != 1 || len(txn.Writes) != 1 || txn.Writes[0].Delete || txn.Checks[0].Key != txn.Writes[0].Key {
-		return collectRequest{}, false
+func (c *Collected) forget(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
+
+// Receive takes the claims and verdicts in a batch. It does not block.
+func (c *Collected) Receive(from fleet.RouterID, batch *schema.Batch) {
+	for _, verdict := range batch.GetClaimVerdicts() {
+		c.mu.Lock()
+		answer := c.waiting[verdict.GetId()]
+		delete(c.waiting, verdict.GetId())
+		c.mu.Unlock()
+		if answer != nil {
+			answer <- verdict
+		}
+	}
+	for _, write := range batch.GetClaimWrites() {
+		if c.collecting.Add(1) > maxCollecting {
+			c.collecting.Add(-1)
+			c.reply(from, &schema.ClaimVerdict{Id: write.GetId(), Effect: schema.ClaimEffect_CLAIM_EFFECT_NONE})
+			continue
+		}
+		go c.collect(from, write)
 	}
-	return collectRequest{Key: txn.Checks[0].Key, Version: txn.Checks[0].Version, Value: txn.Writes[0].Value}, true
 }
 
-func (r collectRequest) txn() platform.Txn {
-	return platform.Txn{
-		Checks: []platform.Check{{Key: r.Key, Version: r.Version}},
-		Writes: []platform.Write{{Key: r.Key, Value: r.Value}},
+func (c *Collected) collect(from fleet.RouterID, write *schema.ClaimWrite) {
+	defer c.collecting.Add(-1)
+	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
+	defer cancel()
+	key := Prefix + platform.Key(hex.EncodeToString(write.GetClaim()))
+	err := c.Group.Commit(ctx, platform.Txn{
+		Checks: []platform.Check{{Key: key, Version: platform.RowVersion(write.GetVersion())}},
+		Writes: []platform.Write{{Key: key, Value: write.GetRow()}},
+	})
+	verdict := verdictOf(err)
+	verdict.Id = write.GetId()
+	c.reply(from, verdict)
+}
+
+func (c *Collected) reply(to fleet.RouterID, verdict *schema.ClaimVerdict) {
+	c.Peers.Send(to, &schema.Batch{ClaimVerdicts: []*schema.ClaimVerdict{verdict}})
+}
+
+// claimWrite returns the message for a transaction that writes one claim's
+// row, and false for another.
+func claimWrite(txn platform.Txn) (*schema.ClaimWrite, bool) {
+	if len(txn.Checks) != 1 || len(txn.Writes) != 1 || txn.Writes[0].Delete || txn.Checks[0].Key != txn.Writes[0].Key {
+		return nil, false
+	}
+	text, ok := strings.CutPrefix(string(txn.Checks[0].Key), string(Prefix))
+	claim, err := hex.DecodeString(text)
+	if !ok || err != nil {
+		return nil, false
 	}
+	return &schema.ClaimWrite{
+		Claim: claim, Version: uint64(txn.Checks[0].Version), Row: txn.Writes[0].Value,
+	}, true
 }
 
-func replyTo(err error) collectReply {
+func verdictOf(err error) *schema.ClaimVerdict {
 	var (
 		conflict *platform.ConflictError
 		none     *platform.UnavailableError
 	)
 	switch {
 	case err == nil:
-		return collectReply{Verdict: applied}
+		return &schema.ClaimVerdict{Effect: schema.ClaimEffect_CLAIM_EFFECT_APPLIED}
 	case errors.As(err, &conflict):
-		return collectReply{Verdict: conflicting, Found: conflict.Found}
+		return &schema.ClaimVerdict{Effect: schema.ClaimEffect_CLAIM_EFFECT_CONFLICT, Found: uint64(conflict.Found)}
 	case errors.As(err, &none):
-		return collectReply{Verdict: unavailable, Cause: err.Error()}
+		return &schema.ClaimVerdict{Effect: schema.ClaimEffect_CLAIM_EFFECT_NONE}
 	default:
-		return collectReply{Verdict: indefinite, Cause: err.Error()}
+		return &schema.ClaimVerdict{}
 	}
 }
 
-// error returns the error of a reply. A verdict that this version does not
-// know counts as indefinite.
-func (r collectReply) error(request collectRequest) error {
-	switch r.Verdict {
-	case applied:
+// verdictError returns the error of a verdict. An effect that this version does
+// not know counts as indefinite.
+func verdictError(verdict *schema.ClaimVerdict, check platform.Check) error {
+	cause := eris.New("at the router that collects claims")
+	switch verdict.GetEffect() {
+	case schema.ClaimEffect_CLAIM_EFFECT_APPLIED:
 		return nil
-	case conflicting:
-		return &platform.ConflictError{Key: request.Key, Expected: request.Version, Found: r.Found}
-	case unavailable:
-		return &platform.UnavailableError{Operation: CollectMethod, Cause: eris.New(r.Cause)}
+	case schema.ClaimEffect_CLAIM_EFFECT_CONFLICT:
+		return &platform.ConflictError{
+			Key: check.Key, Expected: check.Version, Found: platform.RowVersion(verdict.GetFound()),
+		}
+	case schema.ClaimEffect_CLAIM_EFFECT_NONE:
+		return &platform.UnavailableError{Operation: "commit", Cause: cause}
 	default:
-		return &platform.IndefiniteError{Operation: CollectMethod, Cause: eris.New(r.Cause)}
+		return &platform.IndefiniteError{Operation: "commit", Cause: cause}
 	}
 }
 
-// collector returns the router that commits what is written to a row.
-func (c *Collected) collector(key platform.Key) fleet.RouterID {
+// collector returns the router that writes a claim.
+func (c *Collected) collector(claim []byte) fleet.RouterID {
 	routers := append(slices.Clone(c.Peers.Routers()), c.Self)
 	if len(routers) <= smallFleet {
 		return c.Self
 	}
-	slot := uint64(rendezvous.KeyOf("claim", string(key))) % collectors
+	slot := uint64(rendezvous.KeyOf("claim", string(claim))) % collectors
 	return rendezvous.Pick(rendezvous.KeyOfNumber("claim-collector", slot), routers)
 }
--- a/claim/settle.go
+++ b/claim/settle.go
@@ -76,9 +76,6 @@
 	row := proto.Clone(c.row).(*schema.ClaimRow) //nolint:forcetypeassert // a clone has its origin's type
 	row.State = state
 	row.Answer = answer
-	if state == schema.ClaimState_CLAIM_STATE_NOT_RUN {
-		row.ExpiresUnixMs = s.now().Add(releasedRetention).UnixMilli()
-	}
 	return &settlement{
 		key: c.key, attempt: c.attempt, version: c.version, row: row,
 		until: s.now().Add(settleFor), size: settlementSize + proto.Size(row),
--- a/claim/store.go
+++ b/claim/store.go
@@ -20,8 +20,8 @@
 	// DefaultRetention is how long a row outlives its request's deadline. At
 	// 690 claims a second it makes about 2.5 million rows of some 200 bytes.
 	DefaultRetention = time.Hour
-	// releasedRetention is how long a row in state not-run is kept. It has to
-	// outlive writes of its attempt that may yet take effect.
+	// releasedRetention is how long a row in state not-run outlives its
+	// deadline. It has to outlive writes that may yet take effect.
 	releasedRetention = 10 * time.Minute
 	// rounds bounds the tries of one claim: the first, one to settle a lost
 	// reply, and two for rows that change meanwhile.
@@ -41,7 +41,8 @@
 type Store struct {
 	Table   platform.Table
 	Objects platform.Objects
-	Router  fleet.RouterID
+	// Router decides where the sweeper begins.
+	Router fleet.RouterID
 	// Timer tells the time; nil means the machine's clock.
 	Timer timer.Service
 	// Retention is how long a row outlives its deadline; zero means an hour.
@@ -64,6 +65,15 @@
 	return s.Retention
 }
 
+// expired reports whether a row may be removed.
+func (s *Store) expired(row *schema.ClaimRow) bool {
+	retention := s.retention()
+	if row.GetState() == schema.ClaimState_CLAIM_STATE_NOT_RUN {
+		retention = min(retention, releasedRetention)
+	}
+	return time.UnixMilli(row.GetDeadlineUnixMs()).Add(retention).Before(s.now())
+}
+
 // Claim returns a claim when this router may send the request, or the answer
 // that is kept for it. It fails with *refusal.Error: claims-unavailable (and
 // not run) when the table can't be asked, duplicate-in-flight or outcome-lost
@@ -111,9 +121,7 @@
 		store: s, key: request.row(), attempt: attempt, lease: request.Deadline,
 		row: &schema.ClaimRow{
 			Attempt: []byte(attempt), State: schema.ClaimState_CLAIM_STATE_SENDING,
-			Fingerprint: request.fingerprint(), Router: string(s.Router),
-			DeadlineUnixMs: request.Deadline.UnixMilli(),
-			ExpiresUnixMs:  request.Deadline.Add(s.retention()).UnixMilli(),
+			Fingerprint: request.fingerprint(), DeadlineUnixMs: request.Deadline.UnixMilli(),
 		},
 	}
 }
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -70,7 +70,7 @@
 // fails with the table's errors; what it did not remove, a later pass does.
 func (w *Sweeper) Sweep(ctx context.Context) (int, error) {
 	if w.cursor == "" {
-		w.cursor = Prefix + platform.Key(hex.EncodeToString(digest(string(w.Store.Router))))
+		w.cursor = Prefix + platform.Key(hex.EncodeToString(digest(keySize, string(w.Store.Router))))
 	}
 	rows, err := w.Store.Table.Scan(ctx, Prefix, w.cursor, sweepPage)
 	if err != nil {
@@ -96,10 +96,9 @@
 // the very moment at which it expires.
 func (w *Sweeper) expired(rows []platform.Row) platform.Txn {
 	var txn platform.Txn
-	now := w.Store.now().UnixMilli()
 	for _, row := range rows {
 		claim := &schema.ClaimRow{}
-		if proto.Unmarshal(row.Value, claim) != nil || claim.GetExpiresUnixMs() > now {
+		if proto.Unmarshal(row.Value, claim) != nil || !w.Store.expired(claim) {
 			continue
 		}
 		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version})
