claim: a verdict for a router's earlier life is not taken for one of its own

A router that restarts within the two seconds for which a collector may hold a write numbered its writes from one again, and would have believed that it holds a claim which another router has.

--- a/claim/collect.go
+++ b/claim/collect.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/hex"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -64,10 +65,22 @@
 
 	collecting atomic.Int64
 	mu         sync.Mutex
-	last       uint32
-	waiting    map[uint32]chan *schema.ClaimVerdict
+	last       uint64
+	waiting    map[uint64]question
 }
 
+// question is a write that waits for the verdict of a collector.
+type question struct {
+	to     fleet.RouterID
+	answer chan *schema.ClaimVerdict
+}
+
+// idBits bounds the random first id of a write. Were ids to start at one, a
+// router that restarts could take the verdict on a write of its earlier life
+// for one of its own, believe that it holds a claim, and run a request that
+// another router runs.
+const idBits = 48
+
 // Commit applies a transaction. It fails as the table does.
 func (c *Collected) Commit(ctx context.Context, txn platform.Txn) error {
 	write, ok := claimWrite(txn)
@@ -98,14 +111,7 @@
 // ask sends a write to a collector and returns its verdict, nil without one.
 func (c *Collected) ask(ctx context.Context, to fleet.RouterID, write *schema.ClaimWrite) *schema.ClaimVerdict {
 	answer := make(chan *schema.ClaimVerdict, 1)
-	c.mu.Lock()
-	if c.waiting == nil {
-		c.waiting = map[uint32]chan *schema.ClaimVerdict{}
-	}
-	c.last++
-	write.Id = c.last
-	c.waiting[write.GetId()] = answer
-	c.mu.Unlock()
+	write.Id = c.remember(question{to, answer})
 	defer c.forget(write.GetId())
 	ctx, cancel := context.WithTimeout(ctx, collectTimeout)
 	defer cancel()
@@ -118,7 +124,19 @@
 	}
 }
 
-func (c *Collected) forget(id uint32) {
+func (c *Collected) remember(q question) (id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting == nil {
+		c.waiting = map[uint64]question{}
+		c.last = rand.Uint64N(1 << idBits)
+	}
+	c.last++
+	c.waiting[c.last] = q
+	return c.last
+}
+
+func (c *Collected) forget(id uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.waiting, id)
@@ -127,13 +145,7 @@
 // Receive takes the claims and verdicts in a batch. It does not block.
 func (c *Collected) Receive(from fleet.RouterID, batch *schema.Batch) {
 	for _, verdict := range batch.GetClaimVerdicts() {
-		c.mu.Lock()
-		answer := c.waiting[verdict.GetId()]
-		delete(c.waiting, verdict.GetId())
-		c.mu.Unlock()
-		if answer != nil {
-			answer <- verdict
-		}
+		c.decide(from, verdict)
 	}
 	for _, write := range batch.GetClaimWrites() {
 		if c.collecting.Add(1) > maxCollecting {
@@ -145,6 +157,17 @@
 	}
 }
 
+func (c *Collected) decide(from fleet.RouterID, verdict *schema.ClaimVerdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q, ok := c.waiting[verdict.GetId()]
+	if !ok || q.to != from {
+		return
+	}
+	delete(c.waiting, verdict.GetId())
+	q.answer <- verdict
+}
+
 func (c *Collected) collect(from fleet.RouterID, write *schema.ClaimWrite) {
 	defer c.collecting.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
--- a/claim/group_test.go
+++ b/claim/group_test.go
@@ -16,6 +16,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/platform"
 	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
@@ -147,6 +148,32 @@
 	})
 }
 
+// A router restarts while a collector still works for its earlier life. The
+// late verdict must not be taken for one on a write of the new life, or the
+// router would believe that it holds a claim.
+func TestVerdictForAnEarlierLifeIsIgnored(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		table := memory.New(timer.System{})
+		n, stores := newNetwork(table, 40)
+		for id, router := range n.routers {
+			n.mute[id] = true
+			time.AfterFunc(time.Millisecond, func() {
+				for early := range uint64(100) {
+					for from := range n.routers {
+						router.Receive(from, &schema.Batch{ClaimVerdicts: []*schema.ClaimVerdict{
+							{Id: early, Effect: schema.ClaimEffect_CLAIM_EFFECT_APPLIED},
+						}})
+					}
+				}
+			})
+		}
+		table.Faults.Set(fault.Fault{Kind: fault.Down})
+		_, _, err := stores[0].Claim(t.Context(), order("k", time.Now().Add(deadline)))
+		refused(t, err, refusal.ClaimsUnavailable, refusal.NotRun)
+	})
+}
+
 // At the size that the fleet has to carry, 460 routers claim 690 requests a
 // second together. The table takes several hundred writes a second.
 func TestClaimsOfALargeFleetStayWithinTheWriteAllowance(t *testing.T) {
