--- /dev/null
+++ b/command/router.go
@@ -0,0 +1,70 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"nutmeglock.example/nutmeglock"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/settings"
+)
+
+// Router returns the command that runs one router.
+func Router() *cli.Command {
+	return &cli.Command{
+		Name:  "router",
+		Usage: "run one router until SIGTERM, then shut down gracefully",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			read, err := readSettings(c.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runRouter(ctx, c, read)
+		},
+	}
+}
+
+func readSettings(file string) (*schema.RouterSettings, error) {
+	data, err := os.ReadFile(file) //nolint:gosec // the operator names the file
+	if err != nil {
+		return nil, eris.Wrap(err, "reading the settings")
+	}
+	return nutmeglock.ReadSettings(file, data)
+}
+
+// routerReady is the line of JSON that a router prints once its addresses are open.
+type routerReady struct {
+	Kind    string `json:"kind"`
+	Address string `json:"address"`
+	Peer    string `json:"peer-address"`
+	Admin   string `json:"admin-address"`
+}
+
+func runRouter(ctx context.Context, c *cli.Command, s *schema.RouterSettings) error {
+	ctx, end := signal.NotifyContext(ctx, stopSignals()...)
+	defer end()
+	r, err := nutmeglock.New(ctx, s, nutmeglock.WithLog(newLog(c.Root().ErrWriter, s)))
+	if err != nil {
+		return err
+	}
+	at := r.Addresses()
+	line := routerReady{Kind: c.Name, Address: at.Callers.String(), Peer: at.Peers.String(), Admin: at.Admin.String()}
+	if err := json.NewEncoder(c.Root().Writer).Encode(line); err != nil {
+		return eris.Wrap(err, "announcing the addresses")
+	}
+	return r.Run(ctx)
+}
+
+func newLog(w io.Writer, s *schema.RouterSettings) *slog.Logger {
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: settings.LogLevel(s)}))
+}
--- a/router/caller.go
+++ b/router/caller.go
@@ -74,11 +74,12 @@
 }
 
 // service returns a service that the account may call.
-func (r *Router) service(account *schema.Account, id fleet.ServiceID, kind Kind) (*schema.Service, *refusal.Error) {
+func (r *Router) service(c echo.Context, account *schema.Account, id fleet.ServiceID, kind Kind) (*schema.Service, *refusal.Error) {
 	service := r.Notes.Current().Service(id)
 	if service == nil || Kind(service.GetKind()) != kind {
 		return nil, refusal.New(refusal.UnknownService, fmt.Sprintf("there is no %s %q", kind.describe(), id), 0)
 	}
+	c.Set(serviceKey, service.GetId())
 	allowed := account.GetServices()
 	if len(allowed) > 0 && !slices.Contains(allowed, service.GetId()) {
 		return nil, refusal.New(refusal.ServiceNotAllowed, fmt.Sprintf("this client account may not call %q", id), 0)
--- a/router/router.go
+++ b/router/router.go
@@ -34,6 +34,8 @@
 	// *refusal.Error when nothing was written, and *call.BrokenError when the
 	// answer broke off. ctx ends when the caller is gone.
 	Run(ctx context.Context, w http.ResponseWriter, request call.Request) error
+	// Resume writes the rest of a stream to w. It fails as Run does.
+	Resume(ctx context.Context, w http.ResponseWriter, resumption call.Resumption) error
 }
 
 // Options are the parts that a Router is made of. All are required.
@@ -74,8 +76,9 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = r.handleError
-	e.Use(r.identify, r.admit)
+	e.Use(r.identify, r.count, r.admit)
 	e.POST("/v1/chat/completions", r.chat)
+	e.GET("/v1/streams/:token", r.resume)
 	e.Any("/v1/services/:service", r.plain)
 	e.Any("/v1/services/:service/*", r.plain)
 	return e
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -47,6 +47,11 @@
 	return err
 }
 
+func (*runner) Resume(_ context.Context, w http.ResponseWriter, _ call.Resumption) error {
+	_, err := io.WriteString(w, "ran")
+	return err
+}
+
 type flat struct{}
 
 func (flat) Model(*schema.Account, *schema.Service, int, int) fleet.Tokens { return 320 }
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
-	"github.com/urfave/cli/v3"
 
 	"nutmeglock.example/nutmeglock/command"
 	"nutmeglock.example/nutmeglock/scenario"
@@ -18,8 +17,7 @@
 }
 
 func nutmeglock() {
-	root := &cli.Command{Name: "nutmeglock", Commands: []*cli.Command{command.StandIn()}}
-	if err := root.Run(context.Background(), os.Args); err != nil {
+	if err := command.New().Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -13,6 +13,7 @@
 // The defaults. Those of the callers' bounds are in bytes.
 const (
 	defaultStopGrace       = time.Minute
+	defaultStopNotice      = 2 * time.Second
 	defaultPlatformTimeout = time.Second
 	defaultMaxBody         = 1 << 20
 	defaultMaxHeader       = 16 << 10
@@ -40,6 +41,12 @@
 	return duration(s.GetStopGraceMs(), defaultStopGrace)
 }
 
+// StopNotice returns how long a stopping router goes on serving after its
+// readiness is off.
+func StopNotice(s *schema.RouterSettings) time.Duration {
+	return duration(s.GetStopNoticeMs(), defaultStopNotice)
+}
+
 // PlatformTimeout returns the bound of one call to the platform.
 func PlatformTimeout(s *schema.RouterSettings) time.Duration {
 	return duration(s.GetPlatform().GetTimeoutMs(), defaultPlatformTimeout)
