--- a/command/experiment.go
+++ b/command/experiment.go
@@ -93,7 +93,7 @@
 		return eris.Wrap(err, "can't write the report")
 	}
 	if err := write(file); err != nil {
-		file.Close()
+		_ = file.Close()
 		return eris.Wrapf(err, "can't write %s", name)
 	}
 	return eris.Wrapf(file.Close(), "can't write %s", name)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -135,10 +135,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	execute = func() error {
 		err := a.run(ctx)
-		if ctx.Err() != nil {
-			return nil
+		if ctx.Err() == nil {
+			return eris.Wrapf(err, "part %s ended", a.name)
 		}
-		return eris.Wrapf(err, "part %s ended", a.name)
+		return context.Cause(ctx)
 	}
 	return execute, func(error) { cancel() }
 }
--- /dev/null
+++ b/local/local.go
@@ -0,0 +1,276 @@
+// Package local runs a whole fleet on loopback in one process: the platform,
+// engines, a plain service and routers, with a release note that puts them in
+// force. It serves a first look, and measurements of real routers.
+package local
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"nutmeglock.example/nutmeglock"
+	"nutmeglock.example/nutmeglock/daemon"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/operator"
+	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/platform/server"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/standin/application"
+	"nutmeglock.example/nutmeglock/standin/engine"
+	"nutmeglock.example/nutmeglock/timer"
+)
+
+// The services of a Fleet.
+const (
+	ModelService fleet.ServiceID = "findings"
+	PlainService fleet.ServiceID = "orders"
+)
+
+// Options size a Fleet. Zeros mean one of each, and one account.
+type Options struct {
+	Routers      int
+	Engines      int
+	Applications int
+	Accounts     int
+	Engine       engine.Options
+	Application  application.Options
+	// EngineSlots and ApplicationSlots bound what one upstream is sent.
+	EngineSlots      int
+	ApplicationSlots int
+	// Sharing names the way that capacity is shared, as in the settings.
+	Sharing string
+	// StopNotice is that of the routers' settings.
+	StopNotice time.Duration
+	Log        *slog.Logger
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	// Platform is the memory behind the platform's address.
+	Platform *memory.Platform
+	Routers  []daemon.Addresses
+	// Engines and Applications are the addresses of the upstreams.
+	Engines      []string
+	Applications []string
+
+	options  Options
+	operator string
+	routers  sync.WaitGroup
+	standIns sync.WaitGroup
+	servers  []*http.Server
+	stop     context.CancelFunc
+}
+
+// AccountKey returns the key of the nth account, from 0.
+func AccountKey(n int) string { return fmt.Sprintf("account-%d-key", n+1) }
+
+// Start returns a fleet whose routers are ready. It fails when it can't be
+// put in force before ctx ends. Close ends it.
+func Start(ctx context.Context, options Options) (*Fleet, error) {
+	options = options.withDefaults()
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	f := &Fleet{options: options, operator: rand.Text(), stop: stop, Platform: memory.New(timer.System{})}
+	if err := f.start(ctx, running); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (o Options) withDefaults() Options {
+	for _, count := range []*int{&o.Routers, &o.Engines, &o.Applications, &o.Accounts} {
+		*count = max(*count, 1)
+	}
+	if o.EngineSlots == 0 {
+		o.EngineSlots = defaultSlots
+	}
+	if o.ApplicationSlots == 0 {
+		o.ApplicationSlots = defaultSlots
+	}
+	if o.StopNotice == 0 {
+		o.StopNotice = time.Millisecond
+	}
+	return o
+}
+
+// defaultSlots is the batch of a default engine stand-in.
+const defaultSlots = 32
+
+func (f *Fleet) start(ctx, running context.Context) error {
+	url, err := f.serve(ctx, server.New(f.Platform))
+	if err != nil {
+		return err
+	}
+	for range f.options.Engines {
+		address, err := f.serve(ctx, engine.New(f.options.Engine))
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, address)
+	}
+	for range f.options.Applications {
+		address, err := f.serve(ctx, application.New(f.options.Application))
+		if err != nil {
+			return err
+		}
+		f.Applications = append(f.Applications, address)
+	}
+	for n := range f.options.Routers {
+		if err := f.startRouter(running, n, url); err != nil {
+			return err
+		}
+	}
+	f.listVMs()
+	if err := f.publish(ctx); err != nil {
+		return err
+	}
+	return f.untilReady(ctx)
+}
+
+// serve returns the address at which it serves handler.
+func (f *Fleet) serve(ctx context.Context, handler http.Handler) (string, error) {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", anyPort)
+	if err != nil {
+		return "", eris.Wrap(err, "listening on loopback")
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	f.servers = append(f.servers, s)
+	f.standIns.Go(func() { _ = s.Serve(listener) })
+	return listener.Addr().String(), nil
+}
+
+const (
+	anyPort      = "127.0.0.1:0"
+	dataCenter   = "local"
+	operatorName = "local-operator"
+)
+
+func routerID(n int) string { return fmt.Sprintf("router-%d", n+1) }
+
+func (f *Fleet) startRouter(running context.Context, n int, platformAddress string) error {
+	r, err := nutmeglock.New(running, &schema.RouterSettings{
+		Id: routerID(n), DataCenter: dataCenter,
+		CallerAddress: anyPort, PeerAddress: anyPort, AdminAddress: anyPort,
+		Platform:     &schema.PlatformSettings{Url: "http://" + platformAddress},
+		FleetKey:     f.operator,
+		OperatorKeys: []*schema.OperatorKey{{Name: operatorName, KeySha256: note.HashKey(f.operator)}},
+		Sharing:      f.options.Sharing,
+		StopNoticeMs: uint32(f.options.StopNotice.Milliseconds()),
+	}, nutmeglock.WithLog(f.log()))
+	if err != nil {
+		return err
+	}
+	f.Routers = append(f.Routers, r.Addresses())
+	f.routers.Go(func() {
+		if err := r.Run(running); err != nil {
+			f.log().Error("a router ended", "router", routerID(n), "error", err)
+		}
+	})
+	return nil
+}
+
+func (f *Fleet) log() *slog.Logger {
+	if f.options.Log == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return f.options.Log
+}
+
+func (f *Fleet) listVMs() {
+	vms := make([]platform.VM, 0, len(f.Routers))
+	for n, r := range f.Routers {
+		vms = append(vms, platform.VM{
+			Name: routerID(n), Role: platform.RouterVM, Address: r.Peers.String(), DataCenter: dataCenter,
+		})
+	}
+	f.Platform.SetVMs(vms...)
+}
+
+func (f *Fleet) publish(ctx context.Context) error {
+	text, err := protojson.Marshal(f.note())
+	if err != nil {
+		return eris.Wrap(err, "writing the first release note")
+	}
+	client := operator.NewClient(f.operator, "http://"+f.Routers[0].Admin.String())
+	_, err = client.Publish(ctx, text, note.NewPublishID())
+	return eris.Wrap(err, "publishing the first release note")
+}
+
+func (f *Fleet) note() *schema.ReleaseNote {
+	added := &schema.Entries{Services: []*schema.Service{
+		{Id: string(ModelService), Kind: "model"},
+		{Id: string(PlainService), Kind: "plain"},
+	}}
+	for n := range f.options.Accounts {
+		added.Accounts = append(added.Accounts, &schema.Account{
+			Id: fmt.Sprintf("account-%d", n+1), KeySha256: []string{note.HashKey(AccountKey(n))},
+		})
+	}
+	for n, address := range f.Engines {
+		added.Upstreams = append(added.Upstreams, &schema.Upstream{
+			Id: fmt.Sprintf("engine-%d", n+1), Service: string(ModelService), Address: address,
+			DataCenter: dataCenter, Slots: uint32(f.options.EngineSlots),
+		})
+	}
+	for n, address := range f.Applications {
+		added.Upstreams = append(added.Upstreams, &schema.Upstream{
+			Id: fmt.Sprintf("application-%d", n+1), Service: string(PlainService), Address: address,
+			DataCenter: dataCenter, Slots: uint32(f.options.ApplicationSlots),
+		})
+	}
+	return &schema.ReleaseNote{Summary: "the services of a first look", Added: added}
+}
+
+const readyPoll = 10 * time.Millisecond
+
+// untilReady waits until every router holds the release note and is connected
+// to the others.
+func (f *Fleet) untilReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		if f.ready(ctx) {
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return eris.Wrap(ctx.Err(), "waiting for the routers")
+		}
+	}
+}
+
+func (f *Fleet) ready(ctx context.Context) bool {
+	for _, r := range f.Routers {
+		list, err := operator.NewClient(f.operator, "http://"+r.Admin.String()).Routers(ctx)
+		if err != nil || len(list.GetRouters()) != len(f.Routers) {
+			return false
+		}
+		for _, other := range list.GetRouters() {
+			if other.GetState() != "ready" {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Close stops the routers gracefully, then the rest.
+func (f *Fleet) Close() {
+	f.stop()
+	f.routers.Wait()
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	f.standIns.Wait()
+}
