--- a/call/call_test.go
+++ b/call/call_test.go
@@ -187,10 +187,14 @@
 	e := newEngine(t, 10)
 	source := upstreams(e.URL)
 	w := httptest.NewRecorder()
+	runner := newRunner(source)
+	ended := int64(0)
+	runner.Ended = func(_ fleet.AccountID, _ fleet.ServiceID, output int64) { ended += output }
 
-	require.NoError(t, newRunner(source).Run(t.Context(), w, chat()))
+	require.NoError(t, runner.Run(t.Context(), w, chat()))
 
 	require.Equal(t, answer(10), w.Body.String())
+	require.Equal(t, int64(8), ended)
 	require.Len(t, source.done, 1)
 	require.Equal(t, dispatch.Answered, source.done[0].Result)
 	require.Equal(t, fleet.Tokens(400/4+8), source.done[0].Cost)
--- a/call/cost.go
+++ b/call/cost.go
@@ -1,21 +1,15 @@
 package call
 
 import (
+	"nutmeglock.example/nutmeglock/estimate"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/stream"
 )
 
-const (
-	// perToken is the weight of a token that is charged once.
-	perToken = 1000
-	// defaultInputWeight charges an input token a quarter: a prompt is
-	// processed many tokens at a time, an answer one token a step.
-	defaultInputWeight = perToken / 4
-	defaultCallCost    = 100
-	// bytesPerToken estimates a prompt before its engine has counted it.
-	bytesPerToken = 4
-)
+// defaultCallCost is the charge of a plain call whose service declares none;
+// the schema documents it.
+const defaultCallCost = 100
 
 // meter follows what one request costs.
 type meter struct {
@@ -25,7 +19,7 @@
 }
 
 func newMeter(request *Request) meter {
-	return meter{service: request.Service, input: int64(len(request.Body) / bytesPerToken)}
+	return meter{service: request.Service, input: estimate.InputTokens(int64(len(request.Body)))}
 }
 
 func (m *meter) settle(usage stream.Usage) {
@@ -34,17 +28,12 @@
 }
 
 func (m *meter) cost() fleet.Tokens {
-	if m.service.GetKind() != kindModel {
-		return fleet.Tokens(orDefault(m.service.GetCallCost(), defaultCallCost))
+	if m.service.GetKind() == kindModel {
+		weights := estimate.Weights{Input: m.service.GetInputWeight(), Output: m.service.GetOutputWeight()}
+		return weights.Cost(m.input, m.output)
 	}
-	input := orDefault(m.service.GetInputWeight(), defaultInputWeight)
-	output := orDefault(m.service.GetOutputWeight(), perToken)
-	return fleet.Tokens((m.input*input + m.output*output) / perToken)
-}
-
-func orDefault(value uint32, otherwise int64) int64 {
-	if value == 0 {
-		return otherwise
+	if cost := m.service.GetCallCost(); cost > 0 {
+		return fleet.Tokens(cost)
 	}
-	return int64(value)
+	return defaultCallCost
 }
--- a/call/runner.go
+++ b/call/runner.go
@@ -35,6 +35,9 @@
 	Timer timer.Service
 	// Metrics may be nil.
 	Metrics *metric.Set
+	// Ended is told the output tokens of each model answer that came whole. It
+	// may be nil, and must not block.
+	Ended func(account fleet.AccountID, service fleet.ServiceID, output int64)
 
 	cancels sync.WaitGroup
 }
--- a/call/try.go
+++ b/call/try.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/dispatch"
+	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/stream"
 )
@@ -76,6 +77,9 @@
 	}
 	t.slot.Done(done)
 	t.runner.countService(t.request, done.Cost)
+	if err == nil && t.request.model() && t.runner.Ended != nil {
+		t.runner.Ended(fleet.AccountID(t.request.Account.GetId()), fleet.ServiceID(t.request.Service.GetId()), t.meter.output)
+	}
 }
 
 // keptForCaller reports whether a caller that went away may come back for the
