--- a/call/try.go
+++ b/call/try.go
@@ -77,7 +77,9 @@
 	}
 	t.slot.Done(done)
 	t.runner.countService(t.request, done.Cost)
-	if err == nil && t.request.model() && t.runner.Ended != nil {
+	// An engine's refusal of a bad request has no output. Taken for a short
+	// answer, a few of them would let the next requests start too cheaply.
+	if err == nil && t.meter.output > 0 && t.runner.Ended != nil {
 		t.runner.Ended(fleet.AccountID(t.request.Account.GetId()), fleet.ServiceID(t.request.Service.GetId()), t.meter.output)
 	}
 }
