--- a/command/experiment.go
+++ b/command/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"os"
 
@@ -93,8 +94,7 @@
 		return eris.Wrap(err, "can't write the report")
 	}
 	if err := write(file); err != nil {
-		file.Close()
-		return eris.Wrapf(err, "can't write %s", name)
+		return eris.Wrapf(errors.Join(err, file.Close()), "can't write %s", name)
 	}
 	return eris.Wrapf(file.Close(), "can't write %s", name)
 }
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"nutmeglock.example/nutmeglock/fleet"
 )
 
 // Options say what to run. Their zero value is the full default run.
@@ -93,12 +95,14 @@
 
 // AccountResult is what one account got of the model service.
 type AccountResult struct {
-	Account   int         `json:"account"`
-	Requests  int         `json:"requests"`
-	Answered  int         `json:"answered"`
-	Service   float64     `json:"service-tokens"`
-	Queue     Percentiles `json:"queue-ms"`
-	Residence Percentiles `json:"residence-ms"`
+	// Name is the account's id in a replayed trace.
+	Name      fleet.AccountID `json:"name,omitempty"`
+	Account   int             `json:"account"`
+	Requests  int             `json:"requests"`
+	Answered  int             `json:"answered"`
+	Service   float64         `json:"service-tokens"`
+	Queue     Percentiles     `json:"queue-ms"`
+	Residence Percentiles     `json:"residence-ms"`
 }
 
 // ControlResult is the traffic between routers, and of load reports. Each byte
