call: queue time and requests in flight are the scheduler's to count

Both wrote the same gauge, one with Set and one with Add; found with a fleet scenario in which the figure was 1 before the request was claimed.

--- a/call/count.go
+++ b/call/count.go
@@ -6,12 +6,6 @@
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
-func (r *Runner) countInFlight(request *Request, change float64) {
-	if r.Metrics != nil {
-		r.Metrics.InFlight.WithLabelValues(request.Service.GetId()).Add(change)
-	}
-}
-
 func (r *Runner) countService(request *Request, cost fleet.Tokens) {
 	if r.Metrics != nil {
 		r.Metrics.Service.WithLabelValues(request.Account.GetId()).Add(float64(cost))
--- a/call/runner.go
+++ b/call/runner.go
@@ -33,7 +33,8 @@
 	Tokens *resume.Issuer
 	// Timer tells the time; nil means the machine's clock.
 	Timer timer.Service
-	// Metrics may be nil.
+	// Metrics counts retries, service and first bytes; it may be nil. What
+	// waits and is in flight is the Source's to count.
 	Metrics *metric.Set
 	// Ended is told the output tokens of each model answer that came whole. It
 	// may be nil, and must not block.
@@ -93,7 +94,7 @@
 func (e *execution) repeat(ctx context.Context) error {
 	e.runner.Retry.First(e.arrived)
 	for {
-		slot, err := e.acquire(ctx)
+		slot, err := e.runner.Source.Acquire(ctx, e.request.work(e.avoid))
 		if err != nil {
 			return e.refuse(ctx, err)
 		}
@@ -122,17 +123,6 @@
 	}
 }
 
-func (e *execution) acquire(ctx context.Context) (dispatch.Slot, error) {
-	slot, err := e.runner.Source.Acquire(ctx, e.request.work(e.avoid))
-	if err != nil {
-		return nil, err
-	}
-	if m := e.runner.Metrics; m != nil {
-		m.QueueSeconds.WithLabelValues(e.request.Service.GetId()).Observe(e.runner.now().Sub(e.arrived).Seconds())
-	}
-	return slot, nil
-}
-
 // again decides whether another attempt follows. A call that may run once at
 // most and came without an idempotency key is never repeated.
 func (e *execution) again(ctx context.Context, err error) bool {
--- a/call/try.go
+++ b/call/try.go
@@ -33,8 +33,6 @@
 	if e.request.model() {
 		t.stream = newStreamID()
 	}
-	e.runner.countInFlight(e.request, 1)
-	defer e.runner.countInFlight(e.request, -1)
 	err := t.exchange(ctx)
 	t.settle(ctx, err)
 	return err
