--- a/call/call_test.go
+++ b/call/call_test.go
@@ -300,6 +300,27 @@
 	}
 }
 
+// A caller sends long prompts and leaves before the first token. The engine
+// has worked for it all the same, and is not to blame.
+func TestCallerThatLeavesEarlyIsCharged(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancel(t.Context())
+	address, _ := plain(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		cancel()
+		<-r.Context().Done()
+	}, ok)
+	source := upstreams(address)
+	runner := newRunner(source)
+	request := chat()
+	request.Body = make([]byte, 8000)
+
+	requireRefused(t, runner.Run(ctx, httptest.NewRecorder(), request), refusal.CallerGone, refusal.Unknown)
+
+	runner.Wait()
+	require.Equal(t, []dispatch.Done{{Result: dispatch.Answered, Cost: 8000 / 4 / 4}}, source.done)
+}
+
 // plain is a service that counts runs and treats each request by its turn.
 func plain(t *testing.T, turns ...http.HandlerFunc) (address string, runs func() int) {
 	t.Helper()
--- a/call/try.go
+++ b/call/try.go
@@ -63,7 +63,7 @@
 // settle gives the slot back and cancels what is left running at the upstream.
 func (t *try) settle(ctx context.Context, err error) {
 	done := dispatch.Done{Result: t.result(ctx, err), FirstToken: t.firstToken}
-	if err == nil || outcomeOf(err) == refusal.Run {
+	if done.Result == dispatch.Answered || outcomeOf(err) == refusal.Run {
 		done.Cost = t.meter.cost()
 	}
 	abandoned := err != nil && t.stream != "" && outcomeOf(err) != refusal.NotRun
@@ -92,7 +92,9 @@
 
 // result returns what dispatch is to learn of the upstream. A caller that goes
 // away, or a deadline within an answer, is no failure of the upstream; counted
-// as one, a few impatient callers would make a sound upstream seem broken.
+// as one, a few impatient callers would make a sound upstream seem broken. It
+// is charged like an answer, or an account would get its prompts processed for
+// nothing by leaving before the first token.
 func (t *try) result(ctx context.Context, err error) dispatch.Result {
 	var (
 		failed  *attempt.Error
@@ -100,10 +102,15 @@
 		gone    *stream.SinkError
 	)
 	switch {
-	case err == nil, errors.As(err, &gone), errors.Is(context.Cause(ctx), context.Canceled):
+	case err == nil, errors.As(err, &gone):
 		return dispatch.Answered
 	case errors.As(err, &refused):
 		return dispatch.Unused
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		if outcomeOf(err) == refusal.NotRun {
+			return dispatch.Unused
+		}
+		return dispatch.Answered
 	case ctx.Err() != nil && t.started:
 		return dispatch.Answered
 	case errors.As(err, &failed):
