--- a/call/call_test.go
+++ b/call/call_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -321,6 +322,33 @@
 	require.Equal(t, []dispatch.Done{{Result: dispatch.Answered, Cost: 8000 / 4 / 4}}, source.done)
 }
 
+// A caller asks for a long stream and stops reading, with its connection open.
+// It must not hold the engine's slot beyond its deadline.
+func TestCallerThatStopsReadingLosesItsSlot(t *testing.T) {
+	t.Parallel()
+	e := newEngine(t, 400_000)
+	source := upstreams(e.URL)
+	ended := make(chan error, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		request := chat()
+		request.Deadline = time.Now().Add(500 * time.Millisecond)
+		ended <- newRunner(source).Run(r.Context(), w, request)
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: r\r\n\r\n")
+	require.NoError(t, err)
+
+	select {
+	case err := <-ended:
+		require.Error(t, err)
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the caller holds its slot")
+	}
+}
+
 // plain is a service that counts runs and treats each request by its turn.
 func plain(t *testing.T, turns ...http.HandlerFunc) (address string, runs func() int) {
 	t.Helper()
--- a/call/resume.go
+++ b/call/resume.go
@@ -44,7 +44,7 @@
 		Source: &engineLink{client: r.Client, request: resumption.ID, address: token.GetAddress(), stream: token.GetStream()},
 	}
 	relay.Again = func(ctx context.Context, _ error) bool { return again.allow(ctx, relay.After) }
-	sink := &restSink{out: newEventWriter(w), token: resumption.Token}
+	sink := &restSink{out: newEventWriter(bound(w, resumption.Deadline)), token: resumption.Token}
 	err = relay.Open(ctx, sink)
 	switch {
 	case err == nil:
--- a/call/runner.go
+++ b/call/runner.go
@@ -49,7 +49,7 @@
 func (r *Runner) Run(ctx context.Context, w http.ResponseWriter, request Request) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	e := &execution{runner: r, request: &request, w: w, arrived: r.now(), outcome: refusal.NotRun}
+	e := &execution{runner: r, request: &request, w: bound(w, request.Deadline), arrived: r.now(), outcome: refusal.NotRun}
 	return e.run(ctx)
 }
 
