live: loads through real routers on loopback, 'nutmeglock measure'

Six real routers, ten engine stand-ins, closed load; gap over any interval between accounts that both wait (package fairness), utilisation from the engines themselves, control bytes from the routers' own counters.

--- a/command/command.go
+++ b/command/command.go
@@ -8,7 +8,7 @@
 		Name:  "nutmeglock",
 		Usage: "a router fleet that shares model and application capacity fairly",
 		Commands: []*cli.Command{
-			Router(), Run(), CheckSettings(), StandIn(), Experiment(), Replay(),
+			Router(), Run(), CheckSettings(), StandIn(), Experiment(), Replay(), Measure(),
 		},
 	}
 }
--- /dev/null
+++ b/command/measure.go
@@ -0,0 +1,61 @@
+package command
+
+import (
+	"context"
+	"os/signal"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"nutmeglock.example/nutmeglock/live"
+)
+
+// measureTimeout bounds a whole measurement.
+const measureTimeout = 10 * time.Minute
+
+// Measure returns the command that measures real routers on loopback.
+func Measure() *cli.Command {
+	return &cli.Command{
+		Name:  "measure",
+		Usage: "play loads through real routers on loopback and report fairness, utilisation and control traffic",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "routers", Usage: "number of routers (default 6)"},
+			&cli.IntFlag{Name: "engines", Usage: "number of engines (default 10)"},
+			&cli.DurationFlag{Name: "duration", Usage: "measured time of one run (default 8s)"},
+			&cli.StringSliceFlag{Name: "load", Usage: "play only this load; may be repeated"},
+			&cli.StringSliceFlag{Name: "policy", Usage: "play only this policy; may be repeated"},
+			&cli.StringFlag{Name: "json", Usage: "write the report as JSON to `FILE`, - for standard output"},
+			&cli.StringFlag{Name: "page", Usage: "write the report as Markdown to `FILE`", Value: "-"},
+		},
+		Action: measure,
+	}
+}
+
+func measure(ctx context.Context, c *cli.Command) error {
+	ctx, end := signal.NotifyContext(ctx, stopSignals()...)
+	defer end()
+	ctx, cancel := context.WithTimeout(ctx, measureTimeout)
+	defer cancel()
+	options := live.Options{
+		Routers: c.Int("routers"), Engines: c.Int("engines"), Duration: c.Duration("duration"),
+		Policies: c.StringSlice("policy"),
+	}
+	for _, name := range c.StringSlice("load") {
+		load, found := live.LoadByName(name)
+		if !found {
+			return eris.Errorf("there is no load %q", name)
+		}
+		options.Loads = append(options.Loads, load)
+	}
+	report, err := live.Run(ctx, options)
+	if err != nil {
+		return err
+	}
+	if name := c.String("json"); name != "" {
+		if err := writeTo(c, name, report.WriteJSON); err != nil {
+			return err
+		}
+	}
+	return writeTo(c, c.String("page"), report.WritePage)
+}
--- /dev/null
+++ b/fairness/gap_test.go
@@ -0,0 +1,24 @@
+package fairness_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fairness"
+)
+
+func TestGapIsTheRangeOverAnyInterval(t *testing.T) {
+	t.Parallel()
+	gap := fairness.New(2)
+	both := []bool{true, true}
+	gap.Sample([]float64{100, 0}, both)
+	require.Zero(t, gap.Widest(), "what was received before both waited does not count")
+	gap.Sample([]float64{110, 30}, both)
+	gap.Sample([]float64{150, 40}, both)
+	require.InDelta(t, 30, gap.Widest(), 0)
+
+	gap.Sample([]float64{900, 40}, []bool{true, false})
+	gap.Sample([]float64{905, 40}, both)
+	require.InDelta(t, 30, gap.Widest(), 0, "an account without work waiting is owed nothing")
+}
--- /dev/null
+++ b/live/live.go
@@ -0,0 +1,156 @@
+// Package live measures real routers on loopback under a closed load: each
+// account keeps a number of callers busy, each with one request at a time.
+//
+// It shows what the model in package experiment can't: the cost of real
+// connections, of the control protocol with all its headers, and of many
+// goroutines. Its figures depend on the machine; those of the model don't.
+package live
+
+import (
+	"context"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"nutmeglock.example/nutmeglock/local"
+	"nutmeglock.example/nutmeglock/standin/engine"
+)
+
+// Options size a measurement. Zeros mean the defaults.
+type Options struct {
+	Routers int
+	Engines int
+	// Batch is how many requests an engine runs at once; it is sent up to twice
+	// as many, unless the limit finds that they would queue there.
+	Batch int
+	// Warmup and Duration are real time; TimeScale is how much faster than
+	// real engines the stand-ins run.
+	Warmup    time.Duration
+	Duration  time.Duration
+	TimeScale float64
+	Loads     []Load
+	Policies  []string
+}
+
+// Defaults: Halonen's deployment, with 12 s of engine time before 40 s of
+// measurement, four times as fast as real. All runs take under two minutes.
+const (
+	defaultRouters   = 6
+	defaultEngines   = 10
+	defaultBatch     = 16
+	defaultWarmup    = 3 * time.Second
+	defaultDuration  = 8 * time.Second
+	defaultTimeScale = 0.25
+	// slotsPerBatch leaves it to the limit to find the batch.
+	slotsPerBatch = 2
+)
+
+func (o Options) withDefaults() Options {
+	o.Routers = orElse(o.Routers, defaultRouters)
+	o.Engines = orElse(o.Engines, defaultEngines)
+	o.Batch = orElse(o.Batch, defaultBatch)
+	o.Warmup = orElse(o.Warmup, defaultWarmup)
+	o.Duration = orElse(o.Duration, defaultDuration)
+	o.TimeScale = orElse(o.TimeScale, defaultTimeScale)
+	if len(o.Loads) == 0 {
+		o.Loads = Loads()
+	}
+	if len(o.Policies) == 0 {
+		o.Policies = []string{"fair", "fcfs", "static-share"}
+	}
+	return o
+}
+
+func orElse[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
+
+// Report is the result of all runs.
+type Report struct {
+	Routers   int      `json:"routers"`
+	Engines   int      `json:"engines"`
+	Batch     int      `json:"batch"`
+	TimeScale float64  `json:"time-scale"`
+	Seconds   float64  `json:"seconds"`
+	Results   []Result `json:"results"`
+}
+
+// Result is one load under one policy. Times are real milliseconds.
+type Result struct {
+	Load           string           `json:"load"`
+	Policy         string           `json:"policy"`
+	Gap            float64          `json:"gap-tokens"`
+	GapMultiple    float64          `json:"gap-multiple"`
+	LargestRequest float64          `json:"largest-request-tokens"`
+	Utilisation    float64          `json:"utilisation"`
+	FirstByteP50   float64          `json:"first-byte-ms-p50"`
+	FirstByteP99   float64          `json:"first-byte-ms-p99"`
+	SmallP99       float64          `json:"small-account-first-byte-ms-p99"`
+	TokensASecond  float64          `json:"tokens-per-second"`
+	Answers        map[string]int64 `json:"answers"`
+	// Control is bytes sent a second and router, by other side.
+	Control map[string]float64 `json:"control-bytes-per-second-per-router"`
+	// ControlPerRequest is bytes sent to peers for each answered request.
+	ControlPerRequest float64 `json:"peer-bytes-per-request"`
+}
+
+// Run measures each load under each policy, one after the other. It stops
+// early, with an error, when ctx ends or a fleet can't be started.
+func Run(ctx context.Context, options Options) (Report, error) {
+	options = options.withDefaults()
+	report := Report{
+		Routers: options.Routers, Engines: options.Engines, Batch: options.Batch,
+		TimeScale: options.TimeScale, Seconds: options.Duration.Seconds(),
+	}
+	for _, load := range options.Loads {
+		for _, policy := range options.Policies {
+			result, err := runOne(ctx, options, load, policy)
+			if err != nil {
+				return report, err
+			}
+			report.Results = append(report.Results, result)
+		}
+	}
+	return report, nil
+}
+
+func runOne(ctx context.Context, options Options, load Load, policy string) (Result, error) {
+	clients := load.clients(options)
+	fleet, err := local.Start(ctx, local.Options{
+		Routers: options.Routers, Engines: options.Engines, Accounts: len(clients), Sharing: policy,
+		EngineSlots: slotsPerBatch * options.Batch,
+		Engine:      engine.Options{TimeScale: options.TimeScale, MaxBatch: options.Batch},
+	})
+	if err != nil {
+		return Result{}, err
+	}
+	defer fleet.Close()
+	m := newMeasure(options, fleet, len(clients))
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	for account, client := range clients {
+		for n := range client.callers {
+			m.callers.Go(func() { m.call(running, account, n, client) })
+		}
+	}
+	err = m.watch(ctx)
+	stop()
+	m.callers.Wait()
+	if err != nil {
+		return Result{}, err
+	}
+	return m.result(load.Name, policy), nil
+}
+
+const (
+	histogramMost   = int64(time.Hour / time.Microsecond)
+	histogramDigits = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, histogramMost, histogramDigits)
+}
--- /dev/null
+++ b/live/load.go
@@ -0,0 +1,99 @@
+package live
+
+// Load is what accounts ask for during a run.
+type Load struct {
+	Name string
+	// clients returns what each account does.
+	clients func(options Options) []client
+}
+
+// client is what one account does: so many callers, each with one request
+// after the other.
+type client struct {
+	callers int
+	// router pins the account to one router; -1 spreads it over all.
+	router int
+	// tokens is the mean length of an answer.
+	tokens int
+}
+
+const (
+	anyRouter   = -1
+	usualTokens = 320
+	longTokens  = 1600
+	accounts    = 16
+	// smallAccount is the account whose times are reported by themselves.
+	smallAccount = 0
+)
+
+// Loads returns the loads of a full run.
+func Loads() []Load {
+	return []Load{
+		{"few-large", fewLarge},
+		{"one-router", oneRouter},
+		{"long-among-short", longAmongShort},
+		{"flood", flood},
+	}
+}
+
+// LoadByName returns the load of that name, and whether there is one.
+func LoadByName(name string) (Load, bool) {
+	for _, load := range Loads() {
+		if load.Name == name {
+			return load, true
+		}
+	}
+	return Load{}, false
+}
+
+// backlog is the number of callers of an account that keep work waiting all
+// the time: twice its fair part of all slots.
+func backlog(options Options) int {
+	const share = 2
+	return share * options.Engines * options.Batch / accounts
+}
+
+// fewLarge has three accounts with five times the callers of the others.
+func fewLarge(options Options) []client {
+	const large, times = 3, 5
+	clients := make([]client, accounts)
+	for n := range clients {
+		clients[n] = client{backlog(options), anyRouter, usualTokens}
+		if n > 0 && n <= large {
+			clients[n].callers *= times
+		}
+	}
+	return clients
+}
+
+// oneRouter has all accounts' callers at one router.
+func oneRouter(options Options) []client {
+	clients := make([]client, accounts)
+	for n := range clients {
+		clients[n] = client{backlog(options), 0, usualTokens}
+	}
+	return clients
+}
+
+// longAmongShort has one account in four with long answers.
+func longAmongShort(options Options) []client {
+	const every = 4
+	clients := make([]client, accounts)
+	for n := range clients {
+		clients[n] = client{backlog(options), anyRouter, usualTokens}
+		if n%every == 0 {
+			clients[n].tokens = longTokens
+		}
+	}
+	return clients
+}
+
+// flood has one account that floods the fleet beside one that sends one
+// request at a time; the others are quiet.
+func flood(options Options) []client {
+	const times = 4
+	return []client{
+		{1, anyRouter, usualTokens},
+		{times * options.Engines * options.Batch, anyRouter, usualTokens},
+	}
+}
--- /dev/null
+++ b/live/measure.go
@@ -0,0 +1,253 @@
+package live
+
+import (
+	"bufio"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"nutmeglock.example/nutmeglock/fairness"
+	"nutmeglock.example/nutmeglock/local"
+)
+
+const (
+	sampleInterval = 50 * time.Millisecond
+	// waitingAfter is the wait from which a request counts as waiting: a grant
+	// takes a round trip in any case.
+	waitingAfter = 10 * time.Millisecond
+)
+
+// measure follows the requests of one run.
+type measure struct {
+	options Options
+	fleet   *local.Fleet
+	client  *http.Client
+	callers sync.WaitGroup
+
+	mu        sync.Mutex
+	measuring bool
+	services  []float64
+	waiting   []map[*request]bool
+	largest   float64
+	gap       *fairness.Gap
+	used      float64
+	samples   int
+	tokens    int
+	answers   map[string]int64
+	first     *hdrhistogram.Histogram
+	small     *hdrhistogram.Histogram
+	control   map[string]float64
+}
+
+// request is one request in flight.
+type request struct {
+	account int
+	began   time.Time
+	started bool
+	cost    float64
+	input   float64
+}
+
+func newMeasure(options Options, fleet *local.Fleet, accounts int) *measure {
+	m := &measure{
+		options: options, fleet: fleet,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}},
+		services: make([]float64, accounts),
+		waiting:  make([]map[*request]bool, accounts),
+		gap:      fairness.New(accounts),
+		answers:  make(map[string]int64),
+		first:    newHistogram(), small: newHistogram(),
+	}
+	for n := range m.waiting {
+		m.waiting[n] = make(map[*request]bool)
+	}
+	return m
+}
+
+func (m *measure) begin(account, bytes int) *request {
+	r := &request{account: account, began: time.Now(), input: inputCost(bytes)}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiting[account][r] = true
+	return r
+}
+
+func (m *measure) end(r *request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.waiting[r.account], r)
+}
+
+func (m *measure) token(r *request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !r.started {
+		r.started = true
+		delete(m.waiting[r.account], r)
+		m.charge(r, r.input)
+		m.firstByte(r)
+	}
+	m.charge(r, 1)
+	if m.measuring {
+		m.tokens++
+	}
+}
+
+func (m *measure) charge(r *request, cost float64) {
+	r.cost += cost
+	m.services[r.account] += cost
+	m.largest = max(m.largest, r.cost)
+}
+
+func (m *measure) firstByte(r *request) {
+	if !m.measuring {
+		return
+	}
+	took := max(time.Since(r.began).Microseconds(), 1)
+	_ = m.first.RecordValue(min(took, histogramMost))
+	if r.account == smallAccount {
+		_ = m.small.RecordValue(min(took, histogramMost))
+	}
+}
+
+func (m *measure) answered(*request) { m.count("answered") }
+
+func (m *measure) failed(ctx context.Context, reason string) time.Duration {
+	if ctx.Err() == nil {
+		m.count(reason)
+	}
+	return pauseAfterRefusal
+}
+
+func (m *measure) count(reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.measuring {
+		m.answers[reason]++
+	}
+}
+
+// watch samples the run until its duration has passed.
+func (m *measure) watch(ctx context.Context) error {
+	if err := sleep(ctx, m.options.Warmup); err != nil {
+		return err
+	}
+	before, err := m.controlBytes(ctx)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.measuring = true
+	m.mu.Unlock()
+	for end := time.Now().Add(m.options.Duration); time.Now().Before(end); {
+		if err := sleep(ctx, sampleInterval); err != nil {
+			return err
+		}
+		m.sample()
+	}
+	m.mu.Lock()
+	m.measuring = false
+	m.mu.Unlock()
+	after, err := m.controlBytes(ctx)
+	for side := range after {
+		after[side] -= before[side]
+	}
+	m.control = after
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return eris.Wrap(ctx.Err(), "measuring")
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func (m *measure) sample() {
+	running := m.fleet.Running()
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	backlogged := make([]bool, len(m.waiting))
+	waits := false
+	for account, requests := range m.waiting {
+		for r := range requests {
+			if now.Sub(r.began) > waitingAfter {
+				backlogged[account], waits = true, true
+				break
+			}
+		}
+	}
+	m.gap.Sample(m.services, backlogged)
+	if waits {
+		m.samples++
+		m.used += float64(running) / float64(m.options.Engines*m.options.Batch)
+	}
+}
+
+// controlBytes returns what all routers sent so far, by other side.
+func (m *measure) controlBytes(ctx context.Context) (map[string]float64, error) {
+	sums := make(map[string]float64)
+	for _, r := range m.fleet.Routers {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Admin.String()+"/metrics", nil)
+		if err != nil {
+			return nil, eris.Wrap(err, "reading the metrics")
+		}
+		answer, err := m.client.Do(req)
+		if err != nil {
+			return nil, eris.Wrap(err, "reading the metrics")
+		}
+		lines := bufio.NewScanner(answer.Body)
+		for lines.Scan() {
+			addControl(sums, lines.Text())
+		}
+		_ = answer.Body.Close()
+	}
+	return sums, nil
+}
+
+const controlPrefix = `nutmeglock_control_bytes_total{direction="sent",side="`
+
+// addControl adds one line of metrics, if it is a count of control bytes sent.
+func addControl(sums map[string]float64, line string) {
+	rest, found := strings.CutPrefix(line, controlPrefix)
+	if !found {
+		return
+	}
+	side, value, _ := strings.Cut(rest, `"} `)
+	if bytes, err := strconv.ParseFloat(value, 64); err == nil {
+		sums[side] += bytes
+	}
+}
+
+const microseconds = 1000
+
+func milliseconds(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtQuantile(percentile)) / microseconds
+}
+
+func (m *measure) result(load, policy string) Result {
+	seconds := m.options.Duration.Seconds()
+	r := Result{
+		Load: load, Policy: policy, Gap: m.gap.Widest(), LargestRequest: m.largest,
+		GapMultiple:  m.gap.Widest() / max(m.largest, 1),
+		Utilisation:  m.used / float64(max(m.samples, 1)),
+		FirstByteP50: milliseconds(m.first, 50), FirstByteP99: milliseconds(m.first, 99),
+		SmallP99:      milliseconds(m.small, 99),
+		TokensASecond: float64(m.tokens) / seconds,
+		Answers:       m.answers, Control: make(map[string]float64),
+	}
+	for side, bytes := range m.control {
+		r.Control[side] = bytes / seconds / float64(len(m.fleet.Routers))
+	}
+	r.ControlPerRequest = m.control["peer"] / float64(max(m.answers["answered"], 1))
+	return r
+}
--- a/local/local.go
+++ b/local/local.go
@@ -65,6 +65,7 @@
 
 	options  Options
 	operator string
+	engines  []*engine.Engine
 	routers  sync.WaitGroup
 	standIns sync.WaitGroup
 	servers  []*http.Server
@@ -112,10 +113,12 @@
 		return err
 	}
 	for range f.options.Engines {
-		address, err := f.serve(ctx, engine.New(f.options.Engine))
+		e := engine.New(f.options.Engine)
+		address, err := f.serve(ctx, e)
 		if err != nil {
 			return err
 		}
+		f.engines = append(f.engines, e)
 		f.Engines = append(f.Engines, address)
 	}
 	for range f.options.Applications {
@@ -265,6 +268,15 @@
 	return true
 }
 
+// Running returns how many requests are in the batches of the engines.
+func (f *Fleet) Running() int {
+	running := 0
+	for _, e := range f.engines {
+		running += e.Running()
+	}
+	return running
+}
+
 // Close stops the routers gracefully, then the rest.
 func (f *Fleet) Close() {
 	f.stop()
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -228,3 +228,11 @@
 	e.orders = append(e.orders, order)
 	return true
 }
+
+// Running returns how many requests the batch holds now, without the lag of
+// the load report.
+func (e *Engine) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running)
+}
