--- a/command/experiment.go
+++ b/command/experiment.go
@@ -33,13 +33,27 @@
 			if err != nil {
 				return err
 			}
-			return writeReport(c, experiment.Run(options))
+			if options.isDefault {
+				return writeReport(c, experiment.Default())
+			}
+			return writeReport(c, experiment.Run(options.Options))
 		},
 	}
 }
 
-func experimentOptions(c *cli.Command) (experiment.Options, error) {
-	options := experiment.Options{Seeds: c.Uint64Slice("seed"), Duration: c.Duration("duration")}
+// selection is what to play; isDefault means that nothing was selected.
+type selection struct {
+	experiment.Options
+
+	isDefault bool
+}
+
+func experimentOptions(c *cli.Command) (selection, error) {
+	options := selection{Options: experiment.Options{Seeds: c.Uint64Slice("seed"), Duration: c.Duration("duration")}}
+	options.isDefault = true
+	for _, name := range []string{"load", "policy", "routers", "seed", "duration"} {
+		options.isDefault = options.isDefault && !c.IsSet(name)
+	}
 	if options.Duration < 0 {
 		return options, eris.New("--duration is negative")
 	}
--- a/experiment/deployment.go
+++ b/experiment/deployment.go
@@ -15,7 +15,10 @@
 	Delay time.Duration `json:"delay-ns"`
 }
 
-const dataCenters = 3
+const (
+	dataCenters = 3
+	scaledName  = "scaled"
+)
 
 // MaxRouters bounds Scaled: a run of 120 routers takes some minutes.
 const MaxRouters = 120
@@ -36,7 +39,7 @@
 // in today's proportion, to see the slope towards larger fleets.
 func Scaled(routers int) Deployment {
 	d := Halonen()
-	d.Name = "scaled"
+	d.Name = scaledName
 	d.Models = d.Models * routers / d.Routers
 	d.Plain = d.Plain * routers / d.Routers
 	d.Accounts = d.Accounts * routers / d.Routers
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -33,7 +33,7 @@
 	Deployments []Deployment
 	Loads       []Load
 	Policies    []Policy
-	// Seeds are run each; empty means one fixed seed.
+	// Seeds are run each; empty means three fixed ones.
 	Seeds []uint64
 	// Duration is the virtual time of each run; zero means two minutes.
 	Duration time.Duration
@@ -44,6 +44,19 @@
 	defaultSeed     = 20261202
 )
 
+// Default returns the report of the full run: the users' deployments with all
+// loads and policies, and larger fleets with the loads that weigh most there.
+func Default() Report {
+	report := Run(Options{})
+	report.Results = append(report.Results, Run(Options{
+		Deployments: []Deployment{Scaled(6), Scaled(12), Scaled(24), Scaled(60)},
+		Loads:       []Load{fewLarge(), oneRouter(), flood(), burst()},
+		Policies:    Policies()[:1],
+		Seeds:       []uint64{defaultSeed},
+	}).Results...)
+	return report
+}
+
 // Report is the outcome of all runs.
 type Report struct {
 	Seeds    []uint64 `json:"seeds"`
@@ -147,7 +160,7 @@
 		options.Policies = Policies()
 	}
 	if len(options.Seeds) == 0 {
-		options.Seeds = []uint64{defaultSeed}
+		options.Seeds = []uint64{defaultSeed, defaultSeed + 1, defaultSeed + 2}
 	}
 	if options.Duration <= 0 {
 		options.Duration = defaultDuration
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -19,7 +19,7 @@
 	require.True(t, ok)
 	report := experiment.Run(experiment.Options{
 		Deployments: []experiment.Deployment{experiment.Halonen()},
-		Loads:       []experiment.Load{l}, Policies: []experiment.Policy{p},
+		Loads:       []experiment.Load{l}, Policies: []experiment.Policy{p}, Seeds: []uint64{20261202},
 	})
 	require.Len(t, report.Results, 1)
 	return report.Results[0]
