--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,160 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/membership"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// settled returns the members of a router that has been connected to b and c
+// for a while.
+func settled() *membership.Members {
+	m := membership.New(membership.Options{Self: "a"})
+	m.Tick(start)
+	m.Connected(start, "b", "b:1")
+	m.Connected(start, "c", "c:1")
+	m.Tick(at(2))
+	return m
+}
+
+func routers(ids ...fleet.RouterID) []fleet.RouterID { return ids }
+
+func TestRouterAloneDispatchesAtOnce(t *testing.T) {
+	t.Parallel()
+	m := membership.New(membership.Options{Self: "a"})
+	require.Equal(t, routers("a"), m.Dispatchers(start))
+}
+
+// A router starts beside others that have shared out the upstreams among
+// themselves, and don't count it yet. If it counted itself, it would dispatch
+// upstreams that another one dispatches.
+func TestNewRouterLeavesDispatchToTheOthersAtFirst(t *testing.T) {
+	t.Parallel()
+	m := membership.New(membership.Options{Self: "a"})
+	m.Tick(start)
+	m.Connected(start, "b", "")
+	require.Equal(t, routers("b"), m.Dispatchers(start))
+	require.Equal(t, routers("a", "b"), m.Dispatchers(at(1)))
+}
+
+// The list lags: it shows a router that is long gone, and not yet one that is
+// connected. What the router sees itself goes before it.
+func TestOwnEvidenceGoesBeforeTheList(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	m.Disconnected(at(3), "c")
+	m.List(at(4), []membership.Listed{{ID: "a"}, {ID: "c", Address: "c:1"}})
+	require.Equal(t, routers("a", "b"), m.Dispatchers(at(4)))
+	require.Equal(t, "c:1", m.Targets()["c"])
+}
+
+// The platform is down, so that no list comes for hours. Nothing may change.
+func TestOutageOfTheListChangesNothing(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	m.List(at(3), []membership.Listed{{ID: "a"}, {ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}})
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(10_000)))
+	m.Disconnected(at(10_000), "b")
+	require.Equal(t, routers("a", "c"), m.Dispatchers(at(10_001)))
+	require.Equal(t, "b:1", m.Targets()["b"])
+}
+
+// A connection breaks and is back within a moment. Were its dispatchers moved
+// and moved back, all their upstreams would stand still for two takeovers.
+func TestShortBreakMovesNothing(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	m.Disconnected(at(3), "b")
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(3.4)))
+	m.Connected(at(3.4), "b", "b:1")
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(3.4)))
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(60)))
+}
+
+// A router's link breaks every two seconds for a minute. Dispatchers must not
+// move at each break and return.
+func TestFlappingRouterDoesNotMoveDispatchersEachTime(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	moves := 0
+	before := m.Dispatchers(at(2))
+	for i := range 30 {
+		second := 3 + 2*float64(i)
+		m.Disconnected(at(second), "b")
+		for _, step := range []float64{0.3, 0.7} {
+			now := m.Dispatchers(at(second + step))
+			if len(now) != len(before) {
+				moves++
+			}
+			before = now
+		}
+		m.Connected(at(second+0.8), "b", "b:1")
+		now := m.Dispatchers(at(second + 1.9))
+		if len(now) != len(before) {
+			moves++
+		}
+		before = now
+	}
+	require.LessOrEqual(t, moves, 3)
+	// Once the link holds, the router takes part again.
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(80)))
+}
+
+// Two halves of a cut fleet each go on with those they reach, and are whole
+// again after the rejoin, though nobody told them what was before.
+func TestCutAndRejoinConverge(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	m.Disconnected(at(10), "b")
+	m.Disconnected(at(10), "c")
+	require.Equal(t, routers("a"), m.Dispatchers(at(11)))
+	m.Connected(at(100), "b", "b:1")
+	m.Connected(at(100), "c", "c:1")
+	require.Equal(t, routers("a"), m.Dispatchers(at(100)))
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(103)))
+}
+
+func TestLeavingRoutersDispatchOnlyWhenAllLeave(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	m.Leave(at(3), "b")
+	require.Equal(t, routers("a", "c"), m.Dispatchers(at(3)))
+	m.List(at(4), []membership.Listed{{ID: "c", Address: "c:1", Leaving: true}})
+	require.Equal(t, routers("a"), m.Dispatchers(at(4)))
+	m.Leave(at(5), "a")
+	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(5)))
+}
+
+func TestForgetsRoutersThatAreGone(t *testing.T) {
+	t.Parallel()
+	m := settled()
+	m.Disconnected(at(3), "c")
+	m.List(at(4), []membership.Listed{{ID: "b", Address: "b:1"}})
+	require.Contains(t, m.Targets(), fleet.RouterID("c"))
+	m.List(at(1000), []membership.Listed{{ID: "b", Address: "b:1"}})
+	require.NotContains(t, m.Targets(), fleet.RouterID("c"))
+}
+
+// All routers of the target size read the list. Together they must stay far
+// below the 2,000 reads a second that the platform serves.
+func TestPollsStayWithinThePlatformsReads(t *testing.T) {
+	t.Parallel()
+	m := membership.New(membership.Options{Self: "a"})
+	require.Equal(t, 500*time.Millisecond, m.PollInterval(0))
+	var listed []membership.Listed
+	for i := range 460 {
+		listed = append(listed, membership.Listed{ID: fleet.RouterID(rune('A' + i))})
+	}
+	m.List(start, listed)
+	require.Less(t, 460/m.PollInterval(0).Seconds(), 201.0)
+}
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -43,6 +43,7 @@
 // sendComplete sends all that this router asks of another and has in flight
 // of it. It is the first message of a connection, and repeated at times.
 func (s *Scheduler) sendComplete(now time.Time, to fleet.RouterID) {
+	s.routers[to].completeAt = now
 	out := s.outbox.to(to)
 	out.Complete = true
 	out.Asks = s.entry.asksFor(s, now, to)
@@ -51,6 +52,17 @@
 	s.outbox.urgent(to)
 }
 
+// repeatComplete tells one router at a time all that it has to know, when it
+// was not told for a while.
+func (s *Scheduler) repeatComplete(now time.Time) {
+	for id, r := range s.routers {
+		if r.connected && now.Sub(r.completeAt) >= completeInterval {
+			s.sendComplete(now, id)
+			return
+		}
+	}
+}
+
 // receive takes a batch from another router.
 func (s *Scheduler) receive(from fleet.RouterID, batch *schema.Batch) {
 	r := s.routers[from]
@@ -81,10 +93,21 @@
 }
 
 func (s *Scheduler) take(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
-	s.takeHeld(now, from, r, batch)
+	ids := heldIDs(batch)
+	if batch.GetComplete() && r.fresh {
+		s.slots.Connected(now, from, ids, r.restarted)
+	}
+	s.takeHeld(now, from, batch)
 	for _, message := range batch.GetReleases() {
 		s.slots.Release(now, from, message)
 	}
+	if batch.GetComplete() && !r.fresh {
+		// After the releases: what they settle is no longer held.
+		s.slots.Complete(now, from, ids)
+	}
+	if batch.GetComplete() {
+		r.fresh, r.restarted = false, false
+	}
 	for _, message := range batch.GetAsks() {
 		s.slots.Ask(now, from, dispatcher.GrantID(batch.GetGrantedThrough()), message)
 		s.free.asked(fleet.Number(message.GetService()))
@@ -103,21 +126,20 @@
 	}
 }
 
-func (s *Scheduler) takeHeld(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
-	if batch.GetComplete() {
-		ids := make(map[dispatcher.GrantID]bool)
-		for _, message := range batch.GetHeld() {
-			for _, id := range message.GetIds() {
-				ids[dispatcher.GrantID(id)] = true
-			}
-		}
-		if r.fresh {
-			s.slots.Connected(now, from, ids, r.restarted)
-			r.fresh, r.restarted = false, false
-		} else {
-			s.slots.Complete(now, from, ids)
+func heldIDs(batch *schema.Batch) map[dispatcher.GrantID]bool {
+	if !batch.GetComplete() {
+		return nil
+	}
+	ids := make(map[dispatcher.GrantID]bool)
+	for _, message := range batch.GetHeld() {
+		for _, id := range message.GetIds() {
+			ids[dispatcher.GrantID(id)] = true
 		}
 	}
+	return ids
+}
+
+func (s *Scheduler) takeHeld(now time.Time, from fleet.RouterID, batch *schema.Batch) {
 	for _, message := range batch.GetHeld() {
 		if u := s.view.UpstreamByNumber(fleet.Number(message.GetUpstream())); u != nil {
 			s.slots.Held(now, from, s.assigned.services[fleet.ServiceID(u.GetService())], message)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -161,6 +161,8 @@
 	fresh     bool
 	restarted bool
 	leaving   bool
+	// completeAt is when it was last told all.
+	completeAt time.Time
 }
 
 // New returns a Scheduler that starts to work when it is run.
@@ -219,6 +221,10 @@
 	tickInterval = 10 * time.Millisecond
 	// upkeepInterval paces what nobody waits for.
 	upkeepInterval = 250 * time.Millisecond
+	// completeInterval is how often each router is told all that this one asks
+	// of it and holds, in case that a message was lost after all. Connections
+	// lose nothing, so it is only a safeguard.
+	completeInterval = 5 * time.Minute
 )
 
 // Run works until ctx ends. Requests that still wait then are refused with
@@ -291,6 +297,7 @@
 	s.connect()
 	s.entry.review(s, now)
 	s.entry.repeat(s, now)
+	s.repeatComplete(now)
 	s.exchange.tick(s, now)
 	s.keeper.Tick(now)
 	s.gauges()
