--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	"nutmeglock.example/nutmeglock/placement"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/share"
+	"nutmeglock.example/nutmeglock/warmup"
 )
 
 // Defaults of Options.
@@ -51,6 +52,8 @@
 	Placement P
 	// Weight returns an account's weight; nil means that all weigh 1.
 	Weight func(account fleet.Number) uint32
+	// Warmup lets an upstream that joins or recovers take work step by step.
+	Warmup bool
 	// Nonce tells the ids of this dispatcher from those of another.
 	Nonce uint16
 	// TakeoverWait, Grace and AckWait replace the defaults when positive.
@@ -68,6 +71,8 @@
 	ID       GrantID
 	Account  fleet.Number
 	Upstream fleet.Number
+	// Begin asks the router to tell when the answer begins.
+	Begin bool
 }
 
 // Dispatcher grants slots. It is used by one goroutine.
@@ -97,6 +102,7 @@
 	service  fleet.Number
 	slots    int
 	limiter  L
+	ramp     *warmup.Ramp // nil without warm-up
 	readyAt  time.Time
 	leaving  bool
 	draining time.Time // zero while it takes work
@@ -112,6 +118,7 @@
 	sentWith int       // in flight at the upstream when it was granted
 	orphaned time.Time // zero while its router is connected
 	counted  bool      // whether it takes a slot here
+	begun    bool      // whether its answer is known to have begun
 }
 
 // New returns a Dispatcher that is responsible for no upstream yet.
@@ -185,6 +192,9 @@
 func (d *Dispatcher[O, L, P]) takeOver(now time.Time, u *schema.Upstream, service fleet.Number, others bool) *upstream[L] {
 	number := fleet.Number(u.GetNumber())
 	taken := &upstream[L]{number: number, service: service, limiter: d.options.Limiter(int(u.GetSlots())), readyAt: now}
+	if d.options.Warmup {
+		taken.ramp = &warmup.Ramp{}
+	}
 	if others {
 		taken.readyAt = now.Add(d.options.TakeoverWait)
 	}
@@ -212,6 +222,8 @@
 	}
 	g.counted = true
 	at.inFlight++
+	// What another dispatcher sent there shows that the upstream is warm.
+	at.began(g)
 }
 
 // remove forgets a grant and frees its slot.
@@ -239,7 +251,23 @@
 	if u == nil || !u.takesWork(now) {
 		return 0
 	}
-	return min(u.slots, u.limiter.Limit(now))
+	return u.limit(now)
+}
+
+// limit returns how many requests may be in flight at an upstream that takes work.
+func (u *upstream[L]) limit(now time.Time) int {
+	limit := min(u.slots, u.limiter.Limit(now))
+	if u.ramp == nil {
+		return limit
+	}
+	return u.ramp.Allow(now, limit)
+}
+
+// warming reports whether the ramp holds the upstream below its limit, so
+// that the beginning of each answer has to be known.
+func (u *upstream[L]) warming(now time.Time) bool {
+	limit := min(u.slots, u.limiter.Limit(now))
+	return u.ramp != nil && u.ramp.Allow(now, limit) < limit
 }
 
 func (u *upstream[L]) takesWork(now time.Time) bool {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -239,3 +239,48 @@
 	require.Len(t, granted, 1)
 	require.Equal(t, flood, granted[0].Account)
 }
+
+// An upstream joins while a burst waits. Sent all at once, the burst would
+// meet a cold engine; it gets two requests, and one more for each answer that
+// begins, without waiting for whole answers.
+func TestUpstreamThatJoinsIsWarmedUp(t *testing.T) {
+	t.Parallel()
+	d := dispatcher.New(dispatcher.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.LeastLoaded]{
+		Order: newFair, Limiter: fixed, Warmup: true,
+	})
+	own(d, 1, 16, false)
+	d.Ask(start, "a", 0, ask(small, 100))
+	granted := d.Grant(start)
+	require.Len(t, granted, 2)
+	require.True(t, granted[0].Begin)
+	d.Held(start, "a", service, &schema.Held{
+		Upstream: uint32(first), Ids: []uint64{uint64(granted[0].ID)}, Accounts: []uint32{uint32(small)}, Costs: []uint32{1},
+	})
+	require.Len(t, d.Grant(start), 1)
+	d.Release(start, "a", answered(granted[1]))
+	require.Len(t, d.Grant(start), 2)
+}
+
+// An upstream changes hands while it is busy. Its work shows that it is warm;
+// were it ramped up anew, most of it would idle after each change of routers.
+func TestUpstreamThatChangesHandsIsNotWarmedUpAgain(t *testing.T) {
+	t.Parallel()
+	d := dispatcher.New(dispatcher.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.LeastLoaded]{
+		Order: newFair, Limiter: fixed, Warmup: true,
+	})
+	own(d, 1, 16, false)
+	held := &schema.Held{Upstream: uint32(first)}
+	for id := range uint64(12) {
+		held.Ids = append(held.Ids, id+1)
+		held.Accounts = append(held.Accounts, uint32(flood))
+		held.Costs = append(held.Costs, 50)
+	}
+	d.Held(start, "b", service, held)
+	require.Equal(t, 12, inFlight(d, first))
+	d.Ask(start, "a", 0, ask(small, 100))
+	require.Len(t, d.Grant(start), 2)
+	for _, id := range held.GetIds() {
+		d.Release(start, "b", &schema.Release{Id: id, Cost: 60})
+	}
+	require.Len(t, d.Grant(start), 12)
+}
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -42,7 +42,7 @@
 		if !u.takesWork(now) {
 			continue
 		}
-		if limit := min(u.slots, u.limiter.Limit(now)); u.inFlight < limit {
+		if limit := u.limit(now); u.inFlight < limit {
 			rooms = append(rooms, room[L]{u, limit})
 		}
 	}
@@ -70,7 +70,7 @@
 	if !ok {
 		return Grant{}, false
 	}
-	g := Grant{To: router, ID: d.nextID(), Account: account, Upstream: u.number}
+	g := Grant{To: router, ID: d.nextID(), Account: account, Upstream: u.number, Begin: u.warming(now)}
 	u.inFlight++
 	d.grants[grantKey{router, g.ID}] = &grant{
 		account: account, service: number, upstream: u.number,
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -57,9 +57,23 @@
 	if result == dispatch.Draining && u.draining.IsZero() {
 		u.draining = now
 	}
+	if u.ramp != nil {
+		u.ramp.Ended(now, result)
+	}
+	if result == dispatch.Answered {
+		u.began(g)
+	}
 	u.limiter.Ended(now, inflight.Sample{Result: result, FirstToken: firstToken, InFlight: g.sentWith})
 }
 
+// began takes note that a request's answer began.
+func (u *upstream[L]) began(g *grant) {
+	if u.ramp != nil && !g.begun {
+		u.ramp.Began()
+	}
+	g.begun = true
+}
+
 // Held takes what a router has in flight at an upstream. A grant that is not
 // known, because another dispatcher gave it, takes a slot from now on. It is
 // not charged again; costs above what was charged are.
@@ -80,6 +94,9 @@
 	known := d.grants[key]
 	if known != nil {
 		known.orphaned = time.Time{}
+		if u := d.upstreams[known.upstream]; u != nil && known.counted {
+			u.began(known)
+		}
 		if told.charged > known.charged {
 			d.charge(known, told.charged)
 		}
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -61,11 +61,15 @@
 	upstream  *schema.Upstream
 	// announceAt is the cost from which the dispatcher is told.
 	announceAt atomic.Int64
-	done       atomic.Bool
+	// begin is true until the dispatcher that asked for it is told that the
+	// answer began.
+	begin atomic.Bool
+	done  atomic.Bool
 }
 
-func newSlot(s *Scheduler, h *hold, upstream *schema.Upstream, estimate fleet.Tokens) *slot {
+func newSlot(s *Scheduler, h *hold, upstream *schema.Upstream, estimate fleet.Tokens, begin bool) *slot {
 	given := &slot{scheduler: s, hold: h, upstream: upstream}
+	given.begin.Store(begin)
 	given.announceAt.Store(int64(announceStep(estimate)))
 	return given
 }
@@ -84,6 +88,9 @@
 
 // Progress reports the request's cost so far.
 func (g *slot) Progress(cost fleet.Tokens) {
+	if g.begin.CompareAndSwap(true, false) {
+		g.scheduler.loop.Post(func() { g.scheduler.entry.announce(g.scheduler, g.hold) })
+	}
 	at := g.announceAt.Load()
 	if int64(cost) < at || !g.announceAt.CompareAndSwap(at, int64(announceStep(cost))) {
 		return
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -249,12 +249,12 @@
 		q.asked[from] = 0
 		e.giveBack(s, h)
 	} else {
-		e.start(s, now, w, h, u)
+		e.start(s, now, w, h, u, message.GetBegin())
 	}
 	e.ask(s, now, q, false)
 }
 
-func (e *entry) start(s *Scheduler, now time.Time, w *waiter, h *hold, u *schema.Upstream) {
+func (e *entry) start(s *Scheduler, now time.Time, w *waiter, h *hold, u *schema.Upstream, begin bool) {
 	e.remove(now, w)
 	w.queue.drain.Started(now)
 	h.service = w.queue.service
@@ -263,5 +263,5 @@
 	w.given = h
 	s.announceForeign(h)
 	s.observeWait(w, now)
-	w.answer <- answer{slot: newSlot(s, h, u, w.work.Estimate)}
+	w.answer <- answer{slot: newSlot(s, h, u, w.work.Estimate, begin)}
 }
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -208,26 +209,7 @@
 	clear(u.most)
 }
 
-// fixed is a limiter that never adapts.
-type fixed int
-
-func (f fixed) Limit(time.Time) int                  { return int(f) }
-func (fixed) Ended(time.Time, inflight.Sample)       {}
-func (fixed) Reported(time.Time, inflight.Load, int) {}
-func newFixed(slots int) fixed                       { return fixed(slots) }
-
-// emptiest picks the candidate with the most room.
-type emptiest struct{}
-
-func (emptiest) Pick(candidates []placement.Candidate) (int, bool) {
-	best := -1
-	for i, c := range candidates {
-		if c.InFlight < c.Limit && (best < 0 || c.InFlight < candidates[best].InFlight) {
-			best = i
-		}
-	}
-	return best, best >= 0
-}
+func newFixed(slots int) inflight.Fixed { return inflight.Fixed(slots) }
 
 // bounded admits as long as the account's bound is kept.
 type bounded struct{}
@@ -264,6 +246,7 @@
 	view    *note.View
 	routers map[fleet.RouterID]*testRouter
 	sharing scheduler.Sharing
+	client  *http.Client
 }
 
 type testRouter struct {
@@ -288,10 +271,10 @@
 // start starts a router with nothing remembered and connects it to the others.
 func (f *testFleet) start(id fleet.RouterID, life fleet.Incarnation) {
 	f.t.Helper()
-	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], fixed, emptiest]{
+	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.LeastLoaded]{
 		Self: id, Incarnation: life, Notes: fixedView{f.view}, Peers: f.net.port(id, life),
 		Order: func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} }, Limiter: newFixed,
-		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing,
+		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing, Client: f.client,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	r := &testRouter{Scheduler: s, stop: cancel, ctx: ctx, done: make(chan struct{})}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -40,6 +40,15 @@
 		return
 	}
 	h.announced = cost
+	e.announce(s, h)
+}
+
+// announce tells the settling dispatcher what a request in flight cost so far,
+// which also says that its answer began.
+func (e *entry) announce(s *Scheduler, h *hold) {
+	if e.holds[h.key] != h {
+		return
+	}
 	out := s.outbox.to(s.settler(h))
 	out.Held = append(out.Held, heldMessage(h))
 }
--- a/scheduler/outbox.go
+++ b/scheduler/outbox.go
@@ -23,6 +23,8 @@
 	batches   map[fleet.RouterID]*schema.Batch
 	due       map[fleet.RouterID]time.Time
 	wake      time.Time
+	// earliest is not later than any of due.
+	earliest time.Time
 }
 
 func newOutbox(s *Scheduler) outbox {
@@ -52,6 +54,9 @@
 	if due, ok := o.due[router]; !ok || at.Before(due) {
 		o.due[router] = at
 	}
+	if o.earliest.IsZero() || at.Before(o.earliest) {
+		o.earliest = at
+	}
 }
 
 // drop forgets what was to be sent to a router.
@@ -69,6 +74,9 @@
 
 // flushDue sends the batches that are due, and arranges for the next.
 func (o *outbox) flushDue(now time.Time) {
+	if len(o.due) == 0 || (o.earliest.After(now) && !o.wake.After(o.earliest) && o.wake.After(now)) {
+		return
+	}
 	var next time.Time
 	for router, due := range o.due {
 		if !due.After(now) {
@@ -79,6 +87,7 @@
 			next = due
 		}
 	}
+	o.earliest = next
 	if next.IsZero() || (o.wake.After(now) && !next.Before(o.wake)) {
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,6 +84,8 @@
 	// TakeoverWait and Grace are those of the dispatcher; zero means its defaults.
 	TakeoverWait time.Duration
 	Grace        time.Duration
+	// Warmup lets an upstream that joins or recovers take work step by step.
+	Warmup bool
 }
 
 // Bounds of waiting requests when Options leave them open.
@@ -171,7 +173,7 @@
 	s.loop = control.New(s.settle)
 	s.slots = dispatcher.New(dispatcher.Options[O, L, P]{
 		Order: options.Order, Limiter: options.Limiter, Placement: options.Placement,
-		Weight: s.weight, Nonce: nonceOf(options.Self, options.Incarnation),
+		Weight: s.weight, Warmup: options.Warmup, Nonce: nonceOf(options.Self, options.Incarnation),
 		TakeoverWait: options.TakeoverWait, Grace: options.Grace,
 	})
 	s.members = membership.New(membership.Options{Self: options.Self})
@@ -278,7 +280,7 @@
 	for _, g := range s.slots.Grant(now) {
 		out := s.outbox.to(g.To)
 		out.Grants = append(out.Grants, &schema.Grant{
-			Id: uint64(g.ID), Account: uint32(g.Account), Upstream: uint32(g.Upstream),
+			Id: uint64(g.ID), Account: uint32(g.Account), Upstream: uint32(g.Upstream), Begin: g.Begin,
 		})
 		s.outbox.urgent(g.To)
 	}
