--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/admission"
@@ -33,8 +34,12 @@
 	ports map[fleet.RouterID]*port
 	links map[[2]fleet.RouterID]*link
 	bytes int
+	json  int
 }
 
+// frameHeader is what package peer adds to a short batch.
+const frameHeader = 2
+
 type port struct {
 	net     *network
 	self    fleet.RouterID
@@ -61,9 +66,11 @@
 
 func (p *port) Send(to fleet.RouterID, batch *schema.Batch) {
 	data, _ := proto.Marshal(batch)
+	text, _ := protojson.Marshal(batch)
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
-	p.net.bytes += len(data)
+	p.net.bytes += len(data) + frameHeader
+	p.net.json += len(text) + frameHeader
 	l := p.net.links[[2]fleet.RouterID{p.self, to}]
 	switch {
 	case l == nil:
@@ -317,6 +324,8 @@
 	for id := range f.routers {
 		f.kill(id)
 	}
+	// What is on the wire arrives nowhere.
+	time.Sleep(10 * wire)
 }
 
 // one runs one request through the first router.
--- /dev/null
+++ b/scheduler/traffic_test.go
@@ -0,0 +1,96 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+)
+
+// arrivals sends requests of an account to a router at a rate per second.
+func (f *testFleet) arrivals(random *rand.Rand, id fleet.RouterID, account string, rate float64, took time.Duration) {
+	r := f.routers[id]
+	seed := random.Uint64()
+	go func() {
+		own := rand.New(rand.NewPCG(seed, 1))
+		for r.ctx.Err() == nil {
+			select {
+			case <-time.After(time.Duration(own.ExpFloat64() / rate * float64(time.Second))):
+			case <-r.ctx.Done():
+			}
+			length := time.Duration((0.4 + 1.2*own.Float64()) * float64(took))
+			go func() { _ = f.run(r, account, fleet.Tokens(length.Seconds()*25), length) }()
+		}
+	}()
+}
+
+// traffic plays a load through six routers and returns control bytes sent per
+// router and second, per request, and how many times as many JSON would take.
+func traffic(t *testing.T, upstreams, slots int, rate float64, took, warm, measured time.Duration) (perSecond, perRequest, json float64) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, viewOf(16, upstreams, slots))
+		ids := f.startAll(6)
+		defer f.stopAll()
+		random := rand.New(rand.NewPCG(7, 7))
+		for i := range 16 {
+			weight := 1.0
+			if i < 3 {
+				weight = 9 // A few accounts are large.
+			}
+			for _, id := range ids {
+				f.arrivals(random, id, fmt.Sprintf("account-%d", i), rate/6*weight/40, took)
+			}
+		}
+		time.Sleep(warm)
+		before, beforeJSON, beforeServed := f.net.totals(f.ups)
+		time.Sleep(measured)
+		after, afterJSON, afterServed := f.net.totals(f.ups)
+		bytes := float64(after - before)
+		perSecond = bytes / 6 / measured.Seconds()
+		perRequest = bytes / float64(afterServed-beforeServed)
+		json = float64(afterJSON-beforeJSON) / bytes
+	})
+	return perSecond, perRequest, json
+}
+
+// totals returns the bytes sent, what they would be in JSON, and the requests served.
+func (n *network) totals(ups *upstreams) (bytes, json, served int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ups.mu.Lock()
+	defer ups.mu.Unlock()
+	for _, count := range ups.served {
+		served += count
+	}
+	return n.bytes, n.json, served
+}
+
+// Both of today's deployments, at a load that fills four fifths of the slots
+// and at one that is more than the slots take. Control traffic stays under
+// 3 KB/s a router.
+func TestControlTraffic(t *testing.T) {
+	t.Parallel()
+	const residence = 13 * time.Second
+	for name, load := range map[string]struct {
+		upstreams, slots int
+		rate             float64
+	}{
+		"10 engines at four fifths": {10, 32, 0.8 * 320 / 13},
+		"10 engines saturated":      {10, 32, 1.5 * 320 / 13},
+		"12 engines at four fifths": {12, 32, 0.8 * 384 / 13},
+		"12 engines saturated":      {12, 32, 1.5 * 384 / 13},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			perSecond, perRequest, json := traffic(t, load.upstreams, load.slots, load.rate, residence, time.Minute, 2*time.Minute)
+			t.Logf("%.0f B/s a router, %.0f B a request, JSON %.1f times as much", perSecond, perRequest, json)
+			require.Less(t, perSecond, 3000.0)
+		})
+	}
+}
