--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -147,9 +147,20 @@
 // the same nonce only matter when one takes over from the other.
 const nonceBits = 14
 
+// GrantIDOf returns the id of a dispatcher's grant by its count.
+func GrantIDOf(count uint64, nonce uint16) GrantID {
+	return GrantID(count<<nonceBits | uint64(nonce)&(1<<nonceBits-1))
+}
+
+// Count returns the part of the id that counts the dispatcher's grants.
+func (id GrantID) Count() uint64 { return uint64(id) >> nonceBits }
+
+// GrantedBy reports whether a dispatcher with this nonce gave the grant.
+func (id GrantID) GrantedBy(nonce uint16) bool { return GrantIDOf(id.Count(), nonce) == id }
+
 func (d *Dispatcher[O, L, P]) nextID() GrantID {
 	d.counter++
-	return GrantID(d.counter<<nonceBits | uint64(d.options.Nonce)&(1<<nonceBits-1))
+	return GrantIDOf(d.counter, d.options.Nonce)
 }
 
 func (d *Dispatcher[O, L, P]) service(number fleet.Number) *service[O, L] {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -75,7 +75,7 @@
 }
 
 func answered(g dispatcher.Grant) *schema.Release {
-	return &schema.Release{Id: uint64(g.ID), Cost: 300}
+	return &schema.Release{Id: g.ID.Count(), Cost: 300}
 }
 
 // A flooding account has hundreds of requests waiting at three routers, and a
@@ -155,7 +155,7 @@
 	own(d, 1, 1, false)
 	d.Ask(start, "a", 0, ask(small, 5))
 	granted := d.Grant(start)
-	d.Release(start, "a", &schema.Release{Id: uint64(granted[0].ID), Result: schema.Result_RESULT_UNUSED})
+	d.Release(start, "a", &schema.Release{Id: granted[0].ID.Count(), Result: schema.Result_RESULT_UNUSED})
 	require.Empty(t, d.Grant(start))
 	require.Zero(t, inFlight(d, first))
 	d.Ask(start, "a", granted[0].ID, ask(small, 1))
@@ -171,7 +171,7 @@
 	d.Ask(start, "a", 0, ask(small, 2))
 	granted := d.Grant(start)
 	require.Len(t, granted, 2)
-	d.Release(start, "a", &schema.Release{Id: uint64(granted[0].ID), Result: schema.Result_RESULT_DRAINING})
+	d.Release(start, "a", &schema.Release{Id: granted[0].ID.Count(), Result: schema.Result_RESULT_DRAINING})
 	d.Ask(start, "a", granted[1].ID, ask(small, 4))
 	for _, g := range d.Grant(start) {
 		require.NotEqual(t, granted[0].Upstream, g.Upstream)
@@ -280,7 +280,7 @@
 	d.Ask(start, "a", 0, ask(small, 100))
 	require.Len(t, d.Grant(start), 2)
 	for _, id := range held.GetIds() {
-		d.Release(start, "b", &schema.Release{Id: id, Cost: 60})
+		d.Release(start, "b", &schema.Release{ForeignId: id, Cost: 60})
 	}
 	require.Len(t, d.Grant(start), 12)
 }
--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -118,3 +118,18 @@
 	}
 	return idle
 }
+
+// Busy returns how many requests of a service are in flight here, and how many may be.
+func (d *Dispatcher[O, L, P]) Busy(now time.Time, service fleet.Number) (inFlight, limit int) {
+	s := d.services[service]
+	if s == nil {
+		return 0, 0
+	}
+	for _, u := range s.upstreams {
+		if u.takesWork(now) {
+			inFlight += u.inFlight
+			limit += u.limit(now)
+		}
+	}
+	return inFlight, limit
+}
--- a/dispatcher/machine_test.go
+++ b/dispatcher/machine_test.go
@@ -123,7 +123,7 @@
 	}
 	r.through = max(r.through, g.ID)
 	if r.waiting[g.Account] == 0 {
-		m.send(message{router: router, release: &schema.Release{Id: uint64(g.ID), Result: schema.Result_RESULT_UNUSED}})
+		m.send(message{router: router, release: &schema.Release{Id: g.ID.Count(), Result: schema.Result_RESULT_UNUSED}})
 		return
 	}
 	r.waiting[g.Account]--
@@ -132,7 +132,7 @@
 
 func (m *machine) finish(router fleet.RouterID, id dispatcher.GrantID, cost uint32) {
 	delete(m.routers[router].holds, id)
-	m.send(message{router: router, release: &schema.Release{Id: uint64(id), Cost: cost}})
+	m.send(message{router: router, release: &schema.Release{Id: id.Count(), Cost: cost}})
 }
 
 // complete is a router's repeated word of all that it holds and asks.
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -13,7 +13,10 @@
 // Release takes a slot back. An id that is not known, because the message is
 // a repeated one or the grant was given up, has no effect.
 func (d *Dispatcher[O, L, P]) Release(now time.Time, from fleet.RouterID, message *schema.Release) {
-	key := grantKey{from, GrantID(message.GetId())}
+	key := grantKey{from, GrantID(message.GetForeignId())}
+	if message.GetId() > 0 {
+		key.id = GrantIDOf(message.GetId(), d.options.Nonce)
+	}
 	g := d.grants[key]
 	if g == nil {
 		return
--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -8,25 +8,64 @@
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// widenAfter is how long the oldest request waits before a second, third and
-// so on dispatcher is asked. One is enough while the fleet has room, and each
-// further one costs messages. Two dispatchers were found nearly as good as all
-// for the fairness gap; the rest are asked so that no slot idles. With today's
-// six routers all are asked after 200 ms. Beyond eight, dispatchers with idle
-// slots announce themselves.
-var widenAfter = []time.Duration{
-	5 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond,
-	200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond,
+// mostAsked bounds the dispatchers that a queue asks. Beyond them, dispatchers
+// with idle slots announce themselves.
+const mostAsked = 8
+
+// fanOut returns how many dispatchers are asked for requests of which the
+// oldest has waited for so long. One is enough while the fleet has room, and
+// each further one costs messages. Two were found nearly as good as all for
+// the fairness gap. More are asked so that no slot idles: at once for a burst,
+// whose asks stand for many requests each, and later for single requests,
+// which in a saturated fleet would be asked and withdrawn everywhere.
+func fanOut(waiting int, waited time.Duration) int {
+	// firstAnswer is longer than the round trip to a dispatcher with its delays.
+	const firstAnswer, second = 10 * time.Millisecond, time.Second
+	switch {
+	case waited < firstAnswer:
+		return 1
+	case waiting >= 8:
+		return mostAsked
+	case waited >= second:
+		return min(3+int(waited/second), mostAsked)
+	case waiting >= 4:
+		return 4
+	case waiting >= 2 || waited >= second/4:
+		return 3
+	}
+	return 2
 }
 
+const (
+	// busyRate is the requests per second from which messages are spared: at
+	// 50 bytes each they would take the whole control allowance of 3 KB/s.
+	busyRate = 50.0
+	// ownShare is how far the own upstreams are filled before others, while
+	// messages need not be spared. Fuller batches stream more slowly, so
+	// leaving others empty for longer would cost answers time.
+	ownShare = 0.5
+)
+
 // rank returns the dispatchers that a queue asks, those that can be reached.
-func (e *entry) rank(s *Scheduler, q *queue) []fleet.RouterID {
+// Asking this router's own takes no message and no round trip, so it goes
+// first while its upstreams have room. Otherwise the dispatchers of upstreams
+// that probably have the prompt cached do.
+func (e *entry) rank(s *Scheduler, now time.Time, q *queue) []fleet.RouterID {
 	var preferred []fleet.Number
 	if head := e.line.Head(q.key); head != nil {
 		preferred = head.Value().preferred
 	}
 	ranked := s.assigned.ranked(q.key.service, q.key.account, preferred)
-	return slices.DeleteFunc(ranked, func(router fleet.RouterID) bool { return !s.reaches(router) })
+	ranked = slices.DeleteFunc(ranked, func(router fleet.RouterID) bool { return !s.reaches(router) })
+	inFlight, limit := s.slots.Busy(now, q.key.service)
+	spare := e.rate >= busyRate && inFlight < limit
+	if !spare && (len(preferred) > 0 || float64(inFlight) >= ownShare*float64(limit)) {
+		return ranked
+	}
+	if i := slices.Index(ranked, s.self); i > 0 {
+		ranked = slices.Insert(slices.Delete(ranked, i, i+1), 0, s.self)
+	}
+	return ranked
 }
 
 func (s *Scheduler) reaches(router fleet.RouterID) bool {
@@ -44,7 +83,7 @@
 	if want == 0 {
 		q.targets = nil
 	} else if len(q.targets) == 0 {
-		ranked := e.rank(s, q)
+		ranked := e.rank(s, now, q)
 		q.targets = ranked[:min(1, len(ranked))]
 	}
 	for _, router := range q.targets {
@@ -86,19 +125,18 @@
 // widen asks further dispatchers for queues whose demand is not met.
 func (e *entry) widen(s *Scheduler, now time.Time) {
 	for _, q := range e.queues {
-		asked := len(q.targets)
 		head := e.line.Head(q.key)
-		if head == nil || asked == 0 || asked > len(widenAfter) {
+		if head == nil {
 			continue
 		}
-		if now.Sub(head.Since()) < widenAfter[asked-1] {
+		wanted := fanOut(e.line.Len(q.key), now.Sub(head.Since()))
+		if len(q.targets) >= min(wanted, len(s.assigned.live)) {
 			continue
 		}
-		for _, router := range e.rank(s, q) {
-			if !slices.Contains(q.targets, router) {
+		for _, router := range e.rank(s, now, q) {
+			if len(q.targets) < wanted && !slices.Contains(q.targets, router) {
 				q.targets = append(q.targets, router)
 				e.sendAsk(s, now, q, router)
-				break
 			}
 		}
 	}
@@ -115,18 +153,6 @@
 	}
 }
 
-// repeat tells dispatchers again what waits where their count may be off,
-// because it was off by too little before or a message was lost.
-func (e *entry) repeat(s *Scheduler, now time.Time) {
-	for _, q := range e.queues {
-		for _, router := range q.targets {
-			if q.asked[router] != e.line.Len(q.key) {
-				e.sendAsk(s, now, q, router)
-			}
-		}
-	}
-}
-
 // lost drops what was asked of a router that is gone, and asks another.
 func (e *entry) lost(router fleet.RouterID) {
 	for _, q := range e.queues {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -19,14 +19,18 @@
 	queues map[queueKey]*queue
 	holds  map[holdKey]*hold
 	// through is the highest id of each dispatcher's grants that was seen.
-	through map[fleet.RouterID]dispatcher.GrantID
+	through map[fleet.RouterID]uint64
+	// starts counts requests since the rate was last measured.
+	starts   int
+	rate     float64
+	measured time.Time
 }
 
 func newEntry() *entry {
 	return &entry{
 		queues:  make(map[queueKey]*queue),
 		holds:   make(map[holdKey]*hold),
-		through: make(map[fleet.RouterID]dispatcher.GrantID),
+		through: make(map[fleet.RouterID]uint64),
 	}
 }
 
@@ -207,7 +211,7 @@
 			w.preferred = s.assigned.preferredFor(q.key.service, w.work.Prefix)
 			w.avoided = avoidedNumbers(s, w, s.assigned.byService[q.key.service])
 		}
-		ranked := e.rank(s, q)
+		ranked := e.rank(s, now, q)
 		q.targets = ranked[:min(len(ranked), max(1, len(q.targets)))]
 		e.ask(s, now, q, false)
 	}
@@ -228,11 +232,11 @@
 
 // granted starts a waiting request, or gives the slot back unused at once.
 func (e *entry) granted(s *Scheduler, now time.Time, from fleet.RouterID, message *schema.Grant) {
-	id := dispatcher.GrantID(message.GetId())
+	id := dispatcher.GrantIDOf(message.GetId(), s.nonce(from))
 	if e.holds[holdKey{from, id}] != nil {
 		return
 	}
-	e.through[from] = max(e.through[from], id)
+	e.through[from] = max(e.through[from], message.GetId())
 	h := &hold{
 		key: holdKey{from, id}, account: fleet.Number(message.GetAccount()), upstream: fleet.Number(message.GetUpstream()),
 	}
@@ -257,6 +261,7 @@
 func (e *entry) start(s *Scheduler, now time.Time, w *waiter, h *hold, u *schema.Upstream, begin bool) {
 	e.remove(now, w)
 	w.queue.drain.Started(now)
+	e.starts++
 	h.service = w.queue.service
 	h.announced = w.work.Estimate
 	e.holds[h.key] = h
@@ -265,3 +270,17 @@
 	s.observeWait(w, now)
 	w.answer <- answer{slot: newSlot(s, h, u, w.work.Estimate, begin)}
 }
+
+// measure brings the rate of requests up to date, as a mean over some seconds.
+func (e *entry) measure(now time.Time) {
+	const memory = 5 * time.Second
+	elapsed := now.Sub(e.measured)
+	e.measured = now
+	if elapsed <= 0 || elapsed > memory {
+		e.starts = 0
+		return
+	}
+	part := elapsed.Seconds() / memory.Seconds()
+	e.rate += part * (float64(e.starts)/elapsed.Seconds() - e.rate)
+	e.starts = 0
+}
--- a/scheduler/free.go
+++ b/scheduler/free.go
@@ -25,9 +25,10 @@
 const (
 	// firstPause is after the first announcement of idle slots, a few round trips.
 	firstPause = 20 * time.Millisecond
-	// longestPause is reached when nobody asks. Until a router asks further
-	// dispatchers by itself, work may wait beside an idle slot for as long.
-	longestPause = 500 * time.Millisecond
+	// longestPause is reached when nobody asks, as while the whole fleet has
+	// room. It bounds how long work that was asked at mostAsked dispatchers in
+	// vain waits beside an idle slot.
+	longestPause = 5 * time.Second
 	// announceTo is how many routers are told at once, chosen at random.
 	announceTo = 5
 )
@@ -46,7 +47,8 @@
 
 func (f *freeAnnouncer) tick(s *Scheduler, now time.Time) {
 	others := s.connected()
-	if s.sharing == StaticShare || len(others) == 0 {
+	if s.sharing == StaticShare || len(others) < mostAsked {
+		// Work that waits is asked at every dispatcher as it is.
 		return
 	}
 	idle := s.slots.Idle(now)
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -79,14 +79,27 @@
 }
 
 func (s *Scheduler) sendRelease(to fleet.RouterID, h *hold, done dispatch.Done, cost fleet.Tokens) {
+	message := &schema.Release{
+		Cost: clampUint32(cost), Result: messageOf(done.Result), FirstTokenMs: clampUint32(done.FirstToken.Milliseconds()),
+	}
+	if h.key.granter == to && h.key.id.GrantedBy(s.nonce(to)) {
+		message.Id = h.key.id.Count()
+	} else {
+		message.ForeignId = uint64(h.key.id)
+	}
 	out := s.outbox.to(to)
-	out.Releases = append(out.Releases, &schema.Release{
-		Id: uint64(h.key.id), Cost: clampUint32(cost), Result: messageOf(done.Result),
-		FirstTokenMs: clampUint32(done.FirstToken.Milliseconds()),
-	})
+	out.Releases = append(out.Releases, message)
 	s.outbox.within(to, releaseDelay)
 }
 
+// nonce returns what the ids of a router's grants contain in its present life.
+func (s *Scheduler) nonce(router fleet.RouterID) uint16 {
+	if r := s.routers[router]; r != nil {
+		return nonceOf(router, r.incarnation)
+	}
+	return nonceOf(router, s.incarnation)
+}
+
 // releaseDelay is short beside the residence of a request, so that a slot is
 // hardly idle for it, and lets releases share a frame with asks.
 const releaseDelay = 3 * time.Millisecond
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -32,6 +32,7 @@
 		delete(s.entry.through, change.Router)
 	}
 	r.incarnation, r.fresh, r.leaving = change.Incarnation, true, false
+	r.seen, r.told = 0, 0
 	s.members.Connected(now, change.Router, change.Address)
 	s.refresh(now)
 	if s.view != nil {
@@ -87,12 +88,13 @@
 	if batch == nil {
 		return false
 	}
-	batch.GrantedThrough = uint64(s.entry.through[s.self])
+	batch.GrantedThrough = s.entry.through[s.self]
 	s.take(now, s.self, &router{incarnation: s.incarnation}, batch)
 	return true
 }
 
 func (s *Scheduler) take(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
+	r.seen = max(r.seen, batch.GetGrantedThrough())
 	ids := heldIDs(batch)
 	if batch.GetComplete() && r.fresh {
 		s.slots.Connected(now, from, ids, r.restarted)
@@ -109,7 +111,7 @@
 		r.fresh, r.restarted = false, false
 	}
 	for _, message := range batch.GetAsks() {
-		s.slots.Ask(now, from, dispatcher.GrantID(batch.GetGrantedThrough()), message)
+		s.slots.Ask(now, from, dispatcher.GrantIDOf(r.seen, s.nonce(s.self)), message)
 		s.free.asked(fleet.Number(message.GetService()))
 	}
 	for _, message := range batch.GetGrants() {
--- a/scheduler/outbox.go
+++ b/scheduler/outbox.go
@@ -100,11 +100,13 @@
 	batch := o.batches[router]
 	o.drop(router)
 	s := o.scheduler
-	if r := s.routers[router]; r == nil || !r.connected || s.peers == nil {
+	r := s.routers[router]
+	if r == nil || !r.connected || s.peers == nil {
 		return
 	}
-	if len(batch.GetAsks()) > 0 || batch.GetComplete() {
-		batch.GrantedThrough = uint64(s.entry.through[router])
+	if through := s.entry.through[router]; len(batch.GetAsks()) > 0 && through != r.told {
+		batch.GrantedThrough = through
+		r.told = through
 	}
 	s.peers.Send(router, batch)
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -65,21 +65,11 @@
 }
 
 // needsAsk reports whether a dispatcher that counts so many requests has to be
-// told that it is want instead. While many wait, a count that is a quarter off
-// changes nothing: the dispatcher counts its own grants down, and the other
-// dispatchers' are told before the count is twice what waits.
+// told that it is want instead. A count that is off changes nothing as long as
+// some wait: the dispatcher counts its own grants down, and is told again
+// before it believes that none wait, or twice as many as do.
 func needsAsk(counted, want int) bool {
-	const few = 4
-	switch {
-	case counted == want:
-		return false
-	case counted == 0 || want == 0:
-		return true
-	case want > counted:
-		return counted < few || 4*want > 5*counted
-	default:
-		return counted > 2*want
-	}
+	return counted != want && (counted == 0 || want == 0 || want >= 2*counted || counted > 2*want)
 }
 
 // askFor returns the message that tells a dispatcher what waits here now.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,6 +111,7 @@
 	Reassigned(service, account fleet.Number)
 	Forget(account fleet.Number)
 	Idle(now time.Time) map[fleet.Number]int
+	Busy(now time.Time, service fleet.Number) (inFlight, limit int)
 	Unmet(service fleet.Number) bool
 	InFlight(upstream fleet.Number) (int, bool)
 	Limit(now time.Time, upstream fleet.Number) int
@@ -165,6 +166,10 @@
 	leaving   bool
 	// completeAt is when it was last told all.
 	completeAt time.Time
+	// seen is the highest id of this router's grants that it has seen, told
+	// the highest of its grants that it was told to have been seen here.
+	seen uint64
+	told uint64
 }
 
 // New returns a Scheduler that starts to work when it is run.
@@ -280,7 +285,7 @@
 	for _, g := range s.slots.Grant(now) {
 		out := s.outbox.to(g.To)
 		out.Grants = append(out.Grants, &schema.Grant{
-			Id: uint64(g.ID), Account: uint32(g.Account), Upstream: uint32(g.Upstream), Begin: g.Begin,
+			Id: g.ID.Count(), Account: uint32(g.Account), Upstream: uint32(g.Upstream), Begin: g.Begin,
 		})
 		s.outbox.urgent(g.To)
 	}
@@ -298,7 +303,7 @@
 	s.refresh(now)
 	s.connect()
 	s.entry.review(s, now)
-	s.entry.repeat(s, now)
+	s.entry.measure(now)
 	s.repeatComplete(now)
 	s.exchange.tick(s, now)
 	s.keeper.Tick(now)
