--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -324,8 +324,8 @@
 	for id := range f.routers {
 		f.kill(id)
 	}
-	// What is on the wire arrives nowhere.
-	time.Sleep(10 * wire)
+	// What is on the wire arrives nowhere, and streams see that their router is gone.
+	time.Sleep(10*wire + 2*time.Second)
 }
 
 // one runs one request through the first router.
