--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -100,19 +100,23 @@
 
 func (e *entry) sendAsk(s *Scheduler, now time.Time, q *queue, router fleet.RouterID) {
 	message := e.askFor(now, q)
+	if q.asked[router] == 0 || len(message.GetAvoided()) > 0 {
+		// Where some are counted, the dispatcher goes on granting meanwhile.
+		s.outbox.urgent(router)
+	}
 	q.asked[router] = e.line.Len(q.key)
 	e.putAsk(s, router, message)
 }
 
 func (e *entry) withdrawAsk(s *Scheduler, q *queue, router fleet.RouterID) {
 	delete(q.asked, router)
+	s.outbox.urgent(router)
 	e.putAsk(s, router, &schema.Ask{Service: uint32(q.key.service), Account: uint32(q.key.account)})
 }
 
 // putAsk puts an ask into the next batch, in place of an earlier one there.
 func (e *entry) putAsk(s *Scheduler, router fleet.RouterID, message *schema.Ask) {
 	out := s.outbox.to(router)
-	s.outbox.urgent(router)
 	for i, earlier := range out.Asks {
 		if earlier.GetService() == message.GetService() && earlier.GetAccount() == message.GetAccount() {
 			out.Asks[i] = message
