experiment: one dispatcher a router, its grant counts, and warm-up

Follows the dispatcher's protocol: grants go by count, and routers say when answers begin at an upstream that warms up. Grant visits services in order, so that a run is the same each time.

--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,8 @@
 // either is used up, and returns the grants in that order.
 func (d *Dispatcher[O, L, P]) Grant(now time.Time) []Grant {
 	var granted []Grant
-	for number, s := range d.services {
+	for _, number := range slices.Sorted(maps.Keys(d.services)) {
+		s := d.services[number]
 		if len(s.demands) == 0 {
 			continue
 		}
--- a/experiment/entry.go
+++ b/experiment/entry.go
@@ -190,7 +190,7 @@
 	}
 	q.asked[target] = q.len()
 	if target == r.index {
-		r.slots[q.key.service].Ask(r.model.clock.now(), r.id, dispatcher.GrantID(r.through[r.index]), message)
+		r.slots.Ask(r.model.clock.now(), r.id, dispatcher.GrantIDOf(r.through[r.index], uint16(r.index)), message)
 		return
 	}
 	batch := r.to(target, delay)
@@ -243,7 +243,6 @@
 // granted starts a waiting request, or gives the slot back when none waits.
 func (r *router) granted(from int, grant *schema.Grant) {
 	r.through[from] = max(r.through[from], grant.GetId())
-	upstream := int(grant.GetUpstream())
 	service := r.model.serviceOf(grant.GetUpstream())
 	q := r.queue(queueKey{int(grant.GetAccount()), service})
 	q.asked[from] = max(q.asked[from]-1, 0)
@@ -256,7 +255,7 @@
 	request := item.Value()
 	q.drain.Started(r.model.clock.now())
 	r.left(q, request)
-	r.start(from, grant.GetId(), upstream, request)
+	r.start(from, grant, request)
 }
 
 // choose returns the first of the oldest few whose beginning the upstream
@@ -278,21 +277,40 @@
 }
 
 // start sends a request to the upstream of a grant.
-func (r *router) start(granter int, id uint64, upstream int, request *request) {
+func (r *router) start(granter int, grant *schema.Grant, request *request) {
 	m := r.model
-	request.engine = m.engines[upstream]
+	request.engine = m.engines[grant.GetUpstream()]
 	m.measure.started(request)
 	var firstToken time.Duration
 	request.job.first = func() {
 		firstToken = m.clock.elapsed - request.started
 		m.measure.began(request)
+		if grant.GetBegin() {
+			r.tellBegin(granter, grant)
+		}
 	}
 	request.job.done = func() {
-		m.clock.after(upstreamDelay, func() { r.finished(granter, id, request, firstToken) })
+		m.clock.after(upstreamDelay, func() { r.finished(granter, grant.GetId(), request, firstToken) })
 	}
 	m.clock.after(upstreamDelay, func() { request.engine.submit(&request.job) })
 }
 
+// tellBegin says that an answer began at an upstream that warms up.
+func (r *router) tellBegin(granter int, grant *schema.Grant) {
+	message := &schema.Held{
+		Upstream: grant.GetUpstream(), Ids: []uint64{uint64(dispatcher.GrantIDOf(grant.GetId(), uint16(granter)))},
+		Accounts: []uint32{grant.GetAccount()}, Costs: []uint32{0},
+	}
+	if granter == r.index {
+		service := r.model.serviceOf(grant.GetUpstream())
+		r.slots.Held(r.model.clock.now(), r.id, fleet.Number(service), message)
+		r.grant()
+		return
+	}
+	batch := r.to(granter, releaseDelay)
+	batch.Held = append(batch.Held, message)
+}
+
 // finished settles an answered request and gives its slot back.
 func (r *router) finished(granter int, id uint64, request *request, firstToken time.Duration) {
 	r.model.estimators[r.index].Ended(request.key(), int64(request.job.output))
@@ -306,9 +324,7 @@
 // release gives a slot back.
 func (r *router) release(to int, message *schema.Release) {
 	if to == r.index {
-		for _, s := range r.slots {
-			s.Release(r.model.clock.now(), r.id, message)
-		}
+		r.slots.Release(r.model.clock.now(), r.id, message)
 		r.grant()
 		return
 	}
--- a/experiment/model.go
+++ b/experiment/model.go
@@ -85,9 +85,7 @@
 // begin assigns the upstreams and starts every router.
 func (m *model) begin() {
 	for _, r := range m.routers {
-		for service, s := range r.slots {
-			s.Own(m.clock.now(), m.owned(r.index, service), m.serviceNumbers(), false)
-		}
+		r.slots.Own(m.clock.now(), m.owned(r.index), m.serviceNumbers(), false)
 		r.begin()
 	}
 	for i := range m.engines {
@@ -103,13 +101,10 @@
 	return numbers
 }
 
-// owned returns the upstreams of a service that a router dispatches.
-func (m *model) owned(router, service int) []*schema.Upstream {
+// owned returns the upstreams that a router dispatches.
+func (m *model) owned(router int) []*schema.Upstream {
 	var owned []*schema.Upstream
 	for i, e := range m.engines {
-		if m.serviceOf(uint32(i)) != service {
-			continue
-		}
 		slots := noteSlots
 		if m.policy.static {
 			slots = m.part(e.batch, router, i)
@@ -119,7 +114,7 @@
 		if slots == 0 {
 			continue
 		}
-		owned = append(owned, &schema.Upstream{Service: services[service], Slots: uint32(slots), Number: uint32(i)})
+		owned = append(owned, &schema.Upstream{Service: services[m.serviceOf(uint32(i))], Slots: uint32(slots), Number: uint32(i)})
 	}
 	return owned
 }
@@ -150,7 +145,7 @@
 		m.control.polled()
 		m.clock.after(pollLag, func() {
 			r := m.routers[m.dispatchers[upstream]]
-			r.slots[m.serviceOf(uint32(upstream))].Reported(m.clock.now(), fleet.Number(upstream), load)
+			r.slots.Reported(m.clock.now(), fleet.Number(upstream), load)
 			r.grant()
 		})
 	})
--- a/experiment/router.go
+++ b/experiment/router.go
@@ -39,8 +39,7 @@
 	pollLag = 500 * time.Millisecond
 )
 
-// slots is the dispatcher of one service at one router. Each service has one
-// of its own, so that a run does not depend on the order of a map.
+// slots is the dispatcher of one router.
 type slots = dispatcher.Dispatcher[share.Order[fleet.Number], inflight.Limiter, placement.Policy]
 
 // router is one router of the model: the queues of its callers, a dispatcher
@@ -49,7 +48,7 @@
 	model  *model
 	index  int
 	id     fleet.RouterID
-	slots  []*slots
+	slots  *slots
 	keeper *keeper.Keeper
 	queues []*queue
 	// byKey finds the queue of an account and service.
@@ -71,11 +70,10 @@
 		model: m, index: index, id: m.ids[index], keeper: keeper.New(keeper.Options{}),
 		byKey: make(map[queueKey]*queue), through: make([]uint64, len(m.ids)),
 	}
-	for service := range services {
-		r.slots = append(r.slots, dispatcher.New(dispatcher.Options[share.Order[fleet.Number], inflight.Limiter, placement.Policy]{
-			Order: m.policy.order, Limiter: m.policy.limiter, Placement: m.policy.placement, Nonce: uint16(index*serviceCount + service),
-		}))
-	}
+	r.slots = dispatcher.New(dispatcher.Options[share.Order[fleet.Number], inflight.Limiter, placement.Policy]{
+		Order: m.policy.order, Limiter: m.policy.limiter, Placement: m.policy.placement,
+		Warmup: !m.policy.static, Nonce: uint16(index),
+	})
 	for range m.ids {
 		r.out = append(r.out, &outgoing{})
 	}
@@ -130,15 +128,13 @@
 	id := r.model.ids[from]
 	for _, held := range batch.GetHeld() {
 		service := r.model.serviceOf(held.GetUpstream())
-		r.slots[service].Held(now, id, fleet.Number(service), held)
+		r.slots.Held(now, id, fleet.Number(service), held)
 	}
 	for _, release := range batch.GetReleases() {
-		for _, s := range r.slots {
-			s.Release(now, id, release)
-		}
+		r.slots.Release(now, id, release)
 	}
 	for _, ask := range batch.GetAsks() {
-		r.slots[ask.GetService()].Ask(now, id, dispatcher.GrantID(batch.GetGrantedThrough()), ask)
+		r.slots.Ask(now, id, dispatcher.GrantIDOf(batch.GetGrantedThrough(), uint16(r.index)), ask)
 	}
 	for _, report := range batch.GetReports() {
 		total := r.keep(from, report)
@@ -159,21 +155,21 @@
 
 // grant gives free slots away until none is free or nothing waits.
 func (r *router) grant() {
-	for service, s := range r.slots {
-		for {
-			grants := s.Grant(r.model.clock.now())
-			if len(grants) == 0 {
-				break
-			}
-			for _, g := range grants {
-				r.deliver(service, g)
-			}
+	for {
+		grants := r.slots.Grant(r.model.clock.now())
+		if len(grants) == 0 {
+			return
+		}
+		for _, g := range grants {
+			r.deliver(g)
 		}
 	}
 }
 
-func (r *router) deliver(_ int, g dispatcher.Grant) {
-	message := &schema.Grant{Id: uint64(g.ID), Account: uint32(g.Account), Upstream: uint32(g.Upstream)}
+func (r *router) deliver(g dispatcher.Grant) {
+	message := &schema.Grant{
+		Id: g.ID.Count(), Account: uint32(g.Account), Upstream: uint32(g.Upstream), Begin: g.Begin,
+	}
 	to := slices.Index(r.model.ids, g.To)
 	if to == r.index {
 		r.granted(r.index, message)
@@ -188,29 +184,32 @@
 	if r.model.policy.static {
 		return
 	}
-	for service, s := range r.slots {
-		for _, report := range s.Reports(reportThreshold)[fleet.Number(service)] {
-			message := &schema.ServiceReport{
-				Service: uint32(service), Account: uint32(report.Key),
-				Cumulative: int64(report.Cumulative), Floor: int64(report.Floor),
-				Outstanding: uint32(max(report.Outstanding, 0)),
-			}
-			to := r.model.keeperOf(service, report.Key)
-			if to == r.index {
-				r.observe(r.keep(r.index, message))
-				continue
-			}
-			batch := r.to(to, lazyDelay)
-			batch.Reports = append(batch.Reports, message)
+	reports := r.slots.Reports(reportThreshold)
+	for service := range services {
+		for _, report := range reports[fleet.Number(service)] {
+			r.report(service, report)
 		}
 	}
 	r.announce()
-	for _, s := range r.slots {
-		s.Tick(r.model.clock.now())
-	}
+	r.slots.Tick(r.model.clock.now())
 	r.grant()
 }
 
+func (r *router) report(service int, report share.Report[fleet.Number]) {
+	message := &schema.ServiceReport{
+		Service: uint32(service), Account: uint32(report.Key),
+		Cumulative: int64(report.Cumulative), Floor: int64(report.Floor),
+		Outstanding: uint32(max(report.Outstanding, 0)),
+	}
+	to := r.model.keeperOf(service, report.Key)
+	if to == r.index {
+		r.observe(r.keep(r.index, message))
+		return
+	}
+	batch := r.to(to, lazyDelay)
+	batch.Reports = append(batch.Reports, message)
+}
+
 func (r *router) keep(from int, message *schema.ServiceReport) *schema.ServiceTotal {
 	total := r.keeper.Report(r.model.clock.now(), r.model.ids[from], 1, share.Report[keeper.Key]{
 		Key:        keeper.Key{Service: fleet.Number(message.GetService()), Account: fleet.Number(message.GetAccount())},
@@ -225,8 +224,7 @@
 }
 
 func (r *router) observe(total *schema.ServiceTotal) {
-	service := total.GetService()
-	r.slots[service].Observe(fleet.Number(service), fleet.Number(total.GetAccount()), share.Total{
+	r.slots.Observe(fleet.Number(total.GetService()), fleet.Number(total.GetAccount()), share.Total{
 		Sum: fleet.Tokens(total.GetTotal()), Covered: fleet.Tokens(total.GetCovered()),
 		Outstanding: fleet.Tokens(total.GetOutstanding()),
 	})
@@ -239,9 +237,10 @@
 	if r.model.policy.static || len(r.model.ids) <= len(widenAfter) {
 		return
 	}
-	for service, s := range r.slots {
-		idle := s.Idle(r.model.clock.now())[fleet.Number(service)]
-		if idle == 0 || s.Unmet(fleet.Number(service)) {
+	all := r.slots.Idle(r.model.clock.now())
+	for service := range services {
+		idle := all[fleet.Number(service)]
+		if idle == 0 || r.slots.Unmet(fleet.Number(service)) {
 			continue
 		}
 		for range announceTo {
