--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -59,36 +59,28 @@
 	scheduler *Scheduler
 	hold      *hold
 	upstream  *schema.Upstream
-	// announceAt is the cost from which the dispatcher is told.
-	announceAt atomic.Int64
-	done       atomic.Bool
+	// begin is true until the dispatcher that asked for it is told that the
+	// answer began.
+	begin atomic.Bool
+	done  atomic.Bool
 }
 
-func newSlot(s *Scheduler, h *hold, upstream *schema.Upstream, estimate fleet.Tokens) *slot {
+func newSlot(s *Scheduler, h *hold, upstream *schema.Upstream, begin bool) *slot {
 	given := &slot{scheduler: s, hold: h, upstream: upstream}
-	given.announceAt.Store(int64(announceStep(estimate)))
+	given.begin.Store(begin)
 	return given
 }
 
-// announceStep returns the cost at which a request that was charged for so
-// much is told again. With half as much again each time, a request that costs
-// a hundred times its estimate is told about a dozen times, and an account is
-// never ahead by more than half of what it was charged for it.
-func announceStep(charged fleet.Tokens) fleet.Tokens {
-	const least = 64
-	return charged + max(least, charged/2)
-}
-
 // Upstream returns where to send the request.
 func (g *slot) Upstream() *schema.Upstream { return g.upstream }
 
-// Progress reports the request's cost so far.
+// Progress reports the request's cost so far. It is told to a dispatcher that
+// takes over; the present one expects it from how long the request runs.
 func (g *slot) Progress(cost fleet.Tokens) {
-	at := g.announceAt.Load()
-	if int64(cost) < at || !g.announceAt.CompareAndSwap(at, int64(announceStep(cost))) {
-		return
+	g.hold.cost.Store(int64(cost))
+	if g.begin.CompareAndSwap(true, false) {
+		g.scheduler.loop.Post(func() { g.scheduler.entry.announce(g.scheduler, g.hold) })
 	}
-	g.scheduler.loop.Post(func() { g.scheduler.entry.progress(g.scheduler, g.hold, cost) })
 }
 
 // Done gives the slot back. A second call has no effect.
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -17,6 +17,16 @@
 // at 1000 and 2.4 times at 100, and control rises from 2.3 to 2.8 KB/s.
 const reportThreshold fleet.Tokens = 100
 
+// sparedRate is the requests per second at this router up to which each start
+// and end is told. Above it the threshold grows in proportion, so that the
+// exchange stays at about half of the control allowance.
+const sparedRate = 15.0
+
+// threshold returns the report threshold at a rate of requests.
+func threshold(rate float64) fleet.Tokens {
+	return fleet.Tokens(float64(reportThreshold) * max(1, rate/sparedRate))
+}
+
 // exchange is this dispatcher's side of summing service across the fleet.
 type exchange struct {
 	// keepers are the keepers that were told of each account, and their incarnation.
@@ -56,7 +66,7 @@
 	if s.sharing == StaticShare || s.view == nil || len(s.assigned.live) == 0 {
 		return
 	}
-	for service, reports := range s.slots.Reports(reportThreshold) {
+	for service, reports := range s.slots.Reports(threshold(s.entry.rate)) {
 		for _, report := range reports {
 			key := keeper.Key{Service: service, Account: report.Key}
 			to := s.toldOf(key)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/admission"
@@ -32,8 +34,12 @@
 	ports map[fleet.RouterID]*port
 	links map[[2]fleet.RouterID]*link
 	bytes int
+	json  int
 }
 
+// frameHeader is what package peer adds to a short batch.
+const frameHeader = 2
+
 type port struct {
 	net     *network
 	self    fleet.RouterID
@@ -60,9 +66,11 @@
 
 func (p *port) Send(to fleet.RouterID, batch *schema.Batch) {
 	data, _ := proto.Marshal(batch)
+	text, _ := protojson.Marshal(batch)
 	p.net.mu.Lock()
 	defer p.net.mu.Unlock()
-	p.net.bytes += len(data)
+	p.net.bytes += len(data) + frameHeader
+	p.net.json += len(text) + frameHeader
 	l := p.net.links[[2]fleet.RouterID{p.self, to}]
 	switch {
 	case l == nil:
@@ -208,26 +216,7 @@
 	clear(u.most)
 }
 
-// fixed is a limiter that never adapts.
-type fixed int
-
-func (f fixed) Limit(time.Time) int                  { return int(f) }
-func (fixed) Ended(time.Time, inflight.Sample)       {}
-func (fixed) Reported(time.Time, inflight.Load, int) {}
-func newFixed(slots int) fixed                       { return fixed(slots) }
-
-// emptiest picks the candidate with the most room.
-type emptiest struct{}
-
-func (emptiest) Pick(candidates []placement.Candidate) (int, bool) {
-	best := -1
-	for i, c := range candidates {
-		if c.InFlight < c.Limit && (best < 0 || c.InFlight < candidates[best].InFlight) {
-			best = i
-		}
-	}
-	return best, best >= 0
-}
+func newFixed(slots int) inflight.Fixed { return inflight.Fixed(slots) }
 
 // bounded admits as long as the account's bound is kept.
 type bounded struct{}
@@ -264,6 +253,7 @@
 	view    *note.View
 	routers map[fleet.RouterID]*testRouter
 	sharing scheduler.Sharing
+	client  *http.Client
 }
 
 type testRouter struct {
@@ -288,10 +278,10 @@
 // start starts a router with nothing remembered and connects it to the others.
 func (f *testFleet) start(id fleet.RouterID, life fleet.Incarnation) {
 	f.t.Helper()
-	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], fixed, emptiest]{
+	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.LeastLoaded]{
 		Self: id, Incarnation: life, Notes: fixedView{f.view}, Peers: f.net.port(id, life),
 		Order: func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} }, Limiter: newFixed,
-		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing,
+		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing, Client: f.client,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	r := &testRouter{Scheduler: s, stop: cancel, ctx: ctx, done: make(chan struct{})}
@@ -334,6 +324,8 @@
 	for id := range f.routers {
 		f.kill(id)
 	}
+	// What is on the wire arrives nowhere, and streams see that their router is gone.
+	time.Sleep(10*wire + 2*time.Second)
 }
 
 // one runs one request through the first router.
