--- /dev/null
+++ b/note/holder_test.go
@@ -0,0 +1,273 @@
+package note_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/standin/fault"
+	"nutmeglock.example/nutmeglock/timer"
+)
+
+func addAccount(id string) *schema.ReleaseNote {
+	return &schema.ReleaseNote{Summary: id, Added: &schema.Entries{
+		Accounts: []*schema.Account{{Id: id, KeySha256: []string{note.HashKey(id)}}},
+	}}
+}
+
+func (r *routers) publish(t *testing.T, i int, n *schema.ReleaseNote) fleet.Version {
+	t.Helper()
+	accepted, err := r.all[i].publisher.Publish(t.Context(), n, "aino", note.NewPublishID())
+	require.NoError(t, err)
+	return fleet.Version(accepted.Record.GetVersion())
+}
+
+// A router restarts while the table and the object store are down. It has
+// nothing, and would refuse every caller as unknown, unless it learns the
+// accounts from a router that has them.
+func TestARouterThatStartsInAnOutageLearnsFromPeers(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	r.publish(t, 0, addAccount("a"))
+	r.publish(t, 0, addAccount("b"))
+	r.start(1)
+	r.platform.Faults.Set(fault.Fault{Kind: fault.Down})
+	require.False(t, r.all[1].holder.Ready())
+	require.NoError(t, r.all[1].holder.Refresh(t.Context()))
+	require.True(t, r.all[1].holder.Ready())
+	require.Equal(t, fleet.Version(2), r.all[1].holder.Version())
+}
+
+// In an outage a router asks one that started from a snapshot and so keeps no
+// records. Without the whole state as a second way it would stay without notes.
+func TestAHoleInAPeersRecordsIsFilledByItsState(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	for i := range 6 {
+		r.publish(t, 0, addAccount(fmt.Sprint("a", i)))
+	}
+	state := r.all[0].holder.Current().State()
+	r.start(0)
+	r.all[0].holder.LearnState(state)
+	r.platform.Faults.Set(fault.Fault{Kind: fault.Down})
+	require.NoError(t, r.all[1].holder.Refresh(t.Context()))
+	require.Equal(t, fleet.Version(6), r.all[1].holder.Version())
+}
+
+// A state larger than one part arrives whole.
+func TestALargeStateArrivesInParts(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	n := &schema.ReleaseNote{Summary: "many", Added: &schema.Entries{}}
+	for i := range 3000 {
+		id := fmt.Sprint("account-", i)
+		n.Added.Accounts = append(n.Added.Accounts, &schema.Account{Id: id, KeySha256: []string{note.HashKey(id)}})
+	}
+	r.publish(t, 0, n)
+	state := r.all[0].holder.Current().State()
+	r.start(0)
+	r.all[0].holder.LearnState(state)
+	r.platform.Faults.Set(fault.Fault{Kind: fault.Down})
+	require.NoError(t, r.all[1].holder.Refresh(t.Context()))
+	require.Len(t, r.all[1].holder.Current().State().GetAccounts(), 3000)
+}
+
+// A peer that was cut off, or a read that was under way for long, brings an
+// older state. A router that took it would turn away callers whose account was
+// added since, and let in those whose account was withdrawn.
+func TestAnOlderStateIsNotPutInForce(t *testing.T) {
+	t.Parallel()
+	r := newRouters(1)
+	r.publish(t, 0, addAccount("a"))
+	old := r.all[0].holder.Current().State()
+	r.publish(t, 0, addAccount("b"))
+	r.all[0].holder.LearnState(old)
+	require.Equal(t, fleet.Version(2), r.all[0].holder.Version())
+}
+
+// The table answers with rows from before the last notes.
+func TestStaleReadsLowerNothing(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	r.publish(t, 0, addAccount("a"))
+	r.publish(t, 0, addAccount("b"))
+	r.platform.Faults.Set(fault.Fault{Kind: fault.Stale, Commits: 1})
+	require.NoError(t, r.all[0].holder.Refresh(t.Context()))
+	require.Equal(t, fleet.Version(2), r.all[0].holder.Version())
+	require.NoError(t, r.all[1].holder.Refresh(t.Context()))
+	require.Equal(t, fleet.Version(1), r.all[1].holder.Version())
+}
+
+// With peers that announce, a note is in force everywhere without a read of the
+// table; with none, the next poll finds it within five seconds.
+func TestANoteIsInForceWithinFiveSeconds(t *testing.T) {
+	t.Parallel()
+	for _, quiet := range []bool{false, true} {
+		t.Run(fmt.Sprint("quiet ", quiet), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { inForce(t, quiet) })
+		})
+	}
+}
+
+func inForce(t *testing.T, quiet bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	p := memory.New(timer.System{})
+	store := note.NewStore(p, p)
+	holders := map[fleet.RouterID]*note.Holder{}
+	for i := range 3 {
+		self := fleet.RouterID(fmt.Sprint("r", i))
+		holders[self] = note.NewHolder(note.HolderOptions{
+			Self: self, Store: store, Peers: among{holders, self},
+			Announce: func(to []fleet.RouterID, version fleet.Version) {
+				for _, id := range to {
+					if !quiet {
+						holders[id].Heard(self, version)
+					}
+				}
+			},
+		})
+	}
+	for _, holder := range holders {
+		go func() { _ = holder.Run(ctx) }()
+	}
+	time.Sleep(10 * time.Second)
+	publisher := note.NewPublisher(note.PublisherOptions{Store: store, Holder: holders["r0"]})
+	_, err := publisher.Publish(ctx, addAccount("a"), "aino", note.NewPublishID())
+	require.NoError(t, err)
+	if quiet {
+		time.Sleep(5 * time.Second)
+	}
+	synctest.Wait()
+	for id, holder := range holders {
+		require.Equal(t, fleet.Version(1), holder.Version(), id)
+	}
+	cancel()
+	synctest.Wait()
+}
+
+// among is the Peers of holders in one process.
+type among struct {
+	holders map[fleet.RouterID]*note.Holder
+	self    fleet.RouterID
+}
+
+func (a among) Routers() []fleet.RouterID {
+	var ids []fleet.RouterID
+	for id := range a.holders {
+		if id != a.self {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (a among) Call(ctx context.Context, to fleet.RouterID, method string, params, result any) error {
+	return call(ctx, a.holders[to], method, params, result)
+}
+
+// The table is down. The operator has to be told at once, and that nothing was
+// accepted, rather than wait for an outage to end.
+func TestPublishingInAnOutageFailsAtOnce(t *testing.T) {
+	t.Parallel()
+	r := newRouters(1)
+	r.platform.Faults.Set(fault.Fault{Kind: fault.Down})
+	before := r.clock.Now()
+	_, err := r.all[0].publisher.Publish(t.Context(), addAccount("a"), "aino", note.NewPublishID())
+	var unavailable *platform.UnavailableError
+	require.ErrorAs(t, err, &unavailable)
+	require.Equal(t, before, r.clock.Now())
+}
+
+// The reply to a publish is lost after it took effect, and the table goes down.
+// The operator sends the note again through another router, which must neither
+// publish it a second time nor call it a clash with itself.
+func TestALostReplyIsSettledThroughAnotherRouter(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	id := note.NewPublishID()
+	r.platform.Faults.Set(
+		fault.Fault{Kind: fault.ReplyLost, Operation: memory.OperationCommit, Times: 1},
+	)
+	r.all[0].table.before = func() {
+		r.platform.Faults.Add(fault.Fault{Kind: fault.Down, Operation: memory.OperationRead})
+	}
+	_, err := r.all[0].publisher.Publish(t.Context(), addAccount("a"), "aino", id)
+	var unsettled *note.UnsettledError
+	require.ErrorAs(t, err, &unsettled)
+	require.Equal(t, id, unsettled.PublishID)
+	r.platform.Faults.Set()
+	accepted, err := r.all[1].publisher.Publish(t.Context(), addAccount("a"), "aino", id)
+	require.NoError(t, err)
+	require.True(t, accepted.Already)
+	require.Equal(t, uint64(1), accepted.Record.GetVersion())
+}
+
+// The publish takes effect a minute after its reply was lost. Meanwhile the
+// operator gave the note to another router, and that one accepted it.
+func TestALateEffectPublishesNothingTwice(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	id := note.NewPublishID()
+	r.platform.Faults.Set(
+		fault.Fault{Kind: fault.Late, Operation: memory.OperationCommit, Times: 1, DelayMs: 60_000},
+		fault.Fault{Kind: fault.Down, Operation: memory.OperationCommit},
+	)
+	_, err := r.all[0].publisher.Publish(t.Context(), addAccount("a"), "aino", id)
+	var unsettled *note.UnsettledError
+	require.ErrorAs(t, err, &unsettled)
+	r.platform.Faults.Set()
+	accepted, err := r.all[1].publisher.Publish(t.Context(), addAccount("a"), "aino", id)
+	require.NoError(t, err)
+	require.False(t, accepted.Already)
+	r.clock.Advance(2 * time.Minute)
+	head, err := r.all[0].store.Head(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), head.GetVersion())
+}
+
+// Two operators who know nothing of each other change the same account at the
+// same time. The second is told exactly what the first did; a note on other
+// entries goes through after it.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	r.publish(t, 0, addAccount("a"))
+	change := func(weight uint32) *schema.ReleaseNote {
+		return &schema.ReleaseNote{Summary: fmt.Sprint("weight ", weight), Changed: &schema.Entries{
+			Accounts: []*schema.Account{{Id: "a", Weight: weight, KeySha256: []string{note.HashKey("a")}}},
+		}}
+	}
+	r.all[1].table.before = func() { r.publish(t, 0, change(2)) }
+	_, err := r.all[1].publisher.Publish(t.Context(), change(3), "juma", note.NewPublishID())
+	var clash *note.ClashError
+	require.ErrorAs(t, err, &clash)
+	require.Equal(t, []note.Clash{{
+		Entry: note.Entry{Kind: note.AccountEntry, ID: "a"}, Version: 2, Author: "aino", Summary: "weight 2",
+	}}, clash.Clashes)
+
+	r.all[1].table.before = func() { r.publish(t, 0, change(4)) }
+	require.Equal(t, fleet.Version(4), r.publish(t, 1, addAccount("b")))
+}
+
+func TestHeardIsIgnoredWhenItIsOld(t *testing.T) {
+	t.Parallel()
+	r := newRouters(2)
+	r.publish(t, 0, addAccount("a"))
+	r.platform.Faults.Set(fault.Fault{Kind: fault.Down})
+	r.quiet["r1"] = true
+	r.all[0].holder.Heard("r1", 1)
+	require.NoError(t, r.all[0].holder.FollowHeard(t.Context()))
+	r.all[0].holder.Heard("r1", 2)
+	require.Error(t, r.all[0].holder.FollowHeard(t.Context()))
+}
--- /dev/null
+++ b/note/main_test.go
@@ -0,0 +1,21 @@
+package note_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The model's seed and size, unless the command line says otherwise:
+//
+//	go test ./note -rapid.checks 5000 -rapid.seed 7
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.seed": "20261202", "rapid.checks": "300", "rapid.steps": "50", "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- a/note/publisher.go
+++ b/note/publisher.go
@@ -65,6 +65,17 @@
 	Already bool
 }
 
+// PublisherOptions are the parts that a Publisher works with.
+type PublisherOptions struct {
+	Store *Store
+	// Holder gives the state to start from and is handed what was accepted.
+	Holder *Holder
+	// Timer is the machine's clock when nil.
+	Timer timer.Service
+	// SnapshotEvery is how many versions lie between two snapshots; zero means 500.
+	SnapshotEvery uint64
+}
+
 // Publisher accepts release notes. Its methods may be called from any goroutine.
 type Publisher struct {
 	store  *Store
@@ -73,10 +84,16 @@
 	every  uint64
 }
 
-// NewPublisher returns a Publisher that starts from the holder's state and
-// hands it what was accepted.
-func NewPublisher(store *Store, holder *Holder, timer timer.Service) *Publisher {
-	return &Publisher{store: store, holder: holder, timer: timer, every: snapshotEvery}
+// NewPublisher returns a Publisher.
+func NewPublisher(options PublisherOptions) *Publisher {
+	p := &Publisher{store: options.Store, holder: options.Holder, timer: options.Timer, every: options.SnapshotEvery}
+	if p.timer == nil {
+		p.timer = timer.System{}
+	}
+	if p.every == 0 {
+		p.every = snapshotEvery
+	}
+	return p
 }
 
 const (
@@ -93,7 +110,9 @@
 
 // Publish accepts the note, or says why not. It fails with
 // *document.FaultsError, *ClashError, *BusyError or *platform.UnavailableError
-// when nothing was accepted, and with *UnsettledError when that is not known.
+// when this call was not accepted, and with *UnsettledError when that is not
+// known. The first two also rule out every earlier call with the same id; the
+// other two say nothing of those.
 //
 // The transaction depends on the head row, so that of racing notes one is
 // accepted; and it creates the row of the publish id, so that a try whose
--- a/operator/failure.go
+++ b/operator/failure.go
@@ -79,7 +79,7 @@
 	}
 	var unavailable *platform.UnavailableError
 	if errors.As(err, &unavailable) {
-		return failedForNow(http.StatusServiceUnavailable, Unavailable, "the platform cannot be reached; nothing was changed")
+		return failedForNow(http.StatusServiceUnavailable, Unavailable, "the platform cannot be reached; this request changed nothing")
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
