--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -125,7 +125,7 @@
 func (administrationExtension) Extend(p *Parts) error {
 	handler := operator.New(operator.Options{
 		Keys: p.Settings.GetOperatorKeys(), Store: p.NoteStore,
-		Publisher: note.NewPublisher(p.NoteStore, p.Notes, p.Timer),
+		Publisher: note.NewPublisher(note.PublisherOptions{Store: p.NoteStore, Holder: p.Notes, Timer: p.Timer}),
 		Holder:    p.Notes, State: p.State,
 		Metrics:  promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}),
 		Registry: p.Registry,
--- a/daemon/sharing.go
+++ b/daemon/sharing.go
@@ -68,5 +68,6 @@
 		Admission:       admission.Bounded{},
 		MaxWaiting:      settings.MaxWaiting(p.Settings),
 		MaxWaitingTotal: settings.MaxWaitingTotal(p.Settings),
+		Warmup:          true,
 	}
 }
