scenario: how busy an upstream is; a service's slow fault counts as running

A script that waits for the router's gauge of requests in flight is too early: the slot comes before the claim. Waiting for the service's own report is right, so the slow fault now prolongs the run instead of preceding it.

--- a/scenario/count.go
+++ b/scenario/count.go
@@ -52,6 +52,33 @@
 	return total
 }
 
+// busy checks how many calls an upstream is running by its own report:
+//
+//	busy UPSTREAM N
+func busy(w *World, a arguments) error {
+	if err := a.need(2, "busy UPSTREAM N"); err != nil {
+		return err
+	}
+	p, err := w.find(a.words[0])
+	if err != nil {
+		return err
+	}
+	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + "/load"})
+	if r.err != nil {
+		return r.err
+	}
+	var load struct {
+		Running int `json:"running"`
+	}
+	if err := json.Unmarshal([]byte(r.body), &load); err != nil {
+		return err
+	}
+	if strconv.Itoa(load.Running) != a.words[1] {
+		return fmt.Errorf("%s runs %d calls, expected %s", p.name, load.Running, a.words[1])
+	}
+	return nil
+}
+
 // quiet makes calls through a router and checks that none of them reached the
 // named engines:
 //
--- a/scenario/exchange.go
+++ b/scenario/exchange.go
@@ -124,10 +124,11 @@
 // wholeEvents returns the part of a streamed body that ends with a whole
 // event, and the number of the last one.
 func wholeEvents(body string) (text string, last int, err error) {
-	text = body[:strings.LastIndex(body, "\n\n")+len("\n\n")]
-	if !strings.HasSuffix(text, "\n\n") {
+	end := strings.LastIndex(body, "\n\n")
+	if end < 0 {
 		return "", 0, nil
 	}
+	text = body[:end+len("\n\n")]
 	start := strings.LastIndex(text, "id: ")
 	if start < 0 {
 		return "", 0, fmt.Errorf("a stream without event numbers: %q", text)
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -113,7 +113,7 @@
 		"fault": setFault, "limits": limits, "drain": drain, "crash": crash, "restore": restore,
 		"sever": sever, "rejoin": rejoin,
 		"chat": chat, "call": callService, "resume": resume, "join": join, "events": events, "cut": cut,
-		"runs": runs, "total": total, "operations": operations, "metric": metric, "load": startLoad, "unload": endLoad,
+		"runs": runs, "total": total, "busy": busy, "operations": operations, "metric": metric, "load": startLoad, "unload": endLoad,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range table {
--- a/standin/application/application.go
+++ b/standin/application/application.go
@@ -172,12 +172,9 @@
 		return refuse(c, "full")
 	case fault.RefuseDraining:
 		return refuse(c, "draining")
-	case fault.Slow:
-		// The service knows nothing of a caller that has gone, and runs the call all the same.
-		_ = f.Wait(context.WithoutCancel(c.Request().Context()), a.options.Clock)
 	default:
 	}
-	return a.run(c, f.Kind == fault.ReplyLost)
+	return a.run(c, f)
 }
 
 // Answer is the body of each answer. It depends on the request alone, but for
@@ -194,7 +191,7 @@
 // maxBody bounds the body of a call, in bytes.
 const maxBody = 64 << 20
 
-func (a *Application) run(c echo.Context, replyLost bool) error {
+func (a *Application) run(c echo.Context, f fault.Fault) error {
 	request := c.Request()
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxBody))
 	if err != nil {
@@ -203,8 +200,8 @@
 	if !a.start() {
 		return refuse(c, a.refusal())
 	}
-	n := a.work(c)
-	if replyLost {
+	n := a.work(c, f)
+	if f.Kind == fault.ReplyLost {
 		panic(http.ErrAbortHandler)
 	}
 	sum := sha256.Sum256(body)
@@ -236,8 +233,9 @@
 	return "full"
 }
 
-// work waits for a slot, counts the run and returns its number once it is done.
-func (a *Application) work(c echo.Context) int {
+// work waits for a slot, counts the run and returns its number once it is
+// done, also when the caller has gone by then, of which a service knows nothing.
+func (a *Application) work(c echo.Context, f fault.Fault) int {
 	a.slots <- struct{}{}
 	defer func() { <-a.slots }()
 	key := c.Request().Header.Get(headerIdempotencyKey)
@@ -251,7 +249,11 @@
 		a.runs[key]++
 		n = a.runs[key]
 	})
-	_ = fault.Wait(context.WithoutCancel(c.Request().Context()), a.options.Clock, a.options.ServiceTime)
+	duration := a.options.ServiceTime
+	if f.Kind == fault.Slow {
+		duration += f.Delay()
+	}
+	_ = fault.Wait(context.WithoutCancel(c.Request().Context()), a.options.Clock, duration)
 	a.change(func() { a.running-- })
 	return n
 }
