--- a/call/try.go
+++ b/call/try.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/dispatch"
+	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/stream"
 )
@@ -32,8 +33,6 @@
 	if e.request.model() {
 		t.stream = newStreamID()
 	}
-	e.runner.countInFlight(e.request, 1)
-	defer e.runner.countInFlight(e.request, -1)
 	err := t.exchange(ctx)
 	t.settle(ctx, err)
 	return err
@@ -64,7 +63,7 @@
 // settle gives the slot back and cancels what is left running at the upstream.
 func (t *try) settle(ctx context.Context, err error) {
 	done := dispatch.Done{Result: t.result(ctx, err), FirstToken: t.firstToken}
-	if err == nil || outcomeOf(err) == refusal.Run {
+	if done.Result == dispatch.Answered || outcomeOf(err) == refusal.Run {
 		done.Cost = t.meter.cost()
 	}
 	abandoned := err != nil && t.stream != "" && outcomeOf(err) != refusal.NotRun
@@ -76,6 +75,11 @@
 	}
 	t.slot.Done(done)
 	t.runner.countService(t.request, done.Cost)
+	// An engine's refusal of a bad request has no output. Taken for a short
+	// answer, a few of them would let the next requests start too cheaply.
+	if err == nil && t.meter.output > 0 && t.runner.Ended != nil {
+		t.runner.Ended(fleet.AccountID(t.request.Account.GetId()), fleet.ServiceID(t.request.Service.GetId()), t.meter.output)
+	}
 }
 
 // keptForCaller reports whether a caller that went away may come back for the
@@ -88,7 +92,9 @@
 
 // result returns what dispatch is to learn of the upstream. A caller that goes
 // away, or a deadline within an answer, is no failure of the upstream; counted
-// as one, a few impatient callers would make a sound upstream seem broken.
+// as one, a few impatient callers would make a sound upstream seem broken. It
+// is charged like an answer, or an account would get its prompts processed for
+// nothing by leaving before the first token.
 func (t *try) result(ctx context.Context, err error) dispatch.Result {
 	var (
 		failed  *attempt.Error
@@ -96,10 +102,15 @@
 		gone    *stream.SinkError
 	)
 	switch {
-	case err == nil, errors.As(err, &gone), errors.Is(context.Cause(ctx), context.Canceled):
+	case err == nil, errors.As(err, &gone):
 		return dispatch.Answered
 	case errors.As(err, &refused):
 		return dispatch.Unused
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		if outcomeOf(err) == refusal.NotRun {
+			return dispatch.Unused
+		}
+		return dispatch.Answered
 	case ctx.Err() != nil && t.started:
 		return dispatch.Answered
 	case errors.As(err, &failed):
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"nutmeglock.example/nutmeglock/fleet"
 )
 
 // Options say what to run. Their zero value is the full default run.
@@ -31,7 +33,7 @@
 	Deployments []Deployment
 	Loads       []Load
 	Policies    []Policy
-	// Seeds are run each; empty means one fixed seed.
+	// Seeds are run each; empty means three fixed ones.
 	Seeds []uint64
 	// Duration is the virtual time of each run; zero means two minutes.
 	Duration time.Duration
@@ -42,6 +44,19 @@
 	defaultSeed     = 20261202
 )
 
+// Default returns the report of the full run: the users' deployments with all
+// loads and policies, and larger fleets with the loads that weigh most there.
+func Default() Report {
+	report := Run(Options{})
+	report.Results = append(report.Results, Run(Options{
+		Deployments: []Deployment{Scaled(6), Scaled(12), Scaled(24), Scaled(60)},
+		Loads:       []Load{fewLarge(), oneRouter(), flood(), burst()},
+		Policies:    Policies()[:1],
+		Seeds:       []uint64{defaultSeed},
+	}).Results...)
+	return report
+}
+
 // Report is the outcome of all runs.
 type Report struct {
 	Seeds    []uint64 `json:"seeds"`
@@ -93,12 +108,14 @@
 
 // AccountResult is what one account got of the model service.
 type AccountResult struct {
-	Account   int         `json:"account"`
-	Requests  int         `json:"requests"`
-	Answered  int         `json:"answered"`
-	Service   float64     `json:"service-tokens"`
-	Queue     Percentiles `json:"queue-ms"`
-	Residence Percentiles `json:"residence-ms"`
+	// Name is the account's id in a replayed trace.
+	Name      fleet.AccountID `json:"name,omitempty"`
+	Account   int             `json:"account"`
+	Requests  int             `json:"requests"`
+	Answered  int             `json:"answered"`
+	Service   float64         `json:"service-tokens"`
+	Queue     Percentiles     `json:"queue-ms"`
+	Residence Percentiles     `json:"residence-ms"`
 }
 
 // ControlResult is the traffic between routers, and of load reports. Each byte
@@ -143,7 +160,7 @@
 		options.Policies = Policies()
 	}
 	if len(options.Seeds) == 0 {
-		options.Seeds = []uint64{defaultSeed}
+		options.Seeds = []uint64{defaultSeed, defaultSeed + 1, defaultSeed + 2}
 	}
 	if options.Duration <= 0 {
 		options.Duration = defaultDuration
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"sync/atomic"
 	"time"
 
 	"nutmeglock.example/nutmeglock/dispatch"
@@ -15,8 +16,10 @@
 	account  fleet.Number
 	upstream fleet.Number
 	service  *schema.Service
-	// announced is the cost that the settling dispatcher knows of.
-	announced fleet.Tokens
+	// cost is what the request cost so far, written by the traffic.
+	cost atomic.Int64
+	// told is the cost that a dispatcher was told when it took over.
+	told fleet.Tokens
 }
 
 // holdKey names a grant among those of all dispatchers.
@@ -34,20 +37,21 @@
 	return s.assigned.dispatchers[h.upstream]
 }
 
-// progress tells the settling dispatcher that a request costs more.
-func (e *entry) progress(s *Scheduler, h *hold, cost fleet.Tokens) {
-	if e.holds[h.key] != h || cost <= h.announced {
+// announce tells the settling dispatcher what a request in flight cost so far,
+// which also says that its answer began.
+func (e *entry) announce(s *Scheduler, h *hold) {
+	if e.holds[h.key] != h {
 		return
 	}
-	h.announced = cost
 	out := s.outbox.to(s.settler(h))
 	out.Held = append(out.Held, heldMessage(h))
 }
 
 func heldMessage(h *hold) *schema.Held {
+	h.told = fleet.Tokens(h.cost.Load())
 	return &schema.Held{
 		Upstream: uint32(h.upstream), Ids: []uint64{uint64(h.key.id)},
-		Accounts: []uint32{uint32(h.account)}, Costs: []uint32{clampUint32(h.announced)},
+		Accounts: []uint32{uint32(h.account)}, Costs: []uint32{clampUint32(h.told)},
 	}
 }
 
@@ -64,20 +68,33 @@
 	settler, present := s.settler(h), s.assigned.dispatchers[h.upstream]
 	s.sendRelease(settler, h, done, done.Cost)
 	if present != settler && present != "" && done.Result != dispatch.Unused {
-		s.sendRelease(present, h, done, h.announced)
+		s.sendRelease(present, h, done, h.told)
 	}
 	s.countService(h, done)
 }
 
 func (s *Scheduler) sendRelease(to fleet.RouterID, h *hold, done dispatch.Done, cost fleet.Tokens) {
+	message := &schema.Release{
+		Cost: clampUint32(cost), Result: messageOf(done.Result), FirstTokenMs: clampUint32(done.FirstToken.Milliseconds()),
+	}
+	if h.key.granter == to && h.key.id.GrantedBy(s.nonce(to)) {
+		message.Id = h.key.id.Count()
+	} else {
+		message.ForeignId = uint64(h.key.id)
+	}
 	out := s.outbox.to(to)
-	out.Releases = append(out.Releases, &schema.Release{
-		Id: uint64(h.key.id), Cost: clampUint32(cost), Result: messageOf(done.Result),
-		FirstTokenMs: clampUint32(done.FirstToken.Milliseconds()),
-	})
+	out.Releases = append(out.Releases, message)
 	s.outbox.within(to, releaseDelay)
 }
 
+// nonce returns what the ids of a router's grants contain in its present life.
+func (s *Scheduler) nonce(router fleet.RouterID) uint16 {
+	if r := s.routers[router]; r != nil {
+		return nonceOf(router, r.incarnation)
+	}
+	return nonceOf(router, s.incarnation)
+}
+
 // releaseDelay is short beside the residence of a request, so that a slot is
 // hardly idle for it, and lets releases share a frame with asks.
 const releaseDelay = 3 * time.Millisecond
@@ -129,7 +146,8 @@
 		}
 		message.Ids = append(message.Ids, uint64(h.key.id))
 		message.Accounts = append(message.Accounts, uint32(h.account))
-		message.Costs = append(message.Costs, clampUint32(h.announced))
+		h.told = fleet.Tokens(h.cost.Load())
+		message.Costs = append(message.Costs, clampUint32(h.told))
 	}
 	return all
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -84,6 +84,8 @@
 	// TakeoverWait and Grace are those of the dispatcher; zero means its defaults.
 	TakeoverWait time.Duration
 	Grace        time.Duration
+	// Warmup lets an upstream that joins or recovers take work step by step.
+	Warmup bool
 }
 
 // Bounds of waiting requests when Options leave them open.
@@ -109,6 +111,7 @@
 	Reassigned(service, account fleet.Number)
 	Forget(account fleet.Number)
 	Idle(now time.Time) map[fleet.Number]int
+	Busy(now time.Time, service fleet.Number) (inFlight, limit int)
 	Unmet(service fleet.Number) bool
 	InFlight(upstream fleet.Number) (int, bool)
 	Limit(now time.Time, upstream fleet.Number) int
@@ -161,6 +164,12 @@
 	fresh     bool
 	restarted bool
 	leaving   bool
+	// completeAt is when it was last told all.
+	completeAt time.Time
+	// seen is the highest id of this router's grants that it has seen, told
+	// the highest of its grants that it was told to have been seen here.
+	seen uint64
+	told uint64
 }
 
 // New returns a Scheduler that starts to work when it is run.
@@ -169,7 +178,7 @@
 	s.loop = control.New(s.settle)
 	s.slots = dispatcher.New(dispatcher.Options[O, L, P]{
 		Order: options.Order, Limiter: options.Limiter, Placement: options.Placement,
-		Weight: s.weight, Nonce: nonceOf(options.Self, options.Incarnation),
+		Weight: s.weight, Warmup: options.Warmup, Nonce: nonceOf(options.Self, options.Incarnation),
 		TakeoverWait: options.TakeoverWait, Grace: options.Grace,
 	})
 	s.members = membership.New(membership.Options{Self: options.Self})
@@ -219,6 +228,13 @@
 	tickInterval = 10 * time.Millisecond
 	// upkeepInterval paces what nobody waits for.
 	upkeepInterval = 250 * time.Millisecond
+	// exchangeInterval paces the comparison of service. In the virtual-time
+	// model 100 ms in place of 250 halves the fairness gap.
+	exchangeInterval = 100 * time.Millisecond
+	// completeInterval is how often each router is told all that this one asks
+	// of it and holds, in case that a message was lost after all. Connections
+	// lose nothing, so it is only a safeguard.
+	completeInterval = 5 * time.Minute
 )
 
 // Run works until ctx ends. Requests that still wait then are refused with
@@ -229,6 +245,8 @@
 	defer tick.Cancel()
 	upkeep := s.loop.Every(s.timer, upkeepInterval, s.upkeep)
 	defer upkeep.Cancel()
+	exchange := s.loop.Every(s.timer, exchangeInterval, func(now time.Time) { s.exchange.tick(s, now) })
+	defer exchange.Cancel()
 	list := s.listVMs(ctx)
 	defer list()
 	s.loop.Post(func() { s.refresh(s.timer.Now()) })
@@ -272,7 +290,7 @@
 	for _, g := range s.slots.Grant(now) {
 		out := s.outbox.to(g.To)
 		out.Grants = append(out.Grants, &schema.Grant{
-			Id: uint64(g.ID), Account: uint32(g.Account), Upstream: uint32(g.Upstream),
+			Id: g.ID.Count(), Account: uint32(g.Account), Upstream: uint32(g.Upstream), Begin: g.Begin,
 		})
 		s.outbox.urgent(g.To)
 	}
@@ -290,8 +308,8 @@
 	s.refresh(now)
 	s.connect()
 	s.entry.review(s, now)
-	s.entry.repeat(s, now)
-	s.exchange.tick(s, now)
+	s.entry.measure(now)
+	s.repeatComplete(now)
 	s.keeper.Tick(now)
 	s.gauges()
 }
