--- a/command/command.go
+++ b/command/command.go
@@ -8,7 +8,8 @@
 		Name:  "nutmeglock",
 		Usage: "a router fleet that shares model and application capacity fairly",
 		Commands: []*cli.Command{
-			Router(), Run(), CheckSettings(), StandIn(), Experiment(), Replay(), Measure(),
+			Router(), Run(), CheckSettings(), Note(), Account(), Service(), Upstream(), Key(),
+			StandIn(), Experiment(), Replay(), Measure(),
 		},
 	}
 }
--- /dev/null
+++ b/command/note.go
@@ -0,0 +1,184 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"nutmeglock.example/nutmeglock/document"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/operator"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+const (
+	publishIDFlag = "publish-id"
+	offlineFlag   = "offline"
+	beforeFlag    = "before"
+	limitFlag     = "limit"
+)
+
+// Note returns the subcommand for release notes: publish, check, show and history.
+func Note() *cli.Command {
+	return &cli.Command{
+		Name:  "note",
+		Usage: "publish, check and show release notes",
+		Commands: []*cli.Command{
+			{
+				Name: "publish", Usage: "publish a release note", ArgsUsage: "FILE", Action: publishNote,
+				Flags: adminFlags(&cli.StringFlag{Name: publishIDFlag, Usage: "the id of an earlier try, to find out what became of it"}),
+			},
+			{
+				Name: "check", Usage: "check a release note without publishing it", ArgsUsage: "FILE", Action: checkNote,
+				Flags: adminFlags(&cli.BoolFlag{Name: offlineFlag, Usage: "check the file alone, without asking a router"}),
+			},
+			{Name: "show", Usage: "show an accepted release note", ArgsUsage: "VERSION", Action: showNote, Flags: adminFlags()},
+			{
+				Name: "history", Usage: "list accepted release notes, newest first", Action: noteHistory,
+				Flags: adminFlags(
+					&cli.Uint64Flag{Name: beforeFlag, Usage: "list notes before this version"},
+					&cli.IntFlag{Name: limitFlag, Usage: "list at most this many notes", Value: 20},
+				),
+			},
+		},
+	}
+}
+
+func versionOf(version uint64) fleet.Version { return fleet.Version(version) }
+
+// readNoteFile returns the content of the one file that the command line
+// names, - for the standard input, after it was checked on its own.
+func readNoteFile(c *cli.Command) (string, []byte, error) {
+	if c.Args().Len() != 1 {
+		return "", nil, cli.Exit(c.FullName()+": name one file, or - for the standard input", ExitUsage)
+	}
+	file := c.Args().First()
+	data, err := readFile(c, file)
+	if err != nil {
+		return "", nil, cli.Exit(err.Error(), ExitUsage)
+	}
+	if _, err := document.Read[*schema.ReleaseNote](file, data); err != nil {
+		return "", nil, exit(c, file, err)
+	}
+	return file, data, nil
+}
+
+func readFile(c *cli.Command, file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(io.LimitReader(c.Root().Reader, document.MaxBytes+1))
+	}
+	return os.ReadFile(filepath.Clean(file))
+}
+
+func publishNote(ctx context.Context, c *cli.Command) error {
+	file, data, err := readNoteFile(c)
+	if err != nil {
+		return err
+	}
+	id := note.PublishID(c.String(publishIDFlag))
+	if id == "" {
+		id = note.NewPublishID()
+	}
+	if !id.Valid() {
+		return cli.Exit("--"+publishIDFlag+" takes 32 lower-case hex digits", ExitUsage)
+	}
+	api, err := client(c)
+	if err != nil {
+		return err
+	}
+	answer, err := api.Publish(ctx, data, id)
+	if err != nil {
+		return exit(c, file, err)
+	}
+	if c.Bool(jsonFlag) {
+		return sayJSON(c, answer)
+	}
+	if answer.GetAlready() {
+		say(c, fmt.Sprintf("%s was accepted before, as version %d; it was not published again", file, answer.GetVersion()))
+		return nil
+	}
+	say(c, fmt.Sprintf("%s is accepted as version %d", file, answer.GetVersion()))
+	return nil
+}
+
+func checkNote(ctx context.Context, c *cli.Command) error {
+	file, data, err := readNoteFile(c)
+	if err != nil {
+		return err
+	}
+	if c.Bool(offlineFlag) {
+		say(c, file+": valid on its own; whether it fits what is in force was not checked")
+		return nil
+	}
+	api, err := client(c)
+	if err != nil {
+		return err
+	}
+	answer, err := api.Check(ctx, data)
+	if err != nil {
+		return exit(c, file, err)
+	}
+	if c.Bool(jsonFlag) {
+		return sayJSON(c, answer)
+	}
+	say(c, fmt.Sprintf("%s: valid against version %d", file, answer.GetVersion()))
+	if answer.GetClashesUnchecked() {
+		say(c, "Clashes with notes since its based-on version were not checked: the history cannot be read now.")
+	}
+	return nil
+}
+
+func showNote(ctx context.Context, c *cli.Command) error {
+	version, err := strconv.ParseUint(c.Args().First(), 10, 64)
+	if err != nil || c.Args().Len() != 1 {
+		return cli.Exit(c.FullName()+": name one version, a whole number", ExitUsage)
+	}
+	return inquire(ctx, c, func(ctx context.Context, api *operator.Client) (*schema.NoteRecord, error) {
+		return api.Record(ctx, version)
+	}, noteText)
+}
+
+// noteText returns a record with its note as a document, which can be edited
+// and published again.
+func noteText(record *schema.NoteRecord) string {
+	text, err := indent(protojson.MarshalOptions{}, record.GetNote()) // Without the fields that it leaves out.
+	if err != nil {
+		return err.Error()
+	}
+	return fmt.Sprintf("// Version %d, by %s, accepted %s\n%s", record.GetVersion(), record.GetAuthor(), accepted(record), text)
+}
+
+func accepted(record *schema.NoteRecord) string {
+	return time.UnixMilli(record.GetAcceptedUnixMs()).UTC().Format(time.RFC3339)
+}
+
+func noteHistory(ctx context.Context, c *cli.Command) error {
+	return inquire(ctx, c, func(ctx context.Context, api *operator.Client) (*schema.NoteList, error) {
+		return api.History(ctx, c.Uint64(beforeFlag), c.Int(limitFlag))
+	}, func(list *schema.NoteList) string {
+		return table("VERSION\tACCEPTED\tAUTHOR\tADDED\tCHANGED\tWITHDRAWN\tSUMMARY", func(w *tabwriter.Writer) {
+			for _, record := range list.GetNotes() {
+				n := record.GetNote()
+				row(w, record.GetVersion(), accepted(record), record.GetAuthor(),
+					entries(n.GetAdded()), entries(n.GetChanged()), withdrawals(n.GetWithdrawn()), n.GetSummary())
+			}
+		})
+	})
+}
+
+func entries(e *schema.Entries) int {
+	return len(e.GetAccounts()) + len(e.GetServices()) + len(e.GetUpstreams())
+}
+
+func withdrawals(n *schema.Names) int {
+	return len(n.GetAccounts()) + len(n.GetServices()) + len(n.GetUpstreams())
+}
