claim: a collector waits longer for its group than a router does for its own

The daemon gives one group of 5 ms, and with it a large fleet's collectors would have committed some 200 times a second each. Collected now has a group of its own for what it collects.

--- a/claim/collect.go
+++ b/claim/collect.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// CollectDelay is the delay of the Group of a large fleet's collector.
+	// collectDelay is how long a collector of a large fleet waits for more.
 	// Eight of them commit at most 200 times a second together.
-	CollectDelay = 40 * time.Millisecond
+	collectDelay = 40 * time.Millisecond
 	// collectors is how many routers commit for a large fleet.
 	collectors = 8
 	// turn is for how long the same routers collect. A collector of a large
@@ -35,7 +35,7 @@
 	// at most 200 writes.
 	smallFleet = 16
 	// collectTimeout bounds the wait for a collector, which answers within
-	// CollectDelay, a commit and a round trip unless it is gone.
+	// collectDelay, a commit and a round trip unless it is gone.
 	collectTimeout = 500 * time.Millisecond
 	// maxCollecting bounds what a collector holds for others at a time.
 	maxCollecting = 4096
@@ -65,11 +65,14 @@
 	platform.Table
 	Self  fleet.RouterID
 	Peers Peers
-	// Group commits what this router has to commit, its own and others'.
+	// Group commits for this router while the fleet is small, and when a
+	// collector does not answer.
 	Group *Group
 	// Timer tells the time; nil means the machine's clock.
 	Timer timer.Service
 
+	once       sync.Once
+	large      Group
 	collecting atomic.Int64
 	mu         sync.Mutex
 	last       uint64
@@ -95,8 +98,11 @@
 		return c.Group.Commit(ctx, txn)
 	}
 	to := c.collector(write.GetClaim())
-	if to == c.Self {
+	switch to {
+	case "":
 		return c.Group.Commit(ctx, txn)
+	case c.Self:
+		return c.collected().Commit(ctx, txn)
 	}
 	verdict := c.ask(ctx, to, write)
 	if verdict == nil {
@@ -180,7 +186,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
 	key := Prefix + platform.Key(hex.EncodeToString(write.GetClaim()))
-	err := c.Group.Commit(ctx, platform.Txn{
+	err := c.collected().Commit(ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Version: platform.RowVersion(write.GetVersion())}},
 		Writes: []platform.Write{{Key: key, Value: write.GetRow()}},
 	})
@@ -244,11 +250,17 @@
 	}
 }
 
-// collector returns the router that writes a claim.
+// collected returns the group of what this router collects for a large fleet.
+func (c *Collected) collected() *Group {
+	c.once.Do(func() { c.large.Table, c.large.Delay, c.large.Timer = c.Table, collectDelay, c.Timer })
+	return &c.large
+}
+
+// collector returns the router that writes a claim, none in a small fleet.
 func (c *Collected) collector(claim []byte) fleet.RouterID {
 	routers := append(slices.Clone(c.Peers.Routers()), c.Self)
 	if len(routers) <= smallFleet {
-		return c.Self
+		return ""
 	}
 	slot := uint64(rendezvous.KeyOf("claim", string(claim))) % collectors
 	turns := uint64(c.now().UnixNano() / int64(turn))
