--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,8 @@
 // either is used up, and returns the grants in that order.
 func (d *Dispatcher[O, L, P]) Grant(now time.Time) []Grant {
 	var granted []Grant
-	for number, s := range d.services {
+	for _, number := range slices.Sorted(maps.Keys(d.services)) {
+		s := d.services[number]
 		if len(s.demands) == 0 {
 			continue
 		}
@@ -42,7 +44,7 @@
 		if !u.takesWork(now) {
 			continue
 		}
-		if limit := min(u.slots, u.limiter.Limit(now)); u.inFlight < limit {
+		if limit := u.limit(now); u.inFlight < limit {
 			rooms = append(rooms, room[L]{u, limit})
 		}
 	}
@@ -70,7 +72,7 @@
 	if !ok {
 		return Grant{}, false
 	}
-	g := Grant{To: router, ID: d.nextID(), Account: account, Upstream: u.number}
+	g := Grant{To: router, ID: d.nextID(), Account: account, Upstream: u.number, Begin: u.warming(now)}
 	u.inFlight++
 	d.grants[grantKey{router, g.ID}] = &grant{
 		account: account, service: number, upstream: u.number,
@@ -118,3 +120,18 @@
 	}
 	return idle
 }
+
+// Busy returns how many requests of a service are in flight here, and how many may be.
+func (d *Dispatcher[O, L, P]) Busy(now time.Time, service fleet.Number) (inFlight, limit int) {
+	s := d.services[service]
+	if s == nil {
+		return 0, 0
+	}
+	for _, u := range s.upstreams {
+		if u.takesWork(now) {
+			inFlight += u.inFlight
+			limit += u.limit(now)
+		}
+	}
+	return inFlight, limit
+}
--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -13,7 +13,10 @@
 // Release takes a slot back. An id that is not known, because the message is
 // a repeated one or the grant was given up, has no effect.
 func (d *Dispatcher[O, L, P]) Release(now time.Time, from fleet.RouterID, message *schema.Release) {
-	key := grantKey{from, GrantID(message.GetId())}
+	key := grantKey{from, GrantID(message.GetForeignId())}
+	if message.GetId() > 0 {
+		key.id = GrantIDOf(message.GetId(), d.options.Nonce)
+	}
 	g := d.grants[key]
 	if g == nil {
 		return
@@ -60,9 +63,23 @@
 	if result == dispatch.Draining && u.draining.IsZero() {
 		u.draining = now
 	}
+	if u.ramp != nil {
+		u.ramp.Ended(now, result)
+	}
+	if result == dispatch.Answered {
+		u.began(g)
+	}
 	u.limiter.Ended(now, inflight.Sample{Result: result, FirstToken: firstToken, InFlight: g.sentWith})
 }
 
+// began takes note that a request's answer began.
+func (u *upstream[L]) began(g *grant) {
+	if u.ramp != nil && !g.begun {
+		u.ramp.Began()
+	}
+	g.begun = true
+}
+
 // Held takes what a router has in flight at an upstream. A grant that is not
 // known, because another dispatcher gave it, takes a slot from now on. It is
 // not charged again; costs above what was charged are.
@@ -83,6 +100,9 @@
 	known := d.grants[key]
 	if known != nil {
 		known.orphaned = time.Time{}
+		if u := d.upstreams[known.upstream]; u != nil && known.counted {
+			u.began(known)
+		}
 		if told.charged > known.charged {
 			d.charge(known, told.charged)
 		}
