--- a/command/router.go
+++ b/command/router.go
@@ -16,16 +16,22 @@
 	"nutmeglock.example/nutmeglock/settings"
 )
 
+const settingsFlag = "settings"
+
 // Router returns the command that runs one router.
 func Router() *cli.Command {
 	return &cli.Command{
 		Name:  "router",
 		Usage: "run one router until SIGTERM, then shut down gracefully",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.StringFlag{Name: settingsFlag, Usage: "settings `FILE`, JSON with comments"},
 		},
+		Commands: []*cli.Command{RouterList()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			read, err := readSettings(c.String("settings"))
+			if c.String(settingsFlag) == "" {
+				return cli.Exit("router: give --"+settingsFlag+" FILE", ExitUsage)
+			}
+			read, err := readSettings(c.String(settingsFlag))
 			if err != nil {
 				return err
 			}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -32,6 +32,7 @@
 	require.NoError(t, err)
 	left := &schema.RouterSettings{}
 	require.Equal(t, settings.StopGrace(shown), settings.StopGrace(left))
+	require.Equal(t, settings.StopNotice(shown), settings.StopNotice(left))
 	require.Equal(t, settings.PlatformTimeout(shown), settings.PlatformTimeout(left))
 	require.Equal(t, settings.MaxBody(shown), settings.MaxBody(left))
 	require.Equal(t, settings.MaxHeader(shown), settings.MaxHeader(left))
