scheduler: routers whose views differ

A router without a release note is left out of dispatch until it has one. A grant for an upstream that the entry knows to leave is given back as draining, one for an upstream that it does not know yet as unused with a pause.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -177,10 +177,12 @@
 	each.losses++
 }
 
-// Leave takes note that a router has begun its graceful shutdown.
-func (m *Members) Leave(now time.Time, id fleet.RouterID) {
+// Leave takes note that a router dispatches nothing by its own word, because it
+// has begun its graceful shutdown or holds no release note yet; or, with
+// leaving false, that it does again.
+func (m *Members) Leave(now time.Time, id fleet.RouterID, leaving bool) {
 	each := m.member(id)
-	each.leaving = true
+	each.leaving = leaving
 	each.knownAt = now
 }
 
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -127,11 +127,11 @@
 func TestLeavingRoutersDispatchOnlyWhenAllLeave(t *testing.T) {
 	t.Parallel()
 	m := settled()
-	m.Leave(at(3), "b")
+	m.Leave(at(3), "b", true)
 	require.Equal(t, routers("a", "c"), m.Dispatchers(at(3)))
 	m.List(at(4), []membership.Listed{{ID: "c", Address: "c:1", Leaving: true}})
 	require.Equal(t, routers("a"), m.Dispatchers(at(4)))
-	m.Leave(at(5), "a")
+	m.Leave(at(5), "a", true)
 	require.Equal(t, routers("a", "b", "c"), m.Dispatchers(at(5)))
 }
 
--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -47,6 +47,7 @@
 	}
 	s.stale = false
 	before := s.assigned
+	first := s.view == nil
 	s.forgetWithdrawn(view)
 	s.view = view
 	s.assigned = s.assign(view, live, before)
@@ -54,6 +55,12 @@
 	s.announceMoved(before)
 	s.exchange.reassign(s)
 	s.entry.reassigned(s, now)
+	if first {
+		// The others left this router out until it could dispatch.
+		for _, id := range s.connected() {
+			s.sendComplete(now, id)
+		}
+	}
 }
 
 func (s *Scheduler) forgetWithdrawn(view *note.View) {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/dispatch"
 	"nutmeglock.example/nutmeglock/dispatcher"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
@@ -240,24 +241,50 @@
 	h := &hold{
 		key: holdKey{from, id}, account: fleet.Number(message.GetAccount()), upstream: fleet.Number(message.GetUpstream()),
 	}
-	u := s.view.UpstreamByNumber(h.upstream)
+	u := s.upstream(h.upstream)
 	q := e.queues[queueKey{s.assigned.services[fleet.ServiceID(u.GetService())], h.account}]
-	if u == nil || s.departs(u) || q == nil {
+	if u == nil || q == nil {
 		e.giveBack(s, h)
+		e.forgetAsked(from, h.account)
 		return
 	}
 	q.asked[from] = max(0, q.asked[from]-1)
 	w := choose(e.line.Head(q.key), h.upstream)
-	if w == nil {
+	switch {
+	case s.departs(u):
+		// The dispatcher has not heard yet that the upstream is leaving. Given
+		// back as unused, the slot would be granted again at once.
+		e.release(s, h, dispatch.Done{Result: dispatch.Draining})
+	case w == nil:
 		// The dispatcher takes the ask for withdrawn when it gets the slot back.
 		q.asked[from] = 0
 		e.giveBack(s, h)
-	} else {
+	default:
 		e.start(s, now, w, h, u, message.GetBegin())
 	}
 	e.ask(s, now, q, false)
 }
 
+// forgetAsked takes note that a dispatcher takes an account's asks for
+// withdrawn. They are repeated at the next review, not at once: the dispatcher
+// holds a newer release note than this router, and would grant the same again.
+func (e *entry) forgetAsked(router fleet.RouterID, account fleet.Number) {
+	for key, q := range e.queues {
+		if key.account == account {
+			delete(q.asked, router)
+		}
+	}
+}
+
+// upstream returns an upstream by its number, nil when the view in force here
+// does not hold it.
+func (s *Scheduler) upstream(number fleet.Number) *schema.Upstream {
+	if s.view == nil {
+		return nil
+	}
+	return s.view.UpstreamByNumber(number)
+}
+
 func (e *entry) start(s *Scheduler, now time.Time, w *waiter, h *hold, u *schema.Upstream, begin bool) {
 	e.remove(now, w)
 	w.queue.drain.Started(now)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/placement"
+	"nutmeglock.example/nutmeglock/platform"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/scheduler"
 	"nutmeglock.example/nutmeglock/schema"
@@ -216,7 +218,7 @@
 	clear(u.most)
 }
 
-func newFixed(slots int) inflight.Fixed { return inflight.Fixed(slots) }
+func newFixed(slots int) inflight.Limiter { return inflight.Fixed(slots) }
 
 // bounded admits as long as the account's bound is kept.
 type bounded struct{}
@@ -232,6 +234,12 @@
 
 func (f fixedView) Current() *note.View { return f.view }
 
+// source is a note.Source whose view changes.
+type source struct{ atomic.Pointer[note.View] }
+
+// Current returns the view in force.
+func (s *source) Current() *note.View { return s.Load() }
+
 func viewOf(accounts, ups, slots int) *note.View {
 	state := &schema.FleetState{Version: 1, Services: []*schema.Service{{Id: "model", Kind: "model", Number: 1}}}
 	for i := range accounts {
@@ -254,6 +262,10 @@
 	routers map[fleet.RouterID]*testRouter
 	sharing scheduler.Sharing
 	client  *http.Client
+	// notes and vms replace what single routers see.
+	notes map[fleet.RouterID]note.Source
+	vms   map[fleet.RouterID]platform.VMs
+	limit func(slots int) inflight.Limiter
 }
 
 type testRouter struct {
@@ -278,9 +290,17 @@
 // start starts a router with nothing remembered and connects it to the others.
 func (f *testFleet) start(id fleet.RouterID, life fleet.Incarnation) {
 	f.t.Helper()
-	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.LeastLoaded]{
-		Self: id, Incarnation: life, Notes: fixedView{f.view}, Peers: f.net.port(id, life),
-		Order: func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} }, Limiter: newFixed,
+	notes := f.notes[id]
+	if notes == nil {
+		notes = fixedView{f.view}
+	}
+	limit := f.limit
+	if limit == nil {
+		limit = newFixed
+	}
+	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Limiter, placement.LeastLoaded]{
+		Self: id, Incarnation: life, Notes: notes, VMs: f.vms[id], Peers: f.net.port(id, life),
+		Order: func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} }, Limiter: limit,
 		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing, Client: f.client,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -31,7 +31,7 @@
 		// The new life counts its grants from the beginning.
 		delete(s.entry.through, change.Router)
 	}
-	r.incarnation, r.fresh, r.leaving = change.Incarnation, true, false
+	r.incarnation, r.fresh = change.Incarnation, true
 	r.seen, r.told = 0, 0
 	s.members.Connected(now, change.Router, change.Address)
 	s.refresh(now)
@@ -49,7 +49,7 @@
 	out.Complete = true
 	out.Asks = s.entry.asksFor(s, now, to)
 	out.Held = s.entry.heldFor(s, to)
-	out.Leaving = s.members.Leaving(s.self)
+	out.Leaving = s.stopping || s.view == nil
 	s.outbox.urgent(to)
 }
 
@@ -67,15 +67,14 @@
 // receive takes a batch from another router.
 func (s *Scheduler) receive(from fleet.RouterID, batch *schema.Batch) {
 	r := s.routers[from]
-	if r == nil || !r.connected || s.view == nil {
+	if r == nil || !r.connected {
 		// The rest of a connection that is gone: its sender's asks and grants
 		// were given up with it.
 		return
 	}
 	now := s.timer.Now()
-	if batch.GetLeaving() && !r.leaving {
-		r.leaving = true
-		s.members.Leave(now, from)
+	if leaving := batch.GetLeaving(); (leaving || batch.GetComplete()) && leaving != s.members.Leaving(from) {
+		s.members.Leave(now, from, leaving)
 		s.refresh(now)
 	}
 	s.take(now, from, r, batch)
@@ -142,6 +141,9 @@
 }
 
 func (s *Scheduler) takeHeld(now time.Time, from fleet.RouterID, batch *schema.Batch) {
+	if s.view == nil {
+		return
+	}
 	for _, message := range batch.GetHeld() {
 		if u := s.view.UpstreamByNumber(fleet.Number(message.GetUpstream())); u != nil {
 			s.slots.Held(now, from, s.assigned.services[fleet.ServiceID(u.GetService())], message)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -152,6 +152,8 @@
 	view     *note.View
 	// departing are the upstreams that the platform's list shows as leaving.
 	departing map[fleet.UpstreamID]bool
+	// stopping is set once the graceful shutdown has begun.
+	stopping bool
 	// stale is set when the assignment has to be worked out again.
 	stale bool
 }
@@ -163,7 +165,6 @@
 	// fresh is set until the first complete batch of a connection.
 	fresh     bool
 	restarted bool
-	leaving   bool
 	// completeAt is when it was last told all.
 	completeAt time.Time
 	// seen is the highest id of this router's grants that it has seen, told
@@ -259,7 +260,8 @@
 // They take over its upstreams; what waits here still gets its turn.
 func (s *Scheduler) Leave() {
 	s.loop.Post(func() {
-		s.members.Leave(s.timer.Now(), s.self)
+		s.stopping = true
+		s.members.Leave(s.timer.Now(), s.self, true)
 		for id, r := range s.routers {
 			if r.connected {
 				s.outbox.to(id).Leaving = true
