--- a/scheduler/view_test.go
+++ b/scheduler/view_test.go
@@ -59,20 +59,24 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, viewOf(2, 8, 2))
-		list := &vmList{}
-		f.vms = map[fleet.RouterID]platform.VMs{"router-0": list, "router-1": list, "router-2": list}
+		lists := map[fleet.RouterID]*vmList{"router-0": {}, "router-1": {}, "router-2": {}}
+		f.vms = make(map[fleet.RouterID]platform.VMs)
+		for id, list := range lists {
+			f.vms[id] = list
+		}
 		ids := f.startAll(3)
 		defer f.stopAll()
 		dispatcher := f.dispatcherOf(ids[0])
 		rest := others(ids, dispatcher)
-		delete(f.vms, dispatcher)
 		f.load(rest[0], "account-0", 10, time.Second)
 		f.load(rest[1], "account-1", 10, time.Second)
 		time.Sleep(5500 * time.Millisecond)
 		require.Equal(t, 16, f.ups.total())
-		list.mu.Lock()
-		list.vms = []platform.VM{{Name: "upstream-0", Role: platform.UpstreamVM, Leaving: true}}
-		list.mu.Unlock()
+		for _, id := range rest {
+			lists[id].mu.Lock()
+			lists[id].vms = []platform.VM{{Name: "upstream-0", Role: platform.UpstreamVM, Leaving: true}}
+			lists[id].mu.Unlock()
+		}
 		time.Sleep(4 * time.Second)
 		f.ups.resetMost()
 		time.Sleep(10 * time.Second)
