--- a/operator/failure.go
+++ b/operator/failure.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"time"
@@ -39,7 +38,8 @@
 	Internal Reason = "internal"
 )
 
-func reasons() []Reason {
+// Reasons lists every reason, for counters that start at zero.
+func Reasons() []Reason {
 	return []Reason{
 		Denied, BadRequest, BodyTooLarge, NotFound, Invalid, Clashing, Busy, Unavailable, Unsettled, NotReady, Internal,
 	}
@@ -148,7 +148,7 @@
 func (a *api) fail(err error, c echo.Context) {
 	f := failureOf(err)
 	a.answers.WithLabelValues(f.detail.GetReason()).Inc()
-	slog.InfoContext(c.Request().Context(), "administration request failed",
+	a.Log.InfoContext(c.Request().Context(), "administration request failed",
 		"method", c.Request().Method, "path", c.Path(), "author", author(c), "reason", f.detail.GetReason(), "error", err)
 	if c.Response().Committed {
 		return
--- a/operator/notes.go
+++ b/operator/notes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"log/slog"
 	"math"
 	"net/http"
 	"strconv"
@@ -78,7 +77,7 @@
 	if err != nil {
 		return locate(d, err)
 	}
-	slog.InfoContext(ctx, "release note accepted", "version", accepted.Record.GetVersion(), "author", accepted.Record.GetAuthor(), "publish-id", id, "already", accepted.Already)
+	a.Log.InfoContext(ctx, "release note accepted", "version", accepted.Record.GetVersion(), "author", accepted.Record.GetAuthor(), "publish-id", id, "already", accepted.Already)
 	status := http.StatusCreated
 	if accepted.Already {
 		status = http.StatusOK
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -3,6 +3,7 @@
 package operator
 
 import (
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -28,7 +29,7 @@
 	UpstreamLoad(id fleet.UpstreamID) *schema.UpstreamLoad
 }
 
-// Options are the parts that the API works with. All but Metrics and Registry are needed.
+// Options are the parts that the API works with. All but the last three are needed.
 type Options struct {
 	Keys      []*schema.OperatorKey
 	Store     *note.Store
@@ -39,6 +40,8 @@
 	Metrics http.Handler
 	// Registry takes the counter of answers by reason.
 	Registry prometheus.Registerer
+	// Log is the default logger when nil.
+	Log *slog.Logger
 }
 
 // PublishIDHeader names one wish to publish over all its repeats.
@@ -62,7 +65,10 @@
 	a := &api{Options: options, keys: newKeyring(options.Keys), answers: prometheus.NewCounterVec(prometheus.CounterOpts{
 		Namespace: "nutmeglock", Name: "operator_errors_total", Help: "Answers of the administration API that were no success, by reason.",
 	}, []string{"reason"})}
-	for _, reason := range reasons() {
+	if a.Log == nil {
+		a.Log = slog.Default()
+	}
+	for _, reason := range Reasons() {
 		a.answers.WithLabelValues(string(reason))
 	}
 	if options.Registry != nil {
@@ -75,20 +81,20 @@
 	if options.Metrics != nil {
 		e.GET("/metrics", echo.WrapHandler(options.Metrics))
 	}
-	a.route(e.Group("/v1", a.authenticate))
+	a.route(e.Group("/v1"))
 	return e
 }
 
 func (a *api) route(v1 *echo.Group) {
-	v1.POST("/notes", a.publish)
-	v1.POST("/notes/check", a.check)
-	v1.GET("/notes", a.history)
-	v1.GET("/notes/:version", a.record)
-	v1.GET("/accounts", a.accounts)
-	v1.GET("/services", a.services)
-	v1.GET("/upstreams", a.upstreams)
-	v1.GET("/routers", a.routers)
-	v1.GET("/state", a.state)
+	v1.POST("/notes", a.publish, a.authenticate)
+	v1.POST("/notes/check", a.check, a.authenticate)
+	v1.GET("/notes", a.history, a.authenticate)
+	v1.GET("/notes/:version", a.record, a.authenticate)
+	v1.GET("/accounts", a.accounts, a.authenticate)
+	v1.GET("/services", a.services, a.authenticate)
+	v1.GET("/upstreams", a.upstreams, a.authenticate)
+	v1.GET("/routers", a.routers, a.authenticate)
+	v1.GET("/state", a.state, a.authenticate)
 }
 
 func (a *api) health(c echo.Context) error { return c.String(http.StatusOK, "ok\n") }
