--- a/command/router.go
+++ b/command/router.go
@@ -22,9 +22,14 @@
 		Name:  "router",
 		Usage: "run one router until SIGTERM, then shut down gracefully",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments", Required: true},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments"},
 		},
+		Commands: []*cli.Command{RouterList()},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			// The flag is not marked required, because that would hold for "router list" too.
+			if c.String("settings") == "" {
+				return cli.Exit("router: give --settings FILE", ExitUsage)
+			}
 			read, err := readSettings(c.String("settings"))
 			if err != nil {
 				return err
