--- a/command/router.go
+++ b/command/router.go
@@ -16,22 +16,21 @@
 	"nutmeglock.example/nutmeglock/settings"
 )
 
-const settingsFlag = "settings"
-
 // Router returns the command that runs one router.
 func Router() *cli.Command {
 	return &cli.Command{
 		Name:  "router",
 		Usage: "run one router until SIGTERM, then shut down gracefully",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: settingsFlag, Usage: "settings `FILE`, JSON with comments"},
+			&cli.StringFlag{Name: "settings", Usage: "settings `FILE`, JSON with comments"},
 		},
 		Commands: []*cli.Command{RouterList()},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			if c.String(settingsFlag) == "" {
-				return cli.Exit("router: give --"+settingsFlag+" FILE", ExitUsage)
+			// The flag is not marked required, because that would hold for "router list" too.
+			if c.String("settings") == "" {
+				return cli.Exit("router: give --settings FILE", ExitUsage)
 			}
-			read, err := readSettings(c.String(settingsFlag))
+			read, err := readSettings(c.String("settings"))
 			if err != nil {
 				return err
 			}
