--- a/local/bench_test.go
+++ b/local/bench_test.go
@@ -9,9 +9,14 @@
 	"testing"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/local"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/operator"
+	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/engine"
 )
 
@@ -21,11 +26,11 @@
 func BenchmarkAddedCost(b *testing.B) {
 	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
 	defer cancel()
-	fleet, err := local.Start(ctx, local.Options{Engine: engine.Options{TimeScale: 1e-4}})
+	started, err := local.Start(ctx, local.Options{Engine: engine.Options{TimeScale: 1e-4}})
 	require.NoError(b, err)
-	b.Cleanup(fleet.Close)
+	b.Cleanup(started.Close)
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
-	direct, routed := fleet.Engines[0], fleet.Routers[0].Callers.String()
+	direct, routed := started.Engines[0], started.Routers[0].Callers.String()
 
 	for _, load := range []struct {
 		name   string
@@ -61,3 +66,42 @@
 	require.Equal(b, http.StatusOK, answer.StatusCode)
 	return time.Since(start)
 }
+
+// BenchmarkPublish measures the time from a publish at one router until the
+// note is in force at the last of six, on loopback.
+func BenchmarkPublish(b *testing.B) {
+	const routers = 6
+	ctx, cancel := context.WithTimeout(b.Context(), time.Minute)
+	defer cancel()
+	running, err := local.Start(ctx, local.Options{Routers: routers})
+	require.NoError(b, err)
+	b.Cleanup(running.Close)
+	took := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
+	for n := 0; b.Loop(); n++ {
+		start := time.Now()
+		version, err := running.Publish(ctx, n%routers, &schema.ReleaseNote{
+			Summary: "one account more",
+			Added: &schema.Entries{Accounts: []*schema.Account{{
+				Id: fmt.Sprintf("later-%d", n), KeySha256: []string{note.HashKey(fmt.Sprint("later-", n))},
+			}}},
+		})
+		require.NoError(b, err)
+		for router := range routers {
+			untilVersion(ctx, b, running.Operator(router), version)
+		}
+		require.NoError(b, took.RecordValue(time.Since(start).Microseconds()))
+	}
+	b.ReportMetric(float64(took.ValueAtQuantile(50)), "p50-us")
+	b.ReportMetric(float64(took.ValueAtQuantile(99)), "p99-us")
+}
+
+func untilVersion(ctx context.Context, b *testing.B, api *operator.Client, version fleet.Version) {
+	b.Helper()
+	for {
+		list, err := api.Routers(ctx)
+		require.NoError(b, err)
+		if fleet.Version(list.GetRouters()[0].GetNoteVersion()) >= version {
+			return
+		}
+	}
+}
--- a/local/local.go
+++ b/local/local.go
@@ -134,7 +134,7 @@
 		}
 	}
 	f.listVMs()
-	if err := f.publish(ctx); err != nil {
+	if _, err := f.Publish(ctx, 0, f.note()); err != nil {
 		return err
 	}
 	return f.untilReady(ctx)
@@ -199,14 +199,23 @@
 	f.Platform.SetVMs(vms...)
 }
 
-func (f *Fleet) publish(ctx context.Context) error {
-	text, err := protojson.Marshal(f.note())
+// Publish publishes a release note at a router, numbered from 0, and returns
+// its version.
+func (f *Fleet) Publish(ctx context.Context, router int, n *schema.ReleaseNote) (fleet.Version, error) {
+	text, err := protojson.Marshal(n)
 	if err != nil {
-		return eris.Wrap(err, "writing the first release note")
+		return 0, eris.Wrap(err, "writing a release note")
 	}
-	client := operator.NewClient(f.operator, "http://"+f.Routers[0].Admin.String())
-	_, err = client.Publish(ctx, text, note.NewPublishID())
-	return eris.Wrap(err, "publishing the first release note")
+	answer, err := f.Operator(router).Publish(ctx, text, note.NewPublishID())
+	if err != nil {
+		return 0, eris.Wrap(err, "publishing a release note")
+	}
+	return fleet.Version(answer.GetVersion()), nil
+}
+
+// Operator returns a client of a router's administration API.
+func (f *Fleet) Operator(router int) *operator.Client {
+	return operator.NewClient(f.operator, "http://"+f.Routers[router].Admin.String())
 }
 
 func (f *Fleet) note() *schema.ReleaseNote {
@@ -254,8 +263,8 @@
 }
 
 func (f *Fleet) ready(ctx context.Context) bool {
-	for _, r := range f.Routers {
-		list, err := operator.NewClient(f.operator, "http://"+r.Admin.String()).Routers(ctx)
+	for n := range f.Routers {
+		list, err := f.Operator(n).Routers(ctx)
 		if err != nil || len(list.GetRouters()) != len(f.Routers) {
 			return false
 		}
