attempt: an upstream that takes no bytes is given up after 10 s

TCP sends again for a quarter of an hour by itself, and a caller behind a partition waited until its deadline. Seen to fail first: without the option the router still waited after 20 s. Keep-alive probes for quiet connections are set and not tested.

--- a/attempt/attempt_test.go
+++ b/attempt/attempt_test.go
@@ -177,6 +177,27 @@
 	}
 }
 
+// An upstream stops taking bytes, as behind a partition, and its connection
+// stays. The router must find out long before the caller's deadline.
+func TestSilentUpstreamIsGivenUp(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	client := attempt.Client{MaxSilence: 300 * time.Millisecond}
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Do(t.Context(), l.Addr().String(), request("POST", strings.Repeat("b", 12<<20), true))
+		failed <- err
+	}()
+	select {
+	case err := <-failed:
+		require.Equal(t, refusal.Unknown, outcome(t, err))
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the router still waits")
+	}
+}
+
 // An upstream closes idle connections while a request is on its way on one.
 // net/http then repeats some requests on a new connection by itself. An order
 // would run twice, with one attempt in the router's log.
--- a/attempt/client.go
+++ b/attempt/client.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -26,6 +27,13 @@
 	// idleTimeout is below the usual keep-alive timeouts of servers (a minute
 	// and more), so that it is mostly this side that closes.
 	idleTimeout = 30 * time.Second
+	// defaultMaxSilence is as long as an engine keeps a stream without a reader.
+	defaultMaxSilence = 10 * time.Second
+	// A connection on which nothing is sent is probed after probeIdle, and
+	// given up after probeCount probes without an answer: after 19 s in all.
+	probeIdle     = 10 * time.Second
+	probeInterval = 3 * time.Second
+	probeCount    = 3
 	// maxAnswerHeader bounds an answer's header, in bytes.
 	maxAnswerHeader = 64 << 10
 	// maxRefusalBody bounds what is read of a refusal so that its connection
@@ -37,6 +45,9 @@
 type Client struct {
 	// ConnectTimeout bounds the opening of a connection; zero means 1.5 s.
 	ConnectTimeout time.Duration
+	// MaxSilence bounds how long bytes stay unacknowledged or can't be sent
+	// because the upstream does not read; zero means 10 s.
+	MaxSilence time.Duration
 	// MaxIdle bounds the idle connections kept for one upstream; zero means 32.
 	MaxIdle int
 
@@ -86,7 +97,15 @@
 }
 
 func (c *Client) newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: c.ConnectTimeout}
+	silence := c.MaxSilence
+	if silence == 0 {
+		silence = defaultMaxSilence
+	}
+	dialer := &net.Dialer{
+		Timeout:         c.ConnectTimeout,
+		Control:         func(_, _ string, raw syscall.RawConn) error { return boundSilence(raw, silence) },
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
+	}
 	if dialer.Timeout == 0 {
 		dialer.Timeout = defaultConnectTimeout
 	}
