claim: one claim a second tries a table that is down, the others are refused at once

A claim waits up to 2 s with a slot in hand, so a slow table would have stopped a service for calls that need no claim too. Seen to fail first: without counting failures, and without the pause.

--- a/call/once.go
+++ b/call/once.go
@@ -21,14 +21,21 @@
 	keepTimeout = 250 * time.Millisecond
 )
 
+// claimable refuses a request that can't be claimed before it waits for a slot.
+func (e *execution) claimable() error {
+	if !e.request.claimed() {
+		return nil
+	}
+	if e.runner.Claims == nil {
+		return refusal.New(refusal.ClaimsUnavailable, "This router keeps no claims.", 0)
+	}
+	return e.runner.Claims.Available()
+}
+
 // takeClaim claims the request, or replays the answer of its first run. It is
 // asked for with a slot in hand, so that an account that floods the queue does
 // not fill the table with claims of requests that are turned away.
 func (e *execution) takeClaim(ctx context.Context, slot dispatch.Slot) (replayed bool, err error) {
-	if e.runner.Claims == nil {
-		slot.Done(dispatch.Done{Result: dispatch.Unused})
-		return false, refusal.New(refusal.ClaimsUnavailable, "This router keeps no claims.", 0)
-	}
 	claimCtx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	taken, answer, err := e.runner.Claims.Claim(claimCtx, claim.Request{
--- a/call/runner.go
+++ b/call/runner.go
@@ -92,6 +92,9 @@
 
 // repeat makes attempts until one answers, or none may follow.
 func (e *execution) repeat(ctx context.Context) error {
+	if err := e.claimable(); err != nil {
+		return err
+	}
 	e.runner.Retry.First(e.arrived)
 	for {
 		slot, err := e.runner.Source.Acquire(ctx, e.request.work(e.avoid))
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -129,6 +129,33 @@
 	require.Equal(t, 1, p.table.commits)
 }
 
+// The table is down or slow for minutes. After a few claims have found out,
+// the others must not wait for it, and one a second tries whether it is back.
+func TestClaimsStopTryingATableThatIsDown(t *testing.T) {
+	t.Parallel()
+	p := newPair(down, down, down, down)
+	claimed := func() error {
+		_, _, err := p.one.Claim(t.Context(), order("k", p.clock.Now().Add(deadline)))
+		return err
+	}
+	for range 5 {
+		refused(t, claimed(), refusal.ClaimsUnavailable, refusal.NotRun)
+	}
+	require.Equal(t, 3, p.table.commits)
+	refused(t, p.one.Available(), refusal.ClaimsUnavailable, refusal.NotRun)
+
+	p.clock.Advance(time.Second)
+	require.NoError(t, p.one.Available())
+	for range 2 {
+		refused(t, claimed(), refusal.ClaimsUnavailable, refusal.NotRun)
+	}
+	require.Equal(t, 4, p.table.commits)
+
+	p.clock.Advance(time.Second)
+	require.NoError(t, claimed())
+	require.NoError(t, p.one.Available())
+}
+
 // The table applied the claim and its reply was lost. The router must find
 // out, also through a stale read, or the order would be refused for nothing.
 func TestLostReplyIsSettledByReadingBack(t *testing.T) {
--- a/claim/store.go
+++ b/claim/store.go
@@ -49,8 +49,20 @@
 	Retention time.Duration
 
 	backlog backlog
+	breaker breaker
 }
 
+// Available reports whether claims can probably be had now, so that a request
+// need not wait for its turn first.
+func (s *Store) Available() error {
+	if s.breaker.closed(s.now()) {
+		return nil
+	}
+	return unavailable(errBroken)
+}
+
+var errBroken = eris.New("the last claims failed")
+
 func (s *Store) now() time.Time {
 	if s.Timer == nil {
 		return time.Now()
@@ -79,6 +91,21 @@
 // not run) when the table can't be asked, duplicate-in-flight or outcome-lost
 // when another attempt has or had the claim, and idempotency-key-reused.
 func (s *Store) Claim(ctx context.Context, request Request) (*Claim, *Answer, error) {
+	if !s.breaker.try(s.now()) {
+		return nil, nil, unavailable(errBroken)
+	}
+	held, answer, err := s.claim(ctx, request)
+	var refused *refusal.Error
+	switch {
+	case !errors.As(err, &refused) || refused.Reason != refusal.ClaimsUnavailable || refused.Outcome != refusal.NotRun:
+		s.breaker.answered()
+	case !errors.Is(ctx.Err(), context.Canceled):
+		s.breaker.failed(s.now())
+	}
+	return held, answer, err
+}
+
+func (s *Store) claim(ctx context.Context, request Request) (*Claim, *Answer, error) {
 	c := s.newClaim(request)
 	expected := platform.RowVersion(0)
 	var unsettled bool
@@ -96,11 +123,11 @@
 			unsettled = true
 			continue
 		case !errors.As(cause, &conflict):
-			return nil, nil, s.unavailable(c, unsettled, cause)
+			return nil, nil, s.giveUp(c, unsettled, cause)
 		}
 		row, version, err := s.read(ctx, c.key, conflict.Found)
 		if err != nil {
-			return nil, nil, s.unavailable(c, unsettled, err)
+			return nil, nil, s.giveUp(c, unsettled, err)
 		}
 		if row != nil && attemptID(row.GetAttempt()) == c.attempt {
 			c.version = version
@@ -112,7 +139,7 @@
 		}
 		expected = version
 	}
-	return nil, nil, s.unavailable(c, unsettled, cause)
+	return nil, nil, s.giveUp(c, unsettled, cause)
 }
 
 func (s *Store) newClaim(request Request) *Claim {
@@ -126,16 +153,20 @@
 	}
 }
 
-// unavailable refuses a request that will not be sent. When one of its writes
+// giveUp refuses a request that will not be sent. When one of its writes
 // may yet take effect, the row would make the caller's repeat look like a
 // duplicate of a request that is never sent. So the attempt is released later.
-func (s *Store) unavailable(c *Claim, unsettled bool, cause error) error {
+func (s *Store) giveUp(c *Claim, unsettled bool, cause error) error {
 	if unsettled {
 		c.sealed = true
 		last := s.settlement(c, schema.ClaimState_CLAIM_STATE_NOT_RUN, nil)
 		last.unsettled = true
 		s.backlog.add(last)
 	}
+	return unavailable(cause)
+}
+
+func unavailable(cause error) error {
 	refused := refusal.New(refusal.ClaimsUnavailable,
 		"The request may run once at most, and the table that ensures it can't be reached.", retryAfterOutage)
 	refused.Cause = cause
