--- /dev/null
+++ b/note/bench_test.go
@@ -0,0 +1,50 @@
+package note_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// large returns a state of the users' size in two years.
+func large(b *testing.B) *schema.FleetState {
+	b.Helper()
+	n := &schema.ReleaseNote{Summary: "all", Added: &schema.Entries{Services: []*schema.Service{{Id: "s", Kind: "model"}}}}
+	for i := range 36_000 {
+		id := fmt.Sprint("account-", i)
+		n.Added.Accounts = append(n.Added.Accounts, &schema.Account{Id: id, KeySha256: []string{note.HashKey(id)}})
+	}
+	for i := range 12_000 {
+		n.Added.Upstreams = append(n.Added.Upstreams, &schema.Upstream{
+			Id: fmt.Sprint("engine-", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:9000", i/250, i%250), DataCenter: "d", Slots: 16,
+		})
+	}
+	state, err := note.Apply(&schema.FleetState{}, &schema.NoteRecord{Version: 1, Note: n, FirstNumber: 1})
+	require.NoError(b, err)
+	return state
+}
+
+// BenchmarkNoteInForce is what one accepted note costs each router: a fifth of
+// one a second at 17,000 a day.
+func BenchmarkNoteInForce(b *testing.B) {
+	state := large(b)
+	record := &schema.NoteRecord{Version: 2, FirstNumber: state.GetLastNumber() + 1, Note: addAccount("new")}
+	b.ReportAllocs()
+	for b.Loop() {
+		next, err := note.Apply(state, record)
+		require.NoError(b, err)
+		note.NewView(next)
+	}
+}
+
+// BenchmarkCheck is what checking one note costs the router that publishes it.
+func BenchmarkCheck(b *testing.B) {
+	state := large(b)
+	for b.Loop() {
+		require.NoError(b, note.Check(state, addAccount("new")))
+	}
+}
