scheduler: conversations stay at their upstream, equal beginnings meet at few

Rendezvous hashing on the first block lets all routers choose the same two upstreams without a message; what was sent from here goes before it.

--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -95,8 +95,9 @@
 			continue
 		}
 		c := placement.Candidate{Upstream: r.upstream.number, InFlight: r.upstream.inFlight, Limit: r.limit}
-		if slices.Contains(a.preferred, uint32(c.Upstream)) {
-			c.Affinity = 1
+		if i := slices.Index(a.preferred, uint32(c.Upstream)); i >= 0 {
+			// The first has most of the prompt, the next ones its beginning.
+			c.Affinity = 1 / float64(i+1)
 		}
 		candidates = append(candidates, c)
 		upstreams = append(upstreams, r.upstream)
--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -188,18 +189,17 @@
 		key := rendezvous.KeyOfNumber("ask", uint64(account)<<32|uint64(t.upstream))
 		return uint64(key)
 	}
+	place := func(t target) int {
+		if i := slices.Index(preferred, t.upstream); i >= 0 {
+			return i
+		}
+		return len(preferred)
+	}
 	slices.SortFunc(targets, func(x, y target) int {
-		px, py := slices.Contains(preferred, x.upstream), slices.Contains(preferred, y.upstream)
-		switch {
-		case px != py && px:
-			return -1
-		case px != py:
-			return 1
-		case score(x) > score(y):
-			return -1
-		default:
-			return 1
+		if byPlace := cmp.Compare(place(x), place(y)); byPlace != 0 {
+			return byPlace
 		}
+		return cmp.Compare(score(y), score(x))
 	})
 	var routers []fleet.RouterID
 	for _, t := range targets {
@@ -226,15 +226,7 @@
 	for _, t := range a.byService[service] {
 		all = append(all, scored{t.upstream, rendezvous.KeyOfNumber("prefix", prefix[0]^uint64(dispatcherKey(t.upstream)))})
 	}
-	slices.SortFunc(all, func(x, y scored) int {
-		switch {
-		case x.score > y.score:
-			return -1
-		case x.score < y.score:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
 	var preferred []fleet.Number
 	for _, each := range all[:min(copies, len(all))] {
 		preferred = append(preferred, each.upstream)
@@ -242,6 +234,11 @@
 	return preferred
 }
 
+// serves reports whether an upstream takes new work of a service.
+func (a *assignment) serves(service, upstream fleet.Number) bool {
+	return slices.ContainsFunc(a.byService[service], func(t target) bool { return t.upstream == upstream })
+}
+
 // keeperOf returns the router that sums an account's use of a service.
 func (a *assignment) keeperOf(service, account fleet.Number) fleet.RouterID {
 	return rendezvous.Pick(rendezvous.KeyOfNumber("keeper", uint64(service)<<32|uint64(account)), a.live)
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -21,6 +21,7 @@
 	holds  map[holdKey]*hold
 	// through is the highest id of each dispatcher's grants that was seen.
 	through map[fleet.RouterID]uint64
+	recent  recent
 	// starts counts requests since the rate was last measured.
 	starts   int
 	rate     float64
@@ -76,13 +77,29 @@
 	q.used = now
 	w.queue = q
 	w.avoided = avoidedNumbers(s, w, targets)
-	w.preferred = s.assigned.preferredFor(key.service, w.work.Prefix)
+	w.preferred = e.preferred(s, w)
 	return s.admission.Admit(now, w.work.Deadline, admission.Queue{
 		Account: e.line.Len(key), AccountBound: s.bound(q), Total: e.line.Total(), TotalBound: s.maxWaitingTotal,
 		Drain: q.drain.Rate(now),
 	})
 }
 
+// preferred returns the upstreams that probably have the request's prompt
+// cached: the one that its beginning was sent to from here, and those that
+// every router sends such beginnings to.
+func (e *entry) preferred(s *Scheduler, w *waiter) []fleet.Number {
+	service := w.queue.key.service
+	preferred := s.assigned.preferredFor(service, w.work.Prefix)
+	upstream, ok := e.recent.find(w.work.Prefix)
+	if !ok || !s.assigned.serves(service, upstream) {
+		return preferred
+	}
+	if i := slices.Index(preferred, upstream); i >= 0 {
+		preferred = slices.Delete(preferred, i, i+1)
+	}
+	return append([]fleet.Number{upstream}, preferred...)
+}
+
 func (s *Scheduler) bound(q *queue) int {
 	if own := int(q.account.GetMaxWaiting()); own > 0 {
 		return own
@@ -209,7 +226,7 @@
 				e.refuse(now, w, refused)
 				continue
 			}
-			w.preferred = s.assigned.preferredFor(q.key.service, w.work.Prefix)
+			w.preferred = e.preferred(s, w)
 			w.avoided = avoidedNumbers(s, w, s.assigned.byService[q.key.service])
 		}
 		ranked := e.rank(s, now, q)
@@ -289,6 +306,7 @@
 	e.remove(now, w)
 	w.queue.drain.Started(now)
 	e.starts++
+	e.recent.sent(w.work.Prefix, h.upstream)
 	h.service = w.queue.service
 	e.holds[h.key] = h
 	w.given = h
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -266,6 +266,8 @@
 	notes map[fleet.RouterID]note.Source
 	vms   map[fleet.RouterID]platform.VMs
 	limit func(slots int) inflight.Limiter
+	// placement replaces the least loaded upstream.
+	placement placement.Policy
 }
 
 type testRouter struct {
@@ -294,14 +296,18 @@
 	if notes == nil {
 		notes = fixedView{f.view}
 	}
+	place := f.placement
+	if place == nil {
+		place = placement.LeastLoaded{}
+	}
 	limit := f.limit
 	if limit == nil {
 		limit = newFixed
 	}
-	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Limiter, placement.LeastLoaded]{
+	s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Limiter, placement.Policy]{
 		Self: id, Incarnation: life, Notes: notes, VMs: f.vms[id], Peers: f.net.port(id, life),
 		Order: func() *share.Fair[fleet.Number] { return &share.Fair[fleet.Number]{} }, Limiter: limit,
-		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing, Client: f.client,
+		Admission: bounded{}, MaxWaiting: 10_000, MaxWaitingTotal: 100_000, Sharing: f.sharing, Placement: place, Client: f.client,
 	})
 	ctx, cancel := context.WithCancel(f.t.Context())
 	r := &testRouter{Scheduler: s, stop: cancel, ctx: ctx, done: make(chan struct{})}
