--- a/experiment/entry.go
+++ b/experiment/entry.go
@@ -21,11 +21,26 @@
 	maxWaitingTotal = 4096
 )
 
-// widenAfter is how long the oldest request waits before one more dispatcher
-// is asked: the values of package scheduler.
-var widenAfter = []time.Duration{
-	5 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond,
-	200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond,
+// mostAsked bounds the dispatchers that a queue asks.
+const mostAsked = 8
+
+// fanOut returns how many dispatchers are asked for requests of which the
+// oldest has waited for so long: the rule of package scheduler.
+func fanOut(waiting int, waited time.Duration) int {
+	const firstAnswer, second = 10 * time.Millisecond, time.Second
+	switch {
+	case waited < firstAnswer:
+		return 1
+	case waiting >= mostAsked:
+		return mostAsked
+	case waited >= second:
+		return min(3+int(waited/second), mostAsked)
+	case waiting >= 4:
+		return 4
+	case waiting >= 2 || waited >= second/4:
+		return 3
+	}
+	return 2
 }
 
 // request is one call of an account.
@@ -203,24 +218,23 @@
 	batch.Asks = append(batch.Asks, message)
 }
 
-// widen asks one more dispatcher for queues whose oldest request waits for
-// longer than the dispatchers asked so far should have taken.
+// widen asks more dispatchers for queues whose oldest request waits for longer
+// than the dispatchers asked so far should have taken.
 func (r *router) widen() {
 	changed := false
 	for _, q := range r.queues {
-		asked := len(q.targets)
-		if q.len() == 0 || asked == 0 || asked > len(widenAfter) {
+		if q.len() == 0 || len(q.targets) == 0 {
 			continue
 		}
-		if r.model.clock.elapsed-q.oldest().arrived < widenAfter[asked-1] {
+		want := fanOut(q.len(), r.model.clock.elapsed-q.oldest().arrived)
+		if len(q.targets) >= want {
 			continue
 		}
 		for _, target := range r.rank(q) {
-			if !slices.Contains(q.targets, target) {
+			if len(q.targets) < want && !slices.Contains(q.targets, target) {
 				q.targets = append(q.targets, target)
 				r.sendAsk(q, target)
 				changed = true
-				break
 			}
 		}
 	}
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -249,12 +249,14 @@
 func prefixHeavy() Load {
 	return Load{
 		Name:  "prefix-heavy",
-		About: "prompts begin with one of two 3,000-token beginnings for each account; a cache holds eight; the fleet is nearly full",
+		About: "prompts begin with one of two 3,000-token beginnings for each account; a cache holds eight; the fleet is nearly full if no prompt is cached",
 		clients: func(d Deployment) []client {
+			// An uncached prompt takes 0.4 s more than a cached one.
+			const uncachedResidence = 3.7
 			var clients []client
 			for account := range d.Accounts {
 				c := usual(account, 0)
-				c.rate = 0.9 * capacity(d) / float64(d.Accounts) * usualOutput.mean / shortOutput.mean / 2
+				c.rate = 0.95 * float64(d.slots()) / uncachedResidence / float64(d.Accounts)
 				c.output = shortOutput
 				c.prefixes = 2
 				c.prefixTokens = 3000
--- a/experiment/router.go
+++ b/experiment/router.go
@@ -234,7 +234,7 @@
 // dispatchers are few, every router asks all of them by itself.
 func (r *router) announce() {
 	const announceTo = 5
-	if r.model.policy.static || len(r.model.ids) <= len(widenAfter) {
+	if r.model.policy.static || len(r.model.ids) <= mostAsked {
 		return
 	}
 	all := r.slots.Idle(r.model.clock.now())
