--- /dev/null
+++ b/command/experiment_test.go
@@ -0,0 +1,79 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
+
+	"nutmeglock.example/nutmeglock/command"
+)
+
+// play runs a subcommand and returns what it wrote and its error. Its exit
+// codes are returned as errors.
+func play(args ...string) (string, string, error) {
+	var out, complaints bytes.Buffer
+	root := command.New()
+	root.Writer, root.ErrWriter = &out, &complaints
+	root.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	err := root.Run(context.Background(), append([]string{"nutmeglock"}, args...))
+	return out.String(), complaints.String(), err
+}
+
+func TestExperimentWritesJSONAndPage(t *testing.T) {
+	t.Parallel()
+	file := filepath.Join(t.TempDir(), "report.json")
+	page, _, err := play("experiment", "--load", "flood", "--load", "quiet", "--policy", "fair", "--duration", "15s",
+		"--seed", "7", "--json", file, "--page", "-", "--title", "Title")
+	require.NoError(t, err)
+	require.Contains(t, page, "# Title\n")
+	require.Contains(t, page, "| halonen, 7 | fair |")
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	var report struct {
+		Results []map[string]any `json:"results"`
+	}
+	require.NoError(t, json.Unmarshal(text, &report))
+	require.Len(t, report.Results, 4)
+	for _, field := range []string{"gap-tokens", "gap-multiple", "utilisation", "queue-ms", "first-token-ms", "accounts", "answers", "control"} {
+		require.Contains(t, report.Results[0], field)
+	}
+}
+
+func TestExperimentNamesWhatThereIs(t *testing.T) {
+	t.Parallel()
+	_, _, err := play("experiment", "--load", "x")
+	require.ErrorContains(t, err, `there is no load "x"; there are burst, few-large`)
+	_, _, err = play("experiment", "--policy", "x")
+	require.ErrorContains(t, err, `there is no policy "x"; there are fair, fcfs, static-share`)
+	_, _, err = play("experiment", "--routers", "9999")
+	require.ErrorContains(t, err, "--routers 9999 is not between 1 and 120")
+	_, _, err = play("experiment", "--duration", "-1s")
+	require.ErrorContains(t, err, "--duration is negative")
+}
+
+func TestReplayChecksOutcomes(t *testing.T) {
+	t.Parallel()
+	const trace, outcomes = "../docs/traces/halonen.jsonl", "../docs/traces/halonen.outcomes.json"
+	said, _, err := play("replay", "--outcomes", outcomes, trace)
+	require.NoError(t, err)
+	require.Equal(t, "all outcomes hold\n", said)
+	_, complaints, err := play("replay", "--policy", "fcfs", "--outcomes", outcomes, trace)
+	require.Error(t, err)
+	require.Contains(t, complaints, "gap-multiple is ")
+}
+
+func TestReplayOfAWrongTraceNamesItsLine(t *testing.T) {
+	t.Parallel()
+	name := filepath.Join(t.TempDir(), "trace.jsonl")
+	require.NoError(t, os.WriteFile(name, []byte("{}\n"), 0o600))
+	_, _, err := play("replay", name)
+	require.ErrorContains(t, err, `line 1: format is ""; it has to be "nutmeglock-trace"`)
+	_, _, err = play("replay")
+	require.ErrorContains(t, err, "name one trace")
+}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -70,8 +70,8 @@
 	Load       string     `json:"load"`
 	Policy     string     `json:"policy"`
 	Seed       uint64     `json:"seed"`
-	// Gap is the largest difference in weighted tokens between two accounts
-	// over any interval in which both had work waiting, after ten seconds.
+	// Gap is the largest difference in weighted tokens over weight between two
+	// accounts over any interval in which both had work waiting, after ten seconds.
 	Gap float64 `json:"gap-tokens"`
 	// LargestRequest is the cost of the largest request that was sent.
 	LargestRequest float64 `json:"largest-request-tokens"`
@@ -193,7 +193,7 @@
 
 // play runs one combination.
 func play(d Deployment, load Load, policy Policy, seed uint64, duration time.Duration) Result {
-	m := newModel(d, policy, seed)
+	m := newModel(d, policy, load.weight, seed)
 	m.begin()
 	m.measure.begin()
 	for i, c := range load.clients(d) {
@@ -219,8 +219,8 @@
 	x := m.measure
 	result := Result{
 		Deployment: m.deployment, Policy: m.policy.Name,
-		Gap: x.gap.widest, LargestRequest: x.largest, GapMultiple: part(x.gap.widest, x.largest, 0),
-		LaterGapMultiple: part(x.later.widest, x.largest, 0),
+		Gap: x.gap.Widest(), LargestRequest: x.largest, GapMultiple: part(x.gap.Widest(), x.largest, 0),
+		LaterGapMultiple: part(x.later.Widest(), x.largest, 0),
 		Utilisation:      part(x.busy, x.room, 1), StrictUtilisation: part(x.strictBusy, x.strictRoom, 1),
 		QueuedTime: part(float64(x.queuedSamples), float64(x.samples), 0),
 		Queue:      percentiles(x.queue), FirstToken: percentiles(x.first), PlainQueue: percentiles(x.plain),
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -82,6 +82,16 @@
 	require.Greater(t, run(t, "first-comer", "fcfs").LaterGapMultiple, 20.0)
 }
 
+// An operator gives some accounts three times the weight. They are to get
+// three times the service of the others, wherever their requests arrive.
+func TestServiceFollowsWeights(t *testing.T) {
+	t.Parallel()
+	fair := run(t, "weighted", "fair")
+	require.LessOrEqual(t, fair.LaterGapMultiple, 2.5)
+	require.InEpsilon(t, 3*fair.Accounts[1].Service, fair.Accounts[0].Service, 0.1)
+	require.Greater(t, run(t, "weighted", "fcfs").LaterGapMultiple, 4.0)
+}
+
 // One upstream in five turns slow. A limit that stays as it was would pile
 // work up there; whatever is placed there, all accounts bear it alike.
 func TestSlowUpstreamIsBorneByAllAlike(t *testing.T) {
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -13,6 +13,8 @@
 	About string
 	// clients returns what each account does, given the deployment.
 	clients func(d Deployment) []client
+	// weight returns an account's weight; nil means that all weigh 1.
+	weight func(account int) uint32
 	// slowFrom is when one upstream in five turns slow; zero for never.
 	slowFrom time.Duration
 	// reference names a load of which the small account's times are the measure.
@@ -98,7 +100,7 @@
 func Loads() []Load {
 	return []Load{
 		burst(), fewLarge(), oneRouter(), slowUpstream(), longAmongShort(), saturation(),
-		quiet(), flood(), prefixHeavy(), firstComer(),
+		quiet(), flood(), prefixHeavy(), firstComer(), weighted(),
 	}
 }
 
@@ -285,3 +287,26 @@
 		},
 	}
 }
+
+func weighted() Load {
+	const heavy = 3
+	weight := func(account int) uint32 {
+		if account%4 == 0 {
+			return heavy
+		}
+		return 1
+	}
+	return Load{
+		Name:   "weighted",
+		About:  "a quarter of the accounts weigh three times the others; all have more waiting than they get",
+		weight: weight,
+		clients: func(d Deployment) []client {
+			fair := d.slots() / d.Accounts
+			var clients []client
+			for account := range d.Accounts {
+				clients = append(clients, usual(account, 3*fair*int(weight(account))))
+			}
+			return orders(d, clients)
+		},
+	}
+}
--- a/experiment/measure.go
+++ b/experiment/measure.go
@@ -6,6 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"nutmeglock.example/nutmeglock/fairness"
 	"nutmeglock.example/nutmeglock/refusal"
 )
 
@@ -42,7 +43,7 @@
 	strictBusy, strictRoom float64
 	samples, queuedSamples int
 	// gap counts from settleTime on, later from laterTime on.
-	gap, later gap
+	gap, later *fairness.Gap
 	requests   int
 }
 
@@ -85,8 +86,8 @@
 			queue: newHistogram(), residence: newHistogram(),
 		})
 	}
-	x.gap = newGap(m.deployment.Accounts)
-	x.later = newGap(m.deployment.Accounts)
+	x.gap = fairness.New(m.deployment.Accounts)
+	x.later = fairness.New(m.deployment.Accounts)
 	return x
 }
 
@@ -211,10 +212,11 @@
 		for _, r := range a.running {
 			services[i] += x.soFar(r)
 		}
+		services[i] /= float64(x.model.weight(i))
 	}
-	x.gap.sample(services, backlogged)
+	x.gap.Sample(services, backlogged)
 	if x.model.clock.elapsed >= laterTime {
-		x.later.sample(services, backlogged)
+		x.later.Sample(services, backlogged)
 	}
 }
 
@@ -227,47 +229,6 @@
 	return r.job.cost(r.engine.steps)
 }
 
-// gap finds the largest difference in service between two accounts over any
-// interval in which both had work waiting throughout. Over such a span the
-// difference of their services moves within a range, and its width is the
-// largest difference that any interval inside the span has.
-type gap struct {
-	accounts int
-	pairs    []pair
-	widest   float64
-	a, b     int
-}
-
-type pair struct {
-	together    bool
-	least, most float64
-}
-
-func newGap(accounts int) gap {
-	return gap{accounts: accounts, pairs: make([]pair, accounts*accounts)}
-}
-
-func (g *gap) sample(services []float64, backlogged []bool) {
-	for i := range g.accounts {
-		for j := i + 1; j < g.accounts; j++ {
-			p := &g.pairs[i*g.accounts+j]
-			if !backlogged[i] || !backlogged[j] {
-				p.together = false
-				continue
-			}
-			difference := services[i] - services[j]
-			if !p.together {
-				*p = pair{true, difference, difference}
-			}
-			p.least = min(p.least, difference)
-			p.most = max(p.most, difference)
-			if width := p.most - p.least; width > g.widest {
-				g.widest, g.a, g.b = width, i, j
-			}
-		}
-	}
-}
-
 // control counts control traffic.
 type control struct {
 	messages int
--- a/experiment/model.go
+++ b/experiment/model.go
@@ -40,6 +40,7 @@
 type model struct {
 	deployment  Deployment
 	policy      Policy
+	weight      func(account int) uint32
 	admission   admission.Policy
 	clock       clock
 	random      *rand.Rand
@@ -55,8 +56,12 @@
 	control     control
 }
 
-func newModel(d Deployment, p Policy, seed uint64) *model {
+func newModel(d Deployment, p Policy, weight func(account int) uint32, seed uint64) *model {
+	if weight == nil {
+		weight = func(int) uint32 { return 1 }
+	}
 	m := &model{
+		weight:     weight,
 		deployment: d, policy: p, admission: admission.Bounded{},
 		random:   rand.New(rand.NewPCG(seed, uint64(d.Routers))),
 		rankings: make(map[queueKey][]int), keepers: make(map[queueKey]int),
--- a/experiment/page.go
+++ b/experiment/page.go
@@ -30,7 +30,7 @@
 	p.line("Made by `nutmeglock experiment`: %.0f s of virtual time a run, seeds %s, figures from after 10 s of start.", r.Duration, joined(r.Seeds))
 	p.line("They say what the decisions do in a model (package experiment), not what routers do on a network.")
 	p.line("")
-	p.line("- **Gap**: the largest difference in weighted tokens between two accounts over any interval in which both had work waiting, as a multiple of the largest request's cost; *later* counts intervals after 30 s only.")
+	p.line("- **Gap**: the largest difference in weighted tokens, over weight, between two accounts over any interval in which both had work waiting, as a multiple of the largest request's cost; *later* counts intervals after 30 s only.")
 	p.line("- **Utilisation**: the used part of the model upstreams' batches while a request had waited for over 10 ms; *queued* is the part of the time in which one had.")
 	p.line("- **Control**: bytes per second and router, each counted once at its sender: messages, a TCP and IP header for each, and load reports over HTTP.")
 	p.line("- Several seeds: mean / worst.")
--- a/experiment/replay.go
+++ b/experiment/replay.go
@@ -44,7 +44,7 @@
 	m := newModel(Deployment{
 		Name: f.Name, Routers: f.Routers, Models: f.Models, Plain: f.Plain,
 		Accounts: len(accounts), Delay: time.Duration(f.DelayMicroseconds) * time.Microsecond,
-	}, policy, 0)
+	}, policy, nil, 0)
 	m.begin()
 	m.measure.begin()
 	var last time.Duration
--- a/experiment/router.go
+++ b/experiment/router.go
@@ -73,6 +73,7 @@
 	}
 	r.slots = dispatcher.New(dispatcher.Options[share.Order[fleet.Number], inflight.Limiter, placement.Policy]{
 		Order: m.policy.order, Limiter: m.policy.limiter, Placement: m.policy.placement,
+		Weight: func(account fleet.Number) uint32 { return m.weight(int(account)) },
 		Warmup: !m.policy.static, Nonce: uint16(index),
 	})
 	for range m.ids {
