--- a/share/share_test.go
+++ b/share/share_test.go
@@ -372,3 +372,22 @@
 	fair.Reports(0)
 	require.Equal(t, fleet.Tokens(500), fair.Service("long"))
 }
+
+// BenchmarkReports is one exchange in which a tenth of the accounts changed.
+func BenchmarkReports(b *testing.B) {
+	for _, accounts := range []int{16, 360, 3600, 36000} {
+		b.Run(fmt.Sprint(accounts), func(b *testing.B) {
+			var fair share.Fair[int]
+			for i := range accounts {
+				fair.Wait(i, share.Waiting{Weight: 1, Requests: 1 << 30})
+			}
+			b.ResetTimer()
+			for range b.N {
+				for i := 0; i < accounts; i += 10 {
+					fair.Correct(i, 1)
+				}
+				fair.Reports(0)
+			}
+		})
+	}
+}
