--- a/command/measure.go
+++ b/command/measure.go
@@ -23,6 +23,7 @@
 			&cli.IntFlag{Name: "routers", Usage: "number of routers (default 6)"},
 			&cli.IntFlag{Name: "engines", Usage: "number of engines (default 10)"},
 			&cli.DurationFlag{Name: "duration", Usage: "measured time of one run (default 8s)"},
+			&cli.DurationFlag{Name: "warmup", Usage: "time before the measured time of a run (default 3s)"},
 			&cli.StringSliceFlag{Name: "load", Usage: "play only this load; may be repeated"},
 			&cli.StringSliceFlag{Name: "policy", Usage: "play only this policy; may be repeated"},
 			&cli.StringFlag{Name: "json", Usage: "write the report as JSON to `FILE`, - for standard output"},
@@ -39,6 +40,7 @@
 	defer cancel()
 	options := live.Options{
 		Routers: c.Int("routers"), Engines: c.Int("engines"), Duration: c.Duration("duration"),
+		Warmup:   c.Duration("warmup"),
 		Policies: c.StringSlice("policy"),
 	}
 	for _, name := range c.StringSlice("load") {
--- a/live/live.go
+++ b/live/live.go
@@ -81,17 +81,19 @@
 
 // Result is one load under one policy. Times are real milliseconds.
 type Result struct {
-	Load           string           `json:"load"`
-	Policy         string           `json:"policy"`
-	Gap            float64          `json:"gap-tokens"`
-	GapMultiple    float64          `json:"gap-multiple"`
-	LargestRequest float64          `json:"largest-request-tokens"`
-	Utilisation    float64          `json:"utilisation"`
-	FirstByteP50   float64          `json:"first-byte-ms-p50"`
-	FirstByteP99   float64          `json:"first-byte-ms-p99"`
-	SmallP99       float64          `json:"small-account-first-byte-ms-p99"`
-	TokensASecond  float64          `json:"tokens-per-second"`
-	Answers        map[string]int64 `json:"answers"`
+	Load        string  `json:"load"`
+	Policy      string  `json:"policy"`
+	Gap         float64 `json:"gap-tokens"`
+	GapMultiple float64 `json:"gap-multiple"`
+	// LaterGapMultiple is that of intervals in the second half of the run.
+	LaterGapMultiple float64          `json:"later-gap-multiple"`
+	LargestRequest   float64          `json:"largest-request-tokens"`
+	Utilisation      float64          `json:"utilisation"`
+	FirstByteP50     float64          `json:"first-byte-ms-p50"`
+	FirstByteP99     float64          `json:"first-byte-ms-p99"`
+	SmallP99         float64          `json:"small-account-first-byte-ms-p99"`
+	TokensASecond    float64          `json:"tokens-per-second"`
+	Answers          map[string]int64 `json:"answers"`
 	// Control is bytes sent a second and router, by other side.
 	Control map[string]float64 `json:"control-bytes-per-second-per-router"`
 	// ControlPerRequest is bytes sent to peers for each answered request.
--- a/live/measure.go
+++ b/live/measure.go
@@ -36,6 +36,7 @@
 	waiting   []map[*request]bool
 	largest   float64
 	gap       *fairness.Gap
+	later     *fairness.Gap
 	used      float64
 	samples   int
 	tokens    int
@@ -61,6 +62,7 @@
 		services: make([]float64, accounts),
 		waiting:  make([]map[*request]bool, accounts),
 		gap:      fairness.New(accounts),
+		later:    fairness.New(accounts),
 		answers:  make(map[string]int64),
 		first:    newHistogram(), small: newHistogram(),
 	}
@@ -145,11 +147,12 @@
 	m.mu.Lock()
 	m.measuring = true
 	m.mu.Unlock()
-	for end := time.Now().Add(m.options.Duration); time.Now().Before(end); {
+	begun := time.Now()
+	for time.Since(begun) < m.options.Duration {
 		if err := sleep(ctx, sampleInterval); err != nil {
 			return err
 		}
-		m.sample()
+		m.sample(time.Since(begun) > m.options.Duration/2)
 	}
 	m.mu.Lock()
 	m.measuring = false
@@ -171,7 +174,7 @@
 	}
 }
 
-func (m *measure) sample() {
+func (m *measure) sample(later bool) {
 	running := m.fleet.Running()
 	now := time.Now()
 	m.mu.Lock()
@@ -187,6 +190,9 @@
 		}
 	}
 	m.gap.Sample(m.services, backlogged)
+	if later {
+		m.later.Sample(m.services, backlogged)
+	}
 	if waits {
 		m.samples++
 		m.used += float64(running) / float64(m.options.Engines*m.options.Batch)
@@ -238,9 +244,10 @@
 	seconds := m.options.Duration.Seconds()
 	r := Result{
 		Load: load, Policy: policy, Gap: m.gap.Widest(), LargestRequest: m.largest,
-		GapMultiple:  m.gap.Widest() / max(m.largest, 1),
-		Utilisation:  m.used / float64(max(m.samples, 1)),
-		FirstByteP50: milliseconds(m.first, 50), FirstByteP99: milliseconds(m.first, 99),
+		GapMultiple:      m.gap.Widest() / max(m.largest, 1),
+		LaterGapMultiple: m.later.Widest() / max(m.largest, 1),
+		Utilisation:      m.used / float64(max(m.samples, 1)),
+		FirstByteP50:     milliseconds(m.first, 50), FirstByteP99: milliseconds(m.first, 99),
 		SmallP99:      milliseconds(m.small, 99),
 		TokensASecond: float64(m.tokens) / seconds,
 		Answers:       m.answers, Control: make(map[string]float64),
--- a/live/page.go
+++ b/live/page.go
@@ -21,7 +21,7 @@
 		return eris.Wrap(err, "writing the page")
 	}
 	for _, result := range r.Results {
-		if _, err := fmt.Fprintf(w, pageRow, result.Load, result.Policy, result.Gap, result.GapMultiple,
+		if _, err := fmt.Fprintf(w, pageRow, result.Load, result.Policy, result.Gap, result.GapMultiple, result.LaterGapMultiple,
 			result.Utilisation, result.FirstByteP50, result.FirstByteP99, result.SmallP99, result.TokensASecond,
 			result.Control["peer"], result.Control["upstream"], result.Control["platform"],
 			result.ControlPerRequest, result.answers()); err != nil {
@@ -40,11 +40,11 @@
 work waiting, and as a multiple of the largest request's cost. Utilisation is the used part of the batches
 while a request had waited for over 10 ms. Control is bytes sent a second and router.
 
-| load | policy | gap, tokens | × largest | utilisation | first byte p50, ms | p99, ms | account 1 p99, ms | tokens/s | to peers, B/s | to upstreams, B/s | to platform, B/s | peer B/request | answers |
-|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
+| load | policy | gap, tokens | × largest | second half × | utilisation | first byte p50, ms | p99, ms | account 1 p99, ms | tokens/s | to peers, B/s | to upstreams, B/s | to platform, B/s | peer B/request | answers |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
 `
 
-const pageRow = "| %s | %s | %.0f | %.2f | %.3f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %s |\n"
+const pageRow = "| %s | %s | %.0f | %.2f | %.2f | %.3f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %s |\n"
 
 func (r Result) answers() string {
 	text, err := json.Marshal(r.Answers)
