scheduler: rankings kept per queue, idle dispatchers announced to eight routers a second

At fourteen routers 8 of 80 slots idled for seconds while work waited: the pauses had grown to 5 s before the work came. Now at most a second, and without the announcement the test fails.

--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -55,7 +55,7 @@
 	if head := e.line.Head(q.key); head != nil {
 		preferred = head.Value().preferred
 	}
-	ranked := s.assigned.ranked(q.key.service, q.key.account, preferred)
+	ranked := s.assigned.ranked(q, preferred)
 	ranked = slices.DeleteFunc(ranked, func(router fleet.RouterID) bool { return !s.reaches(router) })
 	inFlight, limit := s.slots.Busy(now, q.key.service)
 	spare := e.rate >= busyRate && inFlight < limit
--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -1,8 +1,8 @@
 package scheduler
 
 import (
-	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -180,65 +180,6 @@
 	return ids
 }
 
-// ranked returns the dispatchers of a service in the order in which an account
-// asks them. Those of the preferred upstreams come first; the rest are ranked
-// by upstream, so that accounts spread in proportion to upstreams.
-func (a *assignment) ranked(service, account fleet.Number, preferred []fleet.Number) []fleet.RouterID {
-	targets := slices.Clone(a.byService[service])
-	score := func(t target) uint64 {
-		key := rendezvous.KeyOfNumber("ask", uint64(account)<<32|uint64(t.upstream))
-		return uint64(key)
-	}
-	place := func(t target) int {
-		if i := slices.Index(preferred, t.upstream); i >= 0 {
-			return i
-		}
-		return len(preferred)
-	}
-	slices.SortFunc(targets, func(x, y target) int {
-		if byPlace := cmp.Compare(place(x), place(y)); byPlace != 0 {
-			return byPlace
-		}
-		return cmp.Compare(score(y), score(x))
-	})
-	var routers []fleet.RouterID
-	for _, t := range targets {
-		if !slices.Contains(routers, t.router) {
-			routers = append(routers, t.router)
-		}
-	}
-	return routers
-}
-
-// preferredFor returns the upstreams that requests with the same beginning of
-// the prompt go to, so that they find it in the cache. Every router computes
-// the same ones, so no message is needed. Two share a popular beginning.
-func (a *assignment) preferredFor(service fleet.Number, prefix []uint64) []fleet.Number {
-	const copies = 2
-	if len(prefix) == 0 {
-		return nil
-	}
-	type scored struct {
-		upstream fleet.Number
-		score    rendezvous.Key
-	}
-	var all []scored
-	for _, t := range a.byService[service] {
-		all = append(all, scored{t.upstream, rendezvous.KeyOfNumber("prefix", prefix[0]^uint64(dispatcherKey(t.upstream)))})
-	}
-	slices.SortFunc(all, func(x, y scored) int { return cmp.Compare(y.score, x.score) })
-	var preferred []fleet.Number
-	for _, each := range all[:min(copies, len(all))] {
-		preferred = append(preferred, each.upstream)
-	}
-	return preferred
-}
-
-// serves reports whether an upstream takes new work of a service.
-func (a *assignment) serves(service, upstream fleet.Number) bool {
-	return slices.ContainsFunc(a.byService[service], func(t target) bool { return t.upstream == upstream })
-}
-
 // keeperOf returns the router that sums an account's use of a service.
 func (a *assignment) keeperOf(service, account fleet.Number) fleet.RouterID {
 	return rendezvous.Pick(rendezvous.KeyOfNumber("keeper", uint64(service)<<32|uint64(account)), a.live)
@@ -247,6 +188,6 @@
 func nonceOf(self fleet.RouterID, incarnation fleet.Incarnation) uint16 {
 	digest := xxhash.New()
 	_, _ = digest.WriteString(string(self))
-	_, _ = digest.WriteString(time.UnixMilli(int64(incarnation)).String())
+	_, _ = digest.WriteString(strconv.FormatInt(int64(incarnation), 10))
 	return uint16(digest.Sum64())
 }
--- a/scheduler/free.go
+++ b/scheduler/free.go
@@ -12,74 +12,70 @@
 // dispatchers only; without the announcement a slot at another would stay idle
 // while that work waits.
 type freeAnnouncer struct {
-	services map[fleet.Number]*announcement
-}
-
-type announcement struct {
-	slots int
+	// idle are the services with idle slots that nobody asks for.
+	idle  map[fleet.Number]bool
 	next  time.Time
 	pause time.Duration
 }
 
-// Pace of announcements of one service.
+// Pace of announcements.
 const (
 	// firstPause is after the first announcement of idle slots, a few round trips.
 	firstPause = 20 * time.Millisecond
 	// longestPause is reached when nobody asks, as while the whole fleet has
 	// room. It bounds how long work that was asked at mostAsked dispatchers in
-	// vain waits beside an idle slot.
-	longestPause = 5 * time.Second
+	// vain waits beside an idle slot. One service costs 70 bytes a second then.
+	longestPause = time.Second
+	// sparedServices is the number of services from which the longest pause
+	// grows in proportion.
+	sparedServices = 4
 	// announceTo is how many routers are told at once, chosen at random.
-	announceTo = 5
+	announceTo = 8
 )
 
 func newFreeAnnouncer() freeAnnouncer {
-	return freeAnnouncer{services: make(map[fleet.Number]*announcement)}
-}
-
-// asked takes note that somebody asks for a service: the next idle slots are
-// announced without delay.
-func (f *freeAnnouncer) asked(service fleet.Number) {
-	if a := f.services[service]; a != nil {
-		a.pause = firstPause
-	}
+	return freeAnnouncer{idle: make(map[fleet.Number]bool), pause: firstPause}
 }
 
 func (f *freeAnnouncer) tick(s *Scheduler, now time.Time) {
-	others := s.connected()
-	if s.sharing == StaticShare || len(others) < mostAsked {
+	if s.sharing == StaticShare || len(s.routers) < mostAsked {
 		// Work that waits is asked at every dispatcher as it is.
 		return
 	}
-	idle := s.slots.Idle(now)
-	for service, a := range f.services {
-		if idle[service] == 0 {
-			a.slots = 0
-			a.pause = firstPause
+	counts := s.slots.Idle(now)
+	for service := range counts {
+		if s.slots.Unmet(service) {
+			delete(counts, service)
 		}
 	}
-	for service, count := range idle {
-		a := f.services[service]
-		if a == nil {
-			a = &announcement{pause: firstPause}
-			f.services[service] = a
+	for service := range f.idle {
+		if counts[service] == 0 {
+			delete(f.idle, service)
 		}
-		a.slots = count
-		if s.slots.Unmet(service) || now.Before(a.next) {
-			continue
+	}
+	for service := range counts {
+		if !f.idle[service] {
+			f.idle[service] = true
+			f.pause, f.next = firstPause, now
 		}
-		announce(s, others, service, count)
-		a.next = now.Add(a.pause)
-		a.pause = min(2*a.pause, longestPause)
 	}
+	if len(counts) == 0 || now.Before(f.next) {
+		return
+	}
+	announce(s, counts)
+	f.next = now.Add(f.pause)
+	f.pause = min(2*f.pause, longestPause*time.Duration(1+len(counts)/sparedServices))
 }
 
-func announce(s *Scheduler, others []fleet.RouterID, service fleet.Number, count int) {
+func announce(s *Scheduler, counts map[fleet.Number]int) {
+	others := s.connected()
 	for i, at := range rand.Perm(len(others)) {
 		if i >= announceTo {
 			return
 		}
 		out := s.outbox.to(others[at])
-		out.Free = append(out.Free, &schema.Free{Service: uint32(service), Slots: clampUint32(count)})
+		for service, count := range counts {
+			out.Free = append(out.Free, &schema.Free{Service: uint32(service), Slots: clampUint32(count)})
+		}
 	}
 }
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -111,7 +111,6 @@
 	}
 	for _, message := range batch.GetAsks() {
 		s.slots.Ask(now, from, dispatcher.GrantIDOf(r.seen, s.nonce(s.self)), message)
-		s.free.asked(fleet.Number(message.GetService()))
 	}
 	for _, message := range batch.GetGrants() {
 		s.entry.granted(s, now, from, message)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -20,6 +20,7 @@
 	asked map[fleet.RouterID]int
 	// targets are the dispatchers that are asked, in that order.
 	targets []fleet.RouterID
+	ranking ranking
 	drain   admission.Drain
 	used    time.Time
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -112,3 +112,22 @@
 		require.Equal(t, refusal.NoUpstream, refused.Reason)
 	})
 }
+
+// The work of one router is asked at eight dispatchers of fourteen. The others
+// have idle slots and nobody asks them; if they did not say so, a third of the
+// capacity would idle while work waits.
+func TestIdleDispatchersAnnounceThemselves(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, viewOf(1, 40, 2))
+		ids := f.startAll(14)
+		defer f.stopAll()
+		f.load(ids[3], "account-0", 160, time.Second)
+		time.Sleep(8 * time.Second)
+		for range 20 {
+			time.Sleep(487 * time.Millisecond)
+			require.GreaterOrEqual(t, f.ups.total(), 78)
+		}
+		f.atMost(2)
+	})
+}
