--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -4,38 +4,11 @@
 	"slices"
 	"time"
 
+	"nutmeglock.example/nutmeglock/fanout"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// mostAsked bounds the dispatchers that a queue asks. Beyond them, dispatchers
-// with idle slots announce themselves.
-const mostAsked = 8
-
-// fanOut returns how many dispatchers are asked for requests of which the
-// oldest has waited for so long. One is enough while the fleet has room, and
-// each further one costs messages. More are asked so that no slot idles and
-// the next slot that falls free is found: at once for a burst, whose asks
-// stand for many requests each, step by step for single ones. Beside a flood
-// at six routers a single request waits half a second at most so, and a second
-// or more when the fourth is asked after a second only; asking all after 10 ms
-// is no better and takes a fifth more control bytes.
-func fanOut(waiting int, waited time.Duration) int {
-	switch {
-	case waited < 10*time.Millisecond:
-		return 1
-	case waiting >= 8 || waited >= 400*time.Millisecond:
-		return mostAsked
-	case waited >= 200*time.Millisecond:
-		return 6
-	case waiting >= 4 || waited >= 100*time.Millisecond:
-		return 4
-	case waiting >= 2 || waited >= 50*time.Millisecond:
-		return 3
-	}
-	return 2
-}
-
 const (
 	// busyRate is the requests per second from which messages are spared: at
 	// 50 bytes each they would take the whole control allowance of 3 KB/s.
@@ -133,7 +106,7 @@
 		if head == nil {
 			continue
 		}
-		wanted := fanOut(e.line.Len(q.key), now.Sub(head.Since()))
+		wanted := fanout.Of(e.line.Len(q.key), now.Sub(head.Since()))
 		if len(q.targets) >= min(wanted, len(s.assigned.live)) {
 			continue
 		}
--- a/scheduler/free.go
+++ b/scheduler/free.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"nutmeglock.example/nutmeglock/fanout"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -23,7 +24,7 @@
 	// firstPause is after the first announcement of idle slots, a few round trips.
 	firstPause = 20 * time.Millisecond
 	// longestPause is reached when nobody asks, as while the whole fleet has
-	// room. It bounds how long work that was asked at mostAsked dispatchers in
+	// room. It bounds how long work that was asked at fanout.Most dispatchers in
 	// vain waits beside an idle slot. One service costs 70 bytes a second then.
 	longestPause = time.Second
 	// sparedServices is the number of services from which the longest pause
@@ -38,7 +39,7 @@
 }
 
 func (f *freeAnnouncer) tick(s *Scheduler, now time.Time) {
-	if s.sharing == StaticShare || len(s.routers) < mostAsked {
+	if s.sharing == StaticShare || len(s.routers) < fanout.Most {
 		// Work that waits is asked at every dispatcher as it is.
 		return
 	}
