--- a/dispatcher/settle.go
+++ b/dispatcher/settle.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"nutmeglock.example/nutmeglock/dispatch"
@@ -260,3 +261,16 @@
 		s.order.Forget(account)
 	}
 }
+
+// Draining returns the upstreams of this dispatcher that said that they take
+// no new work, in order.
+func (d *Dispatcher[O, L, P]) Draining() []fleet.Number {
+	var draining []fleet.Number
+	for number, u := range d.upstreams {
+		if !u.draining.IsZero() {
+			draining = append(draining, number)
+		}
+	}
+	slices.Sort(draining)
+	return draining
+}
--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -52,6 +52,7 @@
 	s.forgetWithdrawn(view)
 	s.view = view
 	s.assigned = s.assign(view, live, before)
+	s.drains.forget(func(upstream fleet.Number, by fleet.RouterID) bool { return s.assigned.dispatchers[upstream] != by })
 	s.own(now)
 	s.announceMoved(before)
 	s.exchange.reassign(s)
@@ -94,7 +95,7 @@
 			router = pick(number)
 		}
 		a.dispatchers[number] = router
-		if !s.departs(u) {
+		if !s.departs(u) && !s.drainsAt(number, router) {
 			service := a.services[fleet.ServiceID(u.GetService())]
 			a.byService[service] = append(a.byService[service], target{number, router})
 		}
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -50,6 +50,7 @@
 	out.Asks = s.entry.asksFor(s, now, to)
 	out.Held = s.entry.heldFor(s, to)
 	out.Leaving = s.stopping || s.view == nil
+	out.Draining, out.Working = without(s.drains.told, nil), nil
 	s.outbox.urgent(to)
 }
 
@@ -94,6 +95,10 @@
 
 func (s *Scheduler) take(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
 	r.seen = max(r.seen, batch.GetGrantedThrough())
+	if s.drains.take(from, batch) {
+		s.stale = true
+		s.refresh(now)
+	}
 	ids := heldIDs(batch)
 	if batch.GetComplete() && r.fresh {
 		s.slots.Connected(now, from, ids, r.restarted)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -112,6 +112,7 @@
 	Forget(account fleet.Number)
 	Idle(now time.Time) map[fleet.Number]int
 	Busy(now time.Time, service fleet.Number) (inFlight, limit int)
+	Draining() []fleet.Number
 	Unmet(service fleet.Number) bool
 	InFlight(upstream fleet.Number) (int, bool)
 	Limit(now time.Time, upstream fleet.Number) int
@@ -149,6 +150,7 @@
 	exchange exchange
 	poller   *poller
 	free     freeAnnouncer
+	drains   drains
 	view     *note.View
 	// departing are the upstreams that the platform's list shows as leaving.
 	departing map[fleet.UpstreamID]bool
@@ -189,6 +191,7 @@
 	s.exchange = newExchange()
 	s.poller = newPoller(s)
 	s.free = newFreeAnnouncer()
+	s.drains = newDrains()
 	if s.peers != nil {
 		s.peers.OnBatch(func(from fleet.RouterID, batch *schema.Batch) {
 			s.loop.Post(func() { s.receive(from, batch) })
@@ -303,6 +306,7 @@
 	s.entry.expire(s, now)
 	s.entry.widen(s, now)
 	s.free.tick(s, now)
+	s.drains.tell(s)
 	s.poller.tick(now)
 }
 
