operator: a repeated publish overwrites nothing unseen

A note without based-on was compared only with what was accepted during one call. Its repeat at the next router, after the first was lost on the way, could overwrite another operator's change made in between. The command now names the version in force when it began. TestARepeatOverwritesNothing failed without the header (the note was accepted).

--- a/command/note.go
+++ b/command/note.go
@@ -12,6 +12,7 @@
 
 	"github.com/urfave/cli/v3"
 	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/document"
 	"nutmeglock.example/nutmeglock/fleet"
@@ -102,14 +103,21 @@
 	if c.Bool(jsonFlag) {
 		return sayJSON(c, answer)
 	}
-	if answer.GetAlready() {
-		say(c, fmt.Sprintf("%s was accepted before, as version %d; it was not published again", file, answer.GetVersion()))
-		return nil
-	}
-	say(c, fmt.Sprintf("%s is accepted as version %d", file, answer.GetVersion()))
+	say(c, file+published(answer, c.String(publishIDFlag) != ""))
 	return nil
 }
 
+// published returns what became of a publish.
+func published(answer *schema.PublishAnswer, repeated bool) string {
+	switch {
+	case answer.GetAlready() && repeated:
+		return fmt.Sprintf(" was accepted before, as version %d; it was not published again", answer.GetVersion())
+	case answer.GetAlready():
+		return fmt.Sprintf(" is accepted as version %d; a reply was lost on the way, and it was published once", answer.GetVersion())
+	}
+	return fmt.Sprintf(" is accepted as version %d", answer.GetVersion())
+}
+
 func checkNote(ctx context.Context, c *cli.Command) error {
 	file, data, err := readNoteFile(c)
 	if err != nil {
@@ -150,11 +158,17 @@
 // noteText returns a record with its note as a document, which can be edited
 // and published again.
 func noteText(record *schema.NoteRecord) string {
-	text, err := indent(protojson.MarshalOptions{}, record.GetNote()) // Without the fields that it leaves out.
+	n := proto.CloneOf(record.GetNote())
+	basis := ""
+	if n.GetBasedOn() > 0 {
+		basis = fmt.Sprintf(", based on version %d", n.GetBasedOn())
+	}
+	n.BasedOn = 0                                      // What is published again is compared with what is in force then.
+	text, err := indent(protojson.MarshalOptions{}, n) // Without the fields that it leaves out.
 	if err != nil {
 		return err.Error()
 	}
-	return fmt.Sprintf("// Version %d, by %s, accepted %s\n%s", record.GetVersion(), record.GetAuthor(), accepted(record), text)
+	return fmt.Sprintf("// Version %d, by %s, accepted %s%s\n%s", record.GetVersion(), record.GetAuthor(), accepted(record), basis, text)
 }
 
 func accepted(record *schema.NoteRecord) string {
--- a/document/document.go
+++ b/document/document.go
@@ -58,7 +58,7 @@
 	var none M
 	message, _ := none.ProtoReflect().New().Interface().(M)
 	d := &Document[M]{Message: message, File: file, positions: map[string]Position{}}
-	r := &reader{data: data, positions: d.positions, add: d.add}
+	r := &reader{data: data, positions: d.positions, add: d.add, full: func() bool { return len(d.faults) == MaxFaults }}
 	r.read(d.Message.ProtoReflect())
 	return d
 }
--- a/document/reader.go
+++ b/document/reader.go
@@ -16,6 +16,8 @@
 	data      []byte
 	positions map[string]Position
 	add       func(Fault)
+	// full reports whether further faults are only counted.
+	full func() bool
 
 	lastOffset int
 	lastLine   int
@@ -65,6 +67,10 @@
 }
 
 func (r *reader) unknown(path string, name hujson.Value, message protoreflect.MessageDescriptor) {
+	if r.full() { // A suggestion that nobody sees costs as much as one that helps.
+		r.add(Fault{})
+		return
+	}
 	allowed := "one of " + strings.Join(fieldNames(message), ", ")
 	literal, _ := name.Value.(hujson.Literal)
 	if nearest := nearestField(message, literal.String()); nearest != "" {
--- a/note/check.go
+++ b/note/check.go
@@ -98,8 +98,14 @@
 type checker struct {
 	d             *Document
 	before, after *stateIndex
+	suggested     int
 }
 
+// maxSuggested bounds how many faults get a suggestion. Each compares an id
+// with those of up to 36,000 accounts, about 20 ms, so that a note with
+// thousands of wrong ids would keep a core of the router busy for minutes.
+const maxSuggested = 10
+
 func (c *checker) base(version uint64) {
 	n := c.d.Message
 	if n.GetBasedOn() > version {
@@ -143,6 +149,10 @@
 
 // suggest returns a hint with an existing id that differs by little.
 func (c *checker) suggest(e Entry) string {
+	if c.suggested == maxSuggested {
+		return ""
+	}
+	c.suggested++
 	var ids []string
 	for other := range c.before.entries {
 		if other.Kind == e.Kind {
--- a/note/fetch.go
+++ b/note/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -113,31 +114,49 @@
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, eris.Wrap(err, "note.snapshot")
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if err := h.encodeParts(request.message.GetVersion()); err != nil {
+	parts, fresh, err := h.encodeParts(request.message.GetVersion())
+	if err != nil {
 		return nil, err
 	}
-	part := &schema.SnapshotPart{Version: h.parts.version, Size: uint64(len(h.parts.data))}
+	if fresh {
+		h.timer.After(partsKept, func(time.Time) { h.dropParts(parts.version) })
+	}
+	part := &schema.SnapshotPart{Version: parts.version, Size: uint64(len(parts.data))}
 	if offset := request.message.GetOffset(); offset < part.GetSize() {
-		part.Data = h.parts.data[offset:min(offset+partBytes, part.GetSize())]
+		part.Data = parts.data[offset:min(offset+partBytes, part.GetSize())]
 	}
 	return envelope[*schema.SnapshotPart]{part}, nil
 }
 
-// encodeParts encodes the state in force for a new reader. One who is in the
-// middle of an earlier version goes on with that, unless a new reader came.
-func (h *Holder) encodeParts(version uint64) error {
+// encodeParts returns the encoded state for a reader, and whether it was
+// encoded now. A reader who is in the middle of an earlier version goes on with
+// that, unless a new reader came.
+func (h *Holder) encodeParts(version uint64) (snapshotParts, bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	state := h.state()
 	if (version != 0 && version == h.parts.version) || h.parts.version == state.GetVersion() {
-		return nil
+		return h.parts, false, nil
 	}
 	data, err := proto.Marshal(state)
 	if err != nil {
-		return eris.Wrap(err, "encode the fleet state")
+		return snapshotParts{}, false, eris.Wrap(err, "encode the fleet state")
 	}
 	h.parts = snapshotParts{version: state.GetVersion(), data: data}
-	return nil
+	return h.parts, true, nil
+}
+
+// partsKept is how long an encoded state, of up to 7 MB, stays in memory for
+// peers that read it: long enough for any of them, and short beside the time
+// between restarts. One who is later begins anew.
+const partsKept = time.Minute
+
+func (h *Holder) dropParts(version uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.parts.version == version {
+		h.parts = snapshotParts{}
+	}
 }
 
 // maxSnapshotBytes bounds what is taken from a peer: nine times the 7 MB of 36,000 accounts.
--- a/note/fleet_test.go
+++ b/note/fleet_test.go
@@ -48,7 +48,7 @@
 	one.table = &racing{Table: r.platform}
 	one.store = note.NewStore(one.table, r.platform)
 	one.holder = note.NewHolder(note.HolderOptions{
-		Self: one.id, Store: one.store, Peers: peers{r, one.id}, Timer: advancing{r.clock},
+		Self: one.id, Store: one.store, Peers: peers{r, one.id}, Timer: r.clock,
 		Announce: func(to []fleet.RouterID, version fleet.Version) { r.announce(one.id, to, version) },
 		Log:      slog.New(slog.DiscardHandler),
 	})
--- a/note/holder_test.go
+++ b/note/holder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -289,3 +290,23 @@
 	r.all[0].holder.Heard("r1", 2)
 	require.Error(t, r.all[0].holder.FollowHeard(t.Context()))
 }
+
+// Whatever a peer of another version, or a broken one, sends as parameters, the
+// methods answer or fail, and the router stays as it was.
+func FuzzMethods(f *testing.F) {
+	for _, seed := range []string{`{}`, `{"after":"1"}`, `{"version":"1","offset":"131072"}`, `{"offset":"18446744073709551615"}`, `[]`, `null`, `"`} {
+		f.Add([]byte(seed))
+	}
+	r := newRouters(1)
+	_, err := r.all[0].publisher.Publish(f.Context(), addAccount("a"), "aino", note.NewPublishID())
+	require.NoError(f, err)
+	f.Fuzz(func(t *testing.T, params []byte) {
+		for _, method := range r.all[0].holder.Methods() {
+			if answer, err := method(t.Context(), params); err == nil {
+				_, err = json.Marshal(answer)
+				require.NoError(t, err)
+			}
+		}
+		require.Equal(t, fleet.Version(1), r.all[0].holder.Version())
+	})
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -76,11 +76,16 @@
 // when that could not be found out; a later Publish with the same id finds out.
 func (c *Client) Publish(ctx context.Context, data []byte, id note.PublishID) (*schema.PublishAnswer, error) {
 	answer := &schema.PublishAnswer{}
+	header := http.Header{}
+	header.Set(PublishIDHeader, string(id))
+	if state, err := c.State(ctx); err == nil && state.GetNoteVersion() > 0 {
+		header.Set(BasedOnHeader, strconv.FormatUint(state.GetNoteVersion(), 10))
+	}
 	var causes []error
 	unsettled := false
 	for range publishRounds {
 		for _, base := range c.urls {
-			err := c.publishAt(ctx, base, data, id, answer)
+			err := c.publishAt(ctx, base, data, header, answer)
 			if final(err, unsettled) {
 				return answer, err
 			}
@@ -100,12 +105,12 @@
 // publishRounds is how often all routers are tried when the outcome is not known.
 const publishRounds = 2
 
-func (c *Client) publishAt(ctx context.Context, base string, data []byte, id note.PublishID, answer *schema.PublishAnswer) error {
+func (c *Client) publishAt(ctx context.Context, base string, data []byte, header http.Header, answer *schema.PublishAnswer) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/notes", bytes.NewReader(data))
 	if err != nil {
 		return eris.Wrap(err, "publish")
 	}
-	request.Header.Set(PublishIDHeader, string(id))
+	request.Header = header.Clone()
 	return c.do(request, base, answer)
 }
 
@@ -198,6 +203,12 @@
 	return list, c.get(ctx, "/v1/upstreams", list)
 }
 
+// State returns the state of the first router that answers.
+func (c *Client) State(ctx context.Context) (*schema.RouterState, error) {
+	state := &schema.RouterState{}
+	return state, c.get(ctx, "/v1/state", state)
+}
+
 // Routers returns the fleet as the first router that answers sees it.
 func (c *Client) Routers(ctx context.Context) (*schema.RouterList, error) {
 	list := &schema.RouterList{}
--- a/operator/notes.go
+++ b/operator/notes.go
@@ -69,6 +69,9 @@
 	if err := d.Err(); err != nil {
 		return err
 	}
+	if err := compareFrom(c, d.Message); err != nil {
+		return err
+	}
 	// The publish goes on when the operator's command goes away, so that its
 	// outcome is settled here as far as it can be.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.Request().Context()), publishTimeout)
@@ -87,6 +90,20 @@
 	})
 }
 
+// compareFrom gives a note that names no version the one that the command
+// began with. Without it, a repeat of a publish that was lost on its way would
+// overwrite what another operator published in between.
+func compareFrom(c echo.Context, n *schema.ReleaseNote) error {
+	version, err := number(c.Request().Header.Get(BasedOnHeader), BasedOnHeader, 0, math.MaxUint64)
+	if err != nil {
+		return err
+	}
+	if n.GetBasedOn() == 0 {
+		n.BasedOn = version
+	}
+	return nil
+}
+
 func (a *api) check(c echo.Context) error {
 	d, err := readNote(c)
 	if err != nil {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -44,8 +44,13 @@
 	Log *slog.Logger
 }
 
-// PublishIDHeader names one wish to publish over all its repeats.
-const PublishIDHeader = "nutmeglock-publish-id"
+const (
+	// PublishIDHeader names one wish to publish over all its repeats.
+	PublishIDHeader = "nutmeglock-publish-id"
+	// BasedOnHeader is the version that a note is compared with when it names
+	// none itself: the one in force when the operator's command began.
+	BasedOnHeader = "nutmeglock-based-on"
+)
 
 const (
 	// publishTimeout bounds a publish. The tries of one wait 3.5 s between them at most.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -24,10 +24,12 @@
 
 const key = "the key of aino"
 
-type nothing struct{ reason string }
+type nothing struct{ holder *note.Holder }
 
-func (n nothing) Ready() string                { return n.reason }
-func (nothing) Router() *schema.RouterState    { return &schema.RouterState{Id: "r"} }
+func (nothing) Ready() string { return "" }
+func (n nothing) Router() *schema.RouterState {
+	return &schema.RouterState{Id: "r", NoteVersion: uint64(n.holder.Version())}
+}
 func (nothing) Routers() []*schema.RouterState { return []*schema.RouterState{{Id: "r"}} }
 func (nothing) AccountLoad(fleet.AccountID) *schema.AccountLoad {
 	return &schema.AccountLoad{Waiting: 3}
@@ -56,7 +58,7 @@
 		Keys: []*schema.OperatorKey{
 			{Name: "juma", KeySha256: note.HashKey("another key")}, {Name: "aino", KeySha256: note.HashKey(key)},
 		},
-		Store: store, Holder: holder, State: nothing{},
+		Store: store, Holder: holder, State: nothing{holder},
 		Publisher: note.NewPublisher(note.PublisherOptions{Store: store, Holder: holder}),
 		Registry:  f.registry,
 		Log:       slog.New(slog.DiscardHandler),
@@ -183,6 +185,32 @@
 	require.ErrorAs(t, err, &unsettled)
 }
 
+// A publish is lost before it reaches the first router; meanwhile another
+// operator changes the same account. The repeat at the next router must not
+// overwrite that change unseen, though the note names no version.
+func TestARepeatOverwritesNothing(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	_, err := operator.NewClient(key, f.url).Publish(t.Context(), account("a"), note.NewPublishID())
+	require.NoError(t, err)
+	next := f.router(t)
+	losing := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			http.Redirect(w, r, f.url+r.URL.Path, http.StatusTemporaryRedirect)
+			return
+		}
+		_, err := operator.NewClient("another key", f.url).Publish(r.Context(), weight("2"), note.NewPublishID())
+		if err != nil {
+			t.Error(err)
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	t.Cleanup(losing.Close)
+	ours := []byte(strings.Replace(string(weight("3")), `"based-on": 1,`, "", 1))
+	_, err = operator.NewClient(key, losing.URL, next).Publish(t.Context(), ours, note.NewPublishID())
+	require.Equal(t, operator.Clashing, reason(t, err).Reason())
+}
+
 func TestAnOutageIsSaidAtOnce(t *testing.T) {
 	t.Parallel()
 	f := start(t)
