--- a/experiment/entry.go
+++ b/experiment/entry.go
@@ -8,6 +8,7 @@
 	"nutmeglock.example/nutmeglock/admission"
 	"nutmeglock.example/nutmeglock/dispatcher"
 	"nutmeglock.example/nutmeglock/estimate"
+	"nutmeglock.example/nutmeglock/fanout"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/rendezvous"
@@ -21,13 +22,6 @@
 	maxWaitingTotal = 4096
 )
 
-// widenAfter is how long the oldest request waits before one more dispatcher
-// is asked: the values of package scheduler.
-var widenAfter = []time.Duration{
-	5 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond,
-	200 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond,
-}
-
 // request is one call of an account.
 type request struct {
 	account  int
@@ -203,24 +197,23 @@
 	batch.Asks = append(batch.Asks, message)
 }
 
-// widen asks one more dispatcher for queues whose oldest request waits for
-// longer than the dispatchers asked so far should have taken.
+// widen asks more dispatchers for queues whose oldest request waits for longer
+// than the dispatchers asked so far should have taken.
 func (r *router) widen() {
 	changed := false
 	for _, q := range r.queues {
-		asked := len(q.targets)
-		if q.len() == 0 || asked == 0 || asked > len(widenAfter) {
+		if q.len() == 0 || len(q.targets) == 0 {
 			continue
 		}
-		if r.model.clock.elapsed-q.oldest().arrived < widenAfter[asked-1] {
+		want := fanout.Of(q.len(), r.model.clock.elapsed-q.oldest().arrived)
+		if len(q.targets) >= want {
 			continue
 		}
 		for _, target := range r.rank(q) {
-			if !slices.Contains(q.targets, target) {
+			if len(q.targets) < want && !slices.Contains(q.targets, target) {
 				q.targets = append(q.targets, target)
 				r.sendAsk(q, target)
 				changed = true
-				break
 			}
 		}
 	}
