--- a/command/list.go
+++ b/command/list.go
@@ -97,16 +97,22 @@
 	return inquire(ctx, c, request, func(list *schema.RouterList) string {
 		return table("ROUTER\tDATA CENTRE\tADDRESS\tSTATE\tNOTE VERSION\tHEARD", func(w *tabwriter.Writer) {
 			for _, r := range list.GetRouters() {
-				heard := fmt.Sprintf("%d ms ago", r.GetHeardMsAgo())
-				if r.GetSelf() {
-					heard = "answers"
-				}
-				row(w, r.GetId(), r.GetDataCenter(), orDash(r.GetAddress()), r.GetState(), r.GetNoteVersion(), heard)
+				row(w, r.GetId(), orDash(r.GetDataCenter()), orDash(r.GetAddress()), r.GetState(), r.GetNoteVersion(), heard(r))
 			}
 		})
 	})
 }
 
+func heard(r *schema.RouterState) string {
+	switch {
+	case r.GetSelf():
+		return "answers"
+	case r.GetHeardMsAgo() == 0:
+		return orDash("")
+	}
+	return fmt.Sprintf("%d ms ago", r.GetHeardMsAgo())
+}
+
 func orDash(text string) string {
 	if text == "" {
 		return "-"
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -82,6 +82,7 @@
 		}
 		routers = append(routers, &schema.RouterState{
 			Id: string(r.ID), State: routerState(r), StartedUnixMs: int64(r.Incarnation),
+			NoteVersion: uint64(s.parts.Notes.PeerVersion(r.ID)),
 		})
 	}
 	return routers
--- a/note/holder.go
+++ b/note/holder.go
@@ -5,7 +5,9 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -53,6 +55,7 @@
 	mu     sync.Mutex
 	recent []*schema.NoteRecord
 	heard  map[fleet.RouterID]fleet.Version
+	told   map[fleet.RouterID]fleet.Version
 	random *rand.Rand
 	parts  snapshotParts
 
@@ -64,7 +67,7 @@
 	h := &Holder{
 		self: options.Self, store: options.Store, peers: options.Peers, timer: options.Timer,
 		announce: options.Announce, log: options.Log,
-		heard: map[fleet.RouterID]fleet.Version{}, wake: make(chan struct{}, 1),
+		heard: map[fleet.RouterID]fleet.Version{}, told: map[fleet.RouterID]fleet.Version{}, wake: make(chan struct{}, 1),
 	}
 	if h.peers == nil {
 		h.peers = nobody{}
@@ -189,18 +192,31 @@
 // Heard takes note of a peer that holds a version, and has Run fetch it when
 // it is higher than what is held here. It does not block.
 func (h *Holder) Heard(from fleet.RouterID, version fleet.Version) {
-	if version <= h.Version() {
-		return
-	}
+	higher := version > h.Version()
 	h.mu.Lock()
-	h.heard[from] = max(h.heard[from], version)
+	h.told[from] = version
+	if higher {
+		h.heard[from] = max(h.heard[from], version)
+	}
 	h.mu.Unlock()
+	if !higher {
+		return
+	}
 	select {
 	case h.wake <- struct{}{}:
 	default:
 	}
 }
 
+// PeerVersion returns the version that a router last announced to this one,
+// zero when it announced none. In a fleet of more than spreadAll routers it may
+// lag, because each tells only a few.
+func (h *Holder) PeerVersion(router fleet.RouterID) fleet.Version {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.told[router]
+}
+
 // nextHeard returns a peer that announced a higher version than is held, and
 // forgets its announcement and those that are of no use any more.
 func (h *Holder) nextHeard() (fleet.RouterID, bool) {
@@ -288,6 +304,7 @@
 // Refresh catches up once, from the table or, when that fails, from peers.
 // While the platform is down a router still learns so what it missed.
 func (h *Holder) Refresh(ctx context.Context) error {
+	h.forgetGone()
 	err := h.refreshFromTable(ctx)
 	if err == nil {
 		return nil
@@ -316,6 +333,17 @@
 	return nil
 }
 
+// forgetGone forgets what routers announced that are gone: of 1,300 that start
+// in a day each may have a name of its own.
+func (h *Holder) forgetGone() {
+	routers := h.peers.Routers()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.told, func(router fleet.RouterID, _ fleet.Version) bool {
+		return !slices.Contains(routers, router)
+	})
+}
+
 // peersAsked bounds how many peers are asked in turn when the table is down.
 // More is of little use: the next poll asks others.
 const peersAsked = 3
--- a/note/holder_test.go
+++ b/note/holder_test.go
@@ -287,6 +287,7 @@
 	r.quiet["r1"] = true
 	r.all[0].holder.Heard("r1", 1)
 	require.NoError(t, r.all[0].holder.FollowHeard(t.Context()))
+	require.Equal(t, fleet.Version(1), r.all[0].holder.PeerVersion("r1"))
 	r.all[0].holder.Heard("r1", 2)
 	require.Error(t, r.all[0].holder.FollowHeard(t.Context()))
 }
