Trace recording: each ended request into the settings' trace-file

The settings had trace-file and package trace had a Recorder, but nothing joined them. call.Runner now tells Observers of each ended request (call.Report), and router tells them of its own refusals where client account and service are known; a chat whose body was not read, or a request without a known key, has neither and is left out, since the trace format needs both and a replay could not play it. The former Runner.Ended, which fed the estimator alone, is the same thing and becomes an observer.

daemon/trace.go is an extension between calls and callers. The file is opened at the start, so that a path that can't be opened is an error there; the header is written with the first request, when the release note and the other routers are known. A file that fails later ends the trace and not the router; what the recorder had taken and not flushed is counted as lost (nutmeglock_trace_lost_total). A model's answer without tokens, such as an engine's 400, is not in the format and is counted as incomplete (nutmeglock_trace_incomplete_total).

Left out: the prompt's prefix, so a replay has no cache affinity, and the delay between data centres, which a router does not know.

The administration API now logs to the router's own log.

--- a/call/call_test.go
+++ b/call/call_test.go
@@ -183,19 +183,28 @@
 	}
 }
 
+// reports keeps what an observer of one request at a time is told.
+type reports []call.Report
+
+func (r *reports) Ended(report call.Report) { *r = append(*r, report) }
+
 func TestStreamIsRelayedByteForByteAndCharged(t *testing.T) {
 	t.Parallel()
 	e := newEngine(t, 10)
 	source := upstreams(e.URL)
 	w := httptest.NewRecorder()
 	runner := newRunner(source)
-	ended := int64(0)
-	runner.Ended = func(_ fleet.AccountID, _ fleet.ServiceID, output int64) { ended += output }
+	reports := &reports{}
+	runner.Observers = call.Observers{reports}
 
 	require.NoError(t, runner.Run(t.Context(), w, chat()))
 
 	require.Equal(t, answer(10), w.Body.String())
-	require.Equal(t, int64(8), ended)
+	require.Len(t, *reports, 1)
+	report := (*reports)[0]
+	require.Empty(t, report.Refused)
+	require.Equal(t, []int64{400, 8}, []int64{report.Input, report.Output})
+	require.Positive(t, report.FirstToken)
 	require.Len(t, source.done, 1)
 	require.Equal(t, dispatch.Answered, source.done[0].Result)
 	require.Equal(t, fleet.Tokens(400/4+8), source.done[0].Cost)
--- a/call/plain_test.go
+++ b/call/plain_test.go
@@ -81,9 +81,14 @@
 		request.Idempotent = c.idempotent
 		w := httptest.NewRecorder()
 
-		err := newRunner(upstreams(address)).Run(t.Context(), w, request)
+		runner, reports := newRunner(upstreams(address)), &reports{}
+		runner.Observers = call.Observers{reports}
+
+		err := runner.Run(t.Context(), w, request)
 
 		require.Equal(t, c.runs, runs(), name)
+		require.Len(t, *reports, 1, name)
+		require.Equal(t, c.reason, (*reports)[0].Refused, name)
 		if c.reason == "" {
 			require.NoError(t, err, name)
 			require.Equal(t, "booked", w.Body.String(), name)
--- a/call/runner.go
+++ b/call/runner.go
@@ -36,9 +36,8 @@
 	// Metrics counts retries, service and first bytes; it may be nil. What
 	// waits and is in flight is the Source's to count.
 	Metrics *metric.Set
-	// Ended is told the output tokens of each model answer that came whole. It
-	// may be nil, and must not block.
-	Ended func(account fleet.AccountID, service fleet.ServiceID, output int64)
+	// Observers are told of each request that ended.
+	Observers Observers
 
 	cancels sync.WaitGroup
 }
@@ -74,8 +73,10 @@
 	request *Request
 	w       http.ResponseWriter
 	arrived time.Time
-	tries   int
-	avoid   []fleet.UpstreamID
+	// ended is what the request's report has so far.
+	ended Report
+	tries int
+	avoid []fleet.UpstreamID
 	// outcome is the worst of the attempts so far.
 	outcome refusal.Outcome
 	// started is true once a byte of an answer went out.
@@ -87,6 +88,7 @@
 func (e *execution) run(ctx context.Context) error {
 	err := e.repeat(ctx)
 	e.endClaim(ctx, err)
+	e.report(ctx, err)
 	return err
 }
 
@@ -101,6 +103,9 @@
 		if err != nil {
 			return e.refuse(ctx, err)
 		}
+		if e.tries == 0 {
+			e.ended.Queue = e.runner.now().Sub(e.arrived)
+		}
 		if e.request.claimed() && e.claim == nil {
 			var replayed bool
 			if replayed, err = e.takeClaim(ctx, slot); replayed || err != nil {
--- a/call/try.go
+++ b/call/try.go
@@ -9,7 +9,6 @@
 
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/dispatch"
-	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/stream"
 )
@@ -75,10 +74,20 @@
 	}
 	t.slot.Done(done)
 	t.runner.countService(t.request, done.Cost)
-	// An engine's refusal of a bad request has no output. Taken for a short
-	// answer, a few of them would let the next requests start too cheaply.
-	if err == nil && t.meter.output > 0 && t.runner.Ended != nil {
-		t.runner.Ended(fleet.AccountID(t.request.Account.GetId()), fleet.ServiceID(t.request.Service.GetId()), t.meter.output)
+	t.note()
+}
+
+// note keeps what the request's report tells of its last attempt.
+func (t *try) note() {
+	if t.sent.IsZero() {
+		return
+	}
+	t.ended.Run = t.runner.now().Sub(t.sent)
+	if t.firstToken > 0 {
+		t.ended.FirstToken = t.sent.Add(t.firstToken).Sub(t.arrived)
+	}
+	if t.request.model() {
+		t.ended.Input, t.ended.Output = t.meter.input, t.meter.output
 	}
 }
 
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"nutmeglock.example/nutmeglock/call"
 	"nutmeglock.example/nutmeglock/estimate"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
@@ -38,8 +39,8 @@
 
 func (callersExtension) Extend(p *Parts) error {
 	callers := router.New(router.Options{
-		Notes: p.Notes, Runner: p.Runner, Estimator: estimator{p.Estimates}, Timer: p.Timer,
-		Metrics: p.Metrics, Log: p.Log,
+		Notes: p.Notes, Runner: p.Runner, Observers: p.Runner.Observers,
+		Estimator: estimator{p.Estimates}, Timer: p.Timer, Metrics: p.Metrics, Log: p.Log,
 		Limits: router.Limits{
 			BodyBytes:       settings.MaxBody(p.Settings),
 			HeaderBytes:     settings.MaxHeader(p.Settings),
@@ -108,9 +109,19 @@
 	}
 }
 
-// estimator gives the router what package estimate has learnt.
+// estimator teaches package estimate from requests that ended, and gives the
+// router what it has learnt.
 type estimator struct{ *estimate.Estimator }
 
+// Ended learns the output of a model's answer that came whole. An engine's
+// refusal of a bad request has no output. Taken for a short answer, a few of
+// them would let the next requests start too cheaply.
+func (e estimator) Ended(report call.Report) {
+	if report.Refused == "" && report.Output > 0 {
+		e.Estimator.Ended(estimate.Key{Account: report.Account, Service: report.Service}, report.Output)
+	}
+}
+
 func (e estimator) Model(account *schema.Account, service *schema.Service, bodyBytes, maxTokens int) fleet.Tokens {
 	key := estimate.Key{Account: fleet.AccountID(account.GetId()), Service: fleet.ServiceID(service.GetId())}
 	weights := estimate.Weights{Input: service.GetInputWeight(), Output: service.GetOutputWeight()}
@@ -126,7 +137,7 @@
 	handler := operator.New(operator.Options{
 		Keys: p.Settings.GetOperatorKeys(), Store: p.NoteStore,
 		Publisher: note.NewPublisher(note.PublisherOptions{Store: p.NoteStore, Holder: p.Notes, Timer: p.Timer}),
-		Holder:    p.Notes, State: p.State,
+		Holder:    p.Notes, State: p.State, Log: p.Log,
 		Metrics:  promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}),
 		Registry: p.Registry,
 	})
--- a/daemon/extensions.go
+++ b/daemon/extensions.go
@@ -26,6 +26,7 @@
 		notesExtension{},
 		sharingExtension{},
 		callsExtension{},
+		traceExtension{},
 		callersExtension{},
 		administrationExtension{},
 	}
@@ -131,9 +132,7 @@
 	p.Runner = &call.Runner{
 		Source: p.Source, Retry: &retry.Budget{}, Client: &attempt.Client{},
 		Claims: store, Tokens: tokens, Timer: p.Timer, Metrics: p.Metrics,
-		Ended: func(account fleet.AccountID, service fleet.ServiceID, output int64) {
-			p.Estimates.Ended(estimate.Key{Account: account, Service: service}, output)
-		},
+		Observers: call.Observers{estimator{p.Estimates}},
 	}
 	p.Actor("claims", func(ctx context.Context) error {
 		stop := (&claim.Sweeper{Store: store}).Start(p.Timer)
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -33,6 +33,7 @@
 	PriorityNotes          Priority = 300
 	PrioritySharing        Priority = 400
 	PriorityCalls          Priority = 500
+	PriorityTrace          Priority = 550
 	PriorityCallers        Priority = 600
 	PriorityAdministration Priority = 700
 )
@@ -65,7 +66,9 @@
 	// Source hands out slots. Another way to share capacity replaces it.
 	Source    dispatch.Source
 	Estimates *estimate.Estimator
-	Runner    *call.Runner
+	// Runner runs requests. Observers that see the refusals of Callers too are
+	// added to it before that is extended.
+	Runner *call.Runner
 	// State is what the administration API tells of this router.
 	State operator.State
 	// Callers serves callers.
--- a/local/local.go
+++ b/local/local.go
@@ -16,7 +16,6 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/encoding/protojson"
 
-	"nutmeglock.example/nutmeglock"
 	"nutmeglock.example/nutmeglock/daemon"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
@@ -52,6 +51,10 @@
 	// StopNotice is that of the routers' settings.
 	StopNotice time.Duration
 	Log        *slog.Logger
+	// Settings may change those of the nth router, from 0, before it starts.
+	Settings func(n int, s *schema.RouterSettings)
+	// Extensions are added to each router's own.
+	Extensions []daemon.Extension
 }
 
 // Fleet is a running fleet.
@@ -66,7 +69,8 @@
 	options  Options
 	operator string
 	engines  []*engine.Engine
-	routers  sync.WaitGroup
+	apps     []*application.Application
+	routers  []*router
 	standIns sync.WaitGroup
 	servers  []*http.Server
 	stop     context.CancelFunc
@@ -122,10 +126,12 @@
 		f.Engines = append(f.Engines, address)
 	}
 	for range f.options.Applications {
-		address, err := f.serve(ctx, application.New(f.options.Application))
+		a := application.New(f.options.Application)
+		address, err := f.serve(ctx, a)
 		if err != nil {
 			return err
 		}
+		f.apps = append(f.apps, a)
 		f.Applications = append(f.Applications, address)
 	}
 	for n := range f.options.Routers {
@@ -158,30 +164,6 @@
 	operatorName = "local-operator"
 )
 
-func routerID(n int) string { return fmt.Sprintf("router-%d", n+1) }
-
-func (f *Fleet) startRouter(running context.Context, n int, platformAddress string) error {
-	r, err := nutmeglock.New(running, &schema.RouterSettings{
-		Id: routerID(n), DataCenter: dataCenter,
-		CallerAddress: anyPort, PeerAddress: anyPort, AdminAddress: anyPort,
-		Platform:     &schema.PlatformSettings{Url: "http://" + platformAddress},
-		FleetKey:     f.operator,
-		OperatorKeys: []*schema.OperatorKey{{Name: operatorName, KeySha256: note.HashKey(f.operator)}},
-		Sharing:      f.options.Sharing,
-		StopNoticeMs: uint32(f.options.StopNotice.Milliseconds()),
-	}, nutmeglock.WithLog(f.log()))
-	if err != nil {
-		return err
-	}
-	f.Routers = append(f.Routers, r.Addresses())
-	f.routers.Go(func() {
-		if err := r.Run(running); err != nil {
-			f.log().Error("a router ended", "router", routerID(n), "error", err)
-		}
-	})
-	return nil
-}
-
 func (f *Fleet) log() *slog.Logger {
 	if f.options.Log == nil {
 		return slog.New(slog.DiscardHandler)
@@ -286,10 +268,18 @@
 	return running
 }
 
+// Engine returns the nth engine, from 0.
+func (f *Fleet) Engine(n int) *engine.Engine { return f.engines[n] }
+
+// Application returns the nth plain service, from 0.
+func (f *Fleet) Application(n int) *application.Application { return f.apps[n] }
+
 // Close stops the routers gracefully, then the rest.
 func (f *Fleet) Close() {
 	f.stop()
-	f.routers.Wait()
+	for n := range f.routers {
+		_ = f.Wait(n)
+	}
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
--- a/local/local_test.go
+++ b/local/local_test.go
@@ -19,11 +19,7 @@
 	t.Parallel()
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
-	fleet, err := local.Start(ctx, local.Options{
-		Routers: 3, Engines: 2, Engine: engine.Options{TimeScale: 0.01},
-	})
-	require.NoError(t, err)
-	t.Cleanup(fleet.Close)
+	fleet := start(ctx, t, local.Options{Routers: 3, Engines: 2, Engine: engine.Options{TimeScale: 0.01}})
 	for _, r := range fleet.Routers {
 		for _, stream := range []bool{false, true} {
 			answer := chat(ctx, t, r.Callers.String(), stream)
@@ -32,17 +28,54 @@
 	}
 }
 
+func start(ctx context.Context, t *testing.T, options local.Options) *local.Fleet {
+	t.Helper()
+	fleet, err := local.Start(ctx, options)
+	require.NoError(t, err)
+	t.Cleanup(fleet.Close)
+	return fleet
+}
+
+// chat returns the answer to a chat completion of eight tokens.
 func chat(ctx context.Context, t *testing.T, address string, stream bool) string {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":"findings","stream":%t,"max_tokens":8,"messages":[{"role":"user","content":"duct 7"}]}`, stream)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	answer := send(t, completion(ctx, t, address, 8, stream))
+	require.Equal(t, http.StatusOK, answer.StatusCode, answer.text)
+	return answer.text
+}
+
+func completion(ctx context.Context, t *testing.T, address string, tokens int, stream bool) *http.Request {
+	t.Helper()
+	body := fmt.Sprintf(`{"model":"findings","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"duct 7"}]}`, stream, tokens)
+	return request(ctx, t, address+"/v1/chat/completions", body)
+}
+
+// order returns a call that may run at most once.
+func order(ctx context.Context, t *testing.T, address string) *http.Request {
+	t.Helper()
+	return request(ctx, t, address+"/v1/services/orders/dig", "manhole 12")
+}
+
+func request(ctx context.Context, t *testing.T, url, body string) *http.Request {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+url, strings.NewReader(body))
 	require.NoError(t, err)
 	req.Header.Set("Authorization", "Bearer "+local.AccountKey(0))
-	answer, err := http.DefaultClient.Do(req)
+	return req
+}
+
+type answer struct {
+	*http.Response
+	text string
+}
+
+// send returns the whole answer to a request.
+func send(t *testing.T, req *http.Request) answer {
+	t.Helper()
+	response, err := http.DefaultClient.Do(req)
 	require.NoError(t, err)
-	defer answer.Body.Close()
-	text, err := io.ReadAll(answer.Body)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, answer.StatusCode, string(text))
-	return string(text)
+	return answer{response, string(text)}
 }
--- a/router/answer.go
+++ b/router/answer.go
@@ -22,6 +22,7 @@
 	refused := asRefusal(err)
 	r.Metrics.Refusals.WithLabelValues(string(refused.Reason)).Inc()
 	r.log(c, refused)
+	r.report(c, refused.Reason)
 	if !c.Response().Committed {
 		writeRefusal(c, refused)
 		return
--- a/router/caller.go
+++ b/router/caller.go
@@ -44,6 +44,7 @@
 	return func(c echo.Context) error {
 		id := newRequestID()
 		c.Set(requestIDKey, id)
+		c.Set(arrivedKey, r.Timer.Now())
 		c.Response().Header().Set(HeaderRequestID, string(id))
 		return next(c)
 	}
--- a/router/intake.go
+++ b/router/intake.go
@@ -87,6 +87,7 @@
 
 // run hands an accepted request on and returns what became of it.
 func (r *Router) run(c echo.Context, request call.Request) error {
+	c.Set(handedOnKey, true)
 	return r.Runner.Run(c.Request().Context(), c.Response(), request)
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -38,10 +38,11 @@
 	Resume(ctx context.Context, w http.ResponseWriter, resumption call.Resumption) error
 }
 
-// Options are the parts that a Router is made of. All are required.
+// Options are the parts that a Router is made of. All but the observers are required.
 type Options struct {
 	Notes     note.Source
 	Runner    Runner
+	Observers call.Observers
 	Estimator Estimator
 	Limits    Limits
 	Metrics   *metric.Set
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -21,6 +21,10 @@
 	records chan Record
 	lost    atomic.Int64
 	total   atomic.Int64
+	failed  atomic.Bool
+	// unsure counts records since the last flush, which a writer that fails may
+	// not have written.
+	unsure  int
 	writer  *bufio.Writer
 	encoder *json.Encoder
 }
@@ -38,9 +42,29 @@
 func (r *Recorder) Record(record Record) {
 	select {
 	case r.records <- record:
+		// A writer that failed meanwhile left the queue before it saw this.
+		if r.failed.Load() {
+			r.discard()
+		}
 	default:
-		r.lost.Add(1)
-		r.total.Add(1)
+		r.drop()
+	}
+}
+
+func (r *Recorder) drop() {
+	r.lost.Add(1)
+	r.total.Add(1)
+}
+
+// discard drops the records that wait, because nobody will write them.
+func (r *Recorder) discard() {
+	for {
+		select {
+		case <-r.records:
+			r.drop()
+		default:
+			return
+		}
 	}
 }
 
@@ -48,8 +72,20 @@
 func (r *Recorder) Dropped() int64 { return r.total.Load() }
 
 // Run writes the header and then records until ctx ends, and what waits then.
-// It returns the first error of the writer.
+// It returns the first error of the writer; from then on every record is
+// dropped and counted.
 func (r *Recorder) Run(ctx context.Context, header Header) error {
+	err := r.run(ctx, header)
+	if err != nil {
+		r.failed.Store(true)
+		r.lost.Add(int64(r.unsure))
+		r.total.Add(int64(r.unsure))
+		r.discard()
+	}
+	return err
+}
+
+func (r *Recorder) run(ctx context.Context, header Header) error {
 	header.Format, header.Version = Format, Version
 	if err := r.write(header); err != nil {
 		return err
@@ -78,7 +114,7 @@
 			if err := r.writeLost(); err != nil {
 				return err
 			}
-			return eris.Wrap(r.writer.Flush(), "can't write the trace")
+			return r.flush()
 		}
 	}
 }
@@ -89,13 +125,22 @@
 	if err := r.writeLost(); err != nil {
 		return err
 	}
+	r.unsure++
 	if err := r.write(record); err != nil {
 		return err
 	}
 	if len(r.records) > 0 {
 		return nil
 	}
-	return eris.Wrap(r.writer.Flush(), "can't write the trace")
+	return r.flush()
+}
+
+func (r *Recorder) flush() error {
+	if err := r.writer.Flush(); err != nil {
+		return eris.Wrap(err, "can't write the trace")
+	}
+	r.unsure = 0
+	return nil
 }
 
 func (r *Recorder) writeLost() error {
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -113,11 +113,17 @@
 
 func (brokenWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
 
+// The place that the trace goes to is gone. Records that were taken and never
+// written would look as if there had been no requests.
 func TestRecorderReportsAWriterThatFails(t *testing.T) {
 	t.Parallel()
 	recorder := trace.NewRecorder(brokenWriter{})
 	recorder.Record(record(1))
+	recorder.Record(record(2))
 	require.ErrorIs(t, recorder.Run(t.Context(), trace.Header{}), io.ErrClosedPipe)
+	require.Equal(t, int64(2), recorder.Dropped())
+	recorder.Record(record(3))
+	require.Equal(t, int64(3), recorder.Dropped())
 }
 
 func FuzzReader(f *testing.F) {
