daemon: a stopping router refuses new requests until the last answer is out

The graceful shutdown called Router.Stop and at once http.Server.Shutdown, which closes the address. Nobody ever got the refusal 'stopping' with its Retry-After: a caller whom the balancer still sent there saw a connection refused. Now Router.Stop refuses new requests and returns when those in hand have ended; only then is the address closed.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -57,8 +57,7 @@
 		p.sleep(ctx, settings.StopNotice(p.Settings))
 	})
 	p.OnStop(PriorityCallers, "finish requests", func(ctx context.Context) {
-		callers.Stop()
-		shutDown(ctx, p, server)
+		shutDown(ctx, p, callers, server)
 	})
 	return nil
 }
@@ -90,10 +89,14 @@
 
 // shutDown waits until no request is in flight, at most as long as the
 // settings allow.
-func shutDown(ctx context.Context, p *Parts, server *http.Server) {
+func shutDown(ctx context.Context, p *Parts, callers *router.Router, server *http.Server) {
 	ctx, cancel := context.WithTimeout(ctx, settings.StopGrace(p.Settings))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	err := callers.Stop(ctx)
+	if err == nil {
+		err = server.Shutdown(ctx)
+	}
+	if err != nil {
 		p.Log.Error("the graceful shutdown took too long; requests in flight are cut off", "error", err)
 	}
 	p.Runner.Wait()
--- a/router/router.go
+++ b/router/router.go
@@ -7,7 +7,6 @@
 	"context"
 	"log/slog"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -53,8 +52,8 @@
 // Router serves callers over HTTP.
 type Router struct {
 	Options
-	handler  http.Handler
-	stopping atomic.Bool
+	handler http.Handler
+	held    held
 }
 
 // New returns a Router that is ready to serve as soon as its note source
@@ -68,10 +67,6 @@
 // ServeHTTP serves one caller's request.
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) { r.handler.ServeHTTP(w, req) }
 
-// Stop makes the router refuse new requests as not run. Requests that it
-// holds already are not touched.
-func (r *Router) Stop() { r.stopping.Store(true) }
-
 func (r *Router) routes() http.Handler {
 	e := echo.New()
 	e.HideBanner = true
@@ -88,10 +83,11 @@
 // admit refuses what can be refused before anyone looks at the request itself.
 func (r *Router) admit(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if r.stopping.Load() {
+		if !r.held.enter() {
 			c.Response().Header().Set(echo.HeaderConnection, "close")
 			return refusal.New(refusal.Stopping, "this router is shutting down; come back through the balancer", stoppingRetry)
 		}
+		defer r.held.leave()
 		if r.Notes.Current() == nil {
 			return refusal.New(refusal.NotReady, "this router holds no release note yet", notReadyRetry)
 		}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -151,7 +151,7 @@
 func TestStoppingRouterRefusesNewRequests(t *testing.T) {
 	t.Parallel()
 	r, _ := newRouter(note.NewView(state))
-	r.Stop()
+	require.NoError(t, r.Stop(t.Context()))
 	recorder := httptest.NewRecorder()
 	r.ServeHTTP(recorder, parse(t, "POST /v1/chat/completions\nAuthorization: Bearer mwanga-key\n\n{}"))
 	require.Equal(t, "503 stopping not-run", describe(t, recorder))
