daemon: a part that ends by itself ends the router with *EndedError

A part that returned nil before it was told to made Run return nil, which looks like a stop that was asked for: eris.Wrapf of a nil error is nil. The router also went through its graceful stop, with the stop notice, beside parts that had ended already.

Seen to fail: with the former Wrapf Run returns nil for a part without an error; with the former untilStopped the test hangs in the stop notice.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"slices"
@@ -92,8 +93,24 @@
 	}
 }
 
+// EndedError is the error of a router of which a part ended by itself.
+type EndedError struct {
+	Part string
+	// Cause is nil when the part gave none.
+	Cause error
+}
+
+// Error names the part and the cause.
+func (e *EndedError) Error() string {
+	return fmt.Sprintf("part %s ended by itself: %v", e.Part, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *EndedError) Unwrap() error { return e.Cause }
+
 // Run serves until ctx ends, then shuts down gracefully and returns nil. It
-// returns an error when a part ended by itself.
+// returns an *EndedError when a part ended by itself; requests in flight are
+// then cut off, because half a router can't finish them.
 func (d *Daemon) Run(ctx context.Context) error {
 	var group run.Group
 	group.Add(d.untilStopped(ctx))
@@ -112,15 +129,19 @@
 
 // untilStopped is the actor that waits for the end of ctx and then stops one
 // part after the other, while the other actors go on: requests in flight need
-// all of them.
+// all of them. It takes none of the steps when another part ended by itself:
+// nothing is left that they could wait for.
 func (d *Daemon) untilStopped(ctx context.Context) (execute func() error, interrupt func(error)) {
-	ctx, cancel := context.WithCancel(ctx)
+	interrupted := make(chan struct{})
 	execute = func() error {
-		<-ctx.Done()
-		d.stop(context.WithoutCancel(ctx))
+		select {
+		case <-ctx.Done():
+			d.stop(context.WithoutCancel(ctx))
+		case <-interrupted:
+		}
 		return errStopped
 	}
-	return execute, func(error) { cancel() }
+	return execute, func(error) { close(interrupted) }
 }
 
 func (d *Daemon) stop(ctx context.Context) {
@@ -136,9 +157,9 @@
 	execute = func() error {
 		err := a.run(ctx)
 		if ctx.Err() == nil {
-			return eris.Wrapf(err, "part %s ended", a.name)
+			return &EndedError{Part: a.name, Cause: err}
 		}
-		return context.Cause(ctx)
+		return ctx.Err()
 	}
 	return execute, func(error) { cancel() }
 }
