scenario: the fleet as separate processes, from the whole path to outages

A load report of the stand-ins now carries the time at which it was taken, which moves on while nothing changes; before, an idle engine's report aged.

--- a/scenario/count.go
+++ b/scenario/count.go
@@ -79,15 +79,15 @@
 	return nil
 }
 
-// quiet makes calls through a router and checks that none of them reached the
-// named engines:
+// quiet makes calls through a router, all at once so that they spread over
+// every engine that is open, and checks that none reached the named ones:
 //
-//	quiet ENGINE... through=ROUTER account=NAME service=NAME [calls=12]
+//	quiet ENGINE... through=ROUTER account=NAME service=NAME [calls=24]
 func quiet(w *World, a arguments) error {
 	if err := a.allow("through", "account", "service", "calls"); err != nil {
 		return err
 	}
-	calls, err := a.number("calls", 12)
+	calls, err := a.number("calls", 24)
 	if err != nil {
 		return err
 	}
@@ -95,11 +95,8 @@
 	if err != nil {
 		return err
 	}
-	for i := range calls {
-		call := arguments{words: []string{a.options["through"], a.options["account"], a.options["service"], "quiet " + strconv.Itoa(i)}}
-		if err := chat(w, call); err != nil {
-			return err
-		}
+	if err := w.chatAtOnce(a, calls); err != nil {
+		return err
 	}
 	after, err := w.totals(a.words)
 	if err == nil && before != after {
@@ -108,6 +105,27 @@
 	return err
 }
 
+// chatAtOnce makes calls at the same time and waits until all are answered.
+func (w *World) chatAtOnce(a arguments, calls int) error {
+	names := make([]string, calls)
+	for i := range names {
+		names[i] = "at-once-" + strconv.Itoa(i)
+		call := arguments{
+			words:   []string{a.options["through"], a.options["account"], a.options["service"], names[i]},
+			options: map[string]string{"as": names[i]},
+		}
+		if err := chat(w, call); err != nil {
+			return err
+		}
+	}
+	for _, name := range names {
+		if err := join(w, arguments{words: []string{name}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // totals returns the runs of several upstreams together.
 func (w *World) totals(upstreams []string) (int, error) {
 	total := 0
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -252,3 +252,22 @@
 	}
 	return r.err
 }
+
+// show fails with what the administration API of a router answers, for a
+// look at a router while a script is written:
+//
+//	show ROUTER PATH
+func show(w *World, a arguments) error {
+	if err := a.need(2, "show ROUTER PATH"); err != nil {
+		return err
+	}
+	p, err := w.find(a.words[0])
+	if err != nil {
+		return err
+	}
+	r := w.send(request{method: http.MethodGet, url: "http://" + p.admin + a.words[1], key: operatorKey})
+	if r.err != nil {
+		return r.err
+	}
+	return fmt.Errorf("%s answers %d: %s", a.words[1], r.status, r.body)
+}
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -113,16 +113,22 @@
 		"fault": setFault, "limits": limits, "drain": drain, "crash": crash, "restore": restore,
 		"sever": sever, "rejoin": rejoin,
 		"chat": chat, "call": callService, "resume": resume, "join": join, "events": events, "cut": cut,
-		"runs": runs, "total": total, "busy": busy, "operations": operations, "metric": metric, "load": startLoad, "unload": endLoad,
+		"runs": runs, "total": total, "show": show, "busy": busy, "operations": operations, "metric": metric, "load": startLoad, "unload": endLoad,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range table {
 		result[name] = func(ts *testscript.TestScript, neg bool, args []string) {
-			report(ts, neg, run(world(ts), parse(args)))
+			began := time.Now()
+			err := run(world(ts), parse(args))
+			logSlow(ts, time.Since(began))
+			report(ts, neg, err)
 		}
 	}
 	result["await"] = func(ts *testscript.TestScript, neg bool, args []string) {
-		report(ts, neg, await(world(ts), table, args))
+		began := time.Now()
+		err := await(world(ts), table, args)
+		logSlow(ts, time.Since(began))
+		report(ts, neg, err)
 	}
 	return result
 }
@@ -135,6 +141,15 @@
 	return w
 }
 
+// slow is how long a command takes before its time is worth a line in the log.
+const slow = time.Second
+
+func logSlow(ts *testscript.TestScript, took time.Duration) {
+	if took > slow {
+		ts.Logf("took %v", took.Round(slow/10))
+	}
+}
+
 func report(ts *testscript.TestScript, neg bool, err error) {
 	switch {
 	case err != nil && !neg:
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -27,3 +27,8 @@
 	t.Parallel()
 	testscript.Run(t, scenario.Params("testdata/stand-in"))
 }
+
+func TestFleet(t *testing.T) {
+	t.Parallel()
+	testscript.Run(t, scenario.Params("testdata/fleet"))
+}
--- a/standin/application/application.go
+++ b/standin/application/application.go
@@ -116,8 +116,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	fn()
-	now := a.options.Clock.Now()
-	a.load.Set(now, Load{Running: a.running, Queued: a.queued, AtUnixMs: now.UnixMilli(), Draining: a.draining})
+	a.load.Set(a.options.Clock.Now(), Load{Running: a.running, Queued: a.queued, Draining: a.draining})
 }
 
 func (a *Application) newRoutes() *echo.Echo {
@@ -137,8 +136,10 @@
 
 func (a *Application) answerLoad(c echo.Context) error {
 	a.mu.Lock()
-	load, _ := a.load.Get(a.options.Clock.Now())
-	a.mu.Unlock()
+	defer a.mu.Unlock()
+	now := a.options.Clock.Now()
+	load, at := a.load.Get(now)
+	load.AtUnixMs = lag.TakenAt(now, at, a.options.ReportLag).UnixMilli()
 	return c.JSON(http.StatusOK, load)
 }
 
--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -200,12 +200,10 @@
 
 // report takes the figures that readers see after the lag.
 func (e *Engine) report() {
-	now := e.options.Clock.Now()
-	e.load.Set(now, Load{
+	e.load.Set(e.options.Clock.Now(), Load{
 		Running:   len(e.running),
 		Queued:    len(e.queued),
 		CacheUsed: e.cache.used(),
-		AtUnixMs:  now.UnixMilli(),
 		Draining:  e.draining,
 	})
 }
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -226,6 +226,7 @@
 	require.JSONEq(t, `{"events":[]}`, get("/cache-events?after=0"))
 	clock.Advance(time.Second)
 	require.Contains(t, get("/load"), `"running":1`)
+	require.Contains(t, get("/load"), `"at-unix-ms":1000,`)
 	clock.Advance(2 * time.Second)
 	events := get("/cache-events?after=1")
 	require.NotContains(t, events, `"seq":1,`)
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"nutmeglock.example/nutmeglock/standin/fault"
+	"nutmeglock.example/nutmeglock/standin/lag"
 )
 
 // The headers between a router and an engine.
@@ -217,8 +218,10 @@
 
 func (e *Engine) answerLoad(c echo.Context) error {
 	e.mu.Lock()
-	load, _ := e.load.Get(e.options.Clock.Now())
-	e.mu.Unlock()
+	defer e.mu.Unlock()
+	now := e.options.Clock.Now()
+	load, at := e.load.Get(now)
+	load.AtUnixMs = lag.TakenAt(now, at, e.options.ReportLag).UnixMilli()
 	return c.JSON(http.StatusOK, load)
 }
 
--- a/standin/lag/lag.go
+++ b/standin/lag/lag.go
@@ -34,6 +34,15 @@
 	return v.entries[0].value, v.entries[0].at
 }
 
+// TakenAt returns when a reader's value was taken that was set at a time: a
+// value that has not changed since is as good as one that was taken a lag ago.
+func TakenAt(now, set time.Time, by time.Duration) time.Time {
+	if taken := now.Add(-by); taken.After(set) {
+		return taken
+	}
+	return set
+}
+
 // prune drops the entries that a newer visible one replaces.
 func (v *Value[T]) prune(now time.Time) {
 	visible := 0
