--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/dispatch"
 	"nutmeglock.example/nutmeglock/dispatcher"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
@@ -20,6 +21,7 @@
 	holds  map[holdKey]*hold
 	// through is the highest id of each dispatcher's grants that was seen.
 	through map[fleet.RouterID]uint64
+	recent  recent
 	// starts counts requests since the rate was last measured.
 	starts   int
 	rate     float64
@@ -75,13 +77,29 @@
 	q.used = now
 	w.queue = q
 	w.avoided = avoidedNumbers(s, w, targets)
-	w.preferred = s.assigned.preferredFor(key.service, w.work.Prefix)
+	w.preferred = e.preferred(s, w)
 	return s.admission.Admit(now, w.work.Deadline, admission.Queue{
 		Account: e.line.Len(key), AccountBound: s.bound(q), Total: e.line.Total(), TotalBound: s.maxWaitingTotal,
 		Drain: q.drain.Rate(now),
 	})
 }
 
+// preferred returns the upstreams that probably have the request's prompt
+// cached: the one that its beginning was sent to from here, and those that
+// every router sends such beginnings to.
+func (e *entry) preferred(s *Scheduler, w *waiter) []fleet.Number {
+	service := w.queue.key.service
+	preferred := s.assigned.preferredFor(service, w.work.Prefix)
+	upstream, ok := e.recent.find(w.work.Prefix)
+	if !ok || !s.assigned.serves(service, upstream) {
+		return preferred
+	}
+	if i := slices.Index(preferred, upstream); i >= 0 {
+		preferred = slices.Delete(preferred, i, i+1)
+	}
+	return append([]fleet.Number{upstream}, preferred...)
+}
+
 func (s *Scheduler) bound(q *queue) int {
 	if own := int(q.account.GetMaxWaiting()); own > 0 {
 		return own
@@ -208,7 +226,7 @@
 				e.refuse(now, w, refused)
 				continue
 			}
-			w.preferred = s.assigned.preferredFor(q.key.service, w.work.Prefix)
+			w.preferred = e.preferred(s, w)
 			w.avoided = avoidedNumbers(s, w, s.assigned.byService[q.key.service])
 		}
 		ranked := e.rank(s, now, q)
@@ -240,28 +258,55 @@
 	h := &hold{
 		key: holdKey{from, id}, account: fleet.Number(message.GetAccount()), upstream: fleet.Number(message.GetUpstream()),
 	}
-	u := s.view.UpstreamByNumber(h.upstream)
+	u := s.upstream(h.upstream)
 	q := e.queues[queueKey{s.assigned.services[fleet.ServiceID(u.GetService())], h.account}]
-	if u == nil || s.departs(u) || q == nil {
+	if u == nil || q == nil {
 		e.giveBack(s, h)
+		e.forgetAsked(from, h.account)
 		return
 	}
 	q.asked[from] = max(0, q.asked[from]-1)
 	w := choose(e.line.Head(q.key), h.upstream)
-	if w == nil {
+	switch {
+	case s.departs(u):
+		// The dispatcher has not heard yet that the upstream is leaving. Given
+		// back as unused, the slot would be granted again at once.
+		e.release(s, h, dispatch.Done{Result: dispatch.Draining})
+	case w == nil:
 		// The dispatcher takes the ask for withdrawn when it gets the slot back.
 		q.asked[from] = 0
 		e.giveBack(s, h)
-	} else {
+	default:
 		e.start(s, now, w, h, u, message.GetBegin())
 	}
 	e.ask(s, now, q, false)
 }
 
+// forgetAsked takes note that a dispatcher takes an account's asks for
+// withdrawn. They are repeated at the next review, not at once: the dispatcher
+// holds a newer release note than this router, and would grant the same again.
+func (e *entry) forgetAsked(router fleet.RouterID, account fleet.Number) {
+	for key, q := range e.queues {
+		if key.account == account {
+			delete(q.asked, router)
+		}
+	}
+}
+
+// upstream returns an upstream by its number, nil when the view in force here
+// does not hold it.
+func (s *Scheduler) upstream(number fleet.Number) *schema.Upstream {
+	if s.view == nil {
+		return nil
+	}
+	return s.view.UpstreamByNumber(number)
+}
+
 func (e *entry) start(s *Scheduler, now time.Time, w *waiter, h *hold, u *schema.Upstream, begin bool) {
 	e.remove(now, w)
 	w.queue.drain.Started(now)
 	e.starts++
+	e.recent.sent(w.work.Prefix, h.upstream)
 	h.service = w.queue.service
 	e.holds[h.key] = h
 	w.given = h
