scheduler: faster polls while a limit grows; slots are looked at over seconds in tests

An upstream is polled each 250 ms for the first 15 s in which it is filled: its limit takes one step for each report. Tests that looked at one instant for full slots failed once in some dozens of runs (a look between a request's end and the next one's begin); they look at 100 instants now and want 97 % of the slots on average and never more than there are.

--- a/dispatcher/grant.go
+++ b/dispatcher/grant.go
@@ -136,3 +136,9 @@
 	}
 	return inFlight, limit
 }
+
+// Filled reports whether an upstream has as many requests in flight as it may.
+func (d *Dispatcher[O, L, P]) Filled(now time.Time, upstream fleet.Number) bool {
+	u := d.upstreams[upstream]
+	return u != nil && u.takesWork(now) && u.inFlight >= u.limit(now)
+}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -405,6 +405,22 @@
 	return state
 }
 
+// full checks over some seconds that so many requests run at all upstreams
+// together. A single look could fall between a request's end and the next
+// one's begin, a few milliseconds of each second.
+func (f *testFleet) full(slots int) {
+	f.t.Helper()
+	const looks, part = 100, 0.97
+	sum := 0
+	for range looks {
+		time.Sleep(37 * time.Millisecond)
+		total := f.ups.total()
+		require.LessOrEqual(f.t, total, slots)
+		sum += total
+	}
+	require.GreaterOrEqual(f.t, float64(sum)/looks, part*float64(slots))
+}
+
 // atMost checks that no upstream ever ran more than limit since the last reset.
 func (f *testFleet) atMost(limit int) {
 	f.t.Helper()
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -22,7 +22,13 @@
 	// pollStretch is added for each upstream of this dispatcher. One poll takes
 	// some 350 bytes with its headers; at 26 upstreams that is 1 KB/s.
 	pollStretch = 350 * time.Millisecond
-	pollTimeout = time.Second
+	// learnInterval and learnTime pace the polls of an upstream once it is
+	// filled for the first time. Its limit grows by a step for each report; at
+	// the usual pace it would take ten seconds and more until the batch is full,
+	// in which work waits or queues inside the engine.
+	learnInterval = 250 * time.Millisecond
+	learnTime     = 15 * time.Second
+	pollTimeout   = time.Second
 	// maxLoadBytes bounds a report; a usual one has about 100 bytes.
 	maxLoadBytes = 4096
 )
@@ -39,6 +45,8 @@
 	address string
 	next    time.Time
 	busy    bool
+	// learnUntil is set when the upstream is filled for the first time.
+	learnUntil time.Time
 }
 
 func newPoller(s *Scheduler) *poller {
@@ -63,7 +71,13 @@
 	}
 }
 
-func (p *poller) interval() time.Duration {
+func (p *poller) interval(now time.Time, number fleet.Number, each *polled) time.Duration {
+	if each.learnUntil.IsZero() && p.scheduler.slots.Filled(now, number) {
+		each.learnUntil = now.Add(learnTime)
+	}
+	if now.Before(each.learnUntil) {
+		return learnInterval
+	}
 	return max(leastPollInterval, time.Duration(len(p.upstreams))*pollStretch)
 }
 
@@ -76,7 +90,7 @@
 			continue
 		}
 		each.busy = true
-		each.next = now.Add(p.interval())
+		each.next = now.Add(p.interval(now, number, each))
 		go p.poll(number, each)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,7 @@
 	Idle(now time.Time) map[fleet.Number]int
 	Busy(now time.Time, service fleet.Number) (inFlight, limit int)
 	Draining() []fleet.Number
+	Filled(now time.Time, upstream fleet.Number) bool
 	Unmet(service fleet.Number) bool
 	InFlight(upstream fleet.Number) (int, bool)
 	Limit(now time.Time, upstream fleet.Number) int
