--- a/peer/frame.go
+++ b/peer/frame.go
@@ -50,6 +50,10 @@
 	}
 }
 
+func isHello(k kind) bool { return k == helloFrame }
+
+func afterHello(k kind) bool { return k == heartbeatFrame || k == batchFrame || k == callFrame }
+
 // frame is a kind byte, the payload's length as a varint, and the payload.
 type frame struct {
 	kind    kind
@@ -74,10 +78,11 @@
 	return fmt.Sprintf("malformed frame of kind %d with %d bytes", e.Kind, e.Length)
 }
 
-// readFrame reads one frame. It fails with *MalformedFrameError before it
-// reads the payload of a kind that is not known or of a length beyond the
-// kind's limit, so that nobody can make a router hold as much as they like.
-func readFrame(r *bufio.Reader) (frame, error) {
+// readFrame reads one frame of a kind that accept accepts. It fails with *MalformedFrameError before it
+// reads the payload of another kind or of a length beyond the
+// kind's limit, so that nobody can make a router hold as much as they like,
+// and a stranger not more than a hello.
+func readFrame(r *bufio.Reader, accept func(kind) bool) (frame, error) {
 	first, err := r.ReadByte()
 	if err != nil {
 		return frame{}, eris.Wrap(err, "read frame")
@@ -87,7 +92,7 @@
 		return frame{}, eris.Wrap(err, "read frame length")
 	}
 	k := kind(first)
-	if length > uint64(k.limit()) {
+	if !accept(k) || length > uint64(k.limit()) {
 		return frame{}, &MalformedFrameError{Kind: first, Length: length}
 	}
 	payload := make([]byte, length)
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -137,14 +137,11 @@
 }
 
 func (p *Peers) readHello(c *conn) (*schema.Hello, error) {
-	f, err := readFrame(c.reader)
+	f, err := readFrame(c.reader, isHello)
 	if err != nil {
 		return nil, err
 	}
 	p.count(metric.Received, f.size())
-	if f.kind != helloFrame {
-		return nil, &MalformedFrameError{Kind: byte(f.kind), Length: uint64(len(f.payload))}
-	}
 	hello := &schema.Hello{}
 	if err := proto.Unmarshal(f.payload, hello); err != nil {
 		return nil, &MalformedFrameError{Kind: byte(f.kind), Length: uint64(len(f.payload))}
--- a/peer/link.go
+++ b/peer/link.go
@@ -187,7 +187,7 @@
 		if err := l.conn.SetReadDeadline(heard.Add(silence)); err != nil {
 			return eris.Wrap(err, "read deadline")
 		}
-		f, err := readFrame(l.conn.reader)
+		f, err := readFrame(l.conn.reader, afterHello)
 		if err != nil {
 			return err
 		}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -254,6 +254,8 @@
 		"http":    []byte("GET / HTTP/1.1\r\n\r\n"),
 		"huge":    {1, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f},
 		"garbage": {1, 3, 0xff, 0xff, 0xff},
+		// 16 MB of a call are fine between routers, but not before the hello.
+		"early call": {4, 0x80, 0x80, 0x80, 0x08},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -73,6 +73,7 @@
 		number := fleet.Number(a.GetNumber())
 		if view.AccountByNumber(number) == nil {
 			s.slots.Forget(number)
+			s.exchange.forget(number)
 		}
 	}
 }
--- a/scheduler/exchange.go
+++ b/scheduler/exchange.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
@@ -103,3 +104,8 @@
 		Outstanding: fleet.Tokens(message.GetOutstanding()),
 	})
 }
+
+// forget drops an account that was withdrawn.
+func (x *exchange) forget(account fleet.Number) {
+	maps.DeleteFunc(x.keepers, func(key keeper.Key, _ told) bool { return key.Account == account })
+}
