--- a/scheduler/loopback_test.go
+++ b/scheduler/loopback_test.go
@@ -40,17 +40,19 @@
 // tcpRouter is a scheduler with its peers over TCP.
 type tcpRouter struct {
 	*scheduler.Scheduler
+	id      fleet.RouterID
 	metrics *metric.Set
+	wire    *wireListener
 }
 
 func startTCP(tb testing.TB, n int, view *note.View) []*tcpRouter {
 	tb.Helper()
 	list := &vmList{}
-	var listeners []net.Listener
+	var listeners []*wireListener
 	for i := range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(tb, err)
-		listeners = append(listeners, listener)
+		listeners = append(listeners, newWireListener(listener))
 		list.vms = append(list.vms, platform.VM{
 			Name: fmt.Sprintf("router-%d", i), Role: platform.RouterVM, Address: listener.Addr().String(),
 		})
@@ -67,7 +69,7 @@
 		set := metric.New(prometheus.NewRegistry())
 		peers := peer.New(peer.Options{
 			Self: id, Incarnation: 1, Address: listener.Addr().String(), Key: []byte("the key of the fleet"),
-			Listener: listener, Metrics: set,
+			Listener: listener, Metrics: set, Heartbeat: 200 * time.Millisecond,
 		})
 		s := scheduler.New(scheduler.Options[*share.Fair[fleet.Number], inflight.Fixed, placement.Affinity]{
 			Self: id, Incarnation: 1, Notes: fixedView{view}, Peers: peers, VMs: list, Metrics: set,
@@ -76,7 +78,7 @@
 		})
 		group.Go(func() { _ = peers.Run(ctx) })
 		group.Go(func() { _ = s.Run(ctx) })
-		routers = append(routers, &tcpRouter{s, set})
+		routers = append(routers, &tcpRouter{s, id, set, listener})
 	}
 	for _, r := range routers {
 		require.Eventually(tb, func() bool {
