note: a frozen peer delays no release note

A router that was frozen right after it announced a note held the others up for ten seconds, the bound of a whole catch-up, in which they heard nobody else and read nothing. Each call of a peer now takes half a second at most, and the next peer or the table is asked.

--- a/note/fetch.go
+++ b/note/fetch.go
@@ -73,13 +73,25 @@
 	return envelope[*schema.NoteFetched]{answer}, nil
 }
 
+// callTimeout bounds one call of a peer. A peer that is frozen keeps its
+// connection and answers nothing; the notes would wait for it, and callers
+// would be served by an old one. Half a second is many round trips between
+// data centres, and leaves time to ask elsewhere within the five seconds.
+const callTimeout = 500 * time.Millisecond
+
+func (h *Holder) call(ctx context.Context, router fleet.RouterID, method string, params, result any) error {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return h.peers.Call(bounded, router, method, params, result)
+}
+
 // fetchFrom learns all that a peer holds beyond what is held here.
 func (h *Holder) fetchFrom(ctx context.Context, router fleet.RouterID) error {
 	for {
 		held := h.Version()
 		answer := envelope[*schema.NoteFetched]{&schema.NoteFetched{}}
 		request := envelope[*schema.NoteFetch]{&schema.NoteFetch{After: uint64(held)}}
-		if err := h.peers.Call(ctx, router, FetchMethod, request, &answer); err != nil {
+		if err := h.call(ctx, router, FetchMethod, request, &answer); err != nil {
 			return eris.Wrapf(err, "note.fetch from %s", router)
 		}
 		version := fleet.Version(answer.message.GetVersion())
@@ -170,7 +182,7 @@
 	for {
 		answer := envelope[*schema.SnapshotPart]{&schema.SnapshotPart{}}
 		request := envelope[*schema.SnapshotFetch]{&schema.SnapshotFetch{Version: version, Offset: uint64(len(data))}}
-		if err := h.peers.Call(ctx, router, SnapshotMethod, request, &answer); err != nil {
+		if err := h.call(ctx, router, SnapshotMethod, request, &answer); err != nil {
 			return eris.Wrapf(err, "note.snapshot from %s", router)
 		}
 		part := answer.message
--- a/note/holder_test.go
+++ b/note/holder_test.go
@@ -159,6 +159,44 @@
 	synctest.Wait()
 }
 
+// A router is frozen right after it announced a note: its connection stands,
+// but it answers nothing. The others have to learn the note elsewhere within
+// five seconds, and must not wait for it.
+func TestAFrozenPeerDelaysNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := memory.New(timer.System{})
+		store := note.NewStore(p, p)
+		publisher := note.NewPublisher(note.PublisherOptions{Store: store, Holder: note.NewHolder(note.HolderOptions{Store: store})})
+		publish := func(id string) {
+			_, err := publisher.Publish(ctx, addAccount(id), "aino", note.NewPublishID())
+			require.NoError(t, err)
+		}
+		publish("a")
+		holder := note.NewHolder(note.HolderOptions{Self: "r", Store: store, Peers: frozen{}})
+		go func() { _ = holder.Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		publish("b")
+		holder.Heard("frozen", 2)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		require.Equal(t, fleet.Version(2), holder.Version())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// frozen is the Peers of a router whose only peer never answers.
+type frozen struct{}
+
+func (frozen) Routers() []fleet.RouterID { return []fleet.RouterID{"frozen"} }
+
+func (frozen) Call(ctx context.Context, _ fleet.RouterID, _ string, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 // among is the Peers of holders in one process.
 type among struct {
 	holders map[fleet.RouterID]*note.Holder
