note: a slow table keeps no router from its peers

The poll of the table and the fetching from peers were one loop, so that a read that takes as long as the settings allow (up to a minute) kept a router from what its peers announced. They are two now. TestASlowTableDelaysNothing failed before (version 1 after three seconds).

--- a/note/heard.go
+++ b/note/heard.go
@@ -33,10 +33,7 @@
 	if !higher {
 		return
 	}
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
+	signal(h.wake)
 }
 
 // PeerVersion returns the version that a router last announced to this one,
@@ -80,24 +77,15 @@
 	})
 }
 
-// FollowHeard fetches what peers announced, and falls back on the table when
-// none of them answers.
+// FollowHeard fetches what peers announced. It fails with the error of the last
+// peer when that one, and none after it, handed out what it announced.
 func (h *Holder) FollowHeard(ctx context.Context) error {
-	failed := false
+	var failed error
 	for {
 		router, ok := h.nextHeard()
 		if !ok {
-			break
-		}
-		if err := h.fetchFrom(ctx, router); err != nil {
-			failed = true
-			h.log.Debug("release notes not fetched", "router", router, "reason", err)
-			continue
+			return failed
 		}
-		failed = false
-	}
-	if !failed {
-		return nil
+		failed = h.fetchFrom(ctx, router)
 	}
-	return h.refreshFromTable(ctx)
 }
--- a/note/holder.go
+++ b/note/holder.go
@@ -57,7 +57,9 @@
 	random *rand.Rand
 	parts  snapshotParts
 
+	// wake has follow look at what was heard, ask has poll read the table.
 	wake chan struct{}
+	ask  chan struct{}
 }
 
 // NewHolder returns a Holder that holds nothing yet.
@@ -65,7 +67,7 @@
 	h := &Holder{
 		self: options.Self, store: options.Store, peers: options.Peers, timer: options.Timer,
 		announce: options.Announce, log: options.Log,
-		heard: map[fleet.RouterID]fleet.Version{}, told: map[fleet.RouterID]fleet.Version{}, wake: make(chan struct{}, 1),
+		heard: map[fleet.RouterID]fleet.Version{}, told: map[fleet.RouterID]fleet.Version{}, wake: make(chan struct{}, 1), ask: make(chan struct{}, 1),
 	}
 	if h.peers == nil {
 		h.peers = nobody{}
@@ -193,39 +195,68 @@
 	catchUpTimeout = 10 * time.Second
 )
 
-// Run keeps the Holder up to date until the context ends, whose error it returns.
+// Run keeps the Holder up to date until the context ends, whose error it
+// returns. It reads the table and follows announcements side by side: a table
+// that takes a minute for a read would otherwise keep a router from what its
+// peers hold, and have it serve callers by an old note.
 func (h *Holder) Run(ctx context.Context) error {
-	for {
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		h.follow(ctx)
+	}()
+	h.poll(ctx)
+	<-followed
+	return ctx.Err()
+}
+
+// poll reads the table at each interval, and at once when a peer does not hand
+// out what it announced.
+func (h *Holder) poll(ctx context.Context) {
+	for ctx.Err() == nil {
 		h.bounded(ctx, h.Refresh)
-		if err := h.untilPoll(ctx); err != nil {
-			return err
+		due := make(chan struct{})
+		subscription := h.timer.After(h.interval(), func(time.Time) { close(due) })
+		select {
+		case <-ctx.Done():
+		case <-due:
+		case <-h.ask:
 		}
+		subscription.Cancel()
 	}
 }
 
-// untilPoll follows announcements until the next poll is due.
-func (h *Holder) untilPoll(ctx context.Context) error {
-	due := make(chan struct{})
-	subscription := h.timer.After(h.interval(), func(time.Time) { close(due) })
-	defer subscription.Cancel()
+// follow fetches what peers announce.
+func (h *Holder) follow(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-due:
-			return nil
+			return
 		case <-h.wake:
-			h.bounded(ctx, h.FollowHeard)
+			if !h.bounded(ctx, h.FollowHeard) {
+				signal(h.ask)
+			}
 		}
 	}
 }
 
-func (h *Holder) bounded(ctx context.Context, step func(context.Context) error) {
+// signal sends on a channel of capacity one, unless a signal waits there already.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// bounded makes one step of catching up and reports whether it succeeded.
+func (h *Holder) bounded(ctx context.Context, step func(context.Context) error) bool {
 	bounded, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	if err := step(bounded); err != nil && ctx.Err() == nil {
+	err := step(bounded)
+	if err != nil && ctx.Err() == nil {
 		h.log.Warn("release notes not brought up to date", "version", h.Version(), "reason", err)
 	}
+	return err == nil
 }
 
 func (h *Holder) interval() time.Duration {
--- a/note/holder_test.go
+++ b/note/holder_test.go
@@ -187,6 +187,33 @@
 	})
 }
 
+// The platform takes a minute for each read. A router that waits for it hears
+// no peer meanwhile, and would serve callers by an old note.
+func TestASlowTableDelaysNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := memory.New(timer.System{})
+		store := note.NewStore(p, p)
+		holders := map[fleet.RouterID]*note.Holder{"a": note.NewHolder(note.HolderOptions{Self: "a", Store: store})}
+		holders["b"] = note.NewHolder(note.HolderOptions{Self: "b", Store: store, Peers: among{holders, "b"}})
+		holders["b"].Learn(&schema.NoteRecord{Version: 1, FirstNumber: 1, Note: addAccount("x")})
+		p.Faults.Set(fault.Fault{Kind: fault.Slow, DelayMs: 60_000})
+		go func() { _ = holders["b"].Run(ctx) }()
+		time.Sleep(20 * time.Millisecond)
+		holders["a"].Learn(
+			&schema.NoteRecord{Version: 1, FirstNumber: 1, Note: addAccount("x")},
+			&schema.NoteRecord{Version: 2, FirstNumber: 2, Note: addAccount("y")},
+		)
+		holders["b"].Heard("a", 2)
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		require.Equal(t, fleet.Version(2), holders["b"].Version())
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // frozen is the Peers of a router whose only peer never answers.
 type frozen struct{}
 
