--- a/note/fetch.go
+++ b/note/fetch.go
@@ -46,7 +46,8 @@
 	// maxFetchedBytes bounds their encoded size, so that an answer does not
 	// keep the control messages behind it waiting. One record goes in any case.
 	maxFetchedBytes = 256 << 10
-	// partBytes is the size of one part of a snapshot: at 1 ms a round trip, 7 MB take 56 ms.
+	// partBytes is the size of one part of a snapshot: at 1 ms a
+	// round trip, the 3.6 MB of 36,000 accounts and 12,000 upstreams take 28 ms.
 	partBytes = 128 << 10
 )
 
@@ -72,13 +73,25 @@
 	return envelope[*schema.NoteFetched]{answer}, nil
 }
 
+// callTimeout bounds one call of a peer. A peer that is frozen keeps its
+// connection and answers nothing; the notes would wait for it, and callers
+// would be served by an old one. Half a second is many round trips between
+// data centres, and leaves time to ask elsewhere within the five seconds.
+const callTimeout = 500 * time.Millisecond
+
+func (h *Holder) call(ctx context.Context, router fleet.RouterID, method string, params, result any) error {
+	bounded, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return h.peers.Call(bounded, router, method, params, result)
+}
+
 // fetchFrom learns all that a peer holds beyond what is held here.
 func (h *Holder) fetchFrom(ctx context.Context, router fleet.RouterID) error {
 	for {
 		held := h.Version()
 		answer := envelope[*schema.NoteFetched]{&schema.NoteFetched{}}
 		request := envelope[*schema.NoteFetch]{&schema.NoteFetch{After: uint64(held)}}
-		if err := h.peers.Call(ctx, router, FetchMethod, request, &answer); err != nil {
+		if err := h.call(ctx, router, FetchMethod, request, &answer); err != nil {
 			return eris.Wrapf(err, "note.fetch from %s", router)
 		}
 		version := fleet.Version(answer.message.GetVersion())
@@ -146,7 +159,7 @@
 	return h.parts, true, nil
 }
 
-// partsKept is how long an encoded state, of up to 7 MB, stays in memory for
+// partsKept is how long an encoded state, of up to 4 MB, stays in memory for
 // peers that read it: long enough for any of them, and short beside the time
 // between restarts. One who is later begins anew.
 const partsKept = time.Minute
@@ -159,7 +172,7 @@
 	}
 }
 
-// maxSnapshotBytes bounds what is taken from a peer: nine times the 7 MB of 36,000 accounts.
+// maxSnapshotBytes bounds what is taken from a peer: many times the state of 36,000 accounts.
 const maxSnapshotBytes = 64 << 20
 
 // snapshotFrom learns a peer's whole state.
@@ -169,7 +182,7 @@
 	for {
 		answer := envelope[*schema.SnapshotPart]{&schema.SnapshotPart{}}
 		request := envelope[*schema.SnapshotFetch]{&schema.SnapshotFetch{Version: version, Offset: uint64(len(data))}}
-		if err := h.peers.Call(ctx, router, SnapshotMethod, request, &answer); err != nil {
+		if err := h.call(ctx, router, SnapshotMethod, request, &answer); err != nil {
 			return eris.Wrapf(err, "note.snapshot from %s", router)
 		}
 		part := answer.message
