--- a/scenario/count.go
+++ b/scenario/count.go
@@ -163,7 +163,8 @@
 	return body.Runs, nil
 }
 
-// operations checks how many operations of a kind a platform was asked for:
+// operations checks how many operations of a kind a platform was asked for
+// since the script's last mark, or since its start:
 //
 //	operations PLATFORM read|scan|commit|put|get|list [least=N] [most=N]
 func operations(w *World, a arguments) error {
@@ -173,19 +174,11 @@
 	if err := a.allow("least", "most"); err != nil {
 		return err
 	}
-	p, err := w.find(a.words[0])
+	counts, err := w.operations(a.words[0])
 	if err != nil {
 		return err
 	}
-	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + wire.CountsPath})
-	if r.err != nil {
-		return r.err
-	}
-	counts := map[string]int{}
-	if err := json.Unmarshal([]byte(r.body), &counts); err != nil {
-		return err
-	}
-	found := counts[a.words[1]]
+	found := counts[a.words[1]] - w.marks[a.words[0]][a.words[1]]
 	least, err := a.number("least", 0)
 	if err != nil {
 		return err
@@ -199,3 +192,29 @@
 	}
 	return nil
 }
+
+// mark lets later commands count a platform's operations from now on:
+//
+//	mark PLATFORM
+func mark(w *World, a arguments) error {
+	if err := a.need(1, "mark PLATFORM"); err != nil {
+		return err
+	}
+	counts, err := w.operations(a.words[0])
+	w.marks[a.words[0]] = counts
+	return err
+}
+
+// operations returns how many operations of each kind a platform was asked for.
+func (w *World) operations(name string) (map[string]int, error) {
+	p, err := w.find(name)
+	if err != nil {
+		return nil, err
+	}
+	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + wire.CountsPath})
+	if r.err != nil {
+		return nil, r.err
+	}
+	counts := map[string]int{}
+	return counts, json.Unmarshal([]byte(r.body), &counts)
+}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -178,16 +178,16 @@
 
 // setFault replaces the faults of a stand-in by one, or by none:
 //
-//	fault NAME KIND [operation=NAME] [prefix=TEXT] [times=N] [delay=MS] [commits=N] [events=N]
+//	fault NAME KIND [operation=NAME] [prefix=TEXT] [times=N] [delay=MS] [commits=N] [commit=N] [events=N]
 //	fault NAME clear
 func setFault(w *World, a arguments) error {
 	if err := a.need(2, "fault NAME KIND"); err != nil {
 		return err
 	}
-	if err := a.allow("operation", "prefix", "times", "delay", "commits", "events"); err != nil {
+	if err := a.allow("operation", "prefix", "times", "delay", "commits", "commit", "events"); err != nil {
 		return err
 	}
-	n, err := a.numbers("times", "delay", "commits", "events")
+	n, err := a.numbers("times", "delay", "commits", "commit", "events")
 	if err != nil {
 		return err
 	}
@@ -195,7 +195,7 @@
 	if a.words[1] != "clear" {
 		orders.Faults = append(orders.Faults, fault.Fault{
 			Kind: fault.Kind(a.words[1]), Operation: a.options["operation"], Prefix: a.options["prefix"],
-			Times: n[0], DelayMs: n[1], Commits: n[2], Events: n[3],
+			Times: n[0], DelayMs: n[1], Commits: n[2], Commit: n[3], Events: n[4],
 		})
 	}
 	return w.order(a.words[0], http.MethodPut, wire.FaultsPath, orders)
--- a/scenario/process.go
+++ b/scenario/process.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -128,15 +127,6 @@
 	return string(data[max(0, len(data)-tailBytes):])
 }
 
-// freePort returns a port of the loopback that nobody listens on.
-func freePort() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // returns at once
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
 func (w *World) find(name string) (*process, error) {
 	p, ok := w.processes[name]
 	if !ok {
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -36,6 +36,7 @@
 	processes map[string]*process
 	calls     map[string]*exchange
 	loads     map[string]*load
+	marks     map[string]map[string]int
 	directs   int
 }
 
@@ -62,6 +63,7 @@
 		processes: map[string]*process{},
 		calls:     map[string]*exchange{},
 		loads:     map[string]*load{},
+		marks:     map[string]map[string]int{},
 	}
 	env.Values[worldKey{}] = w
 	var once sync.Once
@@ -113,7 +115,7 @@
 		"fault": setFault, "limits": limits, "drain": drain, "crash": crash, "restore": restore,
 		"sever": sever, "rejoin": rejoin,
 		"chat": chat, "call": callService, "resume": resume, "join": join, "events": events, "cut": cut,
-		"runs": runs, "total": total, "show": show, "busy": busy, "operations": operations, "metric": metric, "load": startLoad, "unload": endLoad,
+		"runs": runs, "total": total, "show": show, "busy": busy, "operations": operations, "mark": mark, "metric": metric, "load": startLoad, "unload": endLoad,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range table {
--- a/standin/fault/fault.go
+++ b/standin/fault/fault.go
@@ -48,6 +48,9 @@
 	DelayMs int `json:"delay-ms,omitempty"`
 	// Commits is how many commits a Stale read is behind.
 	Commits int `json:"commits,omitempty"`
+	// Commit is the number of the commit whose state a Stale read sees, counted
+	// from one. It goes before Commits and DelayMs.
+	Commit int `json:"commit,omitempty"`
 	// Events is the number of events before BreakAfterEvents breaks the connection.
 	Events int `json:"events,omitempty"`
 }
