--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -10,6 +10,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"nutmeglock.example/nutmeglock/call"
 	"nutmeglock.example/nutmeglock/estimate"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
@@ -38,8 +39,8 @@
 
 func (callersExtension) Extend(p *Parts) error {
 	callers := router.New(router.Options{
-		Notes: p.Notes, Runner: p.Runner, Estimator: estimator{p.Estimates}, Timer: p.Timer,
-		Metrics: p.Metrics, Log: p.Log,
+		Notes: p.Notes, Runner: p.Runner, Observers: p.Runner.Observers,
+		Estimator: estimator{p.Estimates}, Timer: p.Timer, Metrics: p.Metrics, Log: p.Log,
 		Limits: router.Limits{
 			BodyBytes:       settings.MaxBody(p.Settings),
 			HeaderBytes:     settings.MaxHeader(p.Settings),
@@ -56,8 +57,7 @@
 		p.sleep(ctx, settings.StopNotice(p.Settings))
 	})
 	p.OnStop(PriorityCallers, "finish requests", func(ctx context.Context) {
-		callers.Stop()
-		shutDown(ctx, p, server)
+		shutDown(ctx, p, callers, server)
 	})
 	return nil
 }
@@ -89,10 +89,14 @@
 
 // shutDown waits until no request is in flight, at most as long as the
 // settings allow.
-func shutDown(ctx context.Context, p *Parts, server *http.Server) {
+func shutDown(ctx context.Context, p *Parts, callers *router.Router, server *http.Server) {
 	ctx, cancel := context.WithTimeout(ctx, settings.StopGrace(p.Settings))
 	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	err := callers.Stop(ctx)
+	if err == nil {
+		err = server.Shutdown(ctx)
+	}
+	if err != nil {
 		p.Log.Error("the graceful shutdown took too long; requests in flight are cut off", "error", err)
 	}
 	p.Runner.Wait()
@@ -108,9 +112,19 @@
 	}
 }
 
-// estimator gives the router what package estimate has learnt.
+// estimator teaches package estimate from requests that ended, and gives the
+// router what it has learnt.
 type estimator struct{ *estimate.Estimator }
 
+// Ended learns the output of a model's answer that came whole. An engine's
+// refusal of a bad request has no output. Taken for a short answer, a few of
+// them would let the next requests start too cheaply.
+func (e estimator) Ended(report call.Report) {
+	if report.Refused == "" && report.Output > 0 {
+		e.Estimator.Ended(estimate.Key{Account: report.Account, Service: report.Service}, report.Output)
+	}
+}
+
 func (e estimator) Model(account *schema.Account, service *schema.Service, bodyBytes, maxTokens int) fleet.Tokens {
 	key := estimate.Key{Account: fleet.AccountID(account.GetId()), Service: fleet.ServiceID(service.GetId())}
 	weights := estimate.Weights{Input: service.GetInputWeight(), Output: service.GetOutputWeight()}
@@ -126,7 +140,7 @@
 	handler := operator.New(operator.Options{
 		Keys: p.Settings.GetOperatorKeys(), Store: p.NoteStore,
 		Publisher: note.NewPublisher(note.PublisherOptions{Store: p.NoteStore, Holder: p.Notes, Timer: p.Timer}),
-		Holder:    p.Notes, State: p.State,
+		Holder:    p.Notes, State: p.State, Log: p.Log,
 		Metrics:  promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}),
 		Registry: p.Registry,
 	})
