--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -192,12 +192,6 @@
 	return max(time.Duration(seconds*float64(time.Second)), leastRetry)
 }
 
-// benefitOfDoubt is how many times later than its deadline the turn of a
-// request that already waits must seem to come until it is given up. One
-// account's starts at one router are few and lumpy, and what was let in and
-// then refused has waited in vain.
-const benefitOfDoubt = 2
-
 // review refuses requests that were let in but won't have their turn in time
 // any more, because the account is now served more slowly, and forgets queues
 // that were not used for a while.
@@ -212,8 +206,7 @@
 		}
 		rate := q.drain.Most(now)
 		for i, w := range e.waiters(q) {
-			doubt := now.Add(benefitOfDoubt * w.work.Deadline.Sub(now))
-			refused := s.admission.Admit(now, doubt, admission.Queue{
+			refused := s.admission.Admit(now, w.work.Deadline, admission.Queue{
 				Account: i, AccountBound: i + 1, TotalBound: 1, Drain: rate,
 			})
 			if refused != nil && refused.Reason == refusal.DeadlineBeforeTurn {
