--- a/operator/client.go
+++ b/operator/client.go
@@ -33,6 +33,10 @@
 // clientTimeout bounds one request to one router. It lets a publish end by its own bound.
 const clientTimeout = publishTimeout + 5*time.Second
 
+// readTimeout bounds a request that changes nothing at one router. A router
+// that is frozen takes connections and answers nothing; the next one is asked.
+const readTimeout = 5 * time.Second
+
 // NewClient returns a Client that presents key to the routers whose
 // administration addresses are at the URLs.
 func NewClient(key string, urls ...string) *Client {
@@ -224,11 +228,7 @@
 func (c *Client) inTurn(ctx context.Context, method, path string, body []byte, answer proto.Message) error {
 	var causes []error
 	for _, base := range c.urls {
-		request, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
-		if err != nil {
-			return eris.Wrap(err, path)
-		}
-		err = c.do(request, base, answer)
+		err := c.read(ctx, method, base, path, body, answer)
 		var answered *AnswerError
 		if err == nil || (errors.As(err, &answered) && answered.Status < http.StatusInternalServerError) {
 			return err
@@ -238,6 +238,16 @@
 	return lastAnswer(causes)
 }
 
+func (c *Client) read(ctx context.Context, method, base, path string, body []byte, answer proto.Message) error {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(bounded, method, base+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, path)
+	}
+	return c.do(request, base, answer)
+}
+
 // maxAnswerBytes bounds an answer: the list of 36,000 accounts with their load has less than 20 MB.
 const maxAnswerBytes = 64 << 20
 
