--- a/document/document.go
+++ b/document/document.go
@@ -69,12 +69,6 @@
 	d.add(Fault{Position: d.position(path), Path: path, Kind: kind, Found: found, Allowed: allowed})
 }
 
-// Has reports whether the document holds the field at path.
-func (d *Document[M]) Has(path string) bool {
-	_, ok := d.positions[path]
-	return ok
-}
-
 // Err returns *FaultsError when the document has faults.
 func (d *Document[M]) Err() error {
 	if len(d.faults) == 0 {
