--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -80,7 +80,7 @@
 	w.preferred = e.preferred(s, w)
 	return s.admission.Admit(now, w.work.Deadline, admission.Queue{
 		Account: e.line.Len(key), AccountBound: s.bound(q), Total: e.line.Total(), TotalBound: s.maxWaitingTotal,
-		Drain: q.drain.Rate(now),
+		Drain: q.drain.Most(now),
 	})
 }
 
@@ -210,7 +210,7 @@
 			}
 			continue
 		}
-		rate := q.drain.Rate(now)
+		rate := q.drain.Most(now)
 		for i, w := range e.waiters(q) {
 			doubt := now.Add(benefitOfDoubt * w.work.Deadline.Sub(now))
 			refused := s.admission.Admit(now, doubt, admission.Queue{
