--- a/note/holder.go
+++ b/note/holder.go
@@ -5,9 +5,7 @@
 	"errors"
 	"hash/fnv"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +57,9 @@
 	random *rand.Rand
 	parts  snapshotParts
 
+	// wake has follow look at what was heard, ask has poll read the table.
 	wake chan struct{}
+	ask  chan struct{}
 }
 
 // NewHolder returns a Holder that holds nothing yet.
@@ -67,7 +67,7 @@
 	h := &Holder{
 		self: options.Self, store: options.Store, peers: options.Peers, timer: options.Timer,
 		announce: options.Announce, log: options.Log,
-		heard: map[fleet.RouterID]fleet.Version{}, told: map[fleet.RouterID]fleet.Version{}, wake: make(chan struct{}, 1),
+		heard: map[fleet.RouterID]fleet.Version{}, told: map[fleet.RouterID]fleet.Version{}, wake: make(chan struct{}, 1), ask: make(chan struct{}, 1),
 	}
 	if h.peers == nil {
 		h.peers = nobody{}
@@ -111,7 +111,7 @@
 }
 
 // recentKept is how many records are kept for peers that missed some. It
-// outlasts an interval of snapshots, and takes about 200 KB.
+// outlasts an interval of snapshots, and takes about 100 KB.
 const recentKept = 512
 
 // Learn puts accepted records in force as far as they follow what is held,
@@ -178,66 +178,6 @@
 	h.spread(fleet.Version(state.GetVersion()))
 }
 
-func (h *Holder) spread(version fleet.Version) {
-	if h.announce == nil {
-		return
-	}
-	routers := h.peers.Routers()
-	h.mu.Lock()
-	to := Spread(routers, h.random)
-	h.mu.Unlock()
-	h.announce(to, version)
-}
-
-// Heard takes note of a peer that holds a version, and has Run fetch it when
-// it is higher than what is held here. It does not block.
-func (h *Holder) Heard(from fleet.RouterID, version fleet.Version) {
-	higher := version > h.Version()
-	h.mu.Lock()
-	h.told[from] = version
-	if higher {
-		h.heard[from] = max(h.heard[from], version)
-	}
-	h.mu.Unlock()
-	if !higher {
-		return
-	}
-	select {
-	case h.wake <- struct{}{}:
-	default:
-	}
-}
-
-// PeerVersion returns the version that a router last announced to this one,
-// zero when it announced none. In a fleet of more than spreadAll routers it may
-// lag, because each tells only a few.
-func (h *Holder) PeerVersion(router fleet.RouterID) fleet.Version {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.told[router]
-}
-
-// nextHeard returns a peer that announced a higher version than is held, and
-// forgets its announcement and those that are of no use any more.
-func (h *Holder) nextHeard() (fleet.RouterID, bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	held := fleet.Version(h.state().GetVersion())
-	var best fleet.RouterID
-	for router, version := range h.heard {
-		if version <= held {
-			delete(h.heard, router)
-			continue
-		}
-		highest := h.heard[best]
-		if version > highest || (version == highest && router < best) {
-			best = router
-		}
-	}
-	delete(h.heard, best)
-	return best, best != ""
-}
-
 const (
 	// pollInterval is the mean time between two reads of the head row. At 460
 	// routers this makes 460 / 4 s = 115 reads a second, 6% of the table's 2,000,
@@ -251,43 +191,72 @@
 	// pollJitter is the part of the interval by which a poll is early or late,
 	// so that routers that started together do not read together.
 	pollJitter = 0.25
-	// catchUpTimeout bounds one catch-up, of which a snapshot of 7 MB takes the longest.
+	// catchUpTimeout bounds one catch-up, of which a snapshot of 4 MB takes the longest.
 	catchUpTimeout = 10 * time.Second
 )
 
-// Run keeps the Holder up to date until the context ends, whose error it returns.
+// Run keeps the Holder up to date until the context ends, whose error it
+// returns. It reads the table and follows announcements side by side: a table
+// that takes a minute for a read would otherwise keep a router from what its
+// peers hold, and have it serve callers by an old note.
 func (h *Holder) Run(ctx context.Context) error {
-	for {
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		h.follow(ctx)
+	}()
+	h.poll(ctx)
+	<-followed
+	return ctx.Err()
+}
+
+// poll reads the table at each interval, and at once when a peer does not hand
+// out what it announced.
+func (h *Holder) poll(ctx context.Context) {
+	for ctx.Err() == nil {
 		h.bounded(ctx, h.Refresh)
-		if err := h.untilPoll(ctx); err != nil {
-			return err
+		due := make(chan struct{})
+		subscription := h.timer.After(h.interval(), func(time.Time) { close(due) })
+		select {
+		case <-ctx.Done():
+		case <-due:
+		case <-h.ask:
 		}
+		subscription.Cancel()
 	}
 }
 
-// untilPoll follows announcements until the next poll is due.
-func (h *Holder) untilPoll(ctx context.Context) error {
-	due := make(chan struct{})
-	subscription := h.timer.After(h.interval(), func(time.Time) { close(due) })
-	defer subscription.Cancel()
+// follow fetches what peers announce.
+func (h *Holder) follow(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-due:
-			return nil
+			return
 		case <-h.wake:
-			h.bounded(ctx, h.FollowHeard)
+			if !h.bounded(ctx, h.FollowHeard) {
+				signal(h.ask)
+			}
 		}
 	}
 }
 
-func (h *Holder) bounded(ctx context.Context, step func(context.Context) error) {
+// signal sends on a channel of capacity one, unless a signal waits there already.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// bounded makes one step of catching up and reports whether it succeeded.
+func (h *Holder) bounded(ctx context.Context, step func(context.Context) error) bool {
 	bounded, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
-	if err := step(bounded); err != nil && ctx.Err() == nil {
+	err := step(bounded)
+	if err != nil && ctx.Err() == nil {
 		h.log.Warn("release notes not brought up to date", "version", h.Version(), "reason", err)
 	}
+	return err == nil
 }
 
 func (h *Holder) interval() time.Duration {
@@ -333,17 +302,6 @@
 	return nil
 }
 
-// forgetGone forgets what routers announced that are gone: of 1,300 that start
-// in a day each may have a name of its own.
-func (h *Holder) forgetGone() {
-	routers := h.peers.Routers()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	maps.DeleteFunc(h.told, func(router fleet.RouterID, _ fleet.Version) bool {
-		return !slices.Contains(routers, router)
-	})
-}
-
 // peersAsked bounds how many peers are asked in turn when the table is down.
 // More is of little use: the next poll asks others.
 const peersAsked = 3
@@ -355,25 +313,3 @@
 	h.random.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
 	return routers[:min(len(routers), peersAsked)]
 }
-
-// FollowHeard fetches what peers announced, and falls back on the table when
-// none of them answers.
-func (h *Holder) FollowHeard(ctx context.Context) error {
-	failed := false
-	for {
-		router, ok := h.nextHeard()
-		if !ok {
-			break
-		}
-		if err := h.fetchFrom(ctx, router); err != nil {
-			failed = true
-			h.log.Debug("release notes not fetched", "router", router, "reason", err)
-			continue
-		}
-		failed = false
-	}
-	if !failed {
-		return nil
-	}
-	return h.refreshFromTable(ctx)
-}
