scheduler: a router that is cut off from the dispatcher only is served

Between routers whose views differ for good, as when only some pairs of them are cut, a router took for the dispatcher one that knows better and grants nothing. The other one now denies the ask, and is left out after a second.

--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -24,6 +25,10 @@
 	// take new work, once for each upstream.
 	byService map[fleet.Number][]target
 	services  map[fleet.ServiceID]fleet.Number
+	// own are the services of which this router dispatches an upstream.
+	own map[fleet.Number]bool
+	// denied is set when a router was left out of a service.
+	denied bool
 	// epoch grows with each change.
 	epoch uint64
 }
@@ -48,6 +53,10 @@
 	}
 	s.stale = false
 	before := s.assigned
+	if !slices.Equal(live, before.live) {
+		// What others denied they denied by the former view.
+		s.denials = newDenials()
+	}
 	first := s.view == nil
 	s.forgetWithdrawn(view)
 	s.view = view
@@ -84,20 +93,23 @@
 		dispatchers: make(map[fleet.Number]fleet.RouterID, len(view.State().GetUpstreams())),
 		byService:   make(map[fleet.Number][]target),
 		services:    make(map[fleet.ServiceID]fleet.Number, len(view.State().GetServices())),
+		own:         make(map[fleet.Number]bool),
 	}
 	for _, service := range view.State().GetServices() {
 		a.services[fleet.ServiceID(service.GetId())] = fleet.Number(service.GetNumber())
 	}
-	pick := picker(live, before)
+	pick := s.picker(live, before, a.services)
+	a.denied = s.denials.any()
 	for _, u := range view.State().GetUpstreams() {
 		number := fleet.Number(u.GetNumber())
 		router := s.self
 		if s.sharing != StaticShare {
-			router = pick(number)
+			router = pick(u)
 		}
 		a.dispatchers[number] = router
+		service := a.services[fleet.ServiceID(u.GetService())]
+		a.own[service] = a.own[service] || router == s.self
 		if !s.departs(u) && !s.drainsAt(number, router) {
-			service := a.services[fleet.ServiceID(u.GetService())]
 			a.byService[service] = append(a.byService[service], target{number, router})
 		}
 	}
@@ -107,7 +119,7 @@
 // picker returns a function that chooses the dispatcher of an upstream. It
 // looks only at the routers that came when the former one is still alive: at
 // the target size a full comparison takes 5.5 million hashes for each change.
-func picker(live []fleet.RouterID, before assignment) func(upstream fleet.Number) fleet.RouterID {
+func (s *Scheduler) picker(live []fleet.RouterID, before assignment, services map[fleet.ServiceID]fleet.Number) func(*schema.Upstream) fleet.RouterID {
 	var came []fleet.RouterID
 	for _, router := range live {
 		if !slices.Contains(before.live, router) {
@@ -118,9 +130,13 @@
 	for _, router := range live {
 		alive[router] = true
 	}
-	return func(upstream fleet.Number) fleet.RouterID {
+	return func(u *schema.Upstream) fleet.RouterID {
+		upstream := fleet.Number(u.GetNumber())
+		if service := services[fleet.ServiceID(u.GetService())]; s.denials.of(service) {
+			return cmp.Or(rendezvous.Pick(dispatcherKey(upstream), s.denials.without(service, live)), s.self)
+		}
 		former := before.dispatchers[upstream]
-		if !alive[former] {
+		if !alive[former] || before.denied {
 			return rendezvous.Pick(dispatcherKey(upstream), live)
 		}
 		if len(came) == 0 {
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/rendezvous"
 )
 
 // dispatcherOf returns who dispatches the first upstream, as a router sees it.
@@ -204,3 +205,37 @@
 		f.atMost(4)
 	})
 }
+
+// The network between two routers is cut, and both still reach the third. One
+// of them dispatches the only upstream of a service; the other takes the third
+// one for its dispatcher, which knows better and grants nothing. The callers
+// of that router would wait until their deadlines beside idle slots.
+func TestRouterThatIsCutOffFromTheDispatcherOnly(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, viewOf(2, 1, 4))
+		ids := f.startAll(3)
+		defer f.stopAll()
+		dispatcher := f.dispatcherOf(ids[0])
+		rest := others(ids, dispatcher)
+		second := rendezvous.Pick(rendezvous.KeyOfNumber("dispatcher", 1000), rest)
+		cutOff := others(rest, second)[0]
+		f.net.cut(dispatcher, cutOff)
+		time.Sleep(time.Second)
+		require.Equal(t, second, f.dispatcherOf(cutOff))
+		require.Equal(t, dispatcher, f.dispatcherOf(second))
+		f.load(cutOff, "account-0", 8, time.Second)
+		time.Sleep(5 * time.Second)
+		f.full(4)
+		// The others are still served by the dispatcher that they reach.
+		f.load(second, "account-1", 8, time.Second)
+		time.Sleep(2 * time.Second)
+		require.Positive(t, f.ups.servedOf("account-1"))
+		f.atMost(2 * 4)
+		f.net.connect(dispatcher, cutOff)
+		time.Sleep(15 * time.Second)
+		require.Equal(t, dispatcher, f.dispatcherOf(cutOff))
+		f.ups.resetMost()
+		f.full(4)
+	})
+}
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -116,6 +116,12 @@
 	}
 	for _, message := range batch.GetAsks() {
 		s.slots.Ask(now, from, dispatcher.GrantIDOf(r.seen, s.nonce(s.self)), message)
+		if message.GetWaiting() > 0 {
+			s.deny(from, fleet.Number(message.GetService()))
+		}
+	}
+	for _, service := range batch.GetDenied() {
+		s.denied(now, from, fleet.Number(service))
 	}
 	for _, message := range batch.GetGrants() {
 		s.entry.granted(s, now, from, message)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -152,6 +152,7 @@
 	poller   *poller
 	free     freeAnnouncer
 	drains   drains
+	denials  denials
 	view     *note.View
 	// departing are the upstreams that the platform's list shows as leaving.
 	departing map[fleet.UpstreamID]bool
@@ -193,6 +194,7 @@
 	s.poller = newPoller(s)
 	s.free = newFreeAnnouncer()
 	s.drains = newDrains()
+	s.denials = newDenials()
 	if s.peers != nil {
 		s.peers.OnBatch(func(from fleet.RouterID, batch *schema.Batch) {
 			s.loop.Post(func() { s.receive(from, batch) })
@@ -312,6 +314,7 @@
 }
 
 func (s *Scheduler) upkeep(now time.Time) {
+	s.stale = s.denials.expire(now) || s.stale
 	s.refresh(now)
 	s.connect()
 	s.entry.review(s, now)
