--- a/daemon/state.go
+++ b/daemon/state.go
@@ -82,6 +82,7 @@
 		}
 		routers = append(routers, &schema.RouterState{
 			Id: string(r.ID), State: routerState(r), StartedUnixMs: int64(r.Incarnation),
+			DataCenter: string(r.DataCenter), Address: r.Address,
 			NoteVersion: uint64(s.parts.Notes.PeerVersion(r.ID)),
 		})
 	}
@@ -98,21 +99,30 @@
 	return stateReady
 }
 
-func (s *state) AccountLoad(id fleet.AccountID) *schema.AccountLoad {
-	load := &schema.AccountLoad{}
-	for _, queue := range s.snapshot().Queues {
-		if queue.Account == id {
-			load.Waiting += uint32(queue.Waiting)
+func (s *state) Accounts() map[fleet.AccountID]*schema.AccountLoad {
+	loads := make(map[fleet.AccountID]*schema.AccountLoad)
+	of := func(id fleet.AccountID) *schema.AccountLoad {
+		if loads[id] == nil {
+			loads[id] = &schema.AccountLoad{}
 		}
+		return loads[id]
 	}
-	return load
+	snapshot := s.snapshot()
+	for _, queue := range snapshot.Queues {
+		of(queue.Account).Waiting += uint32(queue.Waiting)
+	}
+	for id, count := range snapshot.InFlight {
+		of(id).InFlight = uint32(count)
+	}
+	for id, served := range s.parts.Metrics.ServiceByAccount() {
+		of(fleet.AccountID(id)).Service = int64(served)
+	}
+	return loads
 }
 
-func (s *state) UpstreamLoad(id fleet.UpstreamID) *schema.UpstreamLoad {
+func (s *state) Upstreams() map[fleet.UpstreamID]*schema.UpstreamLoad {
+	loads := make(map[fleet.UpstreamID]*schema.UpstreamLoad)
 	for _, u := range s.snapshot().Upstreams {
-		if u.ID != id {
-			continue
-		}
 		load := &schema.UpstreamLoad{
 			State: stateLive, Dispatcher: string(u.Dispatcher),
 			InFlight: uint32(u.InFlight), Limit: uint32(u.Limit),
@@ -120,7 +130,7 @@
 		if u.Leaving {
 			load.State = stateLeaving
 		}
-		return load
+		loads[u.ID] = load
 	}
-	return nil
+	return loads
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+	dto "github.com/prometheus/client_model/go"
 
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -79,6 +80,23 @@
 	}
 }
 
+// ServiceByAccount returns the weighted tokens that each account received so far.
+func (s *Set) ServiceByAccount() map[string]float64 {
+	served := make(map[string]float64)
+	found := make(chan prometheus.Metric)
+	go func() {
+		s.Service.Collect(found)
+		close(found)
+	}()
+	for each := range found {
+		var figure dto.Metric
+		if each.Write(&figure) == nil && len(figure.GetLabel()) == 1 {
+			served[figure.GetLabel()[0].GetValue()] = figure.GetCounter().GetValue()
+		}
+	}
+	return served
+}
+
 // Control counts one control message of size bytes.
 func (s *Set) Control(direction, side string, size int) {
 	s.ControlBytes.WithLabelValues(direction, side).Add(float64(size))
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -23,10 +23,11 @@
 	Router() *schema.RouterState
 	// Routers returns the fleet as this router sees it, itself included.
 	Routers() []*schema.RouterState
-	// AccountLoad returns an account's work at this router, or nil.
-	AccountLoad(id fleet.AccountID) *schema.AccountLoad
-	// UpstreamLoad returns what this router knows of an upstream, or nil.
-	UpstreamLoad(id fleet.UpstreamID) *schema.UpstreamLoad
+	// Accounts returns the work of accounts at this router. An account without
+	// any may be left out.
+	Accounts() map[fleet.AccountID]*schema.AccountLoad
+	// Upstreams returns what this router knows of upstreams.
+	Upstreams() map[fleet.UpstreamID]*schema.UpstreamLoad
 }
 
 // Options are the parts that the API works with. All but the last three are needed.
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -32,6 +32,7 @@
 		delete(s.entry.through, change.Router)
 	}
 	r.incarnation, r.fresh = change.Incarnation, true
+	r.dataCenter, r.address = change.DataCenter, change.Address
 	r.seen, r.told = 0, 0
 	s.members.Connected(now, change.Router, change.Address)
 	s.refresh(now)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -164,6 +164,8 @@
 // router is what is known of another router's connection.
 type router struct {
 	incarnation fleet.Incarnation
+	dataCenter  fleet.DataCenterID
+	address     string
 	connected   bool
 	// fresh is set until the first complete batch of a connection.
 	fresh     bool
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -14,6 +14,8 @@
 	Routers   []RouterState
 	Upstreams []UpstreamState
 	Queues    []QueueState
+	// InFlight is how many requests of this router each account has at upstreams.
+	InFlight map[fleet.AccountID]int
 	// Kept is how many accounts this router sums the service of.
 	Kept int
 }
@@ -25,6 +27,8 @@
 	Dispatches  bool
 	Leaving     bool
 	Incarnation fleet.Incarnation
+	DataCenter  fleet.DataCenterID
+	Address     string
 }
 
 // UpstreamState is what is known of one upstream.
@@ -72,6 +76,7 @@
 		rs := RouterState{ID: m.ID, Connected: m.ID == s.self, Dispatches: m.Dispatches, Leaving: m.Leaving}
 		if r != nil {
 			rs.Connected, rs.Incarnation = r.connected, r.incarnation
+			rs.DataCenter, rs.Address = r.dataCenter, r.address
 		}
 		state.Routers = append(state.Routers, rs)
 	}
@@ -79,9 +84,13 @@
 		return state
 	}
 	state.Version = s.view.Version()
+	state.InFlight = make(map[fleet.AccountID]int)
 	here := make(map[fleet.Number]int)
 	for _, h := range s.entry.holds {
 		here[h.upstream]++
+		if account := s.view.AccountByNumber(h.account); account != nil {
+			state.InFlight[fleet.AccountID(account.GetId())]++
+		}
 	}
 	for _, u := range s.view.State().GetUpstreams() {
 		number := fleet.Number(u.GetNumber())
@@ -89,7 +98,7 @@
 		state.Upstreams = append(state.Upstreams, UpstreamState{
 			ID: fleet.UpstreamID(u.GetId()), Service: fleet.ServiceID(u.GetService()),
 			Dispatcher: s.assigned.dispatchers[number], Here: here[number],
-			InFlight: inFlight, Limit: s.slots.Limit(now, number), Leaving: u.GetLeaving(),
+			InFlight: inFlight, Limit: s.slots.Limit(now, number), Leaving: u.GetLeaving() || s.departing[fleet.UpstreamID(u.GetId())],
 		})
 	}
 	for _, q := range s.entry.queues {
