--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -130,16 +130,18 @@
 	}
 }
 
-// lost drops what was asked of a router that is gone, and asks another.
-func (e *entry) lost(router fleet.RouterID) {
+// lost drops what was asked of a router that is gone, and asks another where
+// no other was asked.
+func (e *entry) lost(s *Scheduler, now time.Time, router fleet.RouterID) {
 	for _, q := range e.queues {
 		delete(q.asked, router)
 		q.targets = slices.DeleteFunc(q.targets, func(t fleet.RouterID) bool { return t == router })
+		e.ask(s, now, q, false)
 	}
 }
 
 // asksFor returns all that is asked of one router.
-func (e *entry) asksFor(_ *Scheduler, now time.Time, router fleet.RouterID) []*schema.Ask {
+func (e *entry) asksFor(now time.Time, router fleet.RouterID) []*schema.Ask {
 	var asks []*schema.Ask
 	for _, q := range e.queues {
 		if e.line.Len(q.key) > 0 && slices.Contains(q.targets, router) {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -22,9 +22,10 @@
 	// through is the highest id of each dispatcher's grants that was seen.
 	through map[fleet.RouterID]uint64
 	recent  recent
-	// starts counts requests since the rate was last measured.
-	starts   int
+	// rate is the requests started per second lately, starts those since it
+	// was measured.
 	rate     float64
+	starts   int
 	measured time.Time
 }
 
@@ -213,6 +214,7 @@
 				e.refuse(now, w, refused)
 			}
 		}
+		// Also repeats asks that a dispatcher takes for withdrawn.
 		e.ask(s, now, q, false)
 	}
 }
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -22,7 +22,7 @@
 	if !change.Connected {
 		s.members.Disconnected(now, change.Router)
 		s.slots.Gone(now, change.Router)
-		s.entry.lost(change.Router)
+		s.entry.lost(s, now, change.Router)
 		s.refresh(now)
 		return
 	}
@@ -48,7 +48,7 @@
 	s.routers[to].completeAt = now
 	out := s.outbox.to(to)
 	out.Complete = true
-	out.Asks = s.entry.asksFor(s, now, to)
+	out.Asks = s.entry.asksFor(now, to)
 	out.Held = s.entry.heldFor(s, to)
 	out.Leaving = s.stopping || s.view == nil
 	out.Draining, out.Working = without(s.drains.told, nil), nil
@@ -94,6 +94,9 @@
 	return true
 }
 
+// take handles a batch from another router or from this one itself, in an
+// order in which each part finds what it builds on: what is held before what
+// is released, and releases before asks, which they may withdraw.
 func (s *Scheduler) take(now time.Time, from fleet.RouterID, r *router, batch *schema.Batch) {
 	r.seen = max(r.seen, batch.GetGrantedThrough())
 	if s.drains.take(from, batch) {
