--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -54,6 +54,12 @@
 	return u.served[account]
 }
 
+func (u *upstreams) mostOf(id string) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.most[id]
+}
+
 // total returns what runs at all upstreams now.
 func (u *upstreams) total() int {
 	u.mu.Lock()
