--- a/scheduler/view_test.go
+++ b/scheduler/view_test.go
@@ -144,7 +144,7 @@
 		f.net.cut(ids[0], ids[1])
 		time.Sleep(20 * time.Second)
 		f.ups.resetMost()
-		const looks = 500
+		const looks = 3000
 		sum := 0
 		for range looks {
 			time.Sleep(37 * time.Millisecond)
