scheduler: own dispatcher first only where messages have to be spared

Cause: with idle slots of its own a router grants to its own callers as they come, before asks of different accounts meet at a dispatcher, so that at a start or burst slots go by the number of callers and stay for a residence. It stays from 50 requests a second and router on.

--- a/scheduler/asking.go
+++ b/scheduler/asking.go
@@ -13,16 +13,14 @@
 	// busyRate is the requests per second from which messages are spared: at
 	// 50 bytes each they would take the whole control allowance of 3 KB/s.
 	busyRate = 50.0
-	// ownShare is how far the own upstreams are filled before others, while
-	// messages need not be spared. Fuller batches stream more slowly, so
-	// leaving others empty for longer would cost answers time.
-	ownShare = 0.5
 )
 
 // rank returns the dispatchers that a queue asks, those that can be reached.
-// Asking this router's own takes no message and no round trip, so it goes
-// first while its upstreams have room. Otherwise the dispatchers of upstreams
-// that probably have the prompt cached do.
+// Those of upstreams that probably have the prompt cached come first. At high
+// rates this router's own does while its upstreams have room, since asking it
+// takes no message. It doesn't at low ones: own slots go to whoever comes first
+// at this router, before the asks of others meet, and in a burst the accounts
+// with the most callers took most of the fleet that way for a residence.
 func (e *entry) rank(s *Scheduler, now time.Time, q *queue) []fleet.RouterID {
 	var preferred []fleet.Number
 	if head := e.line.Head(q.key); head != nil {
@@ -32,7 +30,7 @@
 	ranked = slices.DeleteFunc(ranked, func(router fleet.RouterID) bool { return !s.reaches(router) })
 	inFlight, limit := s.slots.Busy(now, q.key.service)
 	spare := e.rate >= busyRate && inFlight < limit
-	if !spare && (len(preferred) > 0 || float64(inFlight) >= ownShare*float64(limit)) {
+	if !spare {
 		return ranked
 	}
 	if i := slices.Index(ranked, s.self); i > 0 {
