--- a/command/operator_test.go
+++ b/command/operator_test.go
@@ -27,10 +27,10 @@
 
 type state struct{}
 
-func (state) Ready() string                                      { return "" }
-func (state) Router() *schema.RouterState                        { return &schema.RouterState{Id: "r"} }
-func (state) AccountLoad(fleet.AccountID) *schema.AccountLoad    { return nil }
-func (state) UpstreamLoad(fleet.UpstreamID) *schema.UpstreamLoad { return nil }
+func (state) Ready() string                                            { return "" }
+func (state) Router() *schema.RouterState                              { return &schema.RouterState{Id: "r"} }
+func (state) AccountLoads() map[fleet.AccountID]*schema.AccountLoad    { return nil }
+func (state) UpstreamLoads() map[fleet.UpstreamID]*schema.UpstreamLoad { return nil }
 
 func (state) Routers() []*schema.RouterState {
 	return []*schema.RouterState{{Id: "r", DataCenter: "kuopio", State: "ready", NoteVersion: 1, Self: true}}
--- a/daemon/state.go
+++ b/daemon/state.go
@@ -98,21 +98,22 @@
 	return stateReady
 }
 
-func (s *state) AccountLoad(id fleet.AccountID) *schema.AccountLoad {
-	load := &schema.AccountLoad{}
+func (s *state) AccountLoads() map[fleet.AccountID]*schema.AccountLoad {
+	loads := map[fleet.AccountID]*schema.AccountLoad{}
 	for _, queue := range s.snapshot().Queues {
-		if queue.Account == id {
-			load.Waiting += uint32(queue.Waiting)
+		load, ok := loads[queue.Account]
+		if !ok {
+			load = &schema.AccountLoad{}
+			loads[queue.Account] = load
 		}
+		load.Waiting += uint32(queue.Waiting)
 	}
-	return load
+	return loads
 }
 
-func (s *state) UpstreamLoad(id fleet.UpstreamID) *schema.UpstreamLoad {
+func (s *state) UpstreamLoads() map[fleet.UpstreamID]*schema.UpstreamLoad {
+	loads := map[fleet.UpstreamID]*schema.UpstreamLoad{}
 	for _, u := range s.snapshot().Upstreams {
-		if u.ID != id {
-			continue
-		}
 		load := &schema.UpstreamLoad{
 			State: stateLive, Dispatcher: string(u.Dispatcher),
 			InFlight: uint32(u.InFlight), Limit: uint32(u.Limit),
@@ -120,7 +121,7 @@
 		if u.Leaving {
 			load.State = stateLeaving
 		}
-		return load
+		loads[u.ID] = load
 	}
-	return nil
+	return loads
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -23,10 +23,10 @@
 	Router() *schema.RouterState
 	// Routers returns the fleet as this router sees it, itself included.
 	Routers() []*schema.RouterState
-	// AccountLoad returns an account's work at this router, or nil.
-	AccountLoad(id fleet.AccountID) *schema.AccountLoad
-	// UpstreamLoad returns what this router knows of an upstream, or nil.
-	UpstreamLoad(id fleet.UpstreamID) *schema.UpstreamLoad
+	// AccountLoads returns the work at this router of the accounts that have any.
+	AccountLoads() map[fleet.AccountID]*schema.AccountLoad
+	// UpstreamLoads returns what this router knows of upstreams.
+	UpstreamLoads() map[fleet.UpstreamID]*schema.UpstreamLoad
 }
 
 // Options are the parts that the API works with. All but the last three are needed.
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -31,10 +31,10 @@
 	return &schema.RouterState{Id: "r", NoteVersion: uint64(n.holder.Version())}
 }
 func (nothing) Routers() []*schema.RouterState { return []*schema.RouterState{{Id: "r"}} }
-func (nothing) AccountLoad(fleet.AccountID) *schema.AccountLoad {
-	return &schema.AccountLoad{Waiting: 3}
+func (nothing) AccountLoads() map[fleet.AccountID]*schema.AccountLoad {
+	return map[fleet.AccountID]*schema.AccountLoad{"a": {Waiting: 3}}
 }
-func (nothing) UpstreamLoad(fleet.UpstreamID) *schema.UpstreamLoad { return nil }
+func (nothing) UpstreamLoads() map[fleet.UpstreamID]*schema.UpstreamLoad { return nil }
 
 type fixture struct {
 	platform *memory.Platform
--- a/operator/state.go
+++ b/operator/state.go
@@ -25,9 +25,10 @@
 		return err
 	}
 	list := &schema.AccountList{Version: uint64(view.Version())}
+	loads := a.State.AccountLoads()
 	for _, account := range view.State().GetAccounts() {
 		list.Accounts = append(list.Accounts, &schema.AccountState{
-			Account: account, Load: a.State.AccountLoad(fleet.AccountID(account.GetId())),
+			Account: account, Load: loads[fleet.AccountID(account.GetId())],
 		})
 	}
 	return answer(c, http.StatusOK, list)
@@ -47,9 +48,10 @@
 		return err
 	}
 	list := &schema.UpstreamList{Version: uint64(view.Version())}
+	loads := a.State.UpstreamLoads()
 	for _, upstream := range view.State().GetUpstreams() {
 		list.Upstreams = append(list.Upstreams, &schema.UpstreamState{
-			Upstream: upstream, Load: a.State.UpstreamLoad(fleet.UpstreamID(upstream.GetId())),
+			Upstream: upstream, Load: loads[fleet.UpstreamID(upstream.GetId())],
 		})
 	}
 	return answer(c, http.StatusOK, list)
