--- a/operator/operator.go
+++ b/operator/operator.go
@@ -23,10 +23,11 @@
 	Router() *schema.RouterState
 	// Routers returns the fleet as this router sees it, itself included.
 	Routers() []*schema.RouterState
-	// AccountLoads returns the work at this router of the accounts that have any.
-	AccountLoads() map[fleet.AccountID]*schema.AccountLoad
-	// UpstreamLoads returns what this router knows of upstreams.
-	UpstreamLoads() map[fleet.UpstreamID]*schema.UpstreamLoad
+	// Accounts returns the work of accounts at this router. An account without
+	// any may be left out.
+	Accounts() map[fleet.AccountID]*schema.AccountLoad
+	// Upstreams returns what this router knows of upstreams.
+	Upstreams() map[fleet.UpstreamID]*schema.UpstreamLoad
 }
 
 // Options are the parts that the API works with. All but the last three are needed.
--- a/operator/state.go
+++ b/operator/state.go
@@ -24,8 +24,8 @@
 	if err != nil {
 		return err
 	}
+	loads := a.State.Accounts()
 	list := &schema.AccountList{Version: uint64(view.Version())}
-	loads := a.State.AccountLoads()
 	for _, account := range view.State().GetAccounts() {
 		list.Accounts = append(list.Accounts, &schema.AccountState{
 			Account: account, Load: loads[fleet.AccountID(account.GetId())],
@@ -47,8 +47,8 @@
 	if err != nil {
 		return err
 	}
+	loads := a.State.Upstreams()
 	list := &schema.UpstreamList{Version: uint64(view.Version())}
-	loads := a.State.UpstreamLoads()
 	for _, upstream := range view.State().GetUpstreams() {
 		list.Upstreams = append(list.Upstreams, &schema.UpstreamState{
 			Upstream: upstream, Load: loads[fleet.UpstreamID(upstream.GetId())],
