--- a/command/admin.go
+++ b/command/admin.go
@@ -111,6 +111,7 @@
 		return cli.Exit("", codeOf(answered.Reason()))
 	case errors.As(err, &unreachable):
 		complain(c, unreachable.Error())
+		complain(c, "Check --"+adminFlag+": it names the administration address of a router that runs, such as http://127.0.0.1:8082.")
 		return cli.Exit("", ExitUnavailable)
 	case errors.As(err, &unsettled):
 		complain(c, unsettled.Error())
@@ -123,6 +124,16 @@
 	return cli.Exit(err.Error(), ExitFailed)
 }
 
+// hints say what an operator does next.
+var hints = map[operator.Reason]string{
+	operator.Denied:      "The key is that of --" + keyFileFlag + ", else that of " + keyEnvironment + "; its hash has to be among operator-keys in the router's settings.",
+	operator.Invalid:     "Mend the file and publish it again.",
+	operator.Clashing:    "Look at these notes with \"nutmeglock note show VERSION\", then write yours anew on top of the newest version.",
+	operator.Unavailable: "Try again later. What is in force goes on meanwhile.",
+	operator.Busy:        "Try again.",
+	operator.NotReady:    "Publish a first release note, or ask another router with --" + adminFlag + ".",
+}
+
 func codeOf(reason operator.Reason) int {
 	switch reason {
 	case operator.Denied:
@@ -154,4 +165,7 @@
 			Version: versionOf(clash.GetVersion()), Author: clash.GetAuthor(), Summary: clash.GetSummary(),
 		}.String())
 	}
+	if hint, ok := hints[err.Reason()]; ok {
+		complain(c, hint)
+	}
 }
--- a/command/operator_test.go
+++ b/command/operator_test.go
@@ -143,6 +143,7 @@
 	code, output := c.run(t, "", "note", "publish", laterNote)
 	require.Equal(t, command.ExitClash, code)
 	require.Contains(t, output, "account survey was touched by aino in version 2")
+	require.Contains(t, output, "nutmeglock note show")
 }
 
 // The platform's table is down for long: the operator is told at once that
