--- a/command/router.go
+++ b/command/router.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -12,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"nutmeglock.example/nutmeglock"
+	"nutmeglock.example/nutmeglock/document"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/settings"
 )
@@ -44,7 +46,12 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "reading the settings")
 	}
-	return nutmeglock.ReadSettings(file, data)
+	s, err := nutmeglock.ReadSettings(file, data)
+	var faults *document.FaultsError
+	if errors.As(err, &faults) {
+		return nil, cli.Exit(faults.Error(), ExitInvalid)
+	}
+	return s, err
 }
 
 // routerReady is the line of JSON that a router prints once its addresses are open.
--- a/document/document.go
+++ b/document/document.go
@@ -138,6 +138,9 @@
 	if _, rest, ok := strings.Cut(text, ": line "); ok {
 		_, text, _ = strings.Cut(rest, ": ")
 	}
+	if doing, ended := strings.CutSuffix(text, ": unexpected EOF"); ended {
+		text = "the end of the file while " + doing
+	}
 	return at, text
 }
 
--- a/document/scalar.go
+++ b/document/scalar.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"fmt"
 	"math"
 	"regexp"
 	"slices"
@@ -34,16 +35,28 @@
 }
 
 func (r *reader) text(path string, value hujson.Value, literal hujson.Literal, field protoreflect.FieldDescriptor) (protoreflect.Value, bool) {
-	if literal.Kind() != '"' {
-		r.fault(path, value, WrongType, describeOne(field))
-		return protoreflect.Value{}, false
+	rule := schema.RuleOf(field)
+	text, found, kind := "", show(value), WrongType
+	if literal.Kind() == '"' {
+		text = literal.String()
+		kind = textFault(rule, text, field.IsList())
 	}
-	text := literal.String()
-	if kind := textFault(schema.RuleOf(field), text, field.IsList()); kind != "" {
-		r.fault(path, value, kind, describeOne(field))
-		return protoreflect.Value{}, false
+	if kind == "" {
+		return protoreflect.ValueOfString(text), true
+	}
+	if rule.GetSecret() { // Faults go to logs and terminals, which others read.
+		found = hidden(literal)
+	}
+	r.add(Fault{Position: r.at(value.StartOffset), Path: path, Kind: kind, Found: found, Allowed: describeOne(field)})
+	return protoreflect.Value{}, false
+}
+
+// hidden stands for the value of a secret field.
+func hidden(literal hujson.Literal) string {
+	if literal.Kind() == '"' {
+		return fmt.Sprintf("a string of %d characters", utf8.RuneCountInString(literal.String()))
 	}
-	return protoreflect.ValueOfString(text), true
+	return "a value that is no string"
 }
 
 // textFault returns the kind of fault of a string, or none.
