call: a deadline that passes in the queue is told as such

The scheduler's Acquire answers caller-gone whenever its context ends, also when the deadline ended it. The test failed before: caller-gone in place of deadline-before-turn. The question whether the caller is gone stood four times; now callerGone.

--- a/call/event.go
+++ b/call/event.go
@@ -37,7 +37,7 @@
 // it still sees the connection cut before the last event.
 func (e *eventWriter) fail(ctx context.Context, request fleet.RequestID, cause error) {
 	var gone *stream.SinkError
-	if errors.As(cause, &gone) || errors.Is(context.Cause(ctx), context.Canceled) {
+	if errors.As(cause, &gone) || callerGone(ctx) {
 		return
 	}
 	reason := refusal.UpstreamFailed
--- a/call/failure.go
+++ b/call/failure.go
@@ -58,6 +58,10 @@
 	return refusal.NotRun
 }
 
+// callerGone reports whether a request's context ended because its caller went
+// away, and not by its deadline.
+func callerGone(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
+
 // refuse returns the caller's final word on err.
 func (e *execution) refuse(ctx context.Context, err error) *refusal.Error {
 	out := &refusal.Error{Outcome: worse(e.outcome, outcomeOf(err)), Cause: err}
@@ -66,10 +70,16 @@
 		failed  *attempt.Error
 	)
 	switch {
+	case errors.As(err, &refused) && refused.Reason == refusal.CallerGone && !callerGone(ctx):
+		// A source that waits sees only that its context ended. A caller told
+		// that it had gone away would not know when to come back.
+		out.Reason, out.Detail = refusal.DeadlineBeforeTurn, "The deadline passed before the request's turn."
+		out.RetryAfter = retryAfter
+		return out
 	case errors.As(err, &refused):
 		out.Reason, out.Detail, out.RetryAfter = refused.Reason, refused.Detail, refused.RetryAfter
 		return out
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case callerGone(ctx):
 		out.Reason, out.Detail = refusal.CallerGone, "The caller closed the connection."
 		return out
 	case ctx.Err() != nil:
--- a/call/plain_test.go
+++ b/call/plain_test.go
@@ -1,6 +1,7 @@
 package call_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/call"
+	"nutmeglock.example/nutmeglock/dispatch"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -130,3 +132,31 @@
 	require.Equal(t, "booked", w.Body.String())
 	require.Equal(t, 3, runs(), "two attempts and the cancellation of the first")
 }
+
+// waiting is a source without a free slot.
+type waiting struct{}
+
+func (waiting) Acquire(ctx context.Context, _ dispatch.Work) (dispatch.Slot, error) {
+	<-ctx.Done()
+	return nil, refusal.New(refusal.CallerGone, "gone", 0)
+}
+
+// All slots are taken and the caller's deadline passes while its request
+// waits. The source sees only that its context ended; told that it had gone
+// away, a caller which is still there would not know when to come back.
+func TestDeadlineThatPassesInTheQueueIsNoCallerThatWentAway(t *testing.T) {
+	t.Parallel()
+	runner := newRunner(nil)
+	runner.Source = waiting{}
+	request := order()
+	request.Deadline = time.Now().Add(time.Millisecond)
+	err := runner.Run(t.Context(), httptest.NewRecorder(), request)
+	requireRefused(t, err, refusal.DeadlineBeforeTurn, refusal.NotRun)
+	var refused *refusal.Error
+	require.ErrorAs(t, err, &refused)
+	require.Positive(t, refused.RetryAfter)
+
+	gone, leave := context.WithCancel(t.Context())
+	leave()
+	requireRefused(t, runner.Run(gone, httptest.NewRecorder(), order()), refusal.CallerGone, refusal.NotRun)
+}
--- a/call/report.go
+++ b/call/report.go
@@ -78,7 +78,7 @@
 		return ""
 	case errors.As(err, &refused):
 		return refused.Reason
-	case errors.As(err, &gone), errors.Is(context.Cause(ctx), context.Canceled):
+	case errors.As(err, &gone), callerGone(ctx):
 		return refusal.CallerGone
 	case ctx.Err() != nil:
 		return refusal.DeadlinePassed
--- a/call/resume.go
+++ b/call/resume.go
@@ -69,7 +69,7 @@
 	switch {
 	case errors.As(err, &gone), errors.As(err, &splice), errors.As(err, &order):
 		refused.Reason, refused.Detail = refusal.ResumeExpired, "The stream can no longer be resumed."
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case callerGone(ctx):
 		refused.Reason, refused.Detail = refusal.CallerGone, "The caller closed the connection."
 	case ctx.Err() != nil:
 		refused.Reason, refused.Detail = refusal.DeadlinePassed, "The deadline passed before the stream went on."
--- a/call/try.go
+++ b/call/try.go
@@ -95,7 +95,7 @@
 // rest of its stream. The rest is charged by its estimate, because the router
 // that resumes has no slot to charge it to.
 func (t *try) keptForCaller(ctx context.Context) bool {
-	gone := errors.Is(context.Cause(ctx), context.Canceled)
+	gone := callerGone(ctx)
 	return gone && t.started && t.request.resumable()
 }
 
@@ -115,7 +115,7 @@
 		return dispatch.Answered
 	case errors.As(err, &refused):
 		return dispatch.Unused
-	case errors.Is(context.Cause(ctx), context.Canceled):
+	case callerGone(ctx):
 		if outcomeOf(err) == refusal.NotRun {
 			return dispatch.Unused
 		}
