estimate, call, router: the charge of a plain call and the reason of an end stand once

The default of 100 weighted tokens a call stood in call and in router; one changed alone would have admitted calls at one cost and charged another. The reason in the last event of a broken stream is that of the report. No change of behaviour.

--- a/call/cost.go
+++ b/call/cost.go
@@ -7,10 +7,6 @@
 	"nutmeglock.example/nutmeglock/stream"
 )
 
-// defaultCallCost is the charge of a plain call whose service declares none;
-// the schema documents it.
-const defaultCallCost = 100
-
 // meter follows what one request costs.
 type meter struct {
 	service *schema.Service
@@ -32,8 +28,5 @@
 		weights := estimate.Weights{Input: m.service.GetInputWeight(), Output: m.service.GetOutputWeight()}
 		return weights.Cost(m.input, m.output)
 	}
-	if cost := m.service.GetCallCost(); cost > 0 {
-		return fleet.Tokens(cost)
-	}
-	return defaultCallCost
+	return estimate.Call(m.service.GetCallCost())
 }
--- a/call/event.go
+++ b/call/event.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 
@@ -36,14 +35,10 @@
 // which reads events learns why its stream ends early. A caller that ignores
 // it still sees the connection cut before the last event.
 func (e *eventWriter) fail(ctx context.Context, request fleet.RequestID, cause error) {
-	var gone *stream.SinkError
-	if errors.As(cause, &gone) || callerGone(ctx) {
+	reason := reasonOf(ctx, cause)
+	if reason == refusal.CallerGone {
 		return
 	}
-	reason := refusal.UpstreamFailed
-	if ctx.Err() != nil {
-		reason = refusal.DeadlinePassed
-	}
 	body, err := protojson.Marshal(&schema.RefusalBody{Error: &schema.RefusalDetail{
 		RequestId: string(request), Outcome: string(refusal.Run), Reason: string(reason),
 		Message: "The stream broke off and could not be resumed.",
--- a/estimate/estimate.go
+++ b/estimate/estimate.go
@@ -35,6 +35,9 @@
 	defaultInputWeight  = 250
 	defaultOutputWeight = 1000
 	thousandth          = 1000
+	// defaultCall is the charge of a plain call whose service declares none, in
+	// weighted tokens: a third of a usual answer.
+	defaultCall = 100
 )
 
 // Weights are what one token is charged, in thousandths. Zeros mean 250 for
@@ -56,6 +59,15 @@
 	return max(fleet.Tokens((in*max(input, 0)+out*max(output, 0))/thousandth), 1)
 }
 
+// Call returns the weighted tokens that one call of a plain service is charged:
+// what the service declares, or 100 when that is zero.
+func Call(declared uint32) fleet.Tokens {
+	if declared == 0 {
+		return defaultCall
+	}
+	return fleet.Tokens(declared)
+}
+
 // InputTokens returns about how many tokens a request body of size bytes has.
 func InputTokens(size int64) int64 { return size / bytesPerToken }
 
--- a/router/intake.go
+++ b/router/intake.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"nutmeglock.example/nutmeglock/call"
+	"nutmeglock.example/nutmeglock/estimate"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
@@ -104,7 +105,7 @@
 	request := in.request(c, service)
 	request.Path = plainPath(c)
 	request.Idempotent = idempotent(c.Request(), service)
-	request.Estimate = plainCost(service)
+	request.Estimate = estimate.Call(service.GetCallCost())
 	return r.run(c, request)
 }
 
@@ -134,14 +135,3 @@
 }
 
 var nonIdempotentByDefault = []string{http.MethodPost, http.MethodPatch}
-
-// defaultCallCost is the charge of one plain call whose service declares
-// none, in weighted tokens; the schema documents it.
-const defaultCallCost = 100
-
-func plainCost(service *schema.Service) fleet.Tokens {
-	if cost := service.GetCallCost(); cost > 0 {
-		return fleet.Tokens(cost)
-	}
-	return defaultCallCost
-}
