--- /dev/null
+++ b/daemon/administration.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/operator"
+)
+
+// administrationExtension serves operators, metrics and health checks.
+type administrationExtension struct{}
+
+func (administrationExtension) Priority() Priority { return PriorityAdministration }
+
+func (administrationExtension) Extend(p *Parts) error {
+	handler := operator.New(operator.Options{
+		Keys: p.Settings.GetOperatorKeys(), Store: p.NoteStore,
+		Publisher: note.NewPublisher(note.PublisherOptions{Store: p.NoteStore, Holder: p.Notes, Timer: p.Timer}),
+		Holder:    p.Notes, State: p.State, Log: p.Log,
+		Metrics:  promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}),
+		Registry: p.Registry,
+	})
+	p.Actor("administration", serve(newServer(p, handler), p.Listeners.Admin))
+	return nil
+}
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -8,15 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus/promhttp"
-
-	"nutmeglock.example/nutmeglock/call"
-	"nutmeglock.example/nutmeglock/estimate"
-	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/operator"
 	"nutmeglock.example/nutmeglock/router"
-	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/settings"
 )
 
@@ -111,39 +103,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// estimator teaches package estimate from requests that ended, and gives the
-// router what it has learnt.
-type estimator struct{ *estimate.Estimator }
-
-// Ended learns the output of a model's answer that came whole. An engine's
-// refusal of a bad request has no output. Taken for a short answer, a few of
-// them would let the next requests start too cheaply.
-func (e estimator) Ended(report call.Report) {
-	if report.Refused == "" && report.Output > 0 {
-		e.Estimator.Ended(estimate.Key{Account: report.Account, Service: report.Service}, report.Output)
-	}
-}
-
-func (e estimator) Model(account *schema.Account, service *schema.Service, bodyBytes, maxTokens int) fleet.Tokens {
-	key := estimate.Key{Account: fleet.AccountID(account.GetId()), Service: fleet.ServiceID(service.GetId())}
-	weights := estimate.Weights{Input: service.GetInputWeight(), Output: service.GetOutputWeight()}
-	return weights.Cost(estimate.InputTokens(int64(bodyBytes)), e.Output(key, int64(maxTokens)))
-}
-
-// administrationExtension serves operators, metrics and health checks.
-type administrationExtension struct{}
-
-func (administrationExtension) Priority() Priority { return PriorityAdministration }
-
-func (administrationExtension) Extend(p *Parts) error {
-	handler := operator.New(operator.Options{
-		Keys: p.Settings.GetOperatorKeys(), Store: p.NoteStore,
-		Publisher: note.NewPublisher(note.PublisherOptions{Store: p.NoteStore, Holder: p.Notes, Timer: p.Timer}),
-		Holder:    p.Notes, State: p.State, Log: p.Log,
-		Metrics:  promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}),
-		Registry: p.Registry,
-	})
-	p.Actor("administration", serve(newServer(p, handler), p.Listeners.Admin))
-	return nil
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,7 +77,8 @@
 	return &Daemon{parts: parts}, nil
 }
 
-// Addresses are where a Daemon listens.
+// Addresses are where a Daemon listens: for callers, for other routers, and for
+// operators, metrics and health checks.
 type Addresses struct {
 	Callers net.Addr
 	Peers   net.Addr
--- /dev/null
+++ b/daemon/notes.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// notesExtension keeps the release notes in force.
+type notesExtension struct{}
+
+func (notesExtension) Priority() Priority { return PriorityNotes }
+
+func (notesExtension) Extend(p *Parts) error {
+	p.NoteStore = note.NewStore(p.Platform, p.Platform)
+	p.Notes = note.NewHolder(note.HolderOptions{
+		Self: p.Self, Store: p.NoteStore, Peers: p.Peers, Timer: p.Timer, Log: p.Log,
+		Announce: func(to []fleet.RouterID, version fleet.Version) {
+			p.Metrics.NoteVersion.Set(float64(version))
+			for _, router := range to {
+				p.Peers.Send(router, &schema.Batch{NoteVersion: uint64(version)})
+			}
+		},
+	})
+	for method, fn := range p.Notes.Methods() {
+		p.Peers.Handle(method, fn)
+	}
+	p.Peers.OnBatch(func(from fleet.RouterID, batch *schema.Batch) {
+		if version := fleet.Version(batch.GetNoteVersion()); version > 0 {
+			p.Notes.Heard(from, version)
+		}
+	})
+	// A router that was cut off has missed announcements, and one that was just
+	// started has heard none. Each learns on its first connection what the
+	// other holds, so that it does not wait for the next read of the table,
+	// which may be down.
+	p.Peers.OnChange(func(change peer.Change) {
+		if version := p.Notes.Version(); change.Connected && version > 0 {
+			p.Peers.Send(change.Router, &schema.Batch{NoteVersion: uint64(version)})
+		}
+	})
+	p.Actor("notes", p.Notes.Run)
+	return nil
+}
