live: sampling, reading metrics and counting are functions of their own

watch and sample juggled the lock; the metrics' reader ignored an error of its scanner. TokensASecond is TokensPerSecond, as its JSON field. Doc comments name units. No change of behaviour but for that error.

--- a/live/caller.go
+++ b/live/caller.go
@@ -62,7 +62,8 @@
 	defer m.end(r)
 	answer, err := m.client.Do(req)
 	if err != nil {
-		return m.failed(ctx, "no-answer")
+		m.failed(ctx, "no-answer")
+		return pauseAfterRefusal
 	}
 	defer answer.Body.Close()
 	if answer.StatusCode != http.StatusOK {
@@ -70,9 +71,10 @@
 		return comeBack(answer.Header)
 	}
 	if err := m.read(r, answer.Body); err != nil {
-		return m.failed(ctx, "broken")
+		m.failed(ctx, "broken")
+		return pauseAfterRefusal
 	}
-	m.answered(r)
+	m.count("answered")
 	return 0
 }
 
--- a/live/live.go
+++ b/live/live.go
@@ -85,19 +85,25 @@
 
 // Result is one load under one policy. Times are real milliseconds.
 type Result struct {
-	Load        string  `json:"load"`
-	Policy      string  `json:"policy"`
+	Load   string `json:"load"`
+	Policy string `json:"policy"`
+	// Gap is the largest difference in service between two accounts over any
+	// interval in which both had work waiting, in weighted tokens; GapMultiple
+	// is the same in costs of the largest request.
 	Gap         float64 `json:"gap-tokens"`
 	GapMultiple float64 `json:"gap-multiple"`
 	// LaterGapMultiple is that of intervals in the second half of the run.
-	LaterGapMultiple float64          `json:"later-gap-multiple"`
-	LargestRequest   float64          `json:"largest-request-tokens"`
-	Utilisation      float64          `json:"utilisation"`
-	FirstByteP50     float64          `json:"first-byte-ms-p50"`
-	FirstByteP99     float64          `json:"first-byte-ms-p99"`
-	SmallP99         float64          `json:"small-account-first-byte-ms-p99"`
-	TokensASecond    float64          `json:"tokens-per-second"`
-	Answers          map[string]int64 `json:"answers"`
+	LaterGapMultiple float64 `json:"later-gap-multiple"`
+	LargestRequest   float64 `json:"largest-request-tokens"`
+	// Utilisation is the used part of the engines' batches, 0 to 1, over the
+	// samples in which a request waited.
+	Utilisation     float64 `json:"utilisation"`
+	FirstByteP50    float64 `json:"first-byte-ms-p50"`
+	FirstByteP99    float64 `json:"first-byte-ms-p99"`
+	SmallP99        float64 `json:"small-account-first-byte-ms-p99"`
+	TokensPerSecond float64 `json:"tokens-per-second"`
+	// Answers counts whole answers as "answered" and refusals by reason.
+	Answers map[string]int64 `json:"answers"`
 	// Control is bytes sent a second and router, by other side.
 	Control map[string]float64 `json:"control-bytes-per-second-per-router"`
 	// ControlPerRequest is bytes sent to peers for each answered request.
--- a/live/measure.go
+++ b/live/measure.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -118,13 +119,11 @@
 	}
 }
 
-func (m *measure) answered(*request) { m.count("answered") }
-
-func (m *measure) failed(ctx context.Context, reason string) time.Duration {
+// failed counts a request without a whole answer, unless the run is over.
+func (m *measure) failed(ctx context.Context, reason string) {
 	if ctx.Err() == nil {
 		m.count(reason)
 	}
-	return pauseAfterRefusal
 }
 
 func (m *measure) count(reason string) {
@@ -144,9 +143,7 @@
 	if err != nil {
 		return err
 	}
-	m.mu.Lock()
-	m.measuring = true
-	m.mu.Unlock()
+	m.setMeasuring(true)
 	begun := time.Now()
 	for time.Since(begun) < m.options.Duration {
 		if err := sleep(ctx, sampleInterval); err != nil {
@@ -154,9 +151,7 @@
 		}
 		m.sample(time.Since(begun) > m.options.Duration/2)
 	}
-	m.mu.Lock()
-	m.measuring = false
-	m.mu.Unlock()
+	m.setMeasuring(false)
 	after, err := m.controlBytes(ctx)
 	for side := range after {
 		after[side] -= before[side]
@@ -165,6 +160,12 @@
 	return err
 }
 
+func (m *measure) setMeasuring(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.measuring = on
+}
+
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -176,50 +177,60 @@
 
 func (m *measure) sample(later bool) {
 	running := m.fleet.Running()
-	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	backlogged := make([]bool, len(m.waiting))
-	waits := false
-	for account, requests := range m.waiting {
-		for r := range requests {
-			if now.Sub(r.began) > waitingAfter {
-				backlogged[account], waits = true, true
-				break
-			}
-		}
-	}
+	backlogged := m.backlogged(time.Now())
 	m.gap.Sample(m.services, backlogged)
 	if later {
 		m.later.Sample(m.services, backlogged)
 	}
-	if waits {
+	if slices.Contains(backlogged, true) {
 		m.samples++
 		m.used += float64(running) / float64(m.options.Engines*m.options.Batch)
 	}
 }
 
+// backlogged returns for each account whether one of its requests waits for
+// longer than a grant takes.
+func (m *measure) backlogged(now time.Time) []bool {
+	backlogged := make([]bool, len(m.waiting))
+	for account, requests := range m.waiting {
+		for r := range requests {
+			backlogged[account] = backlogged[account] || now.Sub(r.began) > waitingAfter
+		}
+	}
+	return backlogged
+}
+
 // controlBytes returns what all routers sent so far, by other side.
 func (m *measure) controlBytes(ctx context.Context) (map[string]float64, error) {
 	sums := make(map[string]float64)
 	for _, r := range m.fleet.Routers {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+r.Admin.String()+"/metrics", nil)
-		if err != nil {
-			return nil, eris.Wrap(err, "reading the metrics")
-		}
-		answer, err := m.client.Do(req)
-		if err != nil {
+		if err := m.addMetrics(ctx, sums, r.Admin.String()); err != nil {
 			return nil, eris.Wrap(err, "reading the metrics")
 		}
-		lines := bufio.NewScanner(answer.Body)
-		for lines.Scan() {
-			addControl(sums, lines.Text())
-		}
-		_ = answer.Body.Close()
 	}
 	return sums, nil
 }
 
+// addMetrics adds what one router sent so far.
+func (m *measure) addMetrics(ctx context.Context, sums map[string]float64, address string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return err
+	}
+	answer, err := m.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	lines := bufio.NewScanner(answer.Body)
+	for lines.Scan() {
+		addControl(sums, lines.Text())
+	}
+	return lines.Err()
+}
+
 const controlPrefix = `nutmeglock_control_bytes_total{direction="sent",side="`
 
 // addControl adds one line of metrics, if it is a count of control bytes sent.
@@ -248,9 +259,9 @@
 		LaterGapMultiple: m.later.Widest() / max(m.largest, 1),
 		Utilisation:      m.used / float64(max(m.samples, 1)),
 		FirstByteP50:     milliseconds(m.first, 50), FirstByteP99: milliseconds(m.first, 99),
-		SmallP99:      milliseconds(m.small, 99),
-		TokensASecond: float64(m.tokens) / seconds,
-		Answers:       m.answers, Control: make(map[string]float64),
+		SmallP99:        milliseconds(m.small, 99),
+		TokensPerSecond: float64(m.tokens) / seconds,
+		Answers:         m.answers, Control: make(map[string]float64),
 	}
 	for side, bytes := range m.control {
 		r.Control[side] = bytes / seconds / float64(len(m.fleet.Routers))
--- a/live/page.go
+++ b/live/page.go
@@ -22,7 +22,7 @@
 	}
 	for _, result := range r.Results {
 		if _, err := fmt.Fprintf(w, pageRow, result.Load, result.Policy, result.Gap, result.GapMultiple, result.LaterGapMultiple,
-			result.Utilisation, result.FirstByteP50, result.FirstByteP99, result.SmallP99, result.TokensASecond,
+			result.Utilisation, result.FirstByteP50, result.FirstByteP99, result.SmallP99, result.TokensPerSecond,
 			result.Control["peer"], result.Control["upstream"], result.Control["platform"],
 			result.ControlPerRequest, result.answers()); err != nil {
 			return eris.Wrap(err, "writing the page")
