--- a/call/failure.go
+++ b/call/failure.go
@@ -18,8 +18,10 @@
 // out. The connection to the caller has to be aborted, because a normal end
 // would make the part look whole.
 type BrokenError struct {
+	// Outcome is what became of the request, as far as it is known.
 	Outcome refusal.Outcome
-	Cause   error
+	// Cause is why the answer broke off.
+	Cause error
 }
 
 // Error names the outcome and the cause.
--- a/router/router.go
+++ b/router/router.go
@@ -20,9 +20,13 @@
 
 // Limits bound what one caller may send. The zero value allows nothing.
 type Limits struct {
-	BodyBytes       int64
-	HeaderBytes     int
-	BodyTimeout     time.Duration
+	// BodyBytes and HeaderBytes bound a request; names and values count.
+	BodyBytes   int64
+	HeaderBytes int
+	// BodyTimeout is how long a caller may take to send its body.
+	BodyTimeout time.Duration
+	// DefaultDeadline holds for a caller that names none, and MaxDeadline
+	// bounds what it may name.
 	DefaultDeadline time.Duration
 	MaxDeadline     time.Duration
 }
