command, live: a policy that does not exist is refused

Choosing loads and policies by name stood four times; now choose. writeTo has a file of its own, and the package one package comment. The new test failed before: no error.

--- a/command/experiment.go
+++ b/command/experiment.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"io"
-	"os"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
@@ -57,19 +55,14 @@
 	if options.Duration < 0 {
 		return options, eris.New("--duration is negative")
 	}
-	for _, name := range c.StringSlice("load") {
-		load, ok := experiment.LoadByName(name)
-		if !ok {
-			return options, eris.Errorf("there is no load %q; there are %s", name, experiment.LoadNames())
-		}
-		options.Loads = append(options.Loads, load)
+	var err error
+	options.Loads, err = choose("load", c.StringSlice("load"), experiment.LoadByName, experiment.LoadNames())
+	if err != nil {
+		return options, err
 	}
-	for _, name := range c.StringSlice("policy") {
-		policy, ok := experiment.PolicyByName(name)
-		if !ok {
-			return options, eris.Errorf("there is no policy %q; there are %s", name, experiment.PolicyNames())
-		}
-		options.Policies = append(options.Policies, policy)
+	options.Policies, err = choose("policy", c.StringSlice("policy"), experiment.PolicyByName, experiment.PolicyNames())
+	if err != nil {
+		return options, err
 	}
 	for _, routers := range c.IntSlice("routers") {
 		if routers < 1 || routers > experiment.MaxRouters {
@@ -97,18 +90,3 @@
 	}
 	return writeTo(c, page, func(w io.Writer) error { return report.WritePage(w, c.String("title")) })
 }
-
-// writeTo calls write with a file, or with standard output for "-".
-func writeTo(c *cli.Command, name string, write func(io.Writer) error) error {
-	if name == "-" {
-		return write(c.Root().Writer)
-	}
-	file, err := os.Create(name) //nolint:gosec // The name is the operator's own.
-	if err != nil {
-		return eris.Wrap(err, "can't write the report")
-	}
-	if err := write(file); err != nil {
-		return eris.Wrapf(errors.Join(err, file.Close()), "can't write %s", name)
-	}
-	return eris.Wrapf(file.Close(), "can't write %s", name)
-}
--- a/command/experiment_test.go
+++ b/command/experiment_test.go
@@ -57,6 +57,16 @@
 	require.ErrorContains(t, err, "--duration is negative")
 }
 
+// An operator mistypes a policy. Routers share by the usual way when a name
+// says nothing to them, so the figures would stand under a name that is not theirs.
+func TestMeasureNamesWhatThereIs(t *testing.T) {
+	t.Parallel()
+	_, _, err := play("measure", "--load", "x")
+	require.ErrorContains(t, err, `there is no load "x"; there are few-large, flood`)
+	_, _, err = play("measure", "--policy", "x")
+	require.ErrorContains(t, err, `there is no policy "x"; there are fair, fcfs, static-share`)
+}
+
 func TestReplayChecksOutcomes(t *testing.T) {
 	t.Parallel()
 	const trace, outcomes = "../docs/traces/halonen.jsonl", "../docs/traces/halonen.outcomes.json"
--- a/command/measure.go
+++ b/command/measure.go
@@ -5,7 +5,6 @@
 	"os/signal"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
 	"nutmeglock.example/nutmeglock/live"
@@ -39,16 +38,17 @@
 	ctx, cancel := context.WithTimeout(ctx, measureTimeout)
 	defer cancel()
 	options := live.Options{
-		Routers: c.Int("routers"), Engines: c.Int("engines"), Duration: c.Duration("duration"),
-		Warmup:   c.Duration("warmup"),
-		Policies: c.StringSlice("policy"),
+		Routers: c.Int("routers"), Engines: c.Int("engines"),
+		Duration: c.Duration("duration"), Warmup: c.Duration("warmup"),
 	}
-	for _, name := range c.StringSlice("load") {
-		load, found := live.LoadByName(name)
-		if !found {
-			return eris.Errorf("there is no load %q", name)
-		}
-		options.Loads = append(options.Loads, load)
+	var err error
+	options.Loads, err = choose("load", c.StringSlice("load"), live.LoadByName, live.LoadNames())
+	if err != nil {
+		return err
+	}
+	options.Policies, err = choose("policy", c.StringSlice("policy"), live.PolicyByName, live.PolicyNames())
+	if err != nil {
+		return err
 	}
 	report, err := live.Run(ctx, options)
 	if err != nil {
--- a/command/replay.go
+++ b/command/replay.go
@@ -39,15 +39,15 @@
 }
 
 func replay(c *cli.Command) error {
-	policy, ok := experiment.PolicyByName(c.String("policy"))
-	if !ok {
-		return eris.Errorf("there is no policy %q; there are %s", c.String("policy"), experiment.PolicyNames())
+	policies, err := choose("policy", []string{c.String("policy")}, experiment.PolicyByName, experiment.PolicyNames())
+	if err != nil {
+		return err
 	}
 	header, records, err := readTrace(c.Args().First())
 	if err != nil {
 		return err
 	}
-	result, err := experiment.Replay(header, records, policy)
+	result, err := experiment.Replay(header, records, policies[0])
 	if err != nil {
 		return err
 	}
--- a/command/signal.go
+++ b/command/signal.go
@@ -1,4 +1,3 @@
-// Package command holds the subcommands of the program, one file for each.
 package command
 
 import (
--- a/live/live.go
+++ b/live/live.go
@@ -29,7 +29,7 @@
 	Duration  time.Duration
 	TimeScale float64
 	Loads     []Load
-	Policies  []string
+	Policies  []Policy
 }
 
 // Defaults: Halonen's deployment, with 12 s of engine time before 20 s of
@@ -60,7 +60,7 @@
 		o.Loads = Loads()[:defaultLoads]
 	}
 	if len(o.Policies) == 0 {
-		o.Policies = []string{"fair", "fcfs", "static-share"}
+		o.Policies = Policies()
 	}
 	return o
 }
@@ -86,7 +86,7 @@
 // Result is one load under one policy. Times are real milliseconds.
 type Result struct {
 	Load   string `json:"load"`
-	Policy string `json:"policy"`
+	Policy Policy `json:"policy"`
 	// Gap is the largest difference in service between two accounts over any
 	// interval in which both had work waiting, in weighted tokens; GapMultiple
 	// is the same in costs of the largest request.
@@ -130,10 +130,10 @@
 	return report, nil
 }
 
-func runOne(ctx context.Context, options Options, load Load, policy string) (Result, error) {
+func runOne(ctx context.Context, options Options, load Load, policy Policy) (Result, error) {
 	clients := load.clients(options)
 	fleet, err := local.Start(ctx, local.Options{
-		Routers: options.Routers, Engines: options.Engines, Accounts: len(clients), Sharing: policy,
+		Routers: options.Routers, Engines: options.Engines, Accounts: len(clients), Sharing: string(policy),
 		EngineSlots: slotsPerBatch * options.Batch,
 		Engine:      engine.Options{TimeScale: options.TimeScale, MaxBatch: options.Batch},
 	})
--- a/live/load.go
+++ b/live/load.go
@@ -1,5 +1,10 @@
 package live
 
+import (
+	"slices"
+	"strings"
+)
+
 // Load is what accounts ask for during a run.
 type Load struct {
 	Name string
@@ -46,6 +51,35 @@
 	return Load{}, false
 }
 
+// LoadNames returns the names of all loads, for messages.
+func LoadNames() string {
+	var names []string
+	for _, load := range Loads() {
+		names = append(names, load.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// Policy is a way to share capacity, as the settings of a router name it.
+type Policy string
+
+// Policies returns all policies; those after the first are baselines.
+func Policies() []Policy { return []Policy{"fair", "fcfs", "static-share"} }
+
+// PolicyByName returns the policy of that name, and whether there is one.
+func PolicyByName(name string) (Policy, bool) {
+	return Policy(name), slices.Contains(Policies(), Policy(name))
+}
+
+// PolicyNames returns the names of all policies, for messages.
+func PolicyNames() string {
+	var names []string
+	for _, policy := range Policies() {
+		names = append(names, string(policy))
+	}
+	return strings.Join(names, ", ")
+}
+
 // backlog is the number of callers of an account that keep work waiting all
 // the time: twice its fair part of all slots.
 func backlog(options Options) int {
--- a/live/measure.go
+++ b/live/measure.go
@@ -251,7 +251,7 @@
 	return float64(h.ValueAtQuantile(percentile)) / microseconds
 }
 
-func (m *measure) result(load, policy string) Result {
+func (m *measure) result(load string, policy Policy) Result {
 	seconds := m.options.Duration.Seconds()
 	r := Result{
 		Load: load, Policy: policy, Gap: m.gap.Widest(), LargestRequest: m.largest,
