local: what waits at a router that is stopped is served

One slot, one stream in it, one request in the queue of a router that is told to stop, in fleets of one to three routers: the request has its turn at the dispatcher that took over and its whole answer, and Run returns nil. Requests sent beside the test's goroutine no longer assert there.

--- a/local/local_test.go
+++ b/local/local_test.go
@@ -72,10 +72,18 @@
 // send returns the whole answer to a request.
 func send(t *testing.T, req *http.Request) answer {
 	t.Helper()
-	response, err := http.DefaultClient.Do(req)
+	a, err := exchange(req)
 	require.NoError(t, err)
+	return a
+}
+
+// exchange is send for a goroutine of its own.
+func exchange(req *http.Request) (answer, error) {
+	response, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(response.Body)
-	require.NoError(t, err)
-	return answer{response, string(text)}
+	return answer{response, string(text)}, err
 }
--- a/local/once_test.go
+++ b/local/once_test.go
@@ -133,16 +133,18 @@
 	var all []told
 	for range repeatTimes {
 		answers := make([]answer, 1+random.IntN(2))
+		failures := make([]error, len(answers))
 		var group sync.WaitGroup
 		for i := range answers {
 			req := order(ctx, t, fleet.Routers[random.IntN(len(fleet.Routers))].Callers.String())
 			req.Header.Set("Idempotency-Key", orderKey(n))
 			req.Header.Set("nutmeglock-timeout-ms", strconv.Itoa(3000))
-			group.Go(func() { answers[i] = send(t, req) })
+			group.Go(func() { answers[i], failures[i] = exchange(req) })
 		}
 		group.Wait()
 		final := len(all) > 0 && all[len(all)-1].final()
-		for _, a := range answers {
+		for i, a := range answers {
+			require.NoError(t, failures[i])
 			all = append(all, read(t, a))
 		}
 		if final {
--- a/local/stop_test.go
+++ b/local/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -20,15 +21,12 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	fleet := start(ctx, t, local.Options{Routers: 2})
-	engine := newHeldEngine(ctx, t, fleet)
+	engine := newHeldEngine(ctx, t, fleet, 4)
 	address := fleet.Routers[0].Callers.String()
 	stream, text := begin(ctx, t, address)
 
 	fleet.Stop(0)
-	refused := send(t, order(ctx, t, address))
-	for refused.StatusCode == http.StatusOK {
-		refused = send(t, order(ctx, t, address))
-	}
+	refused := refusedAtStop(ctx, t, address)
 	require.Equal(t, http.StatusServiceUnavailable, refused.StatusCode)
 	require.Contains(t, refused.text, `"stopping"`)
 	require.Contains(t, refused.text, `"not-run"`)
@@ -42,6 +40,55 @@
 	require.NoError(t, fleet.Wait(0))
 }
 
+// A router is stopped while a request waits there for a slot. It was taken in,
+// so it has its turn and its whole answer, although the router has given its
+// own upstreams over to the others.
+func TestGracefulStopServesWhatWaits(t *testing.T) {
+	t.Parallel()
+	for routers := 1; routers <= 3; routers++ {
+		t.Run(fmt.Sprint(routers), func(t *testing.T) {
+			t.Parallel()
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			fleet := start(ctx, t, local.Options{Routers: routers})
+			engine := newHeldEngine(ctx, t, fleet, 1)
+			address := fleet.Routers[0].Callers.String()
+			begin(ctx, t, address)
+			var served answer
+			waiting := make(chan error, 1)
+			req := request(ctx, t, address+"/v1/chat/completions", heldRequest)
+			go func() {
+				var err error
+				served, err = exchange(req)
+				waiting <- err
+			}()
+			untilWaiting(ctx, t, fleet)
+
+			fleet.Stop(0)
+			require.Contains(t, refusedAtStop(ctx, t, address).text, `"stopping"`)
+			close(engine.goOn)
+			require.NoError(t, <-waiting)
+			require.Equal(t, http.StatusOK, served.StatusCode, served.text)
+			require.Equal(t, heldStream, served.text)
+			require.NoError(t, fleet.Wait(0))
+		})
+	}
+}
+
+// untilWaiting returns once a request waits at the first router.
+func untilWaiting(ctx context.Context, t *testing.T, fleet *local.Fleet) {
+	t.Helper()
+	for {
+		list, err := fleet.Operator(0).Routers(ctx)
+		require.NoError(t, err)
+		for _, r := range list.GetRouters() {
+			if r.GetSelf() && r.GetWaiting() > 0 {
+				return
+			}
+		}
+	}
+}
+
 // A caller closes its connection in the middle of an answer, as a telephone
 // that loses its network. Its engine would go on for a while with tokens that
 // nobody reads, in a slot that others wait for.
@@ -50,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
 	defer cancel()
 	fleet := start(ctx, t, local.Options{})
-	engine := newHeldEngine(ctx, t, fleet)
+	engine := newHeldEngine(ctx, t, fleet, 4)
 	leaving, leave := context.WithCancel(ctx)
 	begin(leaving, t, fleet.Routers[0].Callers.String())
 
--- a/local/upstream_test.go
+++ b/local/upstream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -25,12 +24,14 @@
 	cancelled chan string
 }
 
+const heldRequest = `{"model":"held","stream":true,"messages":[]}`
+
 const heldStream = "id: 1\ndata: {}\n\n" +
 	"id: 2\ndata: {\"usage\":{\"prompt_tokens\":4,\"completion_tokens\":1}}\n\n" +
 	"id: 3\ndata: [DONE]\n\n"
 
 // newHeldEngine returns an engine that the fleet's release note names.
-func newHeldEngine(ctx context.Context, t *testing.T, fleet *local.Fleet) *heldEngine {
+func newHeldEngine(ctx context.Context, t *testing.T, fleet *local.Fleet, slots uint32) *heldEngine {
 	t.Helper()
 	e := &heldEngine{goOn: make(chan struct{}), cancelled: make(chan string, 1)}
 	mux := http.NewServeMux()
@@ -41,7 +42,7 @@
 	_, err := fleet.Publish(ctx, 0, &schema.ReleaseNote{Summary: "an engine that holds its streams", Added: &schema.Entries{
 		Services: []*schema.Service{{Id: heldService, Kind: "model"}},
 		Upstreams: []*schema.Upstream{{
-			Id: "held-1", Service: heldService, DataCenter: "local", Slots: 4,
+			Id: "held-1", Service: heldService, DataCenter: "local", Slots: slots,
 			Address: strings.TrimPrefix(server.URL, "http://"),
 		}},
 	}})
@@ -62,11 +63,20 @@
 	}
 }
 
+// refusedAtStop returns the first refusal of a router that was told to stop.
+func refusedAtStop(ctx context.Context, t *testing.T, address string) answer {
+	t.Helper()
+	for {
+		if a := send(t, order(ctx, t, address)); a.StatusCode != http.StatusOK {
+			return a
+		}
+	}
+}
+
 // begin returns a stream of the held engine whose first event has arrived.
 func begin(ctx context.Context, t *testing.T, address string) (stream io.ReadCloser, first string) {
 	t.Helper()
-	body := fmt.Sprintf(`{"model":%q,"stream":true,"messages":[]}`, heldService)
-	response, err := http.DefaultClient.Do(request(ctx, t, address+"/v1/chat/completions", body))
+	response, err := http.DefaultClient.Do(request(ctx, t, address+"/v1/chat/completions", heldRequest))
 	require.NoError(t, err)
 	t.Cleanup(func() { response.Body.Close() })
 	require.Equal(t, http.StatusOK, response.StatusCode)
