--- a/local/local.go
+++ b/local/local.go
@@ -48,7 +48,8 @@
 	ApplicationSlots int
 	// Sharing names the way that capacity is shared, as in the settings.
 	Sharing string
-	// StopNotice is that of the routers' settings.
+	// StopNotice is that of the routers' settings; zero means 1 ms, since no
+	// balancer has to notice.
 	StopNotice time.Duration
 	Log        *slog.Logger
 	// Settings may change those of the nth router, from 0, before it starts.
@@ -66,14 +67,14 @@
 	Engines      []string
 	Applications []string
 
-	options  Options
-	operator string
-	engines  []*engine.Engine
-	apps     []*application.Application
-	routers  []*router
-	standIns sync.WaitGroup
-	servers  []*http.Server
-	stop     context.CancelFunc
+	options      Options
+	operator     string
+	engines      []*engine.Engine
+	applications []*application.Application
+	routers      []*router
+	standIns     sync.WaitGroup
+	servers      []*http.Server
+	stop         context.CancelFunc
 }
 
 // AccountKey returns the key of the nth account, from 0.
@@ -116,6 +117,22 @@
 	if err != nil {
 		return err
 	}
+	if err := f.startUpstreams(ctx); err != nil {
+		return err
+	}
+	for n := range f.options.Routers {
+		if err := f.startRouter(running, n, url); err != nil {
+			return err
+		}
+	}
+	f.listVMs()
+	if _, err := f.Publish(ctx, 0, f.note()); err != nil {
+		return err
+	}
+	return f.untilReady(ctx)
+}
+
+func (f *Fleet) startUpstreams(ctx context.Context) error {
 	for range f.options.Engines {
 		e := engine.New(f.options.Engine)
 		address, err := f.serve(ctx, e)
@@ -131,19 +148,10 @@
 		if err != nil {
 			return err
 		}
-		f.apps = append(f.apps, a)
+		f.applications = append(f.applications, a)
 		f.Applications = append(f.Applications, address)
 	}
-	for n := range f.options.Routers {
-		if err := f.startRouter(running, n, url); err != nil {
-			return err
-		}
-	}
-	f.listVMs()
-	if _, err := f.Publish(ctx, 0, f.note()); err != nil {
-		return err
-	}
-	return f.untilReady(ctx)
+	return nil
 }
 
 // serve returns the address at which it serves handler.
@@ -272,7 +280,7 @@
 func (f *Fleet) Engine(n int) *engine.Engine { return f.engines[n] }
 
 // Application returns the nth plain service, from 0.
-func (f *Fleet) Application(n int) *application.Application { return f.apps[n] }
+func (f *Fleet) Application(n int) *application.Application { return f.applications[n] }
 
 // Close stops the routers gracefully, then the rest.
 func (f *Fleet) Close() {
