scheduler: a dispatcher's word that an upstream drains outlives another view

Found by TestFleet/no-upstream, which failed in 5 of some 12 runs beside other load: for 40 s every request was told deadline-before-turn after half its deadline, never no-upstream. Cause, seen in a log of all words and views: two routers that start apart each dispatch everything; one says that an upstream drains 0.7 s before the other takes it for the dispatcher; the other dropped a word of anyone but its present dispatcher, and a word is said once. Ruled out: the list of leaving VMs (known at both within a second), the engine's report.

Words are now kept by who said them until that router takes them back, says all anew, or is lost. TestWordOfADispatcherOutlivesAnotherView failed before (a wait of 4m50s at every offset tried first, 0 s) and passes after.

--- a/scheduler/assignment.go
+++ b/scheduler/assignment.go
@@ -61,7 +61,7 @@
 	s.forgetWithdrawn(view)
 	s.view = view
 	s.assigned = s.assign(view, live, before)
-	s.drains.forget(func(upstream fleet.Number, by fleet.RouterID) bool { return s.assigned.dispatchers[upstream] != by })
+	s.drains.forget(func(each word) bool { return view.UpstreamByNumber(each.upstream) == nil })
 	s.own(now)
 	s.announceMoved(before)
 	s.exchange.reassign(s)
--- a/scheduler/drain_test.go
+++ b/scheduler/drain_test.go
@@ -59,3 +59,32 @@
 	require.Equal(t, refusal.NotRun, refused.Outcome)
 	require.NotZero(t, refused.RetryAfter)
 }
+
+// Two routers start apart and find each other a little later. Each one that
+// dispatches an upstream by its own view tells the other as soon as it hears
+// that the upstream drains, maybe before the other believes that it is the
+// dispatcher. If the other dropped its word then, nobody would repeat it for a
+// minute, and callers would wait for a slot until their deadlines near.
+func TestWordOfADispatcherOutlivesAnotherView(t *testing.T) {
+	t.Parallel()
+	for after := time.Duration(0); after < 2*time.Second; after += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			load := &reporting{}
+			f := newFleet(t, viewOf(1, 6, 1))
+			f.client = &http.Client{Transport: load}
+			defer f.stopAll()
+			ids := f.startAll(2)
+			f.net.cut(ids[0], ids[1])
+			time.Sleep(10 * time.Second)
+			f.net.connect(ids[0], ids[1])
+			time.Sleep(after)
+			load.draining.Store(true)
+			time.Sleep(10 * time.Second)
+			for _, id := range ids {
+				begun := time.Now()
+				requireNoUpstream(t, f.run(f.routers[id], "account-0", 300, time.Second))
+				require.Zero(t, time.Since(begun), "%s after %s", id, after)
+			}
+		})
+	}
+}
--- a/scheduler/drains.go
+++ b/scheduler/drains.go
@@ -13,13 +13,21 @@
 // draining, a request would otherwise wait for a slot that never comes until
 // its deadline nears, where it can be refused at once.
 type drains struct {
-	// by are the upstreams that are draining, with the dispatcher that said so.
-	by map[fleet.Number]fleet.RouterID
+	// words are what routers said of upstreams that they dispatch by their own
+	// view. A word is kept also while this router takes another one for the
+	// dispatcher: it is said once, and the views may meet only afterwards.
+	words map[word]bool
 	// told are those of this router's dispatcher that the others know of.
 	told []fleet.Number
 }
 
-func newDrains() drains { return drains{by: make(map[fleet.Number]fleet.RouterID)} }
+// word is that an upstream drains, said by a router.
+type word struct {
+	upstream fleet.Number
+	by       fleet.RouterID
+}
+
+func newDrains() drains { return drains{words: make(map[word]bool)} }
 
 // tell tells all routers, this one included, what changed at its upstreams.
 func (d *drains) tell(s *Scheduler) {
@@ -53,31 +61,30 @@
 func (d *drains) take(from fleet.RouterID, batch *schema.Batch) bool {
 	changed := false
 	if batch.GetComplete() {
-		changed = d.forget(func(_ fleet.Number, by fleet.RouterID) bool { return by == from })
+		changed = d.forget(func(each word) bool { return each.by == from })
 	}
 	for _, number := range batch.GetDraining() {
-		changed = changed || d.by[fleet.Number(number)] != from
-		d.by[fleet.Number(number)] = from
+		each := word{fleet.Number(number), from}
+		changed = changed || !d.words[each]
+		d.words[each] = true
 	}
 	for _, number := range batch.GetWorking() {
-		if d.by[fleet.Number(number)] == from {
-			delete(d.by, fleet.Number(number))
-			changed = true
-		}
+		each := word{fleet.Number(number), from}
+		changed = changed || d.words[each]
+		delete(d.words, each)
 	}
 	return changed
 }
 
-// forget drops what gone accepts and reports whether there was any.
-func (d *drains) forget(gone func(upstream fleet.Number, by fleet.RouterID) bool) bool {
-	before := len(d.by)
-	maps.DeleteFunc(d.by, gone)
-	return len(d.by) != before
+// forget drops the words that gone accepts and reports whether there was any.
+func (d *drains) forget(gone func(each word) bool) bool {
+	before := len(d.words)
+	maps.DeleteFunc(d.words, func(each word, _ bool) bool { return gone(each) })
+	return len(d.words) != before
 }
 
 // drainsAt reports whether an upstream takes no new work by its own word, which
 // its dispatcher passed on.
 func (s *Scheduler) drainsAt(upstream fleet.Number, dispatcher fleet.RouterID) bool {
-	by, draining := s.drains.by[upstream]
-	return draining && by == dispatcher
+	return s.drains.words[word{upstream, dispatcher}]
 }
--- a/scheduler/inbox.go
+++ b/scheduler/inbox.go
@@ -22,6 +22,7 @@
 	if !change.Connected {
 		s.members.Disconnected(now, change.Router)
 		s.slots.Gone(now, change.Router)
+		s.drains.forget(func(each word) bool { return each.by == change.Router })
 		s.entry.lost(s, now, change.Router)
 		s.refresh(now)
 		return
