scenario: stubborn callers, progress of a load, three scripts at once

Callers of a plain service can repeat with the same key what broke or came back as outcome-unknown, as the users' own callers do.

--- a/scenario/load.go
+++ b/scenario/load.go
@@ -26,6 +26,8 @@
 	plain    bool
 	tokens   int
 	name     string
+	// stubborn callers repeat also what may have been run, with the same key.
+	stubborn bool
 
 	next    atomic.Int64
 	stopped atomic.Bool
@@ -34,6 +36,7 @@
 	mu       sync.Mutex
 	expected map[string]string
 	answered []string
+	unknown  []string
 	repeats  int
 	faults   []error
 }
@@ -41,14 +44,16 @@
 // startLoad starts callers in the background, which ask one after the other
 // and repeat what was refused as not run:
 //
-//	load NAME ACCOUNT SERVICE UPSTREAM routers=NAME,... [callers=4] [tokens=20]
+//	load NAME ACCOUNT SERVICE UPSTREAM routers=NAME,... [callers=4] [tokens=20] [stubborn=yes]
 //
-// The upstream tells what the right answers are.
+// The upstream tells what the right answers are. Stubborn callers of a plain
+// service also repeat, with the same key, a call whose connection broke, and
+// take outcome-unknown for an answer the second time.
 func startLoad(w *World, a arguments) error {
 	if err := a.need(4, "load NAME ACCOUNT SERVICE UPSTREAM"); err != nil {
 		return err
 	}
-	if err := a.allow("routers", "callers", "tokens"); err != nil {
+	if err := a.allow("routers", "callers", "tokens", "stubborn"); err != nil {
 		return err
 	}
 	callers, err := a.number("callers", 4)
@@ -70,6 +75,7 @@
 		l.routers = append(l.routers, p)
 	}
 	l.plain = l.upstream.kind == applicationKind
+	l.stubborn = a.options["stubborn"] == "yes"
 	if err := l.learn(); err != nil {
 		return err
 	}
@@ -118,9 +124,14 @@
 // ask makes one call, and repeats it only while it certainly was not run.
 func (l *load) ask(key, body string) error {
 	deadline := time.Now().Add(patience)
+	unknown := false
 	for {
 		p := l.pick()
 		r := l.world.send(l.request(p, key, body))
+		if l.stubborn && !unknown && strings.Contains(r.body, `"outcome-unknown"`) {
+			unknown = true
+			continue
+		}
 		again, err := l.judge(key, body, r)
 		if !again {
 			if err != nil {
@@ -167,19 +178,28 @@
 	switch {
 	case r.err != nil && errors.As(r.err, &dial) && dial.Op == "dial":
 		return true, nil
+	case r.err != nil && l.stubborn && l.plain:
+		return true, nil
 	case r.err != nil:
 		return false, fmt.Errorf("the connection broke after %d bytes: %w", len(r.body), r.err)
 	case r.status != http.StatusOK && strings.Contains(r.body, `"not-run"`):
 		return true, nil
+	case l.stubborn && strings.Contains(r.body, `"outcome-unknown"`):
+		l.note(&l.unknown, key)
+		return false, nil
 	case r.status != http.StatusOK:
 		return false, fmt.Errorf("status %d: %s", r.status, r.body)
 	case !l.plain && r.body != l.expected[body]:
 		return false, fmt.Errorf("the answer differs from that of %s:\n%s", l.upstream.name, r.body)
 	}
+	l.note(&l.answered, key)
+	return false, nil
+}
+
+func (l *load) note(keys *[]string, key string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answered = append(l.answered, key)
-	return false, nil
+	*keys = append(*keys, key)
 }
 
 func (l *load) stop() {
@@ -187,8 +207,38 @@
 	l.group.Wait()
 }
 
-// endLoad stops a load and checks that each call was answered whole, and that
-// each of a plain service was run once:
+// progress waits until a load has had a number of answers more than now:
+//
+//	progress NAME N
+func progress(w *World, a arguments) error {
+	if err := a.need(2, "progress NAME N"); err != nil {
+		return err
+	}
+	l, ok := w.loads[a.words[0]]
+	if !ok {
+		return fmt.Errorf("the script has started no load %q", a.words[0])
+	}
+	more, err := strconv.Atoi(a.words[1])
+	if err != nil {
+		return err
+	}
+	wanted := l.count() + more
+	return poll("answers", func() error {
+		if found := l.count(); found < wanted {
+			return fmt.Errorf("%d calls were answered, expected %d", found, wanted)
+		}
+		return nil
+	})
+}
+
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.answered)
+}
+
+// endLoad stops a load and checks that each call was answered whole, that each
+// answered one of a plain service was run once, and no other one twice:
 //
 //	unload NAME [least=CALLS]
 func endLoad(w *World, a arguments) error {
@@ -204,6 +254,8 @@
 		return fmt.Errorf("the script has started no load %q", a.words[0])
 	}
 	l.stop()
+	w.log.Log(fmt.Sprintf("load %s: %d answered, %d of unknown outcome, %d repeats, %d failed",
+		l.name, len(l.answered), len(l.unknown), l.repeats, len(l.faults)))
 	if len(l.faults) > 0 {
 		return fmt.Errorf("%d of %d calls failed; the first ones: %w",
 			len(l.faults), len(l.faults)+len(l.answered), errors.Join(l.faults[:min(3, len(l.faults))]...))
@@ -224,7 +276,12 @@
 	}
 	for _, key := range l.answered {
 		if counts[key] != 1 {
-			return fmt.Errorf("%s was run %d times", key, counts[key])
+			return fmt.Errorf("%s was answered and run %d times", key, counts[key])
+		}
+	}
+	for key, n := range counts {
+		if n > 1 {
+			return fmt.Errorf("%s was run %d times", key, n)
 		}
 	}
 	return nil
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -37,6 +37,7 @@
 	calls     map[string]*exchange
 	loads     map[string]*load
 	marks     map[string]map[string]int
+	log       testscript.T
 	directs   int
 }
 
@@ -44,7 +45,7 @@
 
 // running bounds the scripts that run at once, because each is a small fleet
 // of its own on the same machine.
-var running = make(chan struct{}, 2)
+var running = make(chan struct{}, 3)
 
 // Params returns the testscript parameters for the scripts in a directory.
 func Params(dir string) testscript.Params {
@@ -64,6 +65,7 @@
 		calls:     map[string]*exchange{},
 		loads:     map[string]*load{},
 		marks:     map[string]map[string]int{},
+		log:       env.T(),
 	}
 	env.Values[worldKey{}] = w
 	var once sync.Once
@@ -115,7 +117,7 @@
 		"fault": setFault, "limits": limits, "drain": drain, "crash": crash, "restore": restore,
 		"sever": sever, "rejoin": rejoin,
 		"chat": chat, "call": callService, "resume": resume, "join": join, "events": events, "cut": cut,
-		"runs": runs, "total": total, "show": show, "busy": busy, "operations": operations, "mark": mark, "metric": metric, "load": startLoad, "unload": endLoad,
+		"runs": runs, "total": total, "show": show, "busy": busy, "operations": operations, "mark": mark, "metric": metric, "load": startLoad, "progress": progress, "unload": endLoad,
 	}
 	result := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range table {
