--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -22,9 +22,10 @@
 	// through is the highest id of each dispatcher's grants that was seen.
 	through map[fleet.RouterID]uint64
 	recent  recent
-	// starts counts requests since the rate was last measured.
-	starts   int
+	// rate is the requests started per second lately, starts those since it
+	// was measured.
 	rate     float64
+	starts   int
 	measured time.Time
 }
 
@@ -80,7 +81,7 @@
 	w.preferred = e.preferred(s, w)
 	return s.admission.Admit(now, w.work.Deadline, admission.Queue{
 		Account: e.line.Len(key), AccountBound: s.bound(q), Total: e.line.Total(), TotalBound: s.maxWaitingTotal,
-		Drain: q.drain.Rate(now),
+		Drain: q.drain.Most(now),
 	})
 }
 
@@ -192,12 +193,6 @@
 	return max(time.Duration(seconds*float64(time.Second)), leastRetry)
 }
 
-// benefitOfDoubt is how many times later than its deadline the turn of a
-// request that already waits must seem to come until it is given up. One
-// account's starts at one router are few and lumpy, and what was let in and
-// then refused has waited in vain.
-const benefitOfDoubt = 2
-
 // review refuses requests that were let in but won't have their turn in time
 // any more, because the account is now served more slowly, and forgets queues
 // that were not used for a while.
@@ -210,16 +205,16 @@
 			}
 			continue
 		}
-		rate := q.drain.Rate(now)
+		rate := q.drain.Most(now)
 		for i, w := range e.waiters(q) {
-			doubt := now.Add(benefitOfDoubt * w.work.Deadline.Sub(now))
-			refused := s.admission.Admit(now, doubt, admission.Queue{
+			refused := s.admission.Admit(now, w.work.Deadline, admission.Queue{
 				Account: i, AccountBound: i + 1, TotalBound: 1, Drain: rate,
 			})
 			if refused != nil && refused.Reason == refusal.DeadlineBeforeTurn {
 				e.refuse(now, w, refused)
 			}
 		}
+		// Also repeats asks that a dispatcher takes for withdrawn.
 		e.ask(s, now, q, false)
 	}
 }
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/rendezvous"
 )
 
 // dispatcherOf returns who dispatches the first upstream, as a router sees it.
@@ -43,7 +44,7 @@
 		require.Zero(t, f.ups.servedOf("account-1"))
 		f.kill(rest[0])
 		time.Sleep(12 * time.Second)
-		require.Equal(t, 4, f.ups.total())
+		f.full(4)
 		require.NotZero(t, f.ups.servedOf("account-1"))
 		f.atMost(4)
 	})
@@ -70,7 +71,7 @@
 		time.Sleep(30 * time.Second)
 		require.Greater(t, f.ups.servedOf("account-0"), served+10)
 		f.atMost(6)
-		require.Equal(t, 6, f.ups.total())
+		f.full(6)
 	})
 }
 
@@ -99,7 +100,7 @@
 		f.ups.resetMost()
 		time.Sleep(20 * time.Second)
 		f.atMost(5)
-		require.Equal(t, 5, f.ups.total())
+		f.full(5)
 	})
 }
 
@@ -121,7 +122,7 @@
 		time.Sleep(100 * time.Millisecond)
 		f.load(rest[0], "account-0", 8, time.Second)
 		time.Sleep(12 * time.Second)
-		require.Equal(t, 4, f.ups.total())
+		f.full(4)
 		f.atMost(4)
 	})
 }
@@ -144,7 +145,7 @@
 		time.Sleep(30 * time.Second)
 		require.Equal(t, dispatcher, f.dispatcherOf(rest[0]))
 		f.atMost(4)
-		require.Equal(t, 4, f.ups.total())
+		f.full(4)
 	})
 }
 
@@ -178,7 +179,7 @@
 		f.ups.resetMost()
 		time.Sleep(10 * time.Second)
 		f.atMost(2)
-		require.Equal(t, 2, f.ups.total())
+		f.full(2)
 	})
 }
 
@@ -204,3 +205,37 @@
 		f.atMost(4)
 	})
 }
+
+// The network between two routers is cut, and both still reach the third. One
+// of them dispatches the only upstream of a service; the other takes the third
+// one for its dispatcher, which knows better and grants nothing. The callers
+// of that router would wait until their deadlines beside idle slots.
+func TestRouterThatIsCutOffFromTheDispatcherOnly(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, viewOf(2, 1, 4))
+		ids := f.startAll(3)
+		defer f.stopAll()
+		dispatcher := f.dispatcherOf(ids[0])
+		rest := others(ids, dispatcher)
+		second := rendezvous.Pick(rendezvous.KeyOfNumber("dispatcher", 1000), rest)
+		cutOff := others(rest, second)[0]
+		f.net.cut(dispatcher, cutOff)
+		time.Sleep(time.Second)
+		require.Equal(t, second, f.dispatcherOf(cutOff))
+		require.Equal(t, dispatcher, f.dispatcherOf(second))
+		f.load(cutOff, "account-0", 8, time.Second)
+		time.Sleep(5 * time.Second)
+		f.full(4)
+		// The others are still served by the dispatcher that they reach.
+		f.load(second, "account-1", 8, time.Second)
+		time.Sleep(2 * time.Second)
+		require.Positive(t, f.ups.servedOf("account-1"))
+		f.atMost(2 * 4)
+		f.net.connect(dispatcher, cutOff)
+		time.Sleep(15 * time.Second)
+		require.Equal(t, dispatcher, f.dispatcherOf(cutOff))
+		f.ups.resetMost()
+		f.full(4)
+	})
+}
