scheduler: an unused slot comes back at each dispatcher that counts it

Found by a scenario with two faults together (table slow beyond its timeout, a router killed and restarted, scenario/testdata/fleet/slow-kill.txtar): work on a service stood still for 40 s and more in about half of the runs, with the upstream idle and in flight 2 of limit 2 at its dispatcher. A dump of grants and holds showed two grants at the dispatcher that no router held. Cause: a slot whose granter came back after a restart was released to the granter only when it was unused, as it is when its claim can't be written; the present dispatcher had been told of it and was told of nothing more until the next full exchange, five minutes later. Ruled out: the ramp (it was past 2), orphans of the killed router (reclaimed after 10 s).

TestUnusedSlotOfAFormerDispatcherComesBack failed before for unused slots (1 in flight) and passes after.

--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/dispatch"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/rendezvous"
 )
@@ -239,3 +240,35 @@
 		f.full(4)
 	})
 }
+
+// A dispatcher is killed and comes back while a request holds a slot that it
+// had granted, and the next dispatcher has been told of the slot. The request
+// then has no use for it, since its claim could not be written. If only the
+// granter heard of that, the slot would be taken for good at the dispatcher,
+// and after a few of them the upstream would stand idle beside waiting work.
+func TestUnusedSlotOfAFormerDispatcherComesBack(t *testing.T) {
+	t.Parallel()
+	for _, result := range []dispatch.Result{dispatch.Unused, dispatch.Answered, dispatch.Failed} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, viewOf(1, 1, 1))
+			ids := f.startAll(3)
+			defer f.stopAll()
+			dead := f.dispatcherOf(ids[0])
+			id := others(ids, dead)[0]
+			holder := f.routers[id]
+			slot, err := holder.Acquire(holder.ctx, f.work("account-0"))
+			require.NoError(t, err)
+			f.kill(dead)
+			time.Sleep(3 * time.Second)
+			f.start(dead, 2)
+			time.Sleep(500 * time.Millisecond)
+
+			slot.Done(dispatch.Done{Result: result})
+
+			time.Sleep(500 * time.Millisecond)
+			present := f.dispatcherOf(id)
+			require.NotEqual(t, dead, present)
+			require.Zero(t, f.state(present).Upstreams[0].InFlight, "result %d", result)
+		})
+	}
+}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -224,11 +224,16 @@
 	return f.run(f.routers["router-0"], account, 300, took)
 }
 
-func (f *testFleet) run(r *testRouter, account string, cost fleet.Tokens, took time.Duration) error {
-	slot, err := r.Acquire(r.ctx, dispatch.Work{
+// work returns a request of an account with an hour to wait.
+func (f *testFleet) work(account string) dispatch.Work {
+	return dispatch.Work{
 		Account: f.view.Account(fleet.AccountID(account)), Service: f.view.Service("model"), Estimate: 300,
 		Deadline: time.Now().Add(time.Hour),
-	})
+	}
+}
+
+func (f *testFleet) run(r *testRouter, account string, cost fleet.Tokens, took time.Duration) error {
+	slot, err := r.Acquire(r.ctx, f.work(account))
 	if err != nil {
 		return err
 	}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -62,12 +62,13 @@
 
 // release gives a slot back. The dispatcher that settles is told the cost; one
 // that only counts the slot, as both do while an upstream changes hands, is
-// told what it knows already.
+// told what it knows already. It has to hear of unused slots as well: nobody
+// else would free them there, and the upstream would stand idle.
 func (e *entry) release(s *Scheduler, h *hold, done dispatch.Done) {
 	delete(e.holds, h.key)
 	settler, present := s.settler(h), s.assigned.dispatchers[h.upstream]
 	s.sendRelease(settler, h, done, done.Cost)
-	if present != settler && present != "" && done.Result != dispatch.Unused {
+	if present != settler && present != "" {
 		s.sendRelease(present, h, done, h.told)
 	}
 	s.countService(h, done)
