scheduler: after an unused slot the account's other requests ask again

Cause: a dispatcher that gets a slot back unused withdraws the router's ask for that account, so that a router without use for slots is not granted them over and over. A request whose claim can't be written gives its slot back unused too, with others of its account waiting behind it. The router then took its ask for standing, and asks are repeated only when the count doubles, halves or becomes zero; callers that just wait change no count. A router that is the dispatcher itself is not even told again by the full exchange. Ruled out: virtual time (the account had been served less), lost messages.

--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -88,7 +88,7 @@
 	if g.done.Swap(true) {
 		return
 	}
-	g.scheduler.loop.Post(func() { g.scheduler.entry.release(g.scheduler, g.hold, done) })
+	g.scheduler.loop.Post(func() { g.scheduler.entry.done(g.scheduler, g.hold, done) })
 }
 
 func (s *Scheduler) observeWait(w *waiter, now time.Time) {
--- a/scheduler/entry.go
+++ b/scheduler/entry.go
@@ -130,7 +130,7 @@
 // abandon takes out a request whose caller went away, or gives its slot back.
 func (e *entry) abandon(s *Scheduler, now time.Time, w *waiter) {
 	if w.given != nil {
-		e.giveBack(s, w.given)
+		e.done(s, w.given, dispatch.Done{Result: dispatch.Unused})
 		return
 	}
 	if e.remove(now, w) {
--- a/scheduler/failure_test.go
+++ b/scheduler/failure_test.go
@@ -272,3 +272,32 @@
 		})
 	}
 }
+
+// A request gives its slot back unused, since its claim could not be written
+// or its caller has just gone, while others of the same account wait at the
+// same router. The dispatcher takes a slot that comes back unused for a sign
+// that the router has no work left. If the router did not ask again, those
+// others would wait for ever beside accounts that are served.
+func TestUnusedSlotLeavesTheOthersTheirTurn(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{0, 1, 2} { // The dispatcher itself, and routers that ask it.
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, viewOf(1, 1, 1))
+			ids := f.startAll(3)
+			defer f.stopAll()
+			r := f.routers[ids[n]]
+			slot, err := r.Acquire(r.ctx, f.work("account-0"))
+			require.NoError(t, err)
+			answered := make(chan error, 3)
+			for range 3 {
+				go func() { answered <- f.run(r, "account-0", 300, time.Second) }()
+			}
+			time.Sleep(time.Second)
+
+			slot.Done(dispatch.Done{Result: dispatch.Unused})
+
+			time.Sleep(10 * time.Second)
+			require.Len(t, answered, 3, ids[n])
+		})
+	}
+}
--- a/scheduler/hold.go
+++ b/scheduler/hold.go
@@ -60,6 +60,26 @@
 	e.release(s, h, dispatch.Done{Result: dispatch.Unused})
 }
 
+// done gives a slot back for the request that had it. Dispatchers take an
+// unused one for a sign that the account has nothing waiting here, so they are
+// asked again when it has: its other requests would else wait for ever, since
+// an ask that has not changed is not repeated.
+func (e *entry) done(s *Scheduler, h *hold, done dispatch.Done) {
+	dispatchers := []fleet.RouterID{s.settler(h), s.assigned.dispatchers[h.upstream]}
+	e.release(s, h, done)
+	if done.Result != dispatch.Unused || h.service == nil {
+		return
+	}
+	q := e.queues[queueKey{fleet.Number(h.service.GetNumber()), h.account}]
+	if q == nil {
+		return
+	}
+	for _, router := range dispatchers {
+		delete(q.asked, router)
+	}
+	e.ask(s, s.timer.Now(), q, false)
+}
+
 // release gives a slot back. The dispatcher that settles is told the cost; one
 // that only counts the slot, as both do while an upstream changes hands, is
 // told what it knows already. It has to hear of unused slots as well: nobody
