--- a/live/page.go
+++ b/live/page.go
@@ -39,6 +39,8 @@
 The gap is the largest difference in weighted tokens between two accounts over any interval in which both had
 work waiting, and as a multiple of the largest request's cost. Utilisation is the used part of the batches
 while a request had waited for over 10 ms. Control is bytes sent a second and router.
+The widest gaps lie in the first seconds, in which the limits of the upstreams are still being learnt from load
+reports; the second half of a run shows what follows.
 
 | load | policy | gap, tokens | × largest | second half × | utilisation | first byte p50, ms | p99, ms | account 1 p99, ms | tokens/s | to peers, B/s | to upstreams, B/s | to platform, B/s | peer B/request | answers |
 |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
