--- a/docs/operator/pages_test.go
+++ b/docs/operator/pages_test.go
@@ -33,7 +33,7 @@
 	require.Greater(t, len(first), 2)
 	script := []string{"set -eu", "export PATH=\"$PWD:$PATH\""}
 	script = append(script, first[1:len(first)-1]...) // the build is done, the end comes last
-	for _, page := range []string{"notes.md", "accounts.md", "upstreams.md", "restart.md"} {
+	for _, page := range []string{"notes.md", "accounts.md", "upstreams.md", "restart.md", "outage.md"} {
 		script = append(script, commands(t, page)...)
 	}
 	script = append(script, first[len(first)-1])
