daemon: polls of upstreams' load ignore a proxy of the environment

Cause: the default HTTP transport takes HTTP_PROXY; a proxy would answer in the place of an upstream that is gone. Callers' requests already had a transport of their own.

--- a/daemon/sharing.go
+++ b/daemon/sharing.go
@@ -24,6 +24,20 @@
 // pollTimeout bounds one poll of an upstream's load report.
 const pollTimeout = 2 * time.Second
 
+// idlePoll outlives the pause between two polls of an upstream, so that a poll
+// opens no connection of its own.
+const idlePoll = time.Minute
+
+// newPollClient returns the client that asks upstreams for their load. Unlike
+// the default one it ignores the environment's proxy, which would answer in
+// the place of an upstream that is gone.
+func newPollClient() *http.Client {
+	return &http.Client{
+		Timeout:   pollTimeout,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idlePoll},
+	}
+}
+
 // sharingExtension decides which waiting request starts next, and where.
 type sharingExtension struct{}
 
@@ -63,7 +77,7 @@
 	return scheduler.Options[O, *inflight.Adaptive, placement.Affinity]{
 		Self: p.Self, Incarnation: p.Incarnation, Notes: p.Notes, Peers: p.Peers, VMs: p.Platform,
 		Timer: p.Timer, Metrics: p.Metrics, Logger: p.Log,
-		Client:          &http.Client{Timeout: pollTimeout},
+		Client:          newPollClient(),
 		Limiter:         func(slots int) *inflight.Adaptive { return &inflight.Adaptive{Max: slots} },
 		Admission:       admission.Bounded{},
 		MaxWaiting:      settings.MaxWaiting(p.Settings),
