--- a/live/live.go
+++ b/live/live.go
@@ -135,6 +135,7 @@
 	fleet, err := local.Start(ctx, local.Options{
 		Routers: options.Routers, Engines: options.Engines, Accounts: len(clients), Sharing: string(policy),
 		EngineSlots: slotsPerBatch * options.Batch,
+		SlowEngines: load.slow(options.Engines),
 		Engine:      engine.Options{TimeScale: options.TimeScale, MaxBatch: options.Batch},
 	})
 	if err != nil {
--- a/live/load.go
+++ b/live/load.go
@@ -8,10 +8,21 @@
 // Load is what accounts ask for during a run.
 type Load struct {
 	Name string
+	// slowEngines is the part of the engines that is slow, as one in so many;
+	// zero for none.
+	slowEngines int
 	// clients returns what each account does.
 	clients func(options Options) []client
 }
 
+// slow returns how many of so many engines are slow.
+func (l Load) slow(engines int) int {
+	if l.slowEngines == 0 {
+		return 0
+	}
+	return engines / l.slowEngines
+}
+
 // client is what one account does: so many callers, each with one request
 // after the other.
 type client struct {
@@ -34,10 +45,12 @@
 // Loads returns all loads. A run without a choice plays the first two.
 func Loads() []Load {
 	return []Load{
-		{"few-large", fewLarge},
-		{"flood", flood},
-		{"one-router", oneRouter},
-		{"long-among-short", longAmongShort},
+		{Name: "few-large", clients: fewLarge},
+		{Name: "flood", clients: flood},
+		{Name: "one-router", clients: oneRouter},
+		{Name: "long-among-short", clients: longAmongShort},
+		{Name: "slow-upstream", clients: fewLarge, slowEngines: 5},
+		{Name: "saturation", clients: saturation},
 	}
 }
 
@@ -100,6 +113,16 @@
 	return clients
 }
 
+// saturation has all accounts ask for eight times what they can get.
+func saturation(options Options) []client {
+	const times = 4
+	clients := make([]client, accounts)
+	for n := range clients {
+		clients[n] = client{times * backlog(options), anyRouter, usualTokens}
+	}
+	return clients
+}
+
 // oneRouter has all accounts' callers at one router.
 func oneRouter(options Options) []client {
 	clients := make([]client, accounts)
--- a/local/local.go
+++ b/local/local.go
@@ -42,7 +42,9 @@
 	Applications int
 	Accounts     int
 	Engine       engine.Options
-	Application  application.Options
+	// SlowEngines is how many of the engines take four times as long.
+	SlowEngines int
+	Application application.Options
 	// EngineSlots and ApplicationSlots bound what one upstream is sent.
 	EngineSlots      int
 	ApplicationSlots int
@@ -132,9 +134,25 @@
 	return f.untilReady(ctx)
 }
 
+// slowdown is how many times as long a slow engine takes for a token.
+const slowdown = 4
+
+// engine returns the options of an engine, numbered from 0.
+func (o Options) engine(n int) engine.Options {
+	options := o.Engine
+	if n >= o.SlowEngines {
+		return options
+	}
+	if options.TimeScale == 0 {
+		options.TimeScale = 1
+	}
+	options.TimeScale *= slowdown
+	return options
+}
+
 func (f *Fleet) startUpstreams(ctx context.Context) error {
-	for range f.options.Engines {
-		e := engine.New(f.options.Engine)
+	for n := range f.options.Engines {
+		e := engine.New(f.options.engine(n))
 		address, err := f.serve(ctx, e)
 		if err != nil {
 			return err
