--- a/call/cost.go
+++ b/call/cost.go
@@ -24,7 +24,7 @@
 }
 
 func (m *meter) cost() fleet.Tokens {
-	if m.service.GetKind() == kindModel {
+	if fleet.Kind(m.service.GetKind()) == fleet.Model {
 		weights := estimate.Weights{Input: m.service.GetInputWeight(), Output: m.service.GetOutputWeight()}
 		return weights.Cost(m.input, m.output)
 	}
--- a/call/request.go
+++ b/call/request.go
@@ -24,9 +24,6 @@
 	ReplayedHeader = "Nutmeglock-Replayed"
 )
 
-// kindModel is the service kind of model engines.
-const kindModel = "model"
-
 // Request is one accepted request. The router has authenticated and checked it.
 type Request struct {
 	ID      fleet.RequestID
@@ -48,7 +45,7 @@
 	Deadline time.Time
 }
 
-func (r *Request) model() bool { return r.Service.GetKind() == kindModel }
+func (r *Request) model() bool { return fleet.Kind(r.Service.GetKind()) == fleet.Model }
 
 // claimed reports whether the request needs a claim. Without a key a claim
 // could not be related to the caller's repeat.
--- a/daemon/trace.go
+++ b/daemon/trace.go
@@ -96,7 +96,7 @@
 }
 
 func (t *tracer) count(service *schema.Service, upstreams int) {
-	if trace.Kind(service.GetKind()) == trace.Model {
+	if fleet.Kind(service.GetKind()) == fleet.Model {
 		t.header.Fleet.Models += upstreams
 	} else {
 		t.header.Fleet.Plain += upstreams
@@ -106,7 +106,7 @@
 func (t *tracer) record(report call.Report) trace.Record {
 	record := trace.Record{
 		At: report.Arrived.Sub(t.started).Milliseconds(), Account: report.Account, Service: report.Service,
-		Kind: trace.Plain, Router: t.router, NonIdempotent: report.NonIdempotent,
+		Kind: fleet.Plain, Router: t.router, NonIdempotent: report.NonIdempotent,
 		Deadline: report.Deadline.Milliseconds(), Outcome: trace.Answered, Queue: report.Queue.Milliseconds(),
 		FirstToken: report.FirstToken.Milliseconds(), Total: report.Total.Milliseconds(),
 	}
@@ -114,7 +114,7 @@
 		record.Outcome = string(report.Refused)
 	}
 	if report.Model {
-		record.Kind = trace.Model
+		record.Kind = fleet.Model
 		record.Input, record.Output = int(report.Input), int(report.Output)
 	} else {
 		record.Run = report.Run.Milliseconds()
--- a/experiment/replay.go
+++ b/experiment/replay.go
@@ -84,7 +84,7 @@
 		deadline: m.clock.elapsed + time.Duration(record.Deadline)*time.Millisecond,
 	}
 	r.ended = func(reason refusal.Reason) { m.measure.ended(r, reason) }
-	if record.Kind == trace.Plain {
+	if record.Kind == fleet.Plain {
 		r.service = plainService
 		r.job.plain = max(time.Duration(record.Run)*time.Millisecond, time.Millisecond)
 	} else {
--- a/experiment/synthetic.go
+++ b/experiment/synthetic.go
@@ -101,14 +101,14 @@
 
 func (s Synthetic) request(account int, at time.Duration, random *rand.Rand) trace.Record {
 	record := s.record(account, at, random)
-	record.Service, record.Kind = s.model, trace.Model
+	record.Service, record.Kind = s.model, fleet.Model
 	record.Input, record.Output = usualInput.draw(random), usualOutput.draw(random)
 	return record
 }
 
 func (s Synthetic) call(account int, at time.Duration, random *rand.Rand) trace.Record {
 	record := s.record(account, at, random)
-	record.Service, record.Kind = s.plain, trace.Plain
+	record.Service, record.Kind = s.plain, fleet.Plain
 	record.Run = 20 + random.Int64N(100)
 	record.NonIdempotent = random.IntN(2) == 0
 	return record
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -10,6 +10,17 @@
 // ServiceID names a model or a plain application.
 type ServiceID string
 
+// Kind tells models from plain services, as release notes spell it.
+type Kind string
+
+// The kinds of services.
+const (
+	// Model is a model that is called by chat completions.
+	Model Kind = "model"
+	// Plain is a plain application that HTTP calls are passed on to.
+	Plain Kind = "plain"
+)
+
 // UpstreamID names a back end of one service.
 type UpstreamID string
 
--- a/local/trace_test.go
+++ b/local/trace_test.go
@@ -54,7 +54,7 @@
 	require.Equal(t, trace.Fleet{Routers: 1, Models: 2, Plain: 1}, header.Fleet)
 	require.Len(t, records, 5)
 	for n, record := range records[:2] {
-		require.Equal(t, trace.Model, record.Kind)
+		require.EqualValues(t, "model", record.Kind)
 		require.Equal(t, trace.Answered, record.Outcome)
 		require.Contains(t, answers[n], fmt.Sprintf(`"completion_tokens":%d`, record.Output))
 		require.Contains(t, answers[n], fmt.Sprintf(`"prompt_tokens":%d`, record.Input))
--- a/router/caller.go
+++ b/router/caller.go
@@ -75,10 +75,10 @@
 }
 
 // service returns a service that the account may call.
-func (r *Router) service(c echo.Context, account *schema.Account, id fleet.ServiceID, kind Kind) (*schema.Service, *refusal.Error) {
+func (r *Router) service(c echo.Context, account *schema.Account, id fleet.ServiceID, kind fleet.Kind) (*schema.Service, *refusal.Error) {
 	service := r.Notes.Current().Service(id)
-	if service == nil || Kind(service.GetKind()) != kind {
-		return nil, refusal.New(refusal.UnknownService, fmt.Sprintf("there is no %s %q", kind.describe(), id), 0)
+	if service == nil || fleet.Kind(service.GetKind()) != kind {
+		return nil, refusal.New(refusal.UnknownService, fmt.Sprintf("there is no %s %q", describe(kind), id), 0)
 	}
 	c.Set(serviceKey, service.GetId())
 	allowed := account.GetServices()
@@ -88,17 +88,9 @@
 	return service, nil
 }
 
-// Kind tells models from plain services, as release notes spell it.
-type Kind string
-
-// The kinds of services.
-const (
-	Model Kind = "model"
-	Plain Kind = "plain"
-)
-
-func (k Kind) describe() string {
-	if k == Model {
+// describe returns what a refusal calls a service of the kind.
+func describe(kind fleet.Kind) string {
+	if kind == fleet.Model {
 		return "model"
 	}
 	return "plain service"
--- a/router/chat.go
+++ b/router/chat.go
@@ -33,7 +33,7 @@
 	if refused := chat.check(); refused != nil {
 		return refused
 	}
-	service, refused := r.service(c, in.account, fleet.ServiceID(chat.Model), Model)
+	service, refused := r.service(c, in.account, fleet.ServiceID(chat.Model), fleet.Model)
 	if refused != nil {
 		return refused
 	}
--- a/router/intake.go
+++ b/router/intake.go
@@ -98,7 +98,7 @@
 	if refused != nil {
 		return refused
 	}
-	service, refused := r.service(c, in.account, fleet.ServiceID(c.Param("service")), Plain)
+	service, refused := r.service(c, in.account, fleet.ServiceID(c.Param("service")), fleet.Plain)
 	if refused != nil {
 		return refused
 	}
--- a/router/report.go
+++ b/router/report.go
@@ -33,7 +33,7 @@
 	arrived, _ := c.Get(arrivedKey).(time.Time)
 	report := call.Report{
 		Account: fleet.AccountID(account.GetId()), Service: fleet.ServiceID(service.GetId()),
-		Model:   Kind(service.GetKind()) == Model,
+		Model:   fleet.Kind(service.GetKind()) == fleet.Model,
 		Arrived: arrived, Deadline: r.Limits.DefaultDeadline, Total: r.Timer.Now().Sub(arrived),
 		Refused: reason,
 	}
@@ -52,7 +52,7 @@
 		return view.Service(fleet.ServiceID(id))
 	}
 	service := view.Service(fleet.ServiceID(c.Param("service")))
-	if Kind(service.GetKind()) != Plain {
+	if fleet.Kind(service.GetKind()) != fleet.Plain {
 		return nil
 	}
 	return service
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -46,15 +46,6 @@
 	DelayMicroseconds int `json:"delay-us"`
 }
 
-// Kind is the kind of a service.
-type Kind string
-
-// The kinds of services.
-const (
-	Model Kind = "model"
-	Plain Kind = "plain"
-)
-
 // Answered is the outcome of a request that was answered whole. Any other
 // outcome is the reason of a refusal.
 const Answered = "answered"
@@ -65,7 +56,7 @@
 	At      int64           `json:"at-ms"`
 	Account fleet.AccountID `json:"account"`
 	Service fleet.ServiceID `json:"service"`
-	Kind    Kind            `json:"kind"`
+	Kind    fleet.Kind      `json:"kind"`
 	// Router is the number of the router that the caller reached, from 0.
 	Router int `json:"router"`
 	// Input and Output are tokens of a model's request; Prefix names the
@@ -105,9 +96,9 @@
 		return &FieldError{"account", "is missing"}
 	case r.Service == "":
 		return &FieldError{"service", "is missing"}
-	case r.Kind != Model && r.Kind != Plain:
+	case r.Kind != fleet.Model && r.Kind != fleet.Plain:
 		return &FieldError{"kind", fmt.Sprintf("is %q; it has to be model or plain", r.Kind)}
-	case r.Kind == Model && r.Output < 1 && r.Outcome == Answered:
+	case r.Kind == fleet.Model && r.Output < 1 && r.Outcome == Answered:
 		return &FieldError{"output-tokens", "is missing of an answered request"}
 	case r.Deadline < 1:
 		return &FieldError{"deadline-ms", "has to be at least 1"}
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/trace"
 )
 
@@ -19,7 +20,7 @@
 
 func record(at int64) trace.Record {
 	return trace.Record{
-		At: at, Account: "a", Service: "findings", Kind: trace.Model, Input: 10, Output: 20,
+		At: at, Account: "a", Service: "findings", Kind: fleet.Model, Input: 10, Output: 20,
 		Deadline: 1000, Outcome: trace.Answered,
 	}
 }
