local: a fleet is ready once its routers count each other among the dispatchers

TestGracefulStopServesWhatWaits failed once in a full run: the second request was to wait for the only slot, and did not. Cause: for a second after they connect, two routers each hold the slots of an upstream, which is so by design; Start said that the fleet was ready before. The administration API now says who dispatches, and Start waits for it.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -75,15 +75,17 @@
 
 func (s *state) Routers() []*schema.RouterState {
 	snapshot := s.snapshot()
-	routers := []*schema.RouterState{s.self(snapshot)}
+	self := s.self(snapshot)
+	routers := []*schema.RouterState{self}
 	for _, r := range snapshot.Routers {
 		if r.ID == s.parts.Self {
+			self.Dispatches = r.Dispatches
 			continue
 		}
 		routers = append(routers, &schema.RouterState{
 			Id: string(r.ID), State: routerState(r), StartedUnixMs: int64(r.Incarnation),
 			DataCenter: string(r.DataCenter), Address: r.Address,
-			NoteVersion: uint64(s.parts.Notes.PeerVersion(r.ID)),
+			NoteVersion: uint64(s.parts.Notes.PeerVersion(r.ID)), Dispatches: r.Dispatches,
 		})
 	}
 	return routers
--- a/local/local.go
+++ b/local/local.go
@@ -270,6 +270,8 @@
 	}
 }
 
+// ready reports whether all routers count each other among the dispatchers.
+// Before, two may both hold the slots of an upstream, and it is sent too much.
 func (f *Fleet) ready(ctx context.Context) bool {
 	for n := range f.Routers {
 		list, err := f.Operator(n).Routers(ctx)
@@ -277,7 +279,7 @@
 			return false
 		}
 		for _, other := range list.GetRouters() {
-			if other.GetState() != "ready" {
+			if other.GetState() != "ready" || !other.GetDispatches() {
 				return false
 			}
 		}
