--- a/call/once_test.go
+++ b/call/once_test.go
@@ -13,8 +13,8 @@
 	"nutmeglock.example/nutmeglock/call"
 	"nutmeglock.example/nutmeglock/claim"
 	"nutmeglock.example/nutmeglock/dispatch"
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
@@ -166,7 +166,7 @@
 	clock *timer.Fake
 }
 
-func (f *freezing) Commit(ctx context.Context, txn platform.Txn) error {
+func (f *freezing) Commit(ctx context.Context, txn store.Txn) error {
 	defer f.clock.Advance(time.Hour)
 	return f.Platform.Commit(ctx, txn)
 }
--- a/call/storm_test.go
+++ b/call/storm_test.go
@@ -13,7 +13,7 @@
 
 	"nutmeglock.example/nutmeglock/call"
 	"nutmeglock.example/nutmeglock/claim"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/standin/application"
 	"nutmeglock.example/nutmeglock/standin/fault"
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -35,12 +35,12 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
 // Prefix is where the rows are in the table.
-const Prefix platform.Key = "claims/"
+const Prefix store.Key = "claims/"
 
 // Lengths of the parts of a row, in bytes. Rows cross the connections between
 // routers, where each byte counts.
@@ -65,8 +65,8 @@
 
 // row returns the key of the request's row. Accounts can't meet each other's
 // keys, because the account is part of what is hashed.
-func (r Request) row() platform.Key {
-	return Prefix + platform.Key(hex.EncodeToString(digest(keySize, string(r.Account), r.Key)))
+func (r Request) row() store.Key {
+	return Prefix + store.Key(hex.EncodeToString(digest(keySize, string(r.Account), r.Key)))
 }
 
 func (r Request) fingerprint() []byte {
@@ -101,10 +101,10 @@
 // Release or Lose once. It is used by one goroutine.
 type Claim struct {
 	store   *Store
-	key     platform.Key
+	key     store.Key
 	attempt attemptID
 	// version is the row's, zero while it is not known.
-	version platform.RowVersion
+	version store.RowVersion
 	// lease is when the right to send ends. It keeps the monotonic clock.
 	lease  time.Time
 	sealed bool
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/claim"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -49,12 +49,12 @@
 
 func (o *objects) Get(_ context.Context, name string) ([]byte, error) {
 	if o.down {
-		return nil, &platform.UnavailableError{Operation: "get", Cause: errFault}
+		return nil, &store.UnavailableError{Operation: "get", Cause: errFault}
 	}
 	if data, ok := o.data[name]; ok {
 		return data, nil
 	}
-	return nil, &platform.NotFoundError{Name: name}
+	return nil, &store.NotFoundError{Name: name}
 }
 
 func refused(t *testing.T, err error, reason refusal.Reason, outcome refusal.Outcome) {
--- a/claim/collect.go
+++ b/claim/collect.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/rendezvous"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
@@ -49,7 +49,7 @@
 	Send(to fleet.RouterID, batch *schema.Batch)
 }
 
-// Collected is a platform.Table that sends transactions on one claim to a
+// Collected is a store.Table that sends transactions on one claim to a
 // router that collects those of many, once the fleet is large.
 //
 // At 460 routers and 690 claims a second a router has three writes a second,
@@ -62,7 +62,7 @@
 // All fields but Timer have to be set, and Receive be called with each batch of a peer.
 // It is safe for concurrent use.
 type Collected struct {
-	platform.Table
+	store.Table
 	Self  fleet.RouterID
 	Peers Peers
 	// Group commits for this router while the fleet is small, and when a
@@ -92,7 +92,7 @@
 const idBits = 48
 
 // Commit applies a transaction. It fails as the table does.
-func (c *Collected) Commit(ctx context.Context, txn platform.Txn) error {
+func (c *Collected) Commit(ctx context.Context, txn store.Txn) error {
 	write, ok := claimWrite(txn)
 	if !ok {
 		return c.Group.Commit(ctx, txn)
@@ -114,9 +114,9 @@
 // definiteOnly weakens an error of a second commit of the same transaction:
 // that the second had no effect says nothing of the first.
 func definiteOnly(err error) error {
-	var none *platform.UnavailableError
+	var none *store.UnavailableError
 	if errors.As(err, &none) {
-		return &platform.IndefiniteError{Operation: none.Operation, Cause: err}
+		return &store.IndefiniteError{Operation: none.Operation, Cause: err}
 	}
 	return err
 }
@@ -185,10 +185,10 @@
 	defer c.collecting.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), commitTimeout)
 	defer cancel()
-	key := Prefix + platform.Key(hex.EncodeToString(write.GetClaim()))
-	err := c.collected().Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: key, Version: platform.RowVersion(write.GetVersion())}},
-		Writes: []platform.Write{{Key: key, Value: write.GetRow()}},
+	key := Prefix + store.Key(hex.EncodeToString(write.GetClaim()))
+	err := c.collected().Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: key, Version: store.RowVersion(write.GetVersion())}},
+		Writes: []store.Write{{Key: key, Value: write.GetRow()}},
 	})
 	verdict := verdictOf(err)
 	verdict.Id = write.GetId()
@@ -201,7 +201,7 @@
 
 // claimWrite returns the message for a transaction that writes one claim's
 // row, and false for another.
-func claimWrite(txn platform.Txn) (*schema.ClaimWrite, bool) {
+func claimWrite(txn store.Txn) (*schema.ClaimWrite, bool) {
 	if len(txn.Checks) != 1 || len(txn.Writes) != 1 || txn.Writes[0].Delete || txn.Checks[0].Key != txn.Writes[0].Key {
 		return nil, false
 	}
@@ -217,8 +217,8 @@
 
 func verdictOf(err error) *schema.ClaimVerdict {
 	var (
-		conflict *platform.ConflictError
-		none     *platform.UnavailableError
+		conflict *store.ConflictError
+		none     *store.UnavailableError
 	)
 	switch {
 	case err == nil:
@@ -234,19 +234,19 @@
 
 // verdictError returns the error of a verdict. An effect that this version does
 // not know counts as indefinite.
-func verdictError(verdict *schema.ClaimVerdict, check platform.Check) error {
+func verdictError(verdict *schema.ClaimVerdict, check store.Check) error {
 	cause := eris.New("at the router that collects claims")
 	switch verdict.GetEffect() {
 	case schema.ClaimEffect_CLAIM_EFFECT_APPLIED:
 		return nil
 	case schema.ClaimEffect_CLAIM_EFFECT_CONFLICT:
-		return &platform.ConflictError{
-			Key: check.Key, Expected: check.Version, Found: platform.RowVersion(verdict.GetFound()),
+		return &store.ConflictError{
+			Key: check.Key, Expected: check.Version, Found: store.RowVersion(verdict.GetFound()),
 		}
 	case schema.ClaimEffect_CLAIM_EFFECT_NONE:
-		return &platform.UnavailableError{Operation: "commit", Cause: cause}
+		return &store.UnavailableError{Operation: "commit", Cause: cause}
 	default:
-		return &platform.IndefiniteError{Operation: "commit", Cause: cause}
+		return &store.IndefiniteError{Operation: "commit", Cause: cause}
 	}
 }
 
--- a/claim/group.go
+++ b/claim/group.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
@@ -20,7 +20,7 @@
 	commitTimeout = 2 * time.Second
 )
 
-// Group is a platform.Table that commits many transactions as one, because the
+// Group is a store.Table that commits many transactions as one, because the
 // table takes several hundred writes a second whatever their size. Reads go to
 // Table as they are. Table has to be set. It is safe for concurrent use.
 //
@@ -28,7 +28,7 @@
 // and not more of them. A conflict in a group names one row: the transaction
 // on it is answered, and the others are committed again without it.
 type Group struct {
-	platform.Table
+	store.Table
 	// Delay is how long the first transaction of a group waits; zero means 5 ms.
 	Delay time.Duration
 	// Members bounds a group; zero means 128.
@@ -43,14 +43,14 @@
 
 // member is a transaction that waits for its group.
 type member struct {
-	txn  platform.Txn
+	txn  store.Txn
 	done chan error
 }
 
 // Commit applies a transaction together with others. It fails as the table
-// does, and with *platform.IndefiniteError when ctx ends while its group is
+// does, and with *store.IndefiniteError when ctx ends while its group is
 // being committed.
-func (g *Group) Commit(ctx context.Context, txn platform.Txn) error {
+func (g *Group) Commit(ctx context.Context, txn store.Txn) error {
 	m := &member{txn: txn, done: make(chan error, 1)}
 	g.join(m)
 	select {
@@ -59,9 +59,9 @@
 	case <-ctx.Done():
 	}
 	if g.leave(m) {
-		return &platform.UnavailableError{Operation: "commit", Cause: ctx.Err()}
+		return &store.UnavailableError{Operation: "commit", Cause: ctx.Err()}
 	}
-	return &platform.IndefiniteError{Operation: "commit", Cause: ctx.Err()}
+	return &store.IndefiniteError{Operation: "commit", Cause: ctx.Err()}
 }
 
 func (g *Group) join(m *member) {
@@ -119,7 +119,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	rows := map[platform.Key]bool{}
+	rows := map[store.Key]bool{}
 	var group, left []*member
 	for _, m := range g.waiting {
 		if len(group) == limit || m.touches(rows) {
@@ -133,16 +133,16 @@
 	return group
 }
 
-func (m *member) touches(rows map[platform.Key]bool) bool {
+func (m *member) touches(rows map[store.Key]bool) bool {
 	for _, check := range m.txn.Checks {
 		if rows[check.Key] {
 			return true
 		}
 	}
-	return slices.ContainsFunc(m.txn.Writes, func(w platform.Write) bool { return rows[w.Key] })
+	return slices.ContainsFunc(m.txn.Writes, func(w store.Write) bool { return rows[w.Key] })
 }
 
-func (m *member) mark(rows map[platform.Key]bool) {
+func (m *member) mark(rows map[store.Key]bool) {
 	for _, check := range m.txn.Checks {
 		rows[check.Key] = true
 	}
@@ -154,13 +154,13 @@
 func (g *Group) commit(ctx context.Context, group []*member) {
 	for len(group) > 0 {
 		err := g.Table.Commit(ctx, merged(group))
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) || len(group) == 1 {
 			answerAll(group, err)
 			return
 		}
 		hit := slices.IndexFunc(group, func(m *member) bool {
-			return slices.ContainsFunc(m.txn.Checks, func(c platform.Check) bool { return c.Key == conflict.Key })
+			return slices.ContainsFunc(m.txn.Checks, func(c store.Check) bool { return c.Key == conflict.Key })
 		})
 		if hit < 0 {
 			answerAll(group, err)
@@ -177,8 +177,8 @@
 	}
 }
 
-func merged(group []*member) platform.Txn {
-	var txn platform.Txn
+func merged(group []*member) store.Txn {
+	var txn store.Txn
 	for _, m := range group {
 		txn.Checks = append(txn.Checks, m.txn.Checks...)
 		txn.Writes = append(txn.Writes, m.txn.Writes...)
--- a/claim/group_test.go
+++ b/claim/group_test.go
@@ -14,16 +14,16 @@
 
 	"nutmeglock.example/nutmeglock/claim"
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
-func insert(key platform.Key) platform.Txn {
-	return platform.Txn{Checks: []platform.Check{{Key: key}}, Writes: []platform.Write{{Key: key, Value: []byte("v")}}}
+func insert(key store.Key) store.Txn {
+	return store.Txn{Checks: []store.Check{{Key: key}}, Writes: []store.Write{{Key: key, Value: []byte("v")}}}
 }
 
 // Among many claims in one commit is one whose key another router holds, and
@@ -34,8 +34,8 @@
 		table := memory.New(timer.System{})
 		require.NoError(t, table.Commit(t.Context(), insert("held")))
 		group := &claim.Group{Table: table}
-		keys := []platform.Key{"a", "held", "b", "twice", "twice", "c"}
-		conflicts := map[platform.Key]int{}
+		keys := []store.Key{"a", "held", "b", "twice", "twice", "c"}
+		conflicts := map[store.Key]int{}
 		var (
 			mu sync.Mutex
 			wg sync.WaitGroup
@@ -46,14 +46,14 @@
 				mu.Lock()
 				defer mu.Unlock()
 				if err != nil {
-					var conflict *platform.ConflictError
+					var conflict *store.ConflictError
 					require.ErrorAs(t, err, &conflict)
 					conflicts[key]++
 				}
 			})
 		}
 		wg.Wait()
-		require.Equal(t, map[platform.Key]int{"held": 1, "twice": 1}, conflicts)
+		require.Equal(t, map[store.Key]int{"held": 1, "twice": 1}, conflicts)
 		require.Equal(t, uint64(2), table.Commits(), "the row that was there, and one group")
 	})
 }
@@ -101,7 +101,7 @@
 // frameSize is the kind and the length before a batch on a connection.
 const frameSize = 2
 
-func newNetwork(table platform.Table, routers int) (*network, []*claim.Store) {
+func newNetwork(table store.Table, routers int) (*network, []*claim.Store) {
 	n := &network{
 		routers: map[fleet.RouterID]*claim.Collected{},
 		lost:    map[fleet.RouterID]bool{}, mute: map[fleet.RouterID]bool{}, bytes: map[fleet.RouterID]int{},
@@ -144,7 +144,7 @@
 		table.Faults.Set(fault.Fault{Kind: fault.Down})
 		collected, ok := stores[0].Table.(*claim.Collected)
 		require.True(t, ok)
-		var indefinite *platform.IndefiniteError
+		var indefinite *store.IndefiniteError
 		require.ErrorAs(t, collected.Commit(t.Context(), insert("claims/00")), &indefinite)
 	})
 }
--- a/claim/keep.go
+++ b/claim/keep.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -86,7 +86,7 @@
 		return nil, lost
 	}
 	body, err := s.Objects.Get(ctx, kept.GetObject())
-	var missing *platform.NotFoundError
+	var missing *store.NotFoundError
 	if errors.As(err, &missing) {
 		return nil, lost
 	}
--- a/claim/settle.go
+++ b/claim/settle.go
@@ -8,7 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -60,10 +60,10 @@
 
 // settlement is the last write of an attempt, tried until it is in effect.
 type settlement struct {
-	key     platform.Key
+	key     store.Key
 	attempt attemptID
 	// version is the row's, zero while it is not known or absent.
-	version platform.RowVersion
+	version store.RowVersion
 	// unsettled is true for an attempt that gave up before it knew whether its
 	// claim is in effect.
 	unsettled bool
@@ -93,7 +93,7 @@
 		last.version = version
 	}
 	for range rounds {
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		err := s.commit(ctx, last.key, last.version, last.row)
 		if err == nil {
 			return true
--- a/claim/store.go
+++ b/claim/store.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
@@ -39,8 +39,8 @@
 // Store claims requests. Table has to be set; Objects may be nil, and answers
 // over MaxInline are then not kept. It is safe for concurrent use.
 type Store struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   store.Table
+	Objects store.Objects
 	// Router decides where the sweeper begins.
 	Router fleet.RouterID
 	// Timer tells the time; nil means the machine's clock.
@@ -107,11 +107,11 @@
 
 func (s *Store) claim(ctx context.Context, request Request) (*Claim, *Answer, error) {
 	c := s.newClaim(request)
-	expected := platform.RowVersion(0)
+	expected := store.RowVersion(0)
 	var unsettled bool
 	var cause error
 	for range rounds {
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		cause = s.commit(ctx, c.key, expected, c.row)
 		switch {
 		case cause == nil:
@@ -198,20 +198,20 @@
 }
 
 // commit writes a row if it is at the version expected.
-func (s *Store) commit(ctx context.Context, key platform.Key, expected platform.RowVersion, row *schema.ClaimRow) error {
+func (s *Store) commit(ctx context.Context, key store.Key, expected store.RowVersion, row *schema.ClaimRow) error {
 	value, err := proto.Marshal(row)
 	if err != nil {
 		return eris.Wrap(err, "encode claim")
 	}
-	return s.Table.Commit(ctx, platform.Txn{
-		Checks: []platform.Check{{Key: key, Version: expected}},
-		Writes: []platform.Write{{Key: key, Value: value}},
+	return s.Table.Commit(ctx, store.Txn{
+		Checks: []store.Check{{Key: key, Version: expected}},
+		Writes: []store.Write{{Key: key, Value: value}},
 	})
 }
 
 // read returns the row at a version that is not older than least. The table may
 // answer from an older state, in which a row that exists seems absent.
-func (s *Store) read(ctx context.Context, key platform.Key, least platform.RowVersion) (*schema.ClaimRow, platform.RowVersion, error) {
+func (s *Store) read(ctx context.Context, key store.Key, least store.RowVersion) (*schema.ClaimRow, store.RowVersion, error) {
 	if least == 0 {
 		return nil, 0, nil
 	}
@@ -233,6 +233,6 @@
 }
 
 func isIndefinite(err error) bool {
-	var indefinite *platform.IndefiniteError
+	var indefinite *store.IndefiniteError
 	return errors.As(err, &indefinite)
 }
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -7,7 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -35,7 +35,7 @@
 type Sweeper struct {
 	Store *Store
 
-	cursor platform.Key
+	cursor store.Key
 	rest   int
 }
 
@@ -70,7 +70,7 @@
 // fails with the table's errors; what it did not remove, a later pass does.
 func (w *Sweeper) Sweep(ctx context.Context) (int, error) {
 	if w.cursor == "" {
-		w.cursor = Prefix + platform.Key(hex.EncodeToString(digest(keySize, string(w.Store.Router))))
+		w.cursor = Prefix + store.Key(hex.EncodeToString(digest(keySize, string(w.Store.Router))))
 	}
 	rows, err := w.Store.Table.Scan(ctx, Prefix, w.cursor, sweepPage)
 	if err != nil {
@@ -94,15 +94,15 @@
 // expired returns the transaction that removes what has expired, on condition
 // that nobody wrote it since: a row in state not-run may be claimed again at
 // the very moment at which it expires.
-func (w *Sweeper) expired(rows []platform.Row) platform.Txn {
-	var txn platform.Txn
+func (w *Sweeper) expired(rows []store.Row) store.Txn {
+	var txn store.Txn
 	for _, row := range rows {
 		claim := &schema.ClaimRow{}
 		if proto.Unmarshal(row.Value, claim) != nil || !w.Store.expired(claim) {
 			continue
 		}
-		txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version})
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.Key, Delete: true})
+		txn.Checks = append(txn.Checks, store.Check{Key: row.Key, Version: row.Version})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.Key, Delete: true})
 	}
 	return txn
 }
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 )
 
 // effect is what befalls one call of the table.
@@ -26,10 +26,10 @@
 // table is a platform table whose faults are drawn by next.
 type table struct {
 	next    func(write bool) effect
-	rows    map[platform.Key][]platform.Row
-	version platform.RowVersion
+	rows    map[store.Key][]store.Row
+	version store.RowVersion
 	commits int
-	pending []platform.Txn
+	pending []store.Txn
 }
 
 func (t *table) fault(write bool) effect {
@@ -39,23 +39,23 @@
 	return t.next(write)
 }
 
-func (t *table) latest(key platform.Key) platform.Row {
+func (t *table) latest(key store.Key) store.Row {
 	if all := t.rows[key]; len(all) > 0 {
 		return all[len(all)-1]
 	}
-	return platform.Row{Key: key}
+	return store.Row{Key: key}
 }
 
-func (t *table) Read(_ context.Context, keys ...platform.Key) ([]platform.Row, error) {
+func (t *table) Read(_ context.Context, keys ...store.Key) ([]store.Row, error) {
 	f := t.fault(false)
 	if f == down {
-		return nil, &platform.UnavailableError{Operation: "read", Cause: errFault}
+		return nil, &store.UnavailableError{Operation: "read", Cause: errFault}
 	}
-	out := make([]platform.Row, 0, len(keys))
+	out := make([]store.Row, 0, len(keys))
 	for _, key := range keys {
 		row := t.latest(key)
 		if n := len(t.rows[key]); f == stale && n > 0 {
-			row = platform.Row{Key: key}
+			row = store.Row{Key: key}
 			if n > 1 {
 				row = t.rows[key][n-2]
 			}
@@ -65,26 +65,26 @@
 	return out, nil
 }
 
-func (t *table) Scan(_ context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
+func (t *table) Scan(_ context.Context, prefix, after store.Key, limit int) ([]store.Row, error) {
 	if t.fault(false) == down {
-		return nil, &platform.UnavailableError{Operation: "scan", Cause: errFault}
+		return nil, &store.UnavailableError{Operation: "scan", Cause: errFault}
 	}
-	var out []platform.Row
+	var out []store.Row
 	for key := range t.rows {
 		if row := t.latest(key); row.Version > 0 && strings.HasPrefix(string(key), string(prefix)) && key > after {
 			out = append(out, row)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
+	slices.SortFunc(out, func(a, b store.Row) int { return strings.Compare(string(a.Key), string(b.Key)) })
 	return out[:min(limit, len(out))], nil
 }
 
-func (t *table) Commit(_ context.Context, txn platform.Txn) error {
+func (t *table) Commit(_ context.Context, txn store.Txn) error {
 	t.commits++
-	lost := &platform.IndefiniteError{Operation: "commit", Cause: errFault}
+	lost := &store.IndefiniteError{Operation: "commit", Cause: errFault}
 	switch t.fault(true) {
 	case down:
-		return &platform.UnavailableError{Operation: "commit", Cause: errFault}
+		return &store.UnavailableError{Operation: "commit", Cause: errFault}
 	case replyLost:
 		_ = t.apply(txn)
 		return lost
@@ -98,20 +98,20 @@
 	}
 }
 
-func (t *table) apply(txn platform.Txn) error {
+func (t *table) apply(txn store.Txn) error {
 	for _, check := range txn.Checks {
 		if found := t.latest(check.Key).Version; found != check.Version {
-			return &platform.ConflictError{Key: check.Key, Expected: check.Version, Found: found}
+			return &store.ConflictError{Key: check.Key, Expected: check.Version, Found: found}
 		}
 	}
 	if t.rows == nil {
-		t.rows = map[platform.Key][]platform.Row{}
+		t.rows = map[store.Key][]store.Row{}
 	}
 	t.version++
 	for _, w := range txn.Writes {
-		row := platform.Row{Key: w.Key}
+		row := store.Row{Key: w.Key}
 		if !w.Delete {
-			row = platform.Row{Key: w.Key, Value: w.Value, Version: t.version}
+			row = store.Row{Key: w.Key, Value: w.Value, Version: t.version}
 		}
 		t.rows[w.Key] = append(t.rows[w.Key], row)
 	}
--- a/command/standin.go
+++ b/command/standin.go
@@ -13,8 +13,8 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
-	"nutmeglock.example/nutmeglock/platform/memory"
-	"nutmeglock.example/nutmeglock/platform/server"
+	"nutmeglock.example/nutmeglock/store/memory"
+	"nutmeglock.example/nutmeglock/store/server"
 	"nutmeglock.example/nutmeglock/standin/application"
 	"nutmeglock.example/nutmeglock/standin/engine"
 	"nutmeglock.example/nutmeglock/timer"
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,7 +15,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -36,9 +36,9 @@
 
 // Platform is all of what the platform gives.
 type Platform interface {
-	platform.Table
-	platform.Objects
-	platform.VMs
+	store.Table
+	store.Objects
+	store.VMs
 }
 
 // Daemon is one router with all its parts.
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/daemon"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
 )
--- a/daemon/extensions.go
+++ b/daemon/extensions.go
@@ -4,7 +4,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/peer"
-	"nutmeglock.example/nutmeglock/platform/remote"
+	"nutmeglock.example/nutmeglock/store/remote"
 	"nutmeglock.example/nutmeglock/settings"
 )
 
--- a/local/local.go
+++ b/local/local.go
@@ -20,9 +20,9 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/operator"
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
-	"nutmeglock.example/nutmeglock/platform/server"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
+	"nutmeglock.example/nutmeglock/store/server"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/application"
 	"nutmeglock.example/nutmeglock/standin/engine"
@@ -198,10 +198,10 @@
 }
 
 func (f *Fleet) listVMs() {
-	vms := make([]platform.VM, 0, len(f.Routers))
+	vms := make([]store.VM, 0, len(f.Routers))
 	for n, r := range f.Routers {
-		vms = append(vms, platform.VM{
-			Name: routerID(n), Role: platform.RouterVM, Address: r.Peers.String(), DataCenter: dataCenter,
+		vms = append(vms, store.VM{
+			Name: routerID(n), Role: store.RouterVM, Address: r.Peers.String(), DataCenter: dataCenter,
 		})
 	}
 	f.Platform.SetVMs(vms...)
--- a/local/once_test.go
+++ b/local/once_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/local"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/standin/application"
 	"nutmeglock.example/nutmeglock/standin/fault"
--- a/note/fleet_test.go
+++ b/note/fleet_test.go
@@ -10,8 +10,8 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
@@ -70,13 +70,13 @@
 // racing lets something happen between a publisher's reads and one of its
 // commits. It reads row by row, so that one row of a read may be older than another.
 type racing struct {
-	platform.Table
+	store.Table
 	before func()
 	// skip is how many commits come first.
 	skip int
 }
 
-func (t *racing) Commit(ctx context.Context, txn platform.Txn) error {
+func (t *racing) Commit(ctx context.Context, txn store.Txn) error {
 	if before := t.before; before != nil && t.skip == 0 {
 		t.before = nil
 		before()
@@ -85,8 +85,8 @@
 	return t.Table.Commit(ctx, txn)
 }
 
-func (t *racing) Read(ctx context.Context, keys ...platform.Key) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *racing) Read(ctx context.Context, keys ...store.Key) ([]store.Row, error) {
+	var rows []store.Row
 	for _, key := range keys {
 		row, err := t.Table.Read(ctx, key)
 		if err != nil {
--- a/note/holder_test.go
+++ b/note/holder_test.go
@@ -12,8 +12,8 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
@@ -252,7 +252,7 @@
 	r.platform.Faults.Set(fault.Fault{Kind: fault.Down})
 	before := r.clock.Now()
 	_, err := r.all[0].publisher.Publish(t.Context(), addAccount("a"), "aino", note.NewPublishID())
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	require.ErrorAs(t, err, &unavailable)
 	require.Equal(t, before, r.clock.Now())
 }
--- a/note/model_test.go
+++ b/note/model_test.go
@@ -13,7 +13,7 @@
 	"nutmeglock.example/nutmeglock/document"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/fault"
 )
@@ -198,7 +198,7 @@
 	var clash *note.ClashError
 	var faults *document.FaultsError
 	var busy *note.BusyError
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	var unsettled *note.UnsettledError
 	switch {
 	case errors.As(err, &unsettled):
--- a/note/publisher.go
+++ b/note/publisher.go
@@ -12,7 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -109,7 +109,7 @@
 )
 
 // Publish accepts the note, or says why not. It fails with
-// *document.FaultsError, *ClashError, *BusyError or *platform.UnavailableError
+// *document.FaultsError, *ClashError, *BusyError or *store.UnavailableError
 // when this call was not accepted, and with *UnsettledError when that is not
 // known. The first two also rule out every earlier call with the same id; the
 // other two say nothing of those.
@@ -162,10 +162,10 @@
 
 // repeats reports whether another attempt may end otherwise.
 func (t *try) repeats(err error) bool {
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	var stale *staleError
-	var lost *platform.IndefiniteError
-	var unavailable *platform.UnavailableError
+	var lost *store.IndefiniteError
+	var unavailable *store.UnavailableError
 	switch {
 	case errors.As(err, &lost):
 		t.indefinite = true
@@ -209,7 +209,7 @@
 }
 
 // already returns the record of an earlier try that was accepted.
-func (t *try) already(ctx context.Context, row platform.Row) (Accepted, error) {
+func (t *try) already(ctx context.Context, row store.Row) (Accepted, error) {
 	mark := &schema.NoteHead{}
 	if err := decode(row, mark); err != nil {
 		return Accepted{}, err
@@ -299,8 +299,8 @@
 // and the publish id is unused, no earlier try was accepted; and none can be
 // any more, since a refusal after a lost reply is due to a later head.
 func (t *try) confirm(ctx context.Context, head Head, refusal error) error {
-	if err := t.store.table.Commit(ctx, platform.Txn{Checks: t.checks(head)}); err != nil {
-		var lost *platform.IndefiniteError
+	if err := t.store.table.Commit(ctx, store.Txn{Checks: t.checks(head)}); err != nil {
+		var lost *store.IndefiniteError
 		if errors.As(err, &lost) && !t.indefinite {
 			return &staleError{"the head"} // A transaction that writes nothing leaves nothing unsettled.
 		}
@@ -309,8 +309,8 @@
 	return refusal
 }
 
-func (t *try) checks(head Head) []platform.Check {
-	return []platform.Check{{Key: headKey, Version: head.row}, {Key: publishKey(t.id)}}
+func (t *try) checks(head Head) []store.Check {
+	return []store.Check{{Key: headKey, Version: head.row}, {Key: publishKey(t.id)}}
 }
 
 // commit makes the note the next version.
@@ -332,11 +332,11 @@
 	return Accepted{Record: record}, nil
 }
 
-func (t *try) transaction(head Head, next *schema.NoteHead, record *schema.NoteRecord) (platform.Txn, error) {
+func (t *try) transaction(head Head, next *schema.NoteHead, record *schema.NoteRecord) (store.Txn, error) {
 	key := recordKey(fleet.Version(record.GetVersion()))
-	txn := platform.Txn{Checks: append(t.checks(head), platform.Check{Key: key})}
+	txn := store.Txn{Checks: append(t.checks(head), store.Check{Key: key})}
 	for _, row := range []struct {
-		key     platform.Key
+		key     store.Key
 		message proto.Message
 	}{
 		{headKey, next},
@@ -345,9 +345,9 @@
 	} {
 		value, err := proto.Marshal(row.message)
 		if err != nil {
-			return platform.Txn{}, err
+			return store.Txn{}, err
 		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: row.key, Value: value})
+		txn.Writes = append(txn.Writes, store.Write{Key: row.key, Value: value})
 	}
 	return txn, nil
 }
--- a/note/snapshot.go
+++ b/note/snapshot.go
@@ -7,7 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -58,11 +58,11 @@
 		if value, err = proto.Marshal(head.NoteHead); err != nil {
 			return err
 		}
-		err = p.store.table.Commit(ctx, platform.Txn{
-			Checks: []platform.Check{{Key: headKey, Version: head.row}},
-			Writes: []platform.Write{{Key: headKey, Value: value}},
+		err = p.store.table.Commit(ctx, store.Txn{
+			Checks: []store.Check{{Key: headKey, Version: head.row}},
+			Writes: []store.Write{{Key: headKey, Value: value}},
 		})
-		var conflict *platform.ConflictError
+		var conflict *store.ConflictError
 		if !errors.As(err, &conflict) {
 			return err
 		}
--- a/note/store.go
+++ b/note/store.go
@@ -9,7 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -17,39 +17,39 @@
 // that of versions. Nothing is ever removed: at 17,000 notes a day of one
 // account each, 156 bytes, records and publish ids come to 4 MB a day.
 const (
-	headKey       platform.Key = "note-head"
-	recordPrefix  platform.Key = "note/"
-	publishPrefix platform.Key = "note-publish/"
+	headKey       store.Key = "note-head"
+	recordPrefix  store.Key = "note/"
+	publishPrefix store.Key = "note-publish/"
 )
 
-func recordKey(version fleet.Version) platform.Key {
-	return recordPrefix + platform.Key(fmt.Sprintf("%020d", version))
+func recordKey(version fleet.Version) store.Key {
+	return recordPrefix + store.Key(fmt.Sprintf("%020d", version))
 }
 
-func publishKey(id PublishID) platform.Key { return publishPrefix + platform.Key(id) }
+func publishKey(id PublishID) store.Key { return publishPrefix + store.Key(id) }
 
 func snapshotName(version fleet.Version) string { return fmt.Sprintf("note-snapshot/%020d", version) }
 
 // Store reads release notes from the platform's table and object store. What
 // it reads may be older than what was read before.
 type Store struct {
-	table   platform.Table
-	objects platform.Objects
+	table   store.Table
+	objects store.Objects
 }
 
 // NewStore returns a Store over the platform's services.
-func NewStore(table platform.Table, objects platform.Objects) *Store {
+func NewStore(table store.Table, objects store.Objects) *Store {
 	return &Store{table: table, objects: objects}
 }
 
 // Head is the head row at the version of the row.
 type Head struct {
 	*schema.NoteHead
-	row platform.RowVersion
+	row store.RowVersion
 }
 
 // Head returns the head row. Its version is zero when no note was accepted. It
-// fails with *platform.UnavailableError.
+// fails with *store.UnavailableError.
 func (s *Store) Head(ctx context.Context) (Head, error) {
 	rows, err := s.read(ctx, headKey)
 	if err != nil {
@@ -58,14 +58,14 @@
 	return decodeHead(rows[0])
 }
 
-func decodeHead(row platform.Row) (Head, error) {
+func decodeHead(row store.Row) (Head, error) {
 	head := Head{NoteHead: &schema.NoteHead{}, row: row.Version}
 	err := decode(row, head.NoteHead)
 	return head, err
 }
 
 // read returns exactly one row for each key.
-func (s *Store) read(ctx context.Context, keys ...platform.Key) ([]platform.Row, error) {
+func (s *Store) read(ctx context.Context, keys ...store.Key) ([]store.Row, error) {
 	rows, err := s.table.Read(ctx, keys...)
 	if err != nil {
 		return nil, err
@@ -76,7 +76,7 @@
 	return rows, nil
 }
 
-func decode(row platform.Row, m proto.Message) error {
+func decode(row store.Row, m proto.Message) error {
 	if row.Version == 0 {
 		return nil
 	}
@@ -155,7 +155,7 @@
 	if len(versions) == 0 {
 		return nil, nil
 	}
-	keys := make([]platform.Key, len(versions))
+	keys := make([]store.Key, len(versions))
 	for i, version := range versions {
 		keys[i] = recordKey(version)
 	}
@@ -177,7 +177,7 @@
 }
 
 // Snapshot returns the fleet state that the object store holds for a version.
-// It fails with *platform.NotFoundError or *platform.UnavailableError.
+// It fails with *store.NotFoundError or *store.UnavailableError.
 func (s *Store) Snapshot(ctx context.Context, version fleet.Version) (*schema.FleetState, error) {
 	data, err := s.objects.Get(ctx, snapshotName(version))
 	if err != nil {
@@ -219,7 +219,7 @@
 // fallsBack reports whether a snapshot that cannot be had is made up for by
 // all records. The object store and the table can fail one without the other.
 func fallsBack(err error) bool {
-	var missing *platform.NotFoundError
-	var unavailable *platform.UnavailableError
+	var missing *store.NotFoundError
+	var unavailable *store.UnavailableError
 	return errors.As(err, &missing) || errors.As(err, &unavailable)
 }
--- a/operator/failure.go
+++ b/operator/failure.go
@@ -10,7 +10,7 @@
 
 	"nutmeglock.example/nutmeglock/document"
 	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -77,7 +77,7 @@
 	if f := noteFailure(err); f != nil {
 		return f
 	}
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	if errors.As(err, &unavailable) {
 		return failedForNow(http.StatusServiceUnavailable, Unavailable, "the platform cannot be reached; this request changed nothing")
 	}
--- a/scenario/count.go
+++ b/scenario/count.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"nutmeglock.example/nutmeglock/platform/wire"
+	"nutmeglock.example/nutmeglock/store/wire"
 )
 
 // runs checks how many times an upstream has run a call:
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -9,8 +9,8 @@
 	"strings"
 
 	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/wire"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/wire"
 	"nutmeglock.example/nutmeglock/standin/fault"
 )
 
@@ -167,9 +167,9 @@
 		if err != nil {
 			return err
 		}
-		vm := wire.VM{Name: name, Role: platform.UpstreamVM, Address: p.address, DataCenter: dataCenter, Leaving: leaving[name]}
+		vm := wire.VM{Name: name, Role: store.UpstreamVM, Address: p.address, DataCenter: dataCenter, Leaving: leaving[name]}
 		if p.kind == routerKind {
-			vm.Role, vm.Address = platform.RouterVM, p.peer
+			vm.Role, vm.Address = store.RouterVM, p.peer
 		}
 		reply.VMs = append(reply.VMs, vm)
 	}
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -17,7 +17,7 @@
 	"nutmeglock.example/nutmeglock/inflight"
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/placement"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/scheduler"
 	"nutmeglock.example/nutmeglock/schema"
@@ -123,7 +123,7 @@
 	client  *http.Client
 	// notes and vms replace what single routers see.
 	notes map[fleet.RouterID]note.Source
-	vms   map[fleet.RouterID]platform.VMs
+	vms   map[fleet.RouterID]store.VMs
 	limit func(slots int) inflight.Limiter
 	// order replaces the fair one.
 	order func() share.Order[fleet.Number]
--- a/scheduler/loopback_test.go
+++ b/scheduler/loopback_test.go
@@ -20,7 +20,7 @@
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/placement"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/scheduler"
 	"nutmeglock.example/nutmeglock/share"
 )
@@ -28,13 +28,13 @@
 // vmList is the platform's list in a test.
 type vmList struct {
 	mu  sync.Mutex
-	vms []platform.VM
+	vms []store.VM
 }
 
-func (l *vmList) List(context.Context) ([]platform.VM, error) {
+func (l *vmList) List(context.Context) ([]store.VM, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return append([]platform.VM(nil), l.vms...), nil
+	return append([]store.VM(nil), l.vms...), nil
 }
 
 // tcpRouter is a scheduler with its peers over TCP.
@@ -53,8 +53,8 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(tb, err)
 		listeners = append(listeners, newWireListener(listener))
-		list.vms = append(list.vms, platform.VM{
-			Name: fmt.Sprintf("router-%d", i), Role: platform.RouterVM, Address: listener.Addr().String(),
+		list.vms = append(list.vms, store.VM{
+			Name: fmt.Sprintf("router-%d", i), Role: store.RouterVM, Address: listener.Addr().String(),
 		})
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,7 +26,7 @@
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/placement"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/share"
@@ -65,7 +65,7 @@
 	// Peers is nil for a router without others.
 	Peers Peers
 	// VMs is the platform's list; nil means that only connections count.
-	VMs     platform.VMs
+	VMs     store.VMs
 	Timer   timer.Service
 	Metrics *metric.Set
 	Logger  *slog.Logger
@@ -125,7 +125,7 @@
 	incarnation     fleet.Incarnation
 	notes           note.Source
 	peers           Peers
-	vms             platform.VMs
+	vms             store.VMs
 	timer           timer.Service
 	metrics         *metric.Set
 	logger          *slog.Logger
--- a/scheduler/view_test.go
+++ b/scheduler/view_test.go
@@ -14,7 +14,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/inflight"
 	"nutmeglock.example/nutmeglock/note"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 )
 
 // sent returns the bytes that all routers sent to each other.
@@ -60,7 +60,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, viewOf(2, 8, 2))
 		lists := map[fleet.RouterID]*vmList{"router-0": {}, "router-1": {}, "router-2": {}}
-		f.vms = make(map[fleet.RouterID]platform.VMs)
+		f.vms = make(map[fleet.RouterID]store.VMs)
 		for id, list := range lists {
 			f.vms[id] = list
 		}
@@ -74,7 +74,7 @@
 		f.full(16)
 		for _, id := range rest {
 			lists[id].mu.Lock()
-			lists[id].vms = []platform.VM{{Name: "upstream-0", Role: platform.UpstreamVM, Leaving: true}}
+			lists[id].vms = []store.VM{{Name: "upstream-0", Role: store.UpstreamVM, Leaving: true}}
 			lists[id].mu.Unlock()
 		}
 		time.Sleep(4 * time.Second)
--- a/scheduler/vms.go
+++ b/scheduler/vms.go
@@ -8,7 +8,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/membership"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -57,15 +57,15 @@
 }
 
 // listed takes the platform's list.
-func (s *Scheduler) listed(vms []platform.VM) {
+func (s *Scheduler) listed(vms []store.VM) {
 	now := s.timer.Now()
 	var routers []membership.Listed
 	departing := make(map[fleet.UpstreamID]bool)
 	for _, vm := range vms {
 		switch vm.Role {
-		case platform.RouterVM:
+		case store.RouterVM:
 			routers = append(routers, membership.Listed{ID: fleet.RouterID(vm.Name), Address: vm.Address, Leaving: vm.Leaving})
-		case platform.UpstreamVM:
+		case store.UpstreamVM:
 			if vm.Leaving {
 				departing[fleet.UpstreamID(vm.Name)] = true
 			}
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/standin/lag"
 	"nutmeglock.example/nutmeglock/timer"
@@ -33,7 +33,7 @@
 	ErrLimited = errors.New("the platform's rate limit is reached")
 )
 
-// Platform implements platform.Table, platform.Objects and platform.VMs.
+// Platform implements store.Table, store.Objects and store.VMs.
 // Create it with New. It is safe for concurrent use.
 type Platform struct {
 	// Faults are the faults in force: down, slow, request-lost, reply-lost,
@@ -44,7 +44,7 @@
 	mu      sync.Mutex
 	table   table
 	objects map[string][]byte
-	vms     lag.Value[[]platform.VM]
+	vms     lag.Value[[]store.VM]
 	reads   bucket
 	writes  bucket
 	waiting int
@@ -74,10 +74,10 @@
 
 // SetVMs changes the list of VMs, which readers see after the lag. The first
 // list is visible at once.
-func (p *Platform) SetVMs(vms ...platform.VM) {
+func (p *Platform) SetVMs(vms ...store.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.vms.Set(p.clock.Now(), append([]platform.VM{}, vms...))
+	p.vms.Set(p.clock.Now(), append([]store.VM{}, vms...))
 }
 
 // Commits returns the number of transactions that have taken effect.
@@ -109,8 +109,8 @@
 }
 
 // Read returns a row for each key at one moment, or an older one under a stale fault.
-func (p *Platform) Read(ctx context.Context, keys ...platform.Key) ([]platform.Row, error) {
-	var rows []platform.Row
+func (p *Platform) Read(ctx context.Context, keys ...store.Key) ([]store.Row, error) {
+	var rows []store.Row
 	err := p.read(ctx, OperationRead, texts(keys), func(at uint64) error {
 		rows = p.table.read(at, keys)
 		return nil
@@ -119,8 +119,8 @@
 }
 
 // Scan returns the rows of a prefix in the order of their keys.
-func (p *Platform) Scan(ctx context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (p *Platform) Scan(ctx context.Context, prefix, after store.Key, limit int) ([]store.Row, error) {
+	var rows []store.Row
 	err := p.read(ctx, OperationScan, []string{string(prefix)}, func(at uint64) error {
 		rows = p.table.scan(at, prefix, after, limit)
 		return nil
@@ -128,13 +128,13 @@
 	return rows, err
 }
 
-// Get returns an object, or *platform.NotFoundError when there is none.
+// Get returns an object, or *store.NotFoundError when there is none.
 func (p *Platform) Get(ctx context.Context, name string) ([]byte, error) {
 	var data []byte
 	err := p.read(ctx, OperationGet, []string{name}, func(uint64) error {
 		object, ok := p.objects[name]
 		if !ok {
-			return &platform.NotFoundError{Name: name}
+			return &store.NotFoundError{Name: name}
 		}
 		data = append([]byte{}, object...)
 		return nil
@@ -143,18 +143,18 @@
 }
 
 // List returns the VMs that are visible after the lag.
-func (p *Platform) List(ctx context.Context) ([]platform.VM, error) {
-	var vms []platform.VM
+func (p *Platform) List(ctx context.Context) ([]store.VM, error) {
+	var vms []store.VM
 	err := p.read(ctx, OperationList, nil, func(uint64) error {
 		visible, _ := p.vms.Get(p.clock.Now())
-		vms = append([]platform.VM{}, visible...)
+		vms = append([]store.VM{}, visible...)
 		return nil
 	})
 	return vms, err
 }
 
 // Commit applies a transaction whole or not at all.
-func (p *Platform) Commit(ctx context.Context, txn platform.Txn) error {
+func (p *Platform) Commit(ctx context.Context, txn store.Txn) error {
 	keys := make([]string, 0, len(txn.Checks)+len(txn.Writes))
 	for _, check := range txn.Checks {
 		keys = append(keys, string(check.Key))
@@ -186,13 +186,13 @@
 		}
 	}
 	if err := ctx.Err(); err != nil {
-		return &platform.UnavailableError{Operation: operation, Cause: err}
+		return &store.UnavailableError{Operation: operation, Cause: err}
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	if !p.reads.take(now) {
-		return &platform.UnavailableError{Operation: operation, Cause: ErrLimited}
+		return &store.UnavailableError{Operation: operation, Cause: ErrLimited}
 	}
 	if faulty && f.Kind == fault.Stale {
 		return fn(p.table.staleCommit(f, now))
@@ -203,35 +203,35 @@
 // playRead plays a fault before a read. A read has no effect, so each failure of one is definite.
 func (p *Platform) playRead(ctx context.Context, operation string, f fault.Fault) error {
 	if f.Kind == fault.Down {
-		return &platform.UnavailableError{Operation: operation, Cause: ErrDown}
+		return &store.UnavailableError{Operation: operation, Cause: ErrDown}
 	}
 	if err := f.Wait(ctx, p.clock); err != nil {
-		return &platform.UnavailableError{Operation: operation, Cause: err}
+		return &store.UnavailableError{Operation: operation, Cause: err}
 	}
 	if f.Kind == fault.Slow {
 		return nil
 	}
-	return &platform.UnavailableError{Operation: operation, Cause: ErrLost}
+	return &store.UnavailableError{Operation: operation, Cause: ErrLost}
 }
 
 // write runs apply under the lock, around the fault that is in force for it.
 func (p *Platform) write(ctx context.Context, operation string, keys []string, apply func() error) error {
 	if err := ctx.Err(); err != nil {
-		return &platform.UnavailableError{Operation: operation, Cause: err}
+		return &store.UnavailableError{Operation: operation, Cause: err}
 	}
 	p.count(operation)
 	f, _ := p.Faults.Take(operation, keys...)
 	switch f.Kind {
 	case fault.Down:
-		return &platform.UnavailableError{Operation: operation, Cause: ErrDown}
+		return &store.UnavailableError{Operation: operation, Cause: ErrDown}
 	case fault.RequestLost:
-		return &platform.IndefiniteError{Operation: operation, Cause: ErrLost}
+		return &store.IndefiniteError{Operation: operation, Cause: ErrLost}
 	case fault.ReplyLost:
 		_ = p.apply(operation, apply)
-		return &platform.IndefiniteError{Operation: operation, Cause: ErrLost}
+		return &store.IndefiniteError{Operation: operation, Cause: ErrLost}
 	case fault.Late:
 		p.later(operation, f, apply)
-		return &platform.IndefiniteError{Operation: operation, Cause: ErrLost}
+		return &store.IndefiniteError{Operation: operation, Cause: ErrLost}
 	case fault.Slow:
 		return p.slowWrite(ctx, operation, f, apply)
 	default:
@@ -246,7 +246,7 @@
 	case err := <-p.later(operation, f, apply):
 		return err
 	case <-ctx.Done():
-		return &platform.IndefiniteError{Operation: operation, Cause: ctx.Err()}
+		return &store.IndefiniteError{Operation: operation, Cause: ctx.Err()}
 	}
 }
 
@@ -271,12 +271,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.writes.take(p.clock.Now()) {
-		return &platform.UnavailableError{Operation: operation, Cause: ErrLimited}
+		return &store.UnavailableError{Operation: operation, Cause: ErrLimited}
 	}
 	return apply()
 }
 
-func texts(keys []platform.Key) []string {
+func texts(keys []store.Key) []string {
 	result := make([]string, len(keys))
 	for i, key := range keys {
 		result[i] = string(key)
@@ -284,4 +284,4 @@
 	return result
 }
 
-func hasPrefix(key, prefix platform.Key) bool { return strings.HasPrefix(string(key), string(prefix)) }
+func hasPrefix(key, prefix store.Key) bool { return strings.HasPrefix(string(key), string(prefix)) }
--- a/platform/memory/memory_test.go
+++ b/store/memory/memory_test.go
@@ -8,17 +8,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
-func set(key platform.Key, value string) platform.Write {
-	return platform.Write{Key: key, Value: []byte(value)}
+func set(key store.Key, value string) store.Write {
+	return store.Write{Key: key, Value: []byte(value)}
 }
 
-func value(t *testing.T, p platform.Table, key platform.Key) string {
+func value(t *testing.T, p store.Table, key store.Key) string {
 	t.Helper()
 	rows, err := p.Read(t.Context(), key)
 	require.NoError(t, err)
@@ -29,55 +29,55 @@
 func TestCommitAppliesAllOrNothing(t *testing.T) {
 	t.Parallel()
 	p := memory.New(timer.NewFake(time.Unix(1, 0)))
-	require.NoError(t, p.Commit(t.Context(), platform.Txn{
-		Checks: []platform.Check{{Key: "a"}},
-		Writes: []platform.Write{set("a", "1"), set("b", "1")},
+	require.NoError(t, p.Commit(t.Context(), store.Txn{
+		Checks: []store.Check{{Key: "a"}},
+		Writes: []store.Write{set("a", "1"), set("b", "1")},
 	}))
 
-	err := p.Commit(t.Context(), platform.Txn{
-		Checks: []platform.Check{{Key: "b", Version: 1}, {Key: "a"}},
-		Writes: []platform.Write{set("b", "2")},
+	err := p.Commit(t.Context(), store.Txn{
+		Checks: []store.Check{{Key: "b", Version: 1}, {Key: "a"}},
+		Writes: []store.Write{set("b", "2")},
 	})
 
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	require.ErrorAs(t, err, &conflict)
-	require.Equal(t, platform.ConflictError{Key: "a", Expected: 0, Found: 1}, *conflict)
+	require.Equal(t, store.ConflictError{Key: "a", Expected: 0, Found: 1}, *conflict)
 	require.Equal(t, "1", value(t, p, "b"))
 }
 
 func TestVersionGrowsOverARemoval(t *testing.T) {
 	t.Parallel()
 	p := memory.New(timer.NewFake(time.Unix(1, 0)))
-	require.NoError(t, p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{set("a", "1")}}))
-	require.NoError(t, p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{{Key: "a", Delete: true}}}))
+	require.NoError(t, p.Commit(t.Context(), store.Txn{Writes: []store.Write{set("a", "1")}}))
+	require.NoError(t, p.Commit(t.Context(), store.Txn{Writes: []store.Write{{Key: "a", Delete: true}}}))
 	rows, err := p.Read(t.Context(), "a")
 	require.NoError(t, err)
 	require.Zero(t, rows[0].Version)
-	require.NoError(t, p.Commit(t.Context(), platform.Txn{
-		Checks: []platform.Check{{Key: "a"}}, Writes: []platform.Write{set("a", "2")},
+	require.NoError(t, p.Commit(t.Context(), store.Txn{
+		Checks: []store.Check{{Key: "a"}}, Writes: []store.Write{set("a", "2")},
 	}))
 	rows, err = p.Read(t.Context(), "a")
 	require.NoError(t, err)
-	require.Equal(t, platform.RowVersion(3), rows[0].Version)
+	require.Equal(t, store.RowVersion(3), rows[0].Version)
 }
 
 func TestScanIsOrderedAndBounded(t *testing.T) {
 	t.Parallel()
 	p := memory.New(timer.NewFake(time.Unix(1, 0)))
-	for _, key := range []platform.Key{"n/3", "n/1", "m/9", "n/2", "o/1"} {
-		require.NoError(t, p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{set(key, "x")}}))
+	for _, key := range []store.Key{"n/3", "n/1", "m/9", "n/2", "o/1"} {
+		require.NoError(t, p.Commit(t.Context(), store.Txn{Writes: []store.Write{set(key, "x")}}))
 	}
-	keys := func(after platform.Key, limit int) []platform.Key {
+	keys := func(after store.Key, limit int) []store.Key {
 		rows, err := p.Scan(t.Context(), "n/", after, limit)
 		require.NoError(t, err)
-		found := []platform.Key{}
+		found := []store.Key{}
 		for _, row := range rows {
 			found = append(found, row.Key)
 		}
 		return found
 	}
-	require.Equal(t, []platform.Key{"n/1", "n/2"}, keys("", 2))
-	require.Equal(t, []platform.Key{"n/3"}, keys("n/2", 2))
+	require.Equal(t, []store.Key{"n/1", "n/2"}, keys("", 2))
+	require.Equal(t, []store.Key{"n/3"}, keys("n/2", 2))
 	require.Empty(t, keys("n/3", 2))
 }
 
@@ -101,16 +101,16 @@
 			p := memory.New(clock)
 			p.Faults.Set(fault.Fault{Kind: test.kind, Operation: memory.OperationCommit, Prefix: "a/", Times: 1, DelayMs: 50})
 
-			err := p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{set("a/1", "1")}})
+			err := p.Commit(t.Context(), store.Txn{Writes: []store.Write{set("a/1", "1")}})
 
-			var indefinite *platform.IndefiniteError
-			var unavailable *platform.UnavailableError
+			var indefinite *store.IndefiniteError
+			var unavailable *store.UnavailableError
 			require.Equal(t, test.indefinite, errors.As(err, &indefinite))
 			require.Equal(t, !test.indefinite, errors.As(err, &unavailable))
 			require.Equal(t, test.atOnce, value(t, p, "a/1"))
 			clock.Advance(time.Second)
 			require.Equal(t, test.afterDelay, value(t, p, "a/1"))
-			require.NoError(t, p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{set("a/1", "2")}}))
+			require.NoError(t, p.Commit(t.Context(), store.Txn{Writes: []store.Write{set("a/1", "2")}}))
 		})
 	}
 }
@@ -124,11 +124,11 @@
 	p.Faults.Set(fault.Fault{Kind: fault.Slow, Operation: memory.OperationCommit, DelayMs: 100})
 	ctx, cancel := context.WithCancel(t.Context())
 	result := make(chan error, 1)
-	go func() { result <- p.Commit(ctx, platform.Txn{Writes: []platform.Write{set("a", "1")}}) }()
+	go func() { result <- p.Commit(ctx, store.Txn{Writes: []store.Write{set("a", "1")}}) }()
 	require.Eventually(t, func() bool { return len(p.Faults.All()) == 1 && p.Waiting() == 1 }, time.Minute, time.Millisecond)
 	cancel()
 
-	var indefinite *platform.IndefiniteError
+	var indefinite *store.IndefiniteError
 	require.ErrorAs(t, <-result, &indefinite)
 	require.Empty(t, value(t, p, "a"))
 	clock.Advance(100 * time.Millisecond)
@@ -140,7 +140,7 @@
 	clock := timer.NewFake(time.Unix(1, 0))
 	p := memory.New(clock)
 	for _, text := range []string{"1", "2", "3"} {
-		require.NoError(t, p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{set("a", text)}}))
+		require.NoError(t, p.Commit(t.Context(), store.Txn{Writes: []store.Write{set("a", text)}}))
 		clock.Advance(time.Second)
 	}
 	read := func(f fault.Fault) string {
@@ -172,9 +172,9 @@
 		return found
 	}
 	require.Empty(t, names())
-	p.SetVMs(platform.VM{Name: "r1"})
+	p.SetVMs(store.VM{Name: "r1"})
 	require.Equal(t, []string{"r1"}, names())
-	p.SetVMs(platform.VM{Name: "r2"})
+	p.SetVMs(store.VM{Name: "r2"})
 	clock.Advance(4 * time.Second)
 	require.Equal(t, []string{"r1"}, names())
 	clock.Advance(time.Second)
@@ -187,11 +187,11 @@
 	p := memory.New(clock)
 	p.SetLimits(0, 2)
 	commit := func() error {
-		return p.Commit(t.Context(), platform.Txn{Writes: []platform.Write{set("a", "1")}})
+		return p.Commit(t.Context(), store.Txn{Writes: []store.Write{set("a", "1")}})
 	}
 	require.NoError(t, commit())
 	require.NoError(t, commit())
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	require.ErrorAs(t, commit(), &unavailable)
 	require.ErrorIs(t, unavailable, memory.ErrLimited)
 	require.Equal(t, uint64(2), p.Commits())
--- a/platform/memory/stale_test.go
+++ b/store/memory/stale_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -22,7 +22,7 @@
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
 		p := memory.New(timer.NewFake(time.Unix(1, 0)))
-		copies := []map[platform.Key]platform.Row{{}}
+		copies := []map[store.Key]store.Row{{}}
 		for range rapid.IntRange(0, 20).Draw(r, "commits") {
 			copies = append(copies, commit(r, p, maps.Clone(copies[len(copies)-1]), len(copies)))
 		}
@@ -37,7 +37,7 @@
 		rows, err := p.Scan(t.Context(), "k/", after, limit)
 
 		require.NoError(r, err)
-		wanted := []platform.Row{}
+		wanted := []store.Row{}
 		for _, k := range slices.Sorted(maps.Keys(expected)) {
 			if k > after && len(wanted) < limit {
 				wanted = append(wanted, expected[k])
@@ -53,23 +53,23 @@
 	})
 }
 
-func key(i int) platform.Key { return platform.Key(fmt.Sprintf("k/%d", i)) }
+func key(i int) store.Key { return store.Key(fmt.Sprintf("k/%d", i)) }
 
 // commit makes one transaction of some writes and applies it to state, too.
-func commit(r *rapid.T, p *memory.Platform, state map[platform.Key]platform.Row, number int) map[platform.Key]platform.Row {
-	txn := platform.Txn{Writes: []platform.Write{{Key: "other", Value: []byte("x")}}}
+func commit(r *rapid.T, p *memory.Platform, state map[store.Key]store.Row, number int) map[store.Key]store.Row {
+	txn := store.Txn{Writes: []store.Write{{Key: "other", Value: []byte("x")}}}
 	for i := range 5 {
 		k := key(i)
 		switch rapid.IntRange(0, 3).Draw(r, "action") {
 		case 0:
 			value := fmt.Appendf(nil, "%d", number)
-			txn.Writes = append(txn.Writes, platform.Write{Key: k, Value: value})
-			state[k] = platform.Row{Key: k, Value: value, Version: platform.RowVersion(number)}
+			txn.Writes = append(txn.Writes, store.Write{Key: k, Value: value})
+			state[k] = store.Row{Key: k, Value: value, Version: store.RowVersion(number)}
 		case 1:
-			txn.Writes = append(txn.Writes, platform.Write{Key: k, Delete: true})
+			txn.Writes = append(txn.Writes, store.Write{Key: k, Delete: true})
 			delete(state, k)
 		default:
-			txn.Checks = append(txn.Checks, platform.Check{Key: k, Version: state[k].Version})
+			txn.Checks = append(txn.Checks, store.Check{Key: k, Version: state[k].Version})
 		}
 	}
 	require.NoError(r, p.Commit(r.Context(), txn))
--- a/platform/memory/table.go
+++ b/store/memory/table.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/standin/fault"
 )
 
@@ -20,8 +20,8 @@
 type table struct {
 	commits uint64
 	times   []commitTime
-	keys    []platform.Key
-	history map[platform.Key][]value
+	keys    []store.Key
+	history map[store.Key][]value
 }
 
 type value struct {
@@ -37,7 +37,7 @@
 }
 
 // row returns the row as it was after a commit.
-func (t *table) row(at uint64, key platform.Key) platform.Row {
+func (t *table) row(at uint64, key store.Key) store.Row {
 	values := t.history[key]
 	for i := len(values) - 1; i >= 0; i-- {
 		v := values[i]
@@ -47,21 +47,21 @@
 		if v.removed {
 			break
 		}
-		return platform.Row{Key: key, Value: slices.Clone(v.data), Version: platform.RowVersion(v.commit)}
+		return store.Row{Key: key, Value: slices.Clone(v.data), Version: store.RowVersion(v.commit)}
 	}
-	return platform.Row{Key: key}
+	return store.Row{Key: key}
 }
 
-func (t *table) read(at uint64, keys []platform.Key) []platform.Row {
-	rows := make([]platform.Row, len(keys))
+func (t *table) read(at uint64, keys []store.Key) []store.Row {
+	rows := make([]store.Row, len(keys))
 	for i, key := range keys {
 		rows[i] = t.row(at, key)
 	}
 	return rows
 }
 
-func (t *table) scan(at uint64, prefix, after platform.Key, limit int) []platform.Row {
-	rows := []platform.Row{}
+func (t *table) scan(at uint64, prefix, after store.Key, limit int) []store.Row {
+	rows := []store.Row{}
 	start, _ := slices.BinarySearch(t.keys, max(prefix, after))
 	for _, key := range t.keys[start:] {
 		if len(rows) >= limit || !hasPrefix(key, prefix) {
@@ -74,11 +74,11 @@
 	return rows
 }
 
-func (t *table) commit(now time.Time, txn platform.Txn) error {
+func (t *table) commit(now time.Time, txn store.Txn) error {
 	for _, check := range txn.Checks {
 		found := t.row(t.commits, check.Key).Version
 		if found != check.Version {
-			return &platform.ConflictError{Key: check.Key, Expected: check.Version, Found: found}
+			return &store.ConflictError{Key: check.Key, Expected: check.Version, Found: found}
 		}
 	}
 	t.commits++
@@ -92,9 +92,9 @@
 	return nil
 }
 
-func (t *table) write(now time.Time, write platform.Write) {
+func (t *table) write(now time.Time, write store.Write) {
 	if t.history == nil {
-		t.history = map[platform.Key][]value{}
+		t.history = map[store.Key][]value{}
 	}
 	if _, known := t.history[write.Key]; !known {
 		i, _ := slices.BinarySearch(t.keys, write.Key)
@@ -116,7 +116,7 @@
 
 // sweep drops rows that were removed, and the times of commits, longer ago than retention.
 func (t *table) sweep(now time.Time) {
-	t.keys = slices.DeleteFunc(t.keys, func(key platform.Key) bool {
+	t.keys = slices.DeleteFunc(t.keys, func(key store.Key) bool {
 		values := t.history[key]
 		last := values[len(values)-1]
 		if !last.removed || now.Sub(last.at) <= retention {
--- a/platform/remote/remote.go
+++ b/store/remote/remote.go
@@ -16,8 +16,8 @@
 	"sync/atomic"
 	"time"
 
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/wire"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/wire"
 )
 
 // maxReply bounds the size of an answer, in bytes. The largest is a snapshot
@@ -31,7 +31,7 @@
 // included.
 type Observer func(sent, received int)
 
-// Client implements platform.Table, platform.Objects and platform.VMs.
+// Client implements store.Table, store.Objects and store.VMs.
 type Client struct {
 	base    string
 	timeout time.Duration
@@ -67,35 +67,35 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Read returns a row for each key, in the order of keys.
-func (c *Client) Read(ctx context.Context, keys ...platform.Key) ([]platform.Row, error) {
+func (c *Client) Read(ctx context.Context, keys ...store.Key) ([]store.Row, error) {
 	rows, err := c.rows(ctx, "read", wire.ReadPath, wire.ReadRequest{Keys: keys})
 	if err == nil && len(rows) != len(keys) {
 		cause := fmt.Errorf("%d rows for %d keys", len(rows), len(keys))
-		return nil, &platform.UnavailableError{Operation: "read", Cause: cause}
+		return nil, &store.UnavailableError{Operation: "read", Cause: cause}
 	}
 	return rows, err
 }
 
 // Scan returns at most limit rows whose key begins with prefix and is greater than after.
-func (c *Client) Scan(ctx context.Context, prefix, after platform.Key, limit int) ([]platform.Row, error) {
+func (c *Client) Scan(ctx context.Context, prefix, after store.Key, limit int) ([]store.Row, error) {
 	return c.rows(ctx, "scan", wire.ScanPath, wire.ScanRequest{Prefix: prefix, After: after, Limit: limit})
 }
 
-func (c *Client) rows(ctx context.Context, operation, path string, message any) ([]platform.Row, error) {
+func (c *Client) rows(ctx context.Context, operation, path string, message any) ([]store.Row, error) {
 	var reply wire.RowsReply
 	err := c.read(ctx, call{operation: operation, method: http.MethodPost, path: path, message: message}, &reply)
 	if err != nil {
 		return nil, err
 	}
-	rows := make([]platform.Row, len(reply.Rows))
+	rows := make([]store.Row, len(reply.Rows))
 	for i, row := range reply.Rows {
-		rows[i] = platform.Row(row)
+		rows[i] = store.Row(row)
 	}
 	return rows, nil
 }
 
 // Commit applies a transaction whole or not at all.
-func (c *Client) Commit(ctx context.Context, txn platform.Txn) error {
+func (c *Client) Commit(ctx context.Context, txn store.Txn) error {
 	request := wire.CommitRequest{}
 	for _, check := range txn.Checks {
 		request.Checks = append(request.Checks, wire.Check(check))
@@ -111,29 +111,29 @@
 	return c.write(ctx, call{operation: "put", method: http.MethodPut, path: objectPath(name), body: data})
 }
 
-// Get returns an object, or *platform.NotFoundError when there is none.
+// Get returns an object, or *store.NotFoundError when there is none.
 func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
 	result := c.do(ctx, call{operation: "get", method: http.MethodGet, path: objectPath(name)})
 	switch {
 	case result.err == nil && result.status == http.StatusOK:
 		return result.body, nil
 	case result.err == nil && result.status == http.StatusNotFound:
-		return nil, &platform.NotFoundError{Name: name}
+		return nil, &store.NotFoundError{Name: name}
 	default:
-		return nil, &platform.UnavailableError{Operation: "get", Cause: result.cause()}
+		return nil, &store.UnavailableError{Operation: "get", Cause: result.cause()}
 	}
 }
 
 // List returns the VMs that the platform believes in.
-func (c *Client) List(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) List(ctx context.Context) ([]store.VM, error) {
 	var reply wire.VMsReply
 	err := c.read(ctx, call{operation: "list", method: http.MethodGet, path: wire.VMsPath}, &reply)
 	if err != nil {
 		return nil, err
 	}
-	vms := make([]platform.VM, len(reply.VMs))
+	vms := make([]store.VM, len(reply.VMs))
 	for i, vm := range reply.VMs {
-		vms[i] = platform.VM(vm)
+		vms[i] = store.VM(vm)
 	}
 	return vms, nil
 }
@@ -150,10 +150,10 @@
 func (c *Client) read(ctx context.Context, request call, reply any) error {
 	result := c.do(ctx, request)
 	if result.err != nil || result.status != http.StatusOK {
-		return &platform.UnavailableError{Operation: request.operation, Cause: result.cause()}
+		return &store.UnavailableError{Operation: request.operation, Cause: result.cause()}
 	}
 	if err := json.Unmarshal(result.body, reply); err != nil {
-		return &platform.UnavailableError{Operation: request.operation, Cause: err}
+		return &store.UnavailableError{Operation: request.operation, Cause: err}
 	}
 	return nil
 }
@@ -163,10 +163,10 @@
 func (c *Client) write(ctx context.Context, request call) error {
 	result := c.do(ctx, request)
 	if result.err != nil && !result.connected {
-		return &platform.UnavailableError{Operation: request.operation, Cause: result.err}
+		return &store.UnavailableError{Operation: request.operation, Cause: result.err}
 	}
 	if result.err != nil {
-		return &platform.IndefiniteError{Operation: request.operation, Cause: result.err}
+		return &store.IndefiniteError{Operation: request.operation, Cause: result.err}
 	}
 	switch result.status {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
@@ -175,18 +175,18 @@
 		return conflict(request.operation, result)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest,
 		http.StatusRequestEntityTooLarge:
-		return &platform.UnavailableError{Operation: request.operation, Cause: result.cause()}
+		return &store.UnavailableError{Operation: request.operation, Cause: result.cause()}
 	default:
-		return &platform.IndefiniteError{Operation: request.operation, Cause: result.cause()}
+		return &store.IndefiniteError{Operation: request.operation, Cause: result.cause()}
 	}
 }
 
 func conflict(operation string, result result) error {
 	var reply wire.ConflictReply
 	if err := json.Unmarshal(result.body, &reply); err != nil {
-		return &platform.UnavailableError{Operation: operation, Cause: err}
+		return &store.UnavailableError{Operation: operation, Cause: err}
 	}
-	return &platform.ConflictError{Key: reply.Key, Expected: reply.Expected, Found: reply.Found}
+	return &store.ConflictError{Key: reply.Key, Expected: reply.Expected, Found: reply.Found}
 }
 
 // call is one exchange: message is sent as JSON, or body as it is.
--- a/platform/remote/remote_test.go
+++ b/store/remote/remote_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
-	"nutmeglock.example/nutmeglock/platform/remote"
-	"nutmeglock.example/nutmeglock/platform/server"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
+	"nutmeglock.example/nutmeglock/store/remote"
+	"nutmeglock.example/nutmeglock/store/server"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -23,52 +23,52 @@
 const patience = 30 * time.Second
 
 var _ interface {
-	platform.Table
-	platform.Objects
-	platform.VMs
+	store.Table
+	store.Objects
+	store.VMs
 } = (*remote.Client)(nil)
 
 func start(t *testing.T, timeout time.Duration) (*remote.Client, *memory.Platform, *timer.Fake) {
 	t.Helper()
 	clock := timer.NewFake(time.Unix(1, 0))
-	store := memory.New(clock)
-	httpServer := httptest.NewServer(server.New(store))
+	table := memory.New(clock)
+	httpServer := httptest.NewServer(server.New(table))
 	t.Cleanup(httpServer.Close)
 	client := remote.New(httpServer.URL, timeout, nil)
 	t.Cleanup(client.Close)
-	return client, store, clock
+	return client, table, clock
 }
 
-func one(key platform.Key, value string) platform.Txn {
-	return platform.Txn{Writes: []platform.Write{{Key: key, Value: []byte(value)}}}
+func one(key store.Key, value string) store.Txn {
+	return store.Txn{Writes: []store.Write{{Key: key, Value: []byte(value)}}}
 }
 
 func TestCallsReachThePlatform(t *testing.T) {
 	t.Parallel()
-	client, store, _ := start(t, patience)
+	client, table, _ := start(t, patience)
 	ctx := t.Context()
-	store.SetVMs(platform.VM{Name: "r1", Role: platform.RouterVM, Address: "10.0.0.1:7000", DataCenter: "kuopio", Leaving: true})
+	table.SetVMs(store.VM{Name: "r1", Role: store.RouterVM, Address: "10.0.0.1:7000", DataCenter: "kuopio", Leaving: true})
 
 	require.NoError(t, client.Commit(ctx, one("n/1", "one")))
 	require.NoError(t, client.Commit(ctx, one("n/2", "two")))
 	rows, err := client.Read(ctx, "n/2", "absent")
 	require.NoError(t, err)
-	require.Equal(t, []platform.Row{{Key: "n/2", Value: []byte("two"), Version: 2}, {Key: "absent"}}, rows)
+	require.Equal(t, []store.Row{{Key: "n/2", Value: []byte("two"), Version: 2}, {Key: "absent"}}, rows)
 	rows, err = client.Scan(ctx, "n/", "n/1", 10)
 	require.NoError(t, err)
-	require.Equal(t, []platform.Row{{Key: "n/2", Value: []byte("two"), Version: 2}}, rows)
+	require.Equal(t, []store.Row{{Key: "n/2", Value: []byte("two"), Version: 2}}, rows)
 
 	require.NoError(t, client.Put(ctx, "snapshot/7 a", []byte{0, 1, 2}))
 	data, err := client.Get(ctx, "snapshot/7 a")
 	require.NoError(t, err)
 	require.Equal(t, []byte{0, 1, 2}, data)
-	var missing *platform.NotFoundError
+	var missing *store.NotFoundError
 	_, err = client.Get(ctx, "snapshot/8")
 	require.ErrorAs(t, err, &missing)
 
 	vms, err := client.List(ctx)
 	require.NoError(t, err)
-	require.Equal(t, []platform.VM{{Name: "r1", Role: platform.RouterVM, Address: "10.0.0.1:7000", DataCenter: "kuopio", Leaving: true}}, vms)
+	require.Equal(t, []store.VM{{Name: "r1", Role: store.RouterVM, Address: "10.0.0.1:7000", DataCenter: "kuopio", Leaving: true}}, vms)
 }
 
 func TestFailedCheckIsAConflict(t *testing.T) {
@@ -77,12 +77,12 @@
 	require.NoError(t, client.Commit(t.Context(), one("head", "1")))
 
 	txn := one("head", "2")
-	txn.Checks = []platform.Check{{Key: "head", Version: 9}}
+	txn.Checks = []store.Check{{Key: "head", Version: 9}}
 	err := client.Commit(t.Context(), txn)
 
-	var conflict *platform.ConflictError
+	var conflict *store.ConflictError
 	require.ErrorAs(t, err, &conflict)
-	require.Equal(t, platform.ConflictError{Key: "head", Expected: 9, Found: 1}, *conflict)
+	require.Equal(t, store.ConflictError{Key: "head", Expected: 9, Found: 1}, *conflict)
 }
 
 // The platform's address answers no connection. The router has sent nothing,
@@ -95,7 +95,7 @@
 	require.NoError(t, listener.Close())
 	client := remote.New("http://"+address, patience, nil)
 
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	require.ErrorAs(t, client.Commit(t.Context(), one("a", "1")), &unavailable)
 	require.ErrorAs(t, client.Put(t.Context(), "a", nil), &unavailable)
 }
@@ -107,18 +107,18 @@
 	for _, kind := range []fault.Kind{fault.ReplyLost, fault.RequestLost, fault.Late} {
 		t.Run(string(kind), func(t *testing.T) {
 			t.Parallel()
-			client, store, clock := start(t, patience)
+			client, table, clock := start(t, patience)
 			// The second write goes out on a connection that is kept alive.
 			require.NoError(t, client.Commit(t.Context(), one("a", "0")))
-			store.Faults.Set(fault.Fault{Kind: kind, Times: 1, DelayMs: 10})
+			table.Faults.Set(fault.Fault{Kind: kind, Times: 1, DelayMs: 10})
 
 			err := client.Commit(t.Context(), one("a", "1"))
 
-			var indefinite *platform.IndefiniteError
+			var indefinite *store.IndefiniteError
 			require.ErrorAs(t, err, &indefinite)
 			clock.Advance(time.Second)
 			expected := map[fault.Kind]uint64{fault.ReplyLost: 2, fault.RequestLost: 1, fault.Late: 2}
-			require.Equal(t, expected[kind], store.Commits())
+			require.Equal(t, expected[kind], table.Commits())
 		})
 	}
 }
@@ -127,27 +127,27 @@
 // The write takes effect later, so its outcome has to be read back.
 func TestTimeoutAfterSendingIsIndefinite(t *testing.T) {
 	t.Parallel()
-	client, store, clock := start(t, patience)
-	store.Faults.Set(fault.Fault{Kind: fault.Slow, Operation: memory.OperationCommit, DelayMs: 60_000})
+	client, table, clock := start(t, patience)
+	table.Faults.Set(fault.Fault{Kind: fault.Slow, Operation: memory.OperationCommit, DelayMs: 60_000})
 	ctx, cancel := context.WithCancel(t.Context())
 	result := make(chan error, 1)
 	go func() { result <- client.Commit(ctx, one("a", "1")) }()
-	require.Eventually(t, func() bool { return store.Waiting() == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return table.Waiting() == 1 }, patience, time.Millisecond)
 	cancel()
 
-	var indefinite *platform.IndefiniteError
+	var indefinite *store.IndefiniteError
 	require.ErrorAs(t, <-result, &indefinite)
-	require.Zero(t, store.Commits())
+	require.Zero(t, table.Commits())
 	clock.Advance(time.Minute)
-	require.Equal(t, uint64(1), store.Commits())
+	require.Equal(t, uint64(1), table.Commits())
 }
 
 func TestTimeoutOfAReadIsUnavailable(t *testing.T) {
 	t.Parallel()
-	client, store, _ := start(t, 20*time.Millisecond)
-	store.Faults.Set(fault.Fault{Kind: fault.Slow, DelayMs: 60_000})
+	client, table, _ := start(t, 20*time.Millisecond)
+	table.Faults.Set(fault.Fault{Kind: fault.Slow, DelayMs: 60_000})
 	_, err := client.Read(t.Context(), "a")
-	var unavailable *platform.UnavailableError
+	var unavailable *store.UnavailableError
 	require.ErrorAs(t, err, &unavailable)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 }
@@ -178,11 +178,11 @@
 			err := client.Commit(t.Context(), one("a", "1"))
 
 			if test.indefinite {
-				var indefinite *platform.IndefiniteError
+				var indefinite *store.IndefiniteError
 				require.ErrorAs(t, err, &indefinite)
 				return
 			}
-			var unavailable *platform.UnavailableError
+			var unavailable *store.UnavailableError
 			require.ErrorAs(t, err, &unavailable)
 		})
 	}
@@ -190,8 +190,8 @@
 
 func TestAnswerOverTheBoundIsRefused(t *testing.T) {
 	t.Parallel()
-	client, store, _ := start(t, patience)
-	require.NoError(t, store.Put(t.Context(), "big", make([]byte, 33<<20)))
+	client, table, _ := start(t, patience)
+	require.NoError(t, table.Put(t.Context(), "big", make([]byte, 33<<20)))
 	_, err := client.Get(t.Context(), "big")
 	var tooLarge *remote.TooLargeError
 	require.ErrorAs(t, err, &tooLarge)
--- a/platform/server/server.go
+++ b/store/server/server.go
@@ -9,9 +9,9 @@
 
 	"github.com/labstack/echo/v4"
 
-	"nutmeglock.example/nutmeglock/platform"
-	"nutmeglock.example/nutmeglock/platform/memory"
-	"nutmeglock.example/nutmeglock/platform/wire"
+	"nutmeglock.example/nutmeglock/store"
+	"nutmeglock.example/nutmeglock/store/memory"
+	"nutmeglock.example/nutmeglock/store/wire"
 	"nutmeglock.example/nutmeglock/standin/fault"
 )
 
@@ -58,7 +58,7 @@
 	return answerRows(c, rows, err)
 }
 
-func answerRows(c echo.Context, rows []platform.Row, err error) error {
+func answerRows(c echo.Context, rows []store.Row, err error) error {
 	if err != nil {
 		return err
 	}
@@ -74,12 +74,12 @@
 	if err := c.Bind(&request); err != nil {
 		return err
 	}
-	txn := platform.Txn{}
+	txn := store.Txn{}
 	for _, check := range request.Checks {
-		txn.Checks = append(txn.Checks, platform.Check(check))
+		txn.Checks = append(txn.Checks, store.Check(check))
 	}
 	for _, write := range request.Writes {
-		txn.Writes = append(txn.Writes, platform.Write(write))
+		txn.Writes = append(txn.Writes, store.Write(write))
 	}
 	if err := h.store.Commit(c.Request().Context(), txn); err != nil {
 		return err
@@ -123,9 +123,9 @@
 	if err := c.Bind(&request); err != nil {
 		return err
 	}
-	vms := make([]platform.VM, len(request.VMs))
+	vms := make([]store.VM, len(request.VMs))
 	for i, vm := range request.VMs {
-		vms[i] = platform.VM(vm)
+		vms[i] = store.VM(vm)
 	}
 	h.store.SetVMs(vms...)
 	return c.NoContent(http.StatusNoContent)
@@ -160,10 +160,10 @@
 // answer at all: the connection breaks, as when a real reply is lost.
 func answerError(err error, c echo.Context) {
 	var (
-		indefinite  *platform.IndefiniteError
-		conflict    *platform.ConflictError
-		unavailable *platform.UnavailableError
-		notFound    *platform.NotFoundError
+		indefinite  *store.IndefiniteError
+		conflict    *store.ConflictError
+		unavailable *store.UnavailableError
+		notFound    *store.NotFoundError
 		httpError   *echo.HTTPError
 	)
 	reply := wire.ErrorReply{Error: err.Error()}
--- a/platform/platform.go
+++ b/store/store.go
@@ -1,7 +1,7 @@
-// Package platform is the seam to what the platform gives: a transactional
+// Package store is the seam to what the platform gives: a transactional
 // table, an object store and a lagging list of VMs. Everything that has to be
 // agreed or to last goes through it, and all of it has outages.
-package platform
+package store
 
 import (
 	"context"
--- a/platform/wire/wire.go
+++ b/store/wire/wire.go
@@ -5,7 +5,7 @@
 
 import (
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/platform"
+	"nutmeglock.example/nutmeglock/store"
 )
 
 // The paths of the interface. ObjectPath is followed by the object's name.
@@ -22,13 +22,13 @@
 
 // ReadRequest asks for rows by their keys.
 type ReadRequest struct {
-	Keys []platform.Key `json:"keys"`
+	Keys []store.Key `json:"keys"`
 }
 
 // ScanRequest asks for the rows of a prefix.
 type ScanRequest struct {
-	Prefix platform.Key `json:"prefix"`
-	After  platform.Key `json:"after,omitempty"`
+	Prefix store.Key `json:"prefix"`
+	After  store.Key `json:"after,omitempty"`
 	Limit  int          `json:"limit"`
 }
 
@@ -37,37 +37,37 @@
 	Rows []Row `json:"rows"`
 }
 
-// Row is a platform.Row.
+// Row is a store.Row.
 type Row struct {
-	Key     platform.Key        `json:"key"`
+	Key     store.Key        `json:"key"`
 	Value   []byte              `json:"value,omitempty"`
-	Version platform.RowVersion `json:"version,omitempty"`
+	Version store.RowVersion `json:"version,omitempty"`
 }
 
-// CommitRequest is a platform.Txn.
+// CommitRequest is a store.Txn.
 type CommitRequest struct {
 	Checks []Check `json:"checks,omitempty"`
 	Writes []Write `json:"writes,omitempty"`
 }
 
-// Check is a platform.Check.
+// Check is a store.Check.
 type Check struct {
-	Key     platform.Key        `json:"key"`
-	Version platform.RowVersion `json:"version"`
+	Key     store.Key        `json:"key"`
+	Version store.RowVersion `json:"version"`
 }
 
-// Write is a platform.Write.
+// Write is a store.Write.
 type Write struct {
-	Key    platform.Key `json:"key"`
+	Key    store.Key `json:"key"`
 	Value  []byte       `json:"value,omitempty"`
 	Delete bool         `json:"delete,omitempty"`
 }
 
 // ConflictReply is the body of a 409 answer.
 type ConflictReply struct {
-	Key      platform.Key        `json:"key"`
-	Expected platform.RowVersion `json:"expected"`
-	Found    platform.RowVersion `json:"found"`
+	Key      store.Key        `json:"key"`
+	Expected store.RowVersion `json:"expected"`
+	Found    store.RowVersion `json:"found"`
 }
 
 // ErrorReply is the body of the other answers that are errors.
@@ -80,10 +80,10 @@
 	VMs []VM `json:"vms"`
 }
 
-// VM is a platform.VM.
+// VM is a store.VM.
 type VM struct {
 	Name       string             `json:"name"`
-	Role       platform.VMRole    `json:"role"`
+	Role       store.VMRole    `json:"role"`
 	Address    string             `json:"address"`
 	DataCenter fleet.DataCenterID `json:"data-center"`
 	Leaving    bool               `json:"leaving,omitempty"`
