Routers tell each other what they have at the upstreams and what they know

Reports over the peers' connections every 50 ms carry unread tokens, requests in flight, served tokens and beginnings read; announcements let a router that the store refuses ask another one.

--- /dev/null
+++ b/deployment/codec.go
@@ -0,0 +1,100 @@
+package deployment
+
+import (
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// encodeConfiguration returns a configuration as routers tell it each other.
+func encodeConfiguration(c route.Configuration) *schema.Configuration {
+	out := &schema.Configuration{
+		Version: uint64(c.Version), MaxHeaderBytes: uint32(c.Limits.MaxHeaderBytes), MaxBodyBytes: uint32(c.Limits.MaxBodyBytes),
+		HeaderTimeoutMs: millis(c.Limits.HeaderTimeout), IdleTimeoutMs: millis(c.Limits.IdleTimeout),
+	}
+	for i := range c.Routes {
+		out.Routes = append(out.Routes, encodeRoute(&c.Routes[i]))
+	}
+	for _, s := range c.Services {
+		out.Services = append(out.Services, &schema.RoutedService{
+			Id: string(s.ID), MaxConnections: uint32(s.MaxConnections), Slots: uint32(s.Slots), CacheTokens: uint32(s.CacheTokens),
+		})
+	}
+	for _, a := range c.Accounts {
+		out.Accounts = append(out.Accounts, &schema.RoutedAccount{Id: string(a.ID), Keys: a.Keys})
+	}
+	return out
+}
+
+func encodeRoute(r *route.Route) *schema.Route {
+	out := &schema.Route{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: string(r.Kind),
+		TimeoutMs: millis(r.Timeout), TargetMs: millis(r.Target), MaxPauseMs: millis(r.MaxPause),
+		Attempts: uint32(r.Attempts), Public: r.Public, Resumable: r.Resumable, Cached: r.Cached,
+	}
+	for _, s := range r.Shares {
+		out.Shares = append(out.Shares, &schema.RouteShare{Service: string(s.Service), Weight: uint32(s.Weight)})
+	}
+	return out
+}
+
+// decodeConfiguration is the inverse of encodeConfiguration.
+func decodeConfiguration(in *schema.Configuration) route.Configuration {
+	out := route.Configuration{
+		Version: fleet.Version(in.GetVersion()),
+		Limits: route.Limits{
+			MaxHeaderBytes: int(in.GetMaxHeaderBytes()), MaxBodyBytes: int(in.GetMaxBodyBytes()),
+			HeaderTimeout: duration(in.GetHeaderTimeoutMs()), IdleTimeout: duration(in.GetIdleTimeoutMs()),
+		},
+	}
+	for _, r := range in.GetRoutes() {
+		out.Routes = append(out.Routes, decodeRoute(r))
+	}
+	for _, s := range in.GetServices() {
+		out.Services = append(out.Services, route.Service{
+			ID: fleet.ServiceID(s.GetId()), MaxConnections: int(s.GetMaxConnections()), Slots: int(s.GetSlots()), CacheTokens: int(s.GetCacheTokens()),
+		})
+	}
+	for _, a := range in.GetAccounts() {
+		out.Accounts = append(out.Accounts, route.Account{ID: fleet.AccountID(a.GetId()), Keys: a.GetKeys()})
+	}
+	return out
+}
+
+func decodeRoute(in *schema.Route) route.Route {
+	out := route.Route{
+		Name: in.GetName(), Host: in.GetHost(), Prefix: in.GetPrefix(), Kind: route.Kind(in.GetKind()),
+		Timeout: duration(in.GetTimeoutMs()), Target: duration(in.GetTargetMs()), MaxPause: duration(in.GetMaxPauseMs()),
+		Attempts: int(in.GetAttempts()), Public: in.GetPublic(), Resumable: in.GetResumable(), Cached: in.GetCached(),
+	}
+	for _, s := range in.GetShares() {
+		out.Shares = append(out.Shares, route.Share{Service: fleet.ServiceID(s.GetService()), Weight: int(s.GetWeight())})
+	}
+	return out
+}
+
+func encodeChange(c registry.Change) *schema.UpstreamChange {
+	u := c.Upstream
+	return &schema.UpstreamChange{
+		Id: string(u.ID), Service: string(u.Service), Address: u.Address, DataCenter: string(u.DataCenter),
+		Slots: uint32(u.Slots), Life: int64(u.Life), Draining: u.Draining, Gone: c.Gone, Revision: uint64(c.Revision),
+	}
+}
+
+func decodeChange(in *schema.UpstreamChange) registry.Change {
+	return registry.Change{
+		Upstream: registry.Upstream{
+			ID: fleet.UpstreamID(in.GetId()), Service: fleet.ServiceID(in.GetService()), Address: in.GetAddress(),
+			DataCenter: fleet.DataCenterID(in.GetDataCenter()), Slots: int(in.GetSlots()), Life: registry.Life(in.GetLife()),
+			Draining: in.GetDraining(),
+		},
+		Gone: in.GetGone(), Revision: registry.Revision(in.GetRevision()),
+	}
+}
+
+func millis(d time.Duration) uint32 { return uint32(d.Milliseconds()) }
+
+func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/deployment/members.go
@@ -0,0 +1,125 @@
+package deployment
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/follow"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/registry"
+)
+
+// Member is a router's entry in the fleet's list.
+type Member struct {
+	ID fleet.RouterID
+	// Address is where other routers connect to.
+	Address string
+	Gone    bool
+}
+
+// Members is the fleet's list of routers, which lasts at the platform.
+type Members interface {
+	follow.Feed[Member, registry.Revision]
+	// Register writes an entry.
+	Register(ctx context.Context, m Member) error
+	// Withdraw removes an entry.
+	Withdraw(ctx context.Context, id fleet.RouterID) error
+}
+
+const (
+	// memberWait is how long one call waits for a change of the list of routers.
+	// Routers that start connect to the others themselves, so news here is
+	// never urgent.
+	memberWait = 20 * time.Second
+	// registerTimeout bounds one try to write the own entry, registerPause and
+	// maxRegisterPause the time between two.
+	registerTimeout  = 1500 * time.Millisecond
+	registerPause    = 200 * time.Millisecond
+	maxRegisterPause = 2 * time.Second
+	// withdrawTimeout bounds the removal of the own entry at a shutdown. An entry
+	// that stays costs the others an attempt to connect now and then.
+	withdrawTimeout = time.Second
+)
+
+// memberSink tells the mesh which routers to connect to.
+type memberSink struct {
+	self  fleet.RouterID
+	peers *peer.Peers
+
+	mu        sync.Mutex
+	addresses map[fleet.RouterID]string
+}
+
+// Replace takes the whole list.
+func (s *memberSink) Replace(rows []Member, as registry.Revision) {
+	s.mu.Lock()
+	s.addresses = make(map[fleet.RouterID]string, len(rows))
+	s.mu.Unlock()
+	s.Apply(rows, as)
+}
+
+// Apply takes changes of the list.
+func (s *memberSink) Apply(rows []Member, _ registry.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range rows {
+		if m.Gone || m.ID == s.self {
+			delete(s.addresses, m.ID)
+			continue
+		}
+		s.addresses[m.ID] = m.Address
+	}
+	s.peers.Target(maps.Clone(s.addresses))
+}
+
+// heard takes the address of a router that has connected. Such a router may
+// have no entry, if the store refused it.
+func (s *memberSink) heard(c peer.Change) {
+	if !c.Connected {
+		return
+	}
+	s.Apply([]Member{{ID: c.Router, Address: c.Address}}, 0)
+}
+
+// Lost and Regained change nothing: routers connect to whom they know.
+func (*memberSink) Lost(error) {}
+func (*memberSink) Regained()  {}
+
+// register writes the own entry, trying until it is written or ctx ends.
+func (r *Router) register(ctx context.Context) error {
+	pause := registerPause
+	own := Member{ID: r.options.Self, Address: r.options.PeerAddress}
+	for ctx.Err() == nil {
+		err := r.registerOnce(ctx, own)
+		if err == nil {
+			r.options.Log.Info("registered", "address", own.Address)
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		r.options.Log.Warn("not registered", "error", err)
+		select {
+		case <-time.After(pause/2 + rand.N(pause)):
+		case <-ctx.Done():
+		}
+		pause = min(2*pause, maxRegisterPause)
+	}
+	return ctx.Err()
+}
+
+func (r *Router) registerOnce(ctx context.Context, own Member) error {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	return r.options.Members.Register(ctx, own)
+}
+
+// withdraw removes the own entry.
+func (r *Router) withdraw() {
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	err := r.options.Members.Withdraw(ctx, r.options.Self)
+	r.options.Log.Info("withdrawn", "error", err)
+}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -20,6 +20,7 @@
 	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/upstream"
@@ -36,6 +37,9 @@
 	sweepInterval = time.Second
 	// maxCallerHeader bounds a caller's header, in bytes.
 	maxCallerHeader = 64 << 10
+	// peerBackoff bounds the time between two attempts to connect to a router, and
+	// so how long after the end of a cut the two hear each other again.
+	peerBackoff = time.Second
 )
 
 // Options are what a Router is made of. All are needed.
@@ -52,6 +56,11 @@
 	Echoed         func(http.Header) fleet.RequestID
 	Configurations follow.Feed[route.Configuration, registry.Revision]
 	Upstreams      follow.Feed[registry.Change, registry.Revision]
+	Members        Members
+	// PeerAddress is where the other routers connect to, FleetKey what they
+	// prove to each other that they are of one fleet by.
+	PeerAddress string
+	FleetKey    []byte
 	// RetryRatio and RetryBurst bound the retries of a service at this router.
 	RetryRatio float64
 	RetryBurst float64
@@ -64,6 +73,7 @@
 type Router struct {
 	options  Options
 	state    *State
+	mesh     *mesh
 	handler  *forward.Handler
 	client   *upstream.Client
 	metrics  *metric.Set
@@ -85,16 +95,48 @@
 	r := &Router{options: options, registry: registered, metrics: metric.New(registered)}
 	r.state = NewState(StateOptions{
 		DataCenter: options.DataCenter, RetryRatio: options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
-		OnConfiguration: func(version fleet.Version) { r.metrics.NoteVersion.Set(float64(version)) },
+		OnChange: r.changed,
 	})
 	r.client = &upstream.Client{Echoed: options.Echoed, Opened: r.metrics.Connections.Inc}
 	r.handler = &forward.Handler{
 		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics, Log: options.Log,
 	}
+	if err := r.connect(ctx); err != nil {
+		return nil, err
+	}
 	r.follow()
 	return r, r.listen(ctx)
 }
 
+// changed tells the other routers that something has taken effect here.
+func (r *Router) changed() {
+	r.metrics.NoteVersion.Set(float64(r.state.Table().Version()))
+	r.mesh.announce()
+}
+
+// connect makes the connections to the other routers.
+func (r *Router) connect(ctx context.Context) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", r.options.PeerAddress)
+	if err != nil {
+		return eris.Wrapf(err, "listening for routers on %s", r.options.PeerAddress)
+	}
+	r.mesh = newMesh(r.state, peer.Options{
+		Self: r.options.Self, DataCenter: r.options.DataCenter, Incarnation: fleet.IncarnationAt(time.Now()),
+		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
+		Metrics: r.metrics, Logger: r.options.Log, MaxBackoff: peerBackoff,
+	})
+	members := &memberSink{self: r.options.Self, peers: r.mesh.peers}
+	r.mesh.peers.OnChange(members.heard)
+	follower := &follow.Follower[Member, registry.Revision]{
+		Name: "routers", Feed: r.options.Members, Sink: members, Log: r.options.Log,
+		Wait: func() time.Duration { return memberWait },
+	}
+	r.actors = append(r.actors,
+		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
+		actor{"router list", follower.Run}, actor{"registration", r.register})
+	return nil
+}
+
 // follow adds the actors that keep the state up to date.
 func (r *Router) follow() {
 	configurations := &follow.Follower[route.Configuration, registry.Revision]{
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -13,6 +13,7 @@
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
 )
 
@@ -21,10 +22,11 @@
 	options StateOptions
 	table   atomic.Pointer[route.Table]
 
-	mu        sync.RWMutex
-	directory registry.Directory
-	pools     map[fleet.ServiceID]*turn.Pool
-	retries   map[fleet.ServiceID]*retry.Budget
+	mu            sync.RWMutex
+	configuration route.Configuration
+	directory     registry.Directory
+	pools         map[fleet.ServiceID]*turn.Pool
+	retries       map[fleet.ServiceID]*retry.Budget
 	// addresses are those of the upstreams that take requests.
 	addresses map[string]bool
 }
@@ -36,10 +38,9 @@
 	RetryRatio float64
 	RetryBurst float64
 	Log        *slog.Logger
-	// OnConfiguration and OnUpstreams are called with what has taken effect
-	// here, unless they are nil.
-	OnConfiguration func(version fleet.Version)
-	OnUpstreams     func(changes []registry.Change)
+	// OnChange is called, unless it is nil, when a configuration or a change of
+	// the list has taken effect here.
+	OnChange func()
 }
 
 // NewState returns a State that knows nothing yet.
@@ -98,13 +99,12 @@
 	if c.Version <= before {
 		return false
 	}
+	s.configuration = c
 	s.table.Store(route.NewTable(c))
 	s.options.Log.Info("configuration in force", "version", c.Version, "before", before, "from", from,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts))
 	s.refresh(time.Now())
-	if s.options.OnConfiguration != nil {
-		s.options.OnConfiguration(c.Version)
-	}
+	s.tell()
 	return true
 }
 
@@ -122,6 +122,20 @@
 	s.changed(s.directory.Apply(time.Now(), changes), from)
 }
 
+// HearUpstreams takes changes that another router told.
+func (s *State) HearUpstreams(told []*schema.UpstreamChange, from string) {
+	changes := make([]registry.Change, 0, len(told))
+	for _, c := range told {
+		changes = append(changes, decodeChange(c))
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.changed(s.directory.Hear(time.Now(), changes), from)
+}
+
+// Revision returns that of the latest change of the list that took effect here.
+func (s *State) Revision() registry.Revision { return s.directory.Latest() }
+
 // LoseUpstreams says that the list can't be read.
 func (s *State) LoseUpstreams() {
 	s.mu.Lock()
@@ -156,8 +170,13 @@
 			"gone", c.Gone, "revision", c.Revision, "from", from)
 	}
 	s.refresh(time.Now())
-	if s.options.OnUpstreams != nil {
-		s.options.OnUpstreams(changes)
+	s.tell()
+}
+
+// tell calls OnChange without the lock: it reads the state.
+func (s *State) tell() {
+	if s.options.OnChange != nil {
+		go s.options.OnChange()
 	}
 }
 
--- /dev/null
+++ b/deployment/work.go
@@ -0,0 +1,99 @@
+package deployment
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/turn"
+)
+
+// hashOf stands for an id in reports. Two ids of one service that have the same
+// hash share their figures, which is harmless and rarer than one in a million.
+func hashOf[K ~string](id K) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
+// work returns what this router has at each service.
+func (s *State) work(now time.Time) []*schema.ServiceWork {
+	var out []*schema.ServiceWork
+	for id, pool := range s.Pools() {
+		report := pool.Report(now)
+		if len(report.Upstreams) == 0 && len(report.Served) == 0 {
+			continue
+		}
+		out = append(out, encodeWork(id, report))
+	}
+	slices.SortFunc(out, func(a, b *schema.ServiceWork) int { return cmp.Compare(a.GetService(), b.GetService()) })
+	return out
+}
+
+func encodeWork(id fleet.ServiceID, report turn.Report) *schema.ServiceWork {
+	w := &schema.ServiceWork{Service: hashOf(id), Speed: float32(report.Speed)}
+	for key, load := range report.Upstreams {
+		w.Upstreams = append(w.Upstreams, &schema.UpstreamWork{
+			Upstream: uint32(key), Unread: uint32(max(load.Unread, 0)), InFlight: uint32(max(load.InFlight, 0)),
+			Waiting: uint32(max(load.Waiting, 0)), Read: load.Read,
+		})
+	}
+	for key, served := range report.Served {
+		w.Accounts = append(w.Accounts, &schema.AccountService{Account: uint32(key), Tokens: uint32(served)})
+	}
+	slices.SortFunc(w.Upstreams, func(a, b *schema.UpstreamWork) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
+	slices.SortFunc(w.Accounts, func(a, b *schema.AccountService) int { return cmp.Compare(a.GetAccount(), b.GetAccount()) })
+	return w
+}
+
+// observe takes what another router has at a service.
+func (s *State) observe(from fleet.RouterID, w *schema.ServiceWork) {
+	for id, pool := range s.Pools() {
+		if hashOf(id) == w.GetService() {
+			pool.Observe(time.Now(), from, decodeWork(w))
+			return
+		}
+	}
+}
+
+func decodeWork(w *schema.ServiceWork) turn.Report {
+	r := turn.Report{
+		Upstreams: make(map[turn.Key]turn.Load, len(w.GetUpstreams())),
+		Served:    make(map[turn.Key]float64, len(w.GetAccounts())),
+		Speed:     float64(w.GetSpeed()),
+	}
+	for _, u := range w.GetUpstreams() {
+		r.Upstreams[turn.Key(u.GetUpstream())] = turn.Load{
+			Unread: int(u.GetUnread()), InFlight: int(u.GetInFlight()), Waiting: int(u.GetWaiting()), Read: u.GetRead(),
+		}
+	}
+	for _, a := range w.GetAccounts() {
+		r.Served[turn.Key(a.GetAccount())] = float64(a.GetTokens())
+	}
+	return r
+}
+
+// knowledge returns what is newer here than what another router holds.
+func (s *State) knowledge(q question) *schema.Knowledge {
+	out := &schema.Knowledge{}
+	s.mu.RLock()
+	held := s.configuration
+	s.mu.RUnlock()
+	if uint64(held.Version) > q.Configuration {
+		out.Configuration = encodeConfiguration(held)
+	}
+	for _, c := range s.directory.Changes() {
+		if uint64(c.Revision) > q.Upstreams {
+			out.Upstreams = append(out.Upstreams, encodeChange(c))
+		}
+	}
+	return out
+}
+
+// learn takes what another router told.
+func (s *State) learn(k *schema.Knowledge, from string) {
+	if k.GetConfiguration() != nil {
+		s.Configure(decodeConfiguration(k.GetConfiguration()), from)
+	}
+	s.HearUpstreams(k.GetUpstreams(), from)
+}
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// leastBackoff and mostBackoff bound the time between two attempts at one
+	// leastBackoff and, unless the options say otherwise, mostBackoff bound the time between two attempts at one
 	// address. At the target size, 42 routers of a data centre that is gone
 	// cost 8 attempts a second.
 	leastBackoff = 200 * time.Millisecond
@@ -104,7 +104,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d.busy = false
-	d.backoff = min(max(2*d.backoff, leastBackoff), mostBackoff)
+	d.backoff = min(max(2*d.backoff, leastBackoff), p.options.MaxBackoff)
 	if err == nil {
 		d.router = fleet.RouterID(hello.GetRouter())
 		d.backoff = leastBackoff
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -51,6 +51,9 @@
 	// Heartbeat is the least time between two heartbeats, zero means 1 s. A
 	// router that is not heard for three times as long is lost.
 	Heartbeat time.Duration
+	// MaxBackoff bounds the time between two attempts at an address that doesn't
+	// answer; zero means 5 s.
+	MaxBackoff time.Duration
 }
 
 // Handler answers one method of JSON-RPC.
@@ -96,6 +99,9 @@
 	if options.Heartbeat <= 0 {
 		options.Heartbeat = leastHeartbeat
 	}
+	if options.MaxBackoff <= 0 {
+		options.MaxBackoff = mostBackoff
+	}
 	return &Peers{
 		options:  options,
 		links:    make(map[fleet.RouterID]*link),
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -65,6 +65,8 @@
 	// graceEnds is until when lapsed entries stay.
 	graceEnds time.Time
 	known     bool
+	// latest is the revision of the latest change that took effect.
+	latest Revision
 }
 
 // Replace takes a whole read of the list as of a revision: what it lacks and
@@ -77,7 +79,7 @@
 	var changed []Change
 	for _, c := range list {
 		listed[c.Upstream.ID] = true
-		changed = append(changed, d.take(now, c)...)
+		changed = append(changed, d.take(now, c, false)...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
 		e := d.entries[id]
@@ -85,32 +87,52 @@
 			continue
 		}
 		gone := Change{Upstream: e.change.Upstream, Revision: as, Gone: true}
-		changed = append(changed, d.take(now, gone)...)
+		changed = append(changed, d.take(now, gone, false)...)
 	}
 	return changed
 }
 
 // Apply takes single changes. It returns those that were news and took effect.
 func (d *Directory) Apply(now time.Time, changes []Change) []Change {
+	return d.takeAll(now, changes, false)
+}
+
+// Hear takes changes that took effect at another router, which has already
+// waited for entries that may return.
+func (d *Directory) Hear(now time.Time, changes []Change) []Change {
+	return d.takeAll(now, changes, true)
+}
+
+func (d *Directory) takeAll(now time.Time, changes []Change, settled bool) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var changed []Change
 	for _, c := range changes {
-		changed = append(changed, d.take(now, c)...)
+		changed = append(changed, d.take(now, c, settled)...)
+	}
+	if settled && len(changes) > 0 {
+		d.known = true
 	}
 	return changed
 }
 
+// Latest returns the revision of the latest change that took effect.
+func (d *Directory) Latest() Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.latest
+}
+
 // take returns the change when it took effect.
-func (d *Directory) take(now time.Time, c Change) []Change {
+func (d *Directory) take(now time.Time, c Change, settled bool) []Change {
 	if d.entries == nil {
 		d.entries = make(map[fleet.UpstreamID]entry)
 	}
 	before, known := d.entries[c.Upstream.ID]
-	if known && c.Revision <= before.change.Revision {
+	if known && (c.Revision < before.change.Revision || (c.Revision == before.change.Revision && !before.lapsed)) {
 		return nil
 	}
-	if c.Gone && known && !before.change.Gone && d.mayReturn(now, before) {
+	if c.Gone && !settled && known && !before.change.Gone && d.mayReturn(now, before) {
 		before.lapsed = true
 		before.change.Revision = c.Revision
 		d.entries[c.Upstream.ID] = before
@@ -120,6 +142,7 @@
 		c.Upstream = before.change.Upstream
 	}
 	d.entries[c.Upstream.ID] = entry{change: c}
+	d.latest = max(d.latest, c.Revision)
 	return []Change{c}
 }
 
@@ -163,6 +186,7 @@
 		}
 		e.lapsed = false
 		e.change.Gone = true
+		d.latest = max(d.latest, e.change.Revision)
 		d.entries[id] = e
 		gone = append(gone, e.change)
 	}
--- a/turn/account.go
+++ b/turn/account.go
@@ -32,6 +32,7 @@
 
 // account is what is known of one account at one service.
 type account struct {
+	key Key
 	own decaying
 	// elsewhere is its service at the other routers.
 	elsewhere float64
@@ -48,7 +49,8 @@
 	if p.accounts == nil {
 		p.accounts = make(map[fleet.AccountID]*account)
 	}
-	a = &account{}
+	a = &account{key: KeyOf(id)}
+	a.elsewhere = p.elsewhere[a.key]
 	p.accounts[id] = a
 	return a
 }
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -15,10 +15,18 @@
 // 40 bytes each that is 160 KB.
 const maxCached = 4096
 
+// maxNews bounds the beginnings in one report, and newsAge is when one that is
+// used again is told again.
+const (
+	maxNews = 64
+	newsAge = 5 * time.Second
+)
+
 // engine is what is known of one upstream.
 type engine struct {
 	upstream registry.Upstream
 	instance Instance
+	key      Key
 	// unread and inFlight are those of this router's requests, waiting the
 	// tokens of those that wait here for this upstream first of all.
 	unread   int
@@ -27,6 +35,8 @@
 	// others is the sum of what the other routers told.
 	others Load
 	cached map[uint64]time.Time
+	// news are the shared beginnings that were sent since the last report.
+	news []uint64
 }
 
 // fleetUnread returns the prompt tokens that were sent and not yet read.
@@ -48,14 +58,25 @@
 
 // remember notes that the upstream will have a prompt in its cache.
 func (e *engine) remember(now time.Time, d *Demand) {
-	if e.cached == nil {
+	for i, b := range d.Beginnings {
+		isShared := i < len(d.Beginnings)-1 || i == 0
+		if isShared && len(e.news) < maxNews && now.Sub(e.cached[b.Hash]) > newsAge {
+			e.news = append(e.news, b.Hash)
+		}
+		e.learn(now, []uint64{b.Hash})
+	}
+}
+
+// learn notes beginnings that the upstream has or will have in its cache.
+func (e *engine) learn(now time.Time, hashes []uint64) {
+	if len(hashes) > 0 && e.cached == nil {
 		e.cached = make(map[uint64]time.Time)
 	}
 	if len(e.cached) >= maxCached {
 		e.forgetOldest(now)
 	}
-	for _, b := range d.Beginnings {
-		e.cached[b.Hash] = now
+	for _, hash := range hashes {
+		e.cached[hash] = now
 	}
 }
 
--- a/turn/load.go
+++ b/turn/load.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
@@ -19,17 +21,30 @@
 	InFlight int
 	// Waiting is the tokens that wait at the router for a turn at this upstream.
 	Waiting int
+	// Read are the beginnings that the router had the upstream read since its
+	// last report.
+	Read []uint64
+}
+
+func (l Load) isEmpty() bool {
+	return l.Unread == 0 && l.InFlight == 0 && l.Waiting == 0 && len(l.Read) == 0
 }
 
 func (l Load) add(other Load) Load {
 	return Load{Unread: l.Unread + other.Unread, InFlight: l.InFlight + other.InFlight, Waiting: l.Waiting + other.Waiting}
 }
 
+// Key stands for the id of an upstream or an account in reports.
+type Key uint32
+
+// KeyOf returns the key of an id.
+func KeyOf[K ~string](id K) Key { return Key(xxhash.Sum64String(string(id))) }
+
 // Report is what one router tells the others of a service.
 type Report struct {
-	Upstreams map[fleet.UpstreamID]Load
+	Upstreams map[Key]Load
 	// Served is each account's service at the router of late.
-	Served map[fleet.AccountID]float64
+	Served map[Key]float64
 	// Speed is the tokens that an upstream reads in a millisecond, as observed.
 	Speed float64
 }
@@ -45,19 +60,20 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := Report{
-		Upstreams: make(map[fleet.UpstreamID]Load, len(p.engines)),
-		Served:    make(map[fleet.AccountID]float64, len(p.accounts)),
+		Upstreams: make(map[Key]Load, len(p.engines)),
+		Served:    make(map[Key]float64, len(p.accounts)),
 		Speed:     p.speed.value(),
 	}
 	for _, e := range p.engines {
-		own := Load{Unread: e.unread, InFlight: e.inFlight, Waiting: e.waiting}
-		if own != (Load{}) {
-			r.Upstreams[e.upstream.ID] = own
+		own := Load{Unread: e.unread, InFlight: e.inFlight, Waiting: e.waiting, Read: e.news}
+		e.news = nil
+		if !own.isEmpty() {
+			r.Upstreams[e.key] = own
 		}
 	}
-	for id, a := range p.accounts {
+	for _, a := range p.accounts {
 		if served := a.own.at(now); served >= 1 {
-			r.Served[id] = served
+			r.Served[a.key] = served
 		}
 	}
 	return r
@@ -71,6 +87,9 @@
 		p.heard = make(map[fleet.RouterID]heard)
 	}
 	p.heard[from] = heard{report: r, at: now}
+	for _, e := range p.engines {
+		e.learn(now, r.Upstreams[e.key].Read)
+	}
 	p.sumOthers(now)
 	p.pump(now)
 }
@@ -83,16 +102,21 @@
 	for _, a := range p.accounts {
 		a.elsewhere = 0
 	}
+	served := make(map[Key]float64)
 	for from, h := range p.heard {
 		if now.Sub(h.at) >= loadAge {
 			delete(p.heard, from)
 			continue
 		}
 		for _, e := range p.engines {
-			e.others = e.others.add(h.report.Upstreams[e.upstream.ID])
+			e.others = e.others.add(h.report.Upstreams[e.key])
 		}
-		for id, served := range h.report.Served {
-			p.account(id).elsewhere += served
+		for key, amount := range h.report.Served {
+			served[key] += amount
 		}
 	}
+	p.elsewhere = served
+	for _, a := range p.accounts {
+		a.elsewhere = served[a.key]
+	}
 }
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -34,9 +34,11 @@
 	engines  []*engine
 	accounts map[fleet.AccountID]*account
 	heard    map[fleet.RouterID]heard
-	speed    speed
-	detector outlier.Detector[Instance]
-	waiting  int
+	// elsewhere is each account's service at the other routers.
+	elsewhere map[Key]float64
+	speed     speed
+	detector  outlier.Detector[Instance]
+	waiting   int
 }
 
 // Set replaces the upstreams that take requests, and the time to the first
@@ -56,7 +58,7 @@
 		keep[instance] = true
 		e := before[instance]
 		if e == nil {
-			e = &engine{instance: instance}
+			e = &engine{instance: instance, key: KeyOf(u.ID)}
 		}
 		e.upstream = u
 		p.engines = append(p.engines, e)
