turn: accounts that were served more stop earlier at each engine

Cause: a router sees room at an engine when its own prompt was read and gives it to its own next request, whoever waits elsewhere. Reports now say which accounts wait; the unread work that an account's requests may start behind shrinks with its service over that of the least served one that waits.

--- a/deployment/members.go
+++ b/deployment/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,10 +55,12 @@
 	addresses map[fleet.RouterID]string
 }
 
-// Replace takes the whole list.
+// Replace takes the whole list. A router that is connected stays without an
+// entry: the store may refuse it, and when it starts again it knows nobody.
 func (s *memberSink) Replace(rows []Member, as registry.Revision) {
+	connected := s.peers.Routers()
 	s.mu.Lock()
-	s.addresses = make(map[fleet.RouterID]string, len(rows))
+	maps.DeleteFunc(s.addresses, func(id fleet.RouterID, _ string) bool { return !slices.Contains(connected, id) })
 	s.mu.Unlock()
 	s.Apply(rows, as)
 }
@@ -66,6 +69,9 @@
 func (s *memberSink) Apply(rows []Member, _ registry.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.addresses == nil {
+		s.addresses = make(map[fleet.RouterID]string)
+	}
 	for _, m := range rows {
 		if m.Gone || m.ID == s.self {
 			delete(s.addresses, m.ID)
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -79,7 +79,6 @@
 	metrics  *metric.Set
 	registry *prometheus.Registry
 	stopping atomic.Bool
-	callers  *http.Server
 	actors   []actor
 }
 
@@ -156,12 +155,11 @@
 	ready.GET(r.options.ReadyPath, r.ready)
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})))
-	r.callers = newServer(r.handler)
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
 	}{
-		{"callers", r.options.CallerAddress, r.callers},
+		{"callers", r.options.CallerAddress, newServer(r.handler)},
 		{"readiness", r.options.ReadyAddress, newServer(ready)},
 		{"metrics", r.options.MetricsAddress, newServer(metrics)},
 	} {
@@ -187,7 +185,6 @@
 		defer stop()
 		err := server.Serve(listener)
 		if errors.Is(err, http.ErrServerClosed) {
-			<-ctx.Done() // a server that was shut down has done its part
 			return ctx.Err()
 		}
 		return err
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -21,7 +21,7 @@
 	var out []*schema.ServiceWork
 	for id, pool := range s.Pools() {
 		report := pool.Report(now)
-		if len(report.Upstreams) == 0 && len(report.Served) == 0 {
+		if len(report.Upstreams) == 0 && len(report.Accounts) == 0 {
 			continue
 		}
 		out = append(out, encodeWork(id, report))
@@ -38,8 +38,10 @@
 			Waiting: uint32(max(load.Waiting, 0)), Read: load.Read,
 		})
 	}
-	for key, served := range report.Served {
-		w.Accounts = append(w.Accounts, &schema.AccountService{Account: uint32(key), Tokens: uint32(served)})
+	for key, standing := range report.Accounts {
+		w.Accounts = append(w.Accounts, &schema.AccountService{
+			Account: uint32(key), Tokens: uint32(standing.Served), Waiting: uint32(max(standing.Waiting, 0)),
+		})
 	}
 	slices.SortFunc(w.Upstreams, func(a, b *schema.UpstreamWork) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
 	slices.SortFunc(w.Accounts, func(a, b *schema.AccountService) int { return cmp.Compare(a.GetAccount(), b.GetAccount()) })
@@ -59,7 +61,7 @@
 func decodeWork(w *schema.ServiceWork) turn.Report {
 	r := turn.Report{
 		Upstreams: make(map[turn.Key]turn.Load, len(w.GetUpstreams())),
-		Served:    make(map[turn.Key]float64, len(w.GetAccounts())),
+		Accounts:  make(map[turn.Key]turn.Standing, len(w.GetAccounts())),
 		Speed:     float64(w.GetSpeed()),
 	}
 	for _, u := range w.GetUpstreams() {
@@ -68,7 +70,7 @@
 		}
 	}
 	for _, a := range w.GetAccounts() {
-		r.Served[turn.Key(a.GetAccount())] = float64(a.GetTokens())
+		r.Accounts[turn.Key(a.GetAccount())] = turn.Standing{Served: float64(a.GetTokens()), Waiting: int(a.GetWaiting())}
 	}
 	return r
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -62,6 +62,8 @@
 	last   uint64
 	// firstEvent is when the first byte of the answer went out.
 	firstEvent time.Time
+	// answer is the error that an upstream answered the last attempt with.
+	answer *whole
 	// waited is the time in the queue.
 	waited time.Duration
 }
@@ -74,7 +76,7 @@
 	for {
 		ticket, refused := j.takeTurn(ctx)
 		if refused != nil {
-			j.refuse(refused)
+			j.refuseOrPass(refused)
 			return
 		}
 		f := j.attempt(ctx, ticket)
@@ -83,8 +85,11 @@
 			return
 		}
 		j.failed(ticket, f)
+		if f.answer != nil {
+			j.answer = f.answer
+		}
 		if ctx.Err() != nil {
-			j.refuse(j.over(ctx))
+			j.refuseOrPass(j.over(ctx))
 			return
 		}
 		if !j.mayRepeat(f) {
@@ -94,6 +99,16 @@
 	}
 }
 
+// refuseOrPass answers a request that isn't sent again: with what an upstream
+// has answered, if it has, or with a refusal.
+func (j *job) refuseOrPass(refused *refusal.Error) {
+	if j.answer != nil && !j.begun && refused.Reason != refusal.CallerGone {
+		j.pass(j.answer)
+		return
+	}
+	j.refuse(refused)
+}
+
 func (h *Handler) retries(j *job) retry.Policy { return h.State.Retries(j.service) }
 
 // demand returns what the request needs for its next turn.
@@ -213,14 +228,10 @@
 // giveUp answers a request after its last failure: with the upstream's own
 // answer when there is one, or a refusal.
 func (j *job) giveUp(f *failure) {
-	if f.answer != nil && !j.begun {
-		j.pass(f.answer)
-		return
-	}
 	if f.notRun && j.runs == 0 {
 		after := max(f.retryAfter, notReadyRetryAfter)
-		j.refuse(&refusal.Error{Reason: refusal.UpstreamBusy, Outcome: refusal.NotRun, Detail: "no upstream took the request", RetryAfter: after, Cause: f.cause})
+		j.refuseOrPass(&refusal.Error{Reason: refusal.UpstreamBusy, Outcome: refusal.NotRun, Detail: "no upstream took the request", RetryAfter: after, Cause: f.cause})
 		return
 	}
-	j.refuse(&refusal.Error{Reason: refusal.UpstreamFailed, Outcome: refusal.Unknown, Detail: "the upstream gave no whole answer", Cause: f.cause})
+	j.refuseOrPass(&refusal.Error{Reason: refusal.UpstreamFailed, Outcome: refusal.Unknown, Detail: "the upstream gave no whole answer", Cause: f.cause})
 }
--- a/turn/load.go
+++ b/turn/load.go
@@ -40,11 +40,18 @@
 // KeyOf returns the key of an id.
 func KeyOf[K ~string](id K) Key { return Key(xxhash.Sum64String(string(id))) }
 
+// Standing is what one router tells of an account.
+type Standing struct {
+	// Served is its service at the router of late, in tokens.
+	Served float64
+	// Waiting is the tokens of its requests that wait there.
+	Waiting int
+}
+
 // Report is what one router tells the others of a service.
 type Report struct {
 	Upstreams map[Key]Load
-	// Served is each account's service at the router of late.
-	Served map[Key]float64
+	Accounts  map[Key]Standing
 	// Speed is the tokens that an upstream reads in a millisecond, as observed.
 	Speed float64
 }
@@ -61,7 +68,7 @@
 	defer p.mu.Unlock()
 	r := Report{
 		Upstreams: make(map[Key]Load, len(p.engines)),
-		Served:    make(map[Key]float64, len(p.accounts)),
+		Accounts:  make(map[Key]Standing, len(p.accounts)),
 		Speed:     p.speed.value(),
 	}
 	for _, e := range p.engines {
@@ -72,8 +79,9 @@
 		}
 	}
 	for _, a := range p.accounts {
-		if served := a.own.at(now); served >= 1 {
-			r.Served[a.key] = served
+		own := Standing{Served: a.own.at(now), Waiting: a.waiting}
+		if own.Served >= 1 || own.Waiting > 0 {
+			r.Accounts[a.key] = own
 		}
 	}
 	return r
@@ -99,10 +107,7 @@
 	for _, e := range p.engines {
 		e.others = Load{}
 	}
-	for _, a := range p.accounts {
-		a.elsewhere = 0
-	}
-	served := make(map[Key]float64)
+	p.elsewhere = make(map[Key]Standing)
 	for from, h := range p.heard {
 		if now.Sub(h.at) >= loadAge {
 			delete(p.heard, from)
@@ -111,12 +116,14 @@
 		for _, e := range p.engines {
 			e.others = e.others.add(h.report.Upstreams[e.key])
 		}
-		for key, amount := range h.report.Served {
-			served[key] += amount
+		for key, there := range h.report.Accounts {
+			sum := p.elsewhere[key]
+			sum.Served += there.Served
+			sum.Waiting += there.Waiting
+			p.elsewhere[key] = sum
 		}
 	}
-	p.elsewhere = served
 	for _, a := range p.accounts {
-		a.elsewhere = served[a.key]
+		a.elsewhere = p.elsewhere[a.key]
 	}
 }
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -29,6 +29,8 @@
 	DataCenter fleet.DataCenterID
 	// Target is the time to the first event that the strictest route aims at.
 	Target time.Duration
+	// Depth is the part of the usual unread work that the request's account may use.
+	Depth float64
 }
 
 // Load returns what the fleet has at an upstream.
@@ -129,7 +131,7 @@
 	if depth <= 0 {
 		depth = defaultDepth
 	}
-	return time.Duration(depth * float64(v.Target))
+	return time.Duration(depth * v.Depth * float64(v.Target))
 }
 
 // LeastLoaded sends a request to the upstream with the least in flight for its
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -34,8 +34,10 @@
 	engines  []*engine
 	accounts map[fleet.AccountID]*account
 	heard    map[fleet.RouterID]heard
-	// elsewhere is each account's service at the other routers.
-	elsewhere map[Key]float64
+	// elsewhere is how each account stands at the other routers, keys those of
+	// accounts.
+	elsewhere map[Key]Standing
+	keys      map[Key]bool
 	speed     speed
 	detector  outlier.Detector[Instance]
 	waiting   int
@@ -110,6 +112,7 @@
 func (p *Pool) enqueue(t *Ticket, preferred *engine) {
 	a := p.account(t.demand.Account)
 	a.queue = append(a.queue, t)
+	a.waiting += t.demand.Input
 	t.preferred = preferred
 	preferred.waiting += t.demand.Input
 	p.waiting++
@@ -119,6 +122,7 @@
 func (p *Pool) dequeue(t *Ticket) {
 	a := p.account(t.demand.Account)
 	a.queue = slices.DeleteFunc(a.queue, func(other *Ticket) bool { return other == t })
+	a.waiting -= t.demand.Input
 	t.preferred.waiting -= t.demand.Input
 	p.waiting--
 }
@@ -126,15 +130,16 @@
 // expected returns when a demand's turn comes at an upstream: the time in which
 // it reads what was sent and what goes first, less what it may have unread.
 //
-// What waits here of accounts that were served more goes later. Of what waits
-// at the other routers half is taken to go first.
+// What waits of accounts that were served more goes later. What waits at the
+// other routers is taken to be spread over the upstreams evenly.
 func (p *Pool) expected(now time.Time, e *engine, d *Demand) time.Duration {
 	served := p.account(d.Account).served(now)
-	ahead := e.fleetUnread() + e.others.Waiting/2
+	ahead := e.fleetUnread()
 	for id, a := range p.accounts {
 		if id != d.Account && a.served(now) > served {
 			continue
 		}
+		ahead += a.elsewhere.Waiting / len(p.engines)
 		for _, t := range a.queue {
 			if t.preferred == e {
 				ahead += t.demand.Input
@@ -197,8 +202,10 @@
 
 func (p *Pool) startNext(now time.Time) bool {
 	for _, a := range p.byService(now) {
+		depth := p.depth(now, a)
 		for _, t := range a.queue {
 			view, ranked := p.rank(now, &t.demand)
+			view.Depth = depth
 			for _, i := range ranked {
 				if p.placement().HasRoom(view, i, &t.demand) {
 					p.start(view, t, view.engines[i])
