--- a/turn/account.go
+++ b/turn/account.go
@@ -69,8 +69,8 @@
 	// least of those that wait may use mostDepth times the usual, and one that was
 	// served twice as much excessDepth less, down to leastDepth.
 	mostDepth   = 1.25
-	excessDepth = 0.6
-	leastDepth  = 0.3
+	excessDepth = 1.0
+	leastDepth  = 0.15
 )
 
 // depth returns the part of the usual unread work up to which an account's
