--- a/forward/job.go
+++ b/forward/job.go
@@ -17,8 +17,9 @@
 
 const (
 	// streamPatience is the part of the target that a stream may wait here for
-	// its turn; the rest is for reading its prompt and for the way.
-	streamPatience = 0.8
+	// its turn; the rest is for reading its prompt and for the way. Longer waits
+	// end in late answers, which take the place of ones in time.
+	streamPatience = 0.45
 	// plainPatience is the same for other requests, whose work takes about a
 	// fifth of their target.
 	plainPatience = 0.6
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -63,7 +63,7 @@
 // Defaults of ByCache.
 const (
 	defaultOwners = 2
-	defaultDepth  = 0.4
+	defaultDepth  = 0.35
 )
 
 // Rank returns the owners of a request's beginning, the one that will have
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -102,7 +102,7 @@
 	t := &Ticket{pool: p, demand: d, asked: now, granted: make(chan struct{})}
 	best := view.engines[ranked[0]]
 	if wait := p.expected(now, best, &d); wait > d.Patience {
-		return nil, &RefusedError{Wait: wait, RetryAfter: max(wait-d.Patience, leastRetryAfter)}
+		return nil, &RefusedError{Wait: wait, RetryAfter: max(wait, leastRetryAfter)}
 	}
 	p.enqueue(t, best)
 	p.pump(now)
