platform: one client of the store, a stand-in that speaks as the platform's does

Routers remember where a router was that withdrew: one that started again while the store refused it was told nothing (TestRouterThatStartsWhileItIsRefusedIsToldByTheOthers failed first).

--- a/command/standin.go
+++ b/command/standin.go
@@ -13,10 +13,10 @@
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
 
+	"nutmeglock.example/nutmeglock/platform/standin"
 	"nutmeglock.example/nutmeglock/standin/application"
 	"nutmeglock.example/nutmeglock/standin/engine"
 	"nutmeglock.example/nutmeglock/store/memory"
-	"nutmeglock.example/nutmeglock/store/server"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
@@ -110,7 +110,7 @@
 			store := memory.New(timer.System{})
 			store.SetLag(c.Duration("vm-lag"))
 			store.SetLimits(c.Float("reads"), c.Float("writes"))
-			return serveStandIn(ctx, c, server.New(store))
+			return serveStandIn(ctx, c, standin.New(store))
 		},
 	}
 }
--- a/daemon/extensions.go
+++ b/daemon/extensions.go
@@ -4,8 +4,8 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/platform"
 	"nutmeglock.example/nutmeglock/settings"
-	"nutmeglock.example/nutmeglock/store/remote"
 )
 
 func builtIn() []Extension {
@@ -30,7 +30,7 @@
 	if p.Platform != nil {
 		return nil
 	}
-	client := remote.New(p.Settings.GetPlatform().GetUrl(), settings.PlatformTimeout(p.Settings), func(sent, received int) {
+	client := platform.NewStore(p.Settings.GetPlatform().GetUrl(), settings.PlatformTimeout(p.Settings), func(sent, received int) {
 		p.Metrics.Control(metric.Sent, metric.Platform, sent)
 		p.Metrics.Control(metric.Received, metric.Platform, received)
 	})
--- a/deployment/members.go
+++ b/deployment/members.go
@@ -46,21 +46,37 @@
 	withdrawTimeout = time.Second
 )
 
+// memberMemory is how long a router is tried that has withdrawn. Most that stop
+// are started again at the same address within seconds.
+const memberMemory = time.Minute
+
 // memberSink tells the mesh which routers to connect to.
+//
+// A router that starts while the store refuses it knows nobody, and can serve
+// nobody, unless the others remember where it was and connect to it. So a router
+// that withdrew, or has no entry any more, is tried for a while.
 type memberSink struct {
 	self  fleet.RouterID
 	peers *peer.Peers
 
 	mu        sync.Mutex
 	addresses map[fleet.RouterID]string
+	// left is when a router withdrew.
+	left map[fleet.RouterID]time.Time
 }
 
-// Replace takes the whole list. A router that is connected stays without an
-// entry: the store may refuse it, and when it starts again it knows nobody.
+// Replace takes the whole list.
 func (s *memberSink) Replace(rows []Member, as registry.Revision) {
-	connected := s.peers.Routers()
 	s.mu.Lock()
-	maps.DeleteFunc(s.addresses, func(id fleet.RouterID, _ string) bool { return !slices.Contains(connected, id) })
+	listed := make(map[fleet.RouterID]bool, len(rows))
+	for _, m := range rows {
+		listed[m.ID] = true
+	}
+	for id := range s.addresses {
+		if !listed[id] {
+			s.leave(id)
+		}
+	}
 	s.mu.Unlock()
 	s.Apply(rows, as)
 }
@@ -73,15 +89,40 @@
 		s.addresses = make(map[fleet.RouterID]string)
 	}
 	for _, m := range rows {
-		if m.Gone || m.ID == s.self {
-			delete(s.addresses, m.ID)
-			continue
+		switch {
+		case m.ID == s.self:
+		case m.Gone:
+			s.leave(m.ID)
+		default:
+			s.addresses[m.ID] = m.Address
+			delete(s.left, m.ID)
 		}
-		s.addresses[m.ID] = m.Address
 	}
+	s.forget(time.Now())
 	s.peers.Target(maps.Clone(s.addresses))
 }
 
+// leave notes that a router has no entry any more.
+func (s *memberSink) leave(id fleet.RouterID) {
+	if s.left == nil {
+		s.left = make(map[fleet.RouterID]time.Time)
+	}
+	if _, known := s.left[id]; !known {
+		s.left[id] = time.Now()
+	}
+}
+
+// forget drops the routers that left long ago and aren't connected.
+func (s *memberSink) forget(now time.Time) {
+	connected := s.peers.Routers()
+	for id, at := range s.left {
+		if now.Sub(at) >= memberMemory && !slices.Contains(connected, id) {
+			delete(s.left, id)
+			delete(s.addresses, id)
+		}
+	}
+}
+
 // heard takes the address of a router that has connected. Such a router may
 // have no entry, if the store refused it.
 func (s *memberSink) heard(c peer.Change) {
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -241,10 +241,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	execute = func() error {
 		err := a.run(ctx)
-		if ctx.Err() != nil {
-			return nil
+		if ctx.Err() == nil {
+			return eris.Wrapf(err, "part %s ended by itself", a.name)
 		}
-		return eris.Wrapf(err, "part %s ended by itself", a.name)
+		return nil
 	}
 	return execute, func(error) { cancel() }
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -48,7 +48,6 @@
 	notRun bool
 	// final failures can't be repeated.
 	final      bool
-	outcomeOf  turn.Outcome
 	retryAfter time.Duration
 	// answer is an error that the upstream answered with, to be passed on if
 	// the request isn't repeated.
--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,570 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/retry"
+	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/turn"
+	"nutmeglock.example/nutmeglock/upstream"
+)
+
+// dialect is a plain one for tests.
+type dialect struct{}
+
+func (dialect) Intake(h http.Header) (forward.Intake, error) {
+	in := forward.Intake{ID: fleet.RequestID(h.Get("X-Id")), Key: h.Get("X-Key")}
+	if left, err := time.ParseDuration(h.Get("X-Left")); err == nil {
+		in.Left = left
+	}
+	return in, nil
+}
+func (dialect) Clean(h http.Header) { h.Del("X-Key") }
+
+func (dialect) Address(h http.Header, p forward.Passing) {
+	h.Set("X-Upstream", string(p.Upstream.ID))
+	h.Set("X-Account", string(p.Account))
+	h.Set("X-Left", p.Left.String())
+	if p.After != "" {
+		h.Set("Last-Event-Id", p.After)
+	}
+}
+
+func (dialect) Verdict(_ int, h http.Header) forward.Verdict {
+	return forward.Verdict{NotRun: h.Get("X-Not-Run") != "", Genuine: h.Get("X-Signed") != ""}
+}
+
+// state is a fixed configuration.
+type state struct {
+	table *route.Table
+	pool  *turn.Pool
+}
+
+func (s state) Table() *route.Table                  { return s.table }
+func (s state) Pool(fleet.ServiceID) *turn.Pool      { return s.pool }
+func (s state) Retries(fleet.ServiceID) retry.Policy { return &retry.Unlimited{} }
+
+// upstreams counts what reaches them.
+type upstreams struct {
+	mu      sync.Mutex
+	reached []*http.Request
+	bodies  []string
+}
+
+func (u *upstreams) note(r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reached = append(u.reached, r)
+	u.bodies = append(u.bodies, string(body))
+}
+
+func (u *upstreams) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.reached)
+}
+
+type fixture struct {
+	*upstreams
+	front   *httptest.Server
+	handler *forward.Handler
+}
+
+// start serves with upstreams that answer by fns, and routes of each kind.
+func start(t *testing.T, fns ...http.HandlerFunc) *fixture {
+	t.Helper()
+	f := &fixture{upstreams: &upstreams{}}
+	var list []registry.Upstream
+	for i, fn := range fns {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.note(r)
+			w.Header().Set("X-Id", r.Header.Get("X-Id"))
+			fn(w, r)
+		}))
+		t.Cleanup(server.Close)
+		list = append(list, registry.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Address: server.Listener.Addr().String(), Slots: 8})
+	}
+	return f.serve(t, list)
+}
+
+func (f *fixture) serve(t *testing.T, list []registry.Upstream) *fixture {
+	t.Helper()
+	shares := []route.Share{{Service: "s", Weight: 1}}
+	table := route.NewTable(route.Configuration{
+		Version: 3,
+		Routes: []route.Route{
+			{Name: "order", Host: "h", Prefix: "/order/", Kind: route.NonIdempotent, Shares: shares, Timeout: 2 * time.Second, Target: time.Second, Attempts: 2},
+			{Name: "read", Host: "h", Prefix: "/read/", Kind: route.Safe, Shares: shares, Timeout: 2 * time.Second, Target: time.Second, Attempts: 2},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Shares: shares, Timeout: 5 * time.Second, Target: time.Second, MaxPause: 200 * time.Millisecond, Attempts: 2},
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: route.Streaming, Shares: shares, Timeout: 5 * time.Second, Target: time.Second, MaxPause: time.Second, Attempts: 2},
+			{Name: "short", Host: "h", Prefix: "/short/", Kind: route.NonIdempotent, Shares: shares, Timeout: 200 * time.Millisecond, Target: 100 * time.Millisecond, Attempts: 1},
+			{Name: "public", Host: "h", Prefix: "/public/", Kind: route.Safe, Public: true, Shares: shares, Timeout: time.Second, Target: time.Second, Attempts: 1},
+		},
+		Services: []route.Service{{ID: "s"}},
+		Accounts: []route.Account{{ID: "ada", Keys: []string{"k"}}},
+		Limits:   route.Limits{MaxBodyBytes: 1 << 20},
+	})
+	pool := &turn.Pool{Placement: turn.LeastLoaded{}}
+	pool.Set(time.Now(), list, time.Second)
+	client := &upstream.Client{Echoed: func(h http.Header) fleet.RequestID { return fleet.RequestID(h.Get("X-Id")) }}
+	t.Cleanup(client.Close)
+	f.handler = &forward.Handler{
+		Dialect: dialect{}, State: state{table, pool}, Client: client,
+		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
+	}
+	f.front = httptest.NewServer(f.handler)
+	t.Cleanup(f.front.Close)
+	return f
+}
+
+func (f *fixture) request(t *testing.T, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, f.front.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	r.Host = "h"
+	r.Header.Set("X-Id", "id-1")
+	r.Header.Set("X-Key", "k")
+	return r
+}
+
+func (f *fixture) do(t *testing.T, r *http.Request) (int, string, http.Header, error) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	answer, err := client.Do(r)
+	if err != nil {
+		return 0, "", nil, err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return answer.StatusCode, string(body), answer.Header, err
+}
+
+func (f *fixture) ask(t *testing.T, path string) (int, string, http.Header, error) {
+	t.Helper()
+	return f.do(t, f.request(t, http.MethodPost, path, "body"))
+}
+
+func served(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Signed", "yes")
+	_, _ = io.WriteString(w, "served")
+}
+
+func notRun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func failing(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("X-Signed", "yes")
+	w.WriteHeader(http.StatusInternalServerError)
+	_, _ = io.WriteString(w, "own error")
+}
+
+func resets(w http.ResponseWriter, _ *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err == nil {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
+func TestRequestAndAnswerPassUnchanged(t *testing.T) {
+	t.Parallel()
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "sig")
+		w.Header().Set("X-More", "kept")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, "made")
+	})
+	status, body, header, err := f.ask(t, "/order/a%20b/c?x=1&y=%2f")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusCreated, status)
+	require.Equal(t, "made", body)
+	require.Equal(t, "sig", header.Get("X-Signed"))
+	require.Equal(t, "kept", header.Get("X-More"))
+	got := f.reached[0]
+	require.Equal(t, "/order/a%20b/c?x=1&y=%2f", got.RequestURI)
+	require.Equal(t, "h", got.Host)
+	require.Equal(t, "body", f.bodies[0])
+	require.Equal(t, "ada", got.Header.Get("X-Account"))
+	require.Empty(t, got.Header.Get("X-Key"))
+}
+
+func TestWhatIsNotForwarded(t *testing.T) {
+	t.Parallel()
+	f := start(t, served)
+	cases := []struct {
+		path, key string
+		status    int
+	}{
+		{"/none/", "k", http.StatusNotFound},
+		{"/read/", "wrong", http.StatusUnauthorized},
+		{"/read/", "", http.StatusUnauthorized},
+	}
+	for _, c := range cases {
+		r := f.request(t, http.MethodGet, c.path, "")
+		r.Header.Set("X-Key", c.key)
+		status, _, _, err := f.do(t, r)
+		require.NoError(t, err)
+		require.Equal(t, c.status, status, c.path)
+	}
+	require.Zero(t, f.count())
+	r := f.request(t, http.MethodGet, "/public/", "")
+	r.Header.Del("X-Key")
+	status, _, _, err := f.do(t, r)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+}
+
+// A router has just started and knows no configuration. It must not say that a
+// route or a key doesn't exist; the caller would not come back.
+func TestRouterWithoutConfigurationPromisesNothing(t *testing.T) {
+	t.Parallel()
+	f := start(t, served)
+	f.handler.State = state{}
+	status, _, header, err := f.ask(t, "/order/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+}
+
+// What an upstream did with an order, and what its caller may be told. A status
+// that says "not run" while a team is on its way would send a second one.
+func TestOrdersAreSentAgainOnlyWhenNotRun(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name    string
+		fns     []http.HandlerFunc
+		status  int
+		reached int
+	}{
+		{"one says not run, the other serves", []http.HandlerFunc{notRun, served}, http.StatusOK, -1},
+		{"all say not run", []http.HandlerFunc{notRun, notRun}, http.StatusServiceUnavailable, 2},
+		{"reset after it was read", []http.HandlerFunc{resets, resets}, http.StatusBadGateway, 1},
+		{"own error", []http.HandlerFunc{failing, failing}, http.StatusInternalServerError, 1},
+		{"success without signature", []http.HandlerFunc{func(http.ResponseWriter, *http.Request) {}}, http.StatusBadGateway, 1},
+		{"busy without saying that it wasn't run", []http.HandlerFunc{func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }}, http.StatusBadGateway, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, c.fns...)
+			status, _, _, err := f.ask(t, "/order/1")
+			require.NoError(t, err)
+			require.Equal(t, c.status, status)
+			if c.reached >= 0 {
+				require.Equal(t, c.reached, f.count())
+			}
+		})
+	}
+}
+
+// Nothing listens where the upstream was. Nothing was sent, so the order goes
+// elsewhere, or its caller hears truly that it wasn't run.
+func TestUnreachableUpstreamIsNotRun(t *testing.T) {
+	t.Parallel()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	f := (&fixture{upstreams: &upstreams{}}).serve(t, []registry.Upstream{{ID: "gone", Address: address, Slots: 8}})
+	status, _, _, err := f.ask(t, "/order/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+}
+
+// An application answers a read with an error of its own. The read may be
+// repeated; if all answer so, the caller gets the upstream's own answer.
+func TestReadsAreRepeated(t *testing.T) {
+	t.Parallel()
+	for range 4 {
+		f := start(t, failing, served)
+		status, _, _, err := f.ask(t, "/read/1")
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+	}
+	f := start(t, failing, failing, failing)
+	status, body, header, err := f.ask(t, "/read/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusInternalServerError, status)
+	require.Equal(t, "own error", body)
+	require.Equal(t, "yes", header.Get("X-Signed"))
+	require.Equal(t, 2, f.count())
+}
+
+// events writes the events from..to and ends the answer, or breaks it off in
+// the middle of the next event.
+func events(from, to int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		w.Header().Set("Content-Type", "text/event-stream")
+		if last := r.Header.Get("Last-Event-Id"); last != "" {
+			_, _ = fmt.Sscan(last, &from)
+			from++
+		}
+		for i := from; i <= to; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func expect(to int) string {
+	var b strings.Builder
+	for i := 1; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// An engine breaks off in the middle of an event. The stream goes on at another
+// engine after the last whole event, and the caller sees each event once.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	var once sync.Once
+	first := func(w http.ResponseWriter, r *http.Request) {
+		fn := events(1, 6, true)
+		once.Do(func() { fn = events(1, 3, false) })
+		fn(w, r)
+	}
+	f := start(t, first, first)
+	status, body, _, err := f.ask(t, "/stream/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, expect(6), body)
+	require.Equal(t, "3", f.reached[1].Header.Get("Last-Event-Id"))
+}
+
+// An engine goes on with a gap, or from the beginning. Events that the caller
+// has are left out; a gap ends the answer visibly, since it can't be filled.
+func TestResumedStreamsAreJoinedExactly(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		again http.HandlerFunc
+		whole bool
+	}{
+		{"from the beginning", func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del("Last-Event-Id")
+			events(1, 5, true)(w, r)
+		}, true},
+		{"with a gap", func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del("Last-Event-Id")
+			events(4, 5, true)(w, r)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			fn := func(w http.ResponseWriter, r *http.Request) {
+				chosen := c.again
+				once.Do(func() { chosen = events(1, 2, false) })
+				chosen(w, r)
+			}
+			f := start(t, fn, fn)
+			_, body, _, err := f.ask(t, "/stream/1")
+			if c.whole {
+				require.NoError(t, err)
+				require.Equal(t, expect(5), body)
+				return
+			}
+			require.Error(t, err)
+			require.Equal(t, expect(2), body)
+		})
+	}
+}
+
+// A stream that must not run twice breaks off. Its caller sees the break.
+func TestStreamThatMayNotGoOnBreaksOffVisibly(t *testing.T) {
+	t.Parallel()
+	f := start(t, events(1, 3, false), events(1, 3, false))
+	_, body, _, err := f.ask(t, "/once/1")
+	require.Error(t, err)
+	require.Equal(t, expect(3), body)
+	require.Equal(t, 1, f.count())
+}
+
+// An engine accepts a request and is silent. A stream that may go on elsewhere
+// does so while its caller still waits.
+func TestSilentEngineIsLeft(t *testing.T) {
+	t.Parallel()
+	var once sync.Once
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		stuck := false
+		once.Do(func() { stuck = true })
+		if stuck {
+			<-r.Context().Done()
+			return
+		}
+		events(1, 2, true)(w, r)
+	}
+	f := start(t, silent, silent)
+	begin := time.Now()
+	_, body, _, err := f.ask(t, "/stream/1")
+	require.NoError(t, err)
+	require.Equal(t, expect(2), body)
+	require.Less(t, time.Since(begin), 4*time.Second)
+}
+
+// The time of a route is over while the upstream still works. The caller gets
+// the final answer then, and the upstream is told to stop.
+func TestRouteTimeoutEndsARequest(t *testing.T) {
+	t.Parallel()
+	stopped := make(chan struct{})
+	f := start(t, func(_ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		close(stopped)
+	})
+	begin := time.Now()
+	status, _, _, err := f.ask(t, "/short/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Less(t, time.Since(begin), 600*time.Millisecond)
+	select {
+	case <-stopped:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the upstream was not told")
+	}
+	left, err := time.ParseDuration(f.reached[0].Header.Get("X-Left"))
+	require.NoError(t, err)
+	require.LessOrEqual(t, left, 200*time.Millisecond)
+}
+
+// A caller leaves in the middle of its stream. The engine hears of it at once
+// and stops generating for nobody.
+func TestCallerThatLeavesStopsItsEngine(t *testing.T) {
+	t.Parallel()
+	stopped := make(chan time.Time, 1)
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		stopped <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r := f.request(t, http.MethodPost, "/stream/1", "body").WithContext(ctx)
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	line, err := bufio.NewReader(answer.Body).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\n", line)
+	left := time.Now()
+	cancel()
+	select {
+	case at := <-stopped:
+		require.Less(t, at.Sub(left), 500*time.Millisecond)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the engine was not told")
+	}
+}
+
+// A router stops. Answers ask their callers to connect elsewhere, requests in
+// hand end, and what comes then is refused as not run.
+func TestStopping(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		served(w, r)
+	})
+	type outcome struct {
+		status int
+		err    error
+	}
+	inHand := make(chan outcome, 1)
+	first := f.request(t, http.MethodPost, "/order/1", "body")
+	go func() {
+		status, _, _, err := f.do(t, first)
+		inHand <- outcome{status, err}
+	}()
+	require.Eventually(t, func() bool { return f.count() == 1 }, 5*time.Second, time.Millisecond)
+	f.handler.Leave()
+	f.handler.Refuse()
+	status, _, header, err := f.ask(t, "/order/2")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	close(release)
+	require.Equal(t, outcome{http.StatusOK, nil}, <-inHand)
+	require.NoError(t, f.handler.Wait(t.Context()))
+	require.Equal(t, 1, f.count())
+}
+
+func BenchmarkWhole(b *testing.B) {
+	f := benchmark(b, served)
+	for b.Loop() {
+		f(b, "/order/1")
+	}
+}
+
+func BenchmarkStream(b *testing.B) {
+	f := benchmark(b, events(1, 100, true))
+	for b.Loop() {
+		f(b, "/stream/1")
+	}
+}
+
+func benchmark(b *testing.B, fn http.HandlerFunc) func(b *testing.B, path string) {
+	b.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		fn(w, r)
+	}))
+	b.Cleanup(server.Close)
+	shares := []route.Share{{Service: "s", Weight: 1}}
+	table := route.NewTable(route.Configuration{Version: 1, Routes: []route.Route{
+		{Host: "h", Prefix: "/order/", Kind: route.NonIdempotent, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
+		{Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
+	}})
+	pool := &turn.Pool{Placement: turn.LeastLoaded{}}
+	pool.Set(time.Now(), []registry.Upstream{{ID: "u", Address: server.Listener.Addr().String(), Slots: 64}}, time.Second)
+	handler := &forward.Handler{
+		Dialect: dialect{}, State: state{table, pool}, Client: &upstream.Client{},
+		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
+	}
+	front := httptest.NewServer(handler)
+	b.Cleanup(front.Close)
+	client := front.Client()
+	return func(b *testing.B, path string) {
+		b.Helper()
+		r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, front.URL+path, strings.NewReader("body"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Host = "h"
+		answer, err := client.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+}
--- a/forward/job.go
+++ b/forward/job.go
@@ -202,7 +202,7 @@
 	if f.final || j.sends >= maxSends {
 		return false
 	}
-	if j.begun && !(j.route.Kind == route.Streaming && j.route.Resumable) {
+	if j.begun && (j.route.Kind != route.Streaming || !j.route.Resumable) {
 		return false
 	}
 	if !f.notRun && (!j.route.Idempotent() || j.runs >= j.route.Attempts) {
--- a/local/local.go
+++ b/local/local.go
@@ -20,12 +20,12 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/operator"
+	"nutmeglock.example/nutmeglock/platform/standin"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/standin/application"
 	"nutmeglock.example/nutmeglock/standin/engine"
 	"nutmeglock.example/nutmeglock/store"
 	"nutmeglock.example/nutmeglock/store/memory"
-	"nutmeglock.example/nutmeglock/store/server"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
@@ -115,7 +115,7 @@
 const defaultSlots = 32
 
 func (f *Fleet) start(ctx, running context.Context) error {
-	url, err := f.serve(ctx, server.New(f.Platform))
+	url, err := f.serve(ctx, standin.New(f.Platform))
 	if err != nil {
 		return err
 	}
--- a/scenario/count.go
+++ b/scenario/count.go
@@ -7,7 +7,7 @@
 	"strconv"
 	"strings"
 
-	"nutmeglock.example/nutmeglock/store/wire"
+	"nutmeglock.example/nutmeglock/platform/standin"
 )
 
 // runs checks how many times an upstream has run a call:
@@ -211,7 +211,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + wire.CountsPath})
+	r := w.send(request{method: http.MethodGet, url: "http://" + p.address + standin.CountsPath})
 	if r.err != nil {
 		return nil, r.err
 	}
--- a/scenario/fleet.go
+++ b/scenario/fleet.go
@@ -9,9 +9,9 @@
 	"strings"
 
 	"nutmeglock.example/nutmeglock/note"
+	"nutmeglock.example/nutmeglock/platform/standin"
 	"nutmeglock.example/nutmeglock/standin/fault"
 	"nutmeglock.example/nutmeglock/store"
-	"nutmeglock.example/nutmeglock/store/wire"
 )
 
 // The keys that scripts use. An account's key is its id with keySuffix.
@@ -161,19 +161,19 @@
 	for _, name := range a.list("leaving") {
 		leaving[name] = true
 	}
-	reply := wire.VMsReply{VMs: []wire.VM{}}
+	reply := standin.VMsOrder{VMs: []standin.VM{}}
 	for _, name := range a.words[1:] {
 		p, err := w.find(name)
 		if err != nil {
 			return err
 		}
-		vm := wire.VM{Name: name, Role: store.UpstreamVM, Address: p.address, DataCenter: dataCenter, Leaving: leaving[name]}
+		vm := standin.VM{Name: name, Role: store.UpstreamVM, Address: p.address, DataCenter: dataCenter, Leaving: leaving[name]}
 		if p.kind == routerKind {
 			vm.Role, vm.Address = store.RouterVM, p.peer
 		}
 		reply.VMs = append(reply.VMs, vm)
 	}
-	return w.order(a.words[0], http.MethodPut, wire.VMsPath, reply)
+	return w.order(a.words[0], http.MethodPut, standin.VMsPath, reply)
 }
 
 // setFault replaces the faults of a stand-in by one, or by none:
@@ -198,7 +198,7 @@
 			Times: n[0], DelayMs: n[1], Commits: n[2], Commit: n[3], Events: n[4],
 		})
 	}
-	return w.order(a.words[0], http.MethodPut, wire.FaultsPath, orders)
+	return w.order(a.words[0], http.MethodPut, standin.FaultsPath, orders)
 }
 
 // limits bounds the operations a second of a platform:
@@ -212,7 +212,7 @@
 	if err != nil {
 		return err
 	}
-	return w.order(a.words[0], http.MethodPut, wire.LimitsPath, wire.Limits{Reads: float64(n[0]), Writes: float64(n[1])})
+	return w.order(a.words[0], http.MethodPut, standin.LimitsPath, standin.Limits{Reads: float64(n[0]), Writes: float64(n[1])})
 }
 
 // drain tells upstreams to take no new work and finish what they have:
--- a/socket/pending_linux.go
+++ b/socket/pending_linux.go
@@ -9,7 +9,7 @@
 	err := raw.Read(func(fd uintptr) bool {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		pending = err != syscall.EAGAIN //nolint:errorlint // a system call returns the number itself
+		pending = err != syscall.EAGAIN
 		return true
 	})
 	return err != nil || pending
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"maps"
 	"strings"
 	"sync"
@@ -24,6 +25,7 @@
 	OperationPut    = "put"
 	OperationGet    = "get"
 	OperationList   = "list"
+	OperationWatch  = "watch"
 )
 
 // The causes of the errors that faults bring about.
@@ -49,6 +51,10 @@
 	writes  bucket
 	waiting int
 	counts  map[string]int
+	// kept is the commit from which the history of changes is there, and changed
+	// is closed at the next commit.
+	kept    uint64
+	changed chan struct{}
 }
 
 // New returns an empty platform that tells the time by clock.
@@ -80,6 +86,14 @@
 	p.vms.Set(p.clock.Now(), append([]store.VM{}, vms...))
 }
 
+// VMs returns the VMs that are visible after the lag, whatever faults are in force.
+func (p *Platform) VMs() []store.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	visible, _ := p.vms.Get(p.clock.Now())
+	return append([]store.VM{}, visible...)
+}
+
 // Commits returns the number of transactions that have taken effect.
 func (p *Platform) Commits() uint64 {
 	p.mu.Lock()
@@ -108,6 +122,77 @@
 	return p.waiting
 }
 
+// Change is a row that was written or removed.
+type Change struct {
+	Row     store.Row
+	Removed bool
+}
+
+// HistoryLostError is the error of a watch after a commit whose changes were dropped.
+type HistoryLostError struct{ After, Kept uint64 }
+
+// Error names both commits.
+func (e *HistoryLostError) Error() string {
+	return fmt.Sprintf("changes after commit %d are dropped up to %d", e.After, e.Kept)
+}
+
+// DropHistory forgets the changes up to now: watches that ask for older ones fail.
+func (p *Platform) DropHistory() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kept = p.table.commits
+	p.wake()
+}
+
+// Watch returns the changes of a prefix after a commit as soon as there are
+// any or wait has passed, and the latest commit.
+func (p *Platform) Watch(ctx context.Context, prefix store.Key, after uint64, wait time.Duration) ([]Change, uint64, error) {
+	p.count(OperationWatch)
+	if f, faulty := p.Faults.Take(OperationWatch, string(prefix)); faulty {
+		if err := p.playRead(ctx, OperationWatch, f); err != nil {
+			return nil, 0, err
+		}
+	}
+	over := make(chan struct{})
+	timeout := p.clock.After(wait, func(time.Time) { close(over) })
+	defer timeout.Cancel()
+	for {
+		changes, commit, next, err := p.changesAfter(after, prefix)
+		if err != nil || len(changes) > 0 {
+			return changes, commit, err
+		}
+		select {
+		case <-next:
+		case <-over:
+			return nil, commit, nil
+		case <-ctx.Done():
+			return nil, 0, &store.UnavailableError{Operation: OperationWatch, Cause: ctx.Err()}
+		}
+	}
+}
+
+// changesAfter returns the changes after a commit, the latest commit, and a
+// channel that is closed at the next.
+func (p *Platform) changesAfter(after uint64, prefix store.Key) ([]Change, uint64, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if after < p.kept {
+		return nil, 0, nil, &HistoryLostError{After: after, Kept: p.kept}
+	}
+	if p.changed == nil {
+		p.changed = make(chan struct{})
+	}
+	return p.table.changes(after, prefix), p.table.commits, p.changed, nil
+}
+
+// wake ends the waits for a change. The lock must be held.
+func (p *Platform) wake() {
+	if p.changed != nil {
+		close(p.changed)
+		p.changed = nil
+	}
+}
+
 // Read returns a row for each key at one moment, or an older one under a stale fault.
 func (p *Platform) Read(ctx context.Context, keys ...store.Key) ([]store.Row, error) {
 	var rows []store.Row
@@ -163,6 +248,7 @@
 		keys = append(keys, string(write.Key))
 	}
 	return p.write(ctx, OperationCommit, keys, func() error {
+		defer p.wake()
 		return p.table.commit(p.clock.Now(), txn)
 	})
 }
--- a/store/memory/table.go
+++ b/store/memory/table.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -74,6 +75,26 @@
 	return rows
 }
 
+// changes returns the rows of a prefix that a commit after the given one wrote
+// or removed, in the order of their commits. Those removed have no value.
+func (t *table) changes(after uint64, prefix store.Key) []Change {
+	var changes []Change
+	for _, key := range t.keys {
+		values := t.history[key]
+		last := values[len(values)-1]
+		if last.commit <= after || !hasPrefix(key, prefix) {
+			continue
+		}
+		row := store.Row{Key: key, Version: store.RowVersion(last.commit)}
+		if !last.removed {
+			row.Value = slices.Clone(last.data)
+		}
+		changes = append(changes, Change{Row: row, Removed: last.removed})
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return cmp.Compare(a.Row.Version, b.Row.Version) })
+	return changes
+}
+
 func (t *table) commit(now time.Time, txn store.Txn) error {
 	for _, check := range txn.Checks {
 		found := t.row(t.commits, check.Key).Version
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -84,7 +84,7 @@
 	x := &exchange{client: c, conn: connection, address: address, written: make(chan struct{})}
 	x.release = context.AfterFunc(ctx, x.abort)
 	x.send(request)
-	response, err := x.receive(request)
+	response, err := x.receive(request) //nolint:bodyclose // the answer closes it
 	if err != nil {
 		x.abort()
 		<-x.written
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -114,7 +114,7 @@
 func (x *exchange) receive(sent Request) (*http.Response, error) {
 	request := &http.Request{Method: sent.Method}
 	for stray := 0; ; {
-		response, err := http.ReadResponse(x.conn.reader, request) //nolint:bodyclose // Answer closes it
+		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return nil, err
 		}
@@ -222,7 +222,7 @@
 	if err == nil {
 		return n, nil
 	}
-	if err == io.EOF { //nolint:errorlint // a reader returns it bare
+	if err == io.EOF {
 		b.finish(true)
 		return n, err
 	}
