--- a/command/command.go
+++ b/command/command.go
@@ -8,7 +8,7 @@
 		Name:  "nutmeglock",
 		Usage: "a router fleet that shares model and application capacity fairly",
 		Commands: []*cli.Command{
-			Router(), Edge(), Run(), CheckSettings(), Note(), Account(), Service(), Upstream(), Key(),
+			Router(), Edge(), Explain(), Run(), CheckSettings(), Note(), Account(), Service(), Upstream(), Key(),
 			StandIn(), Experiment(), Replay(), Measure(),
 		},
 	}
--- /dev/null
+++ b/command/explain.go
@@ -0,0 +1,57 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"nutmeglock.example/nutmeglock/explain"
+)
+
+// Explain returns the command that tells a request's story from logs.
+func Explain() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell what became of a request, from routers' logs",
+		ArgsUsage: "ID [FILE...]",
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return cli.Exit("explain: give a request's id", ExitUsage)
+			}
+			e := &explain.Explainer{Request: c.Args().First(), Out: c.Root().Writer}
+			if err := explainAll(e, c.Args().Tail()); err != nil {
+				return err
+			}
+			if e.Found() == 0 {
+				return cli.Exit(fmt.Sprintf("explain: no line of request %s", e.Request), ExitFailed)
+			}
+			return nil
+		},
+	}
+}
+
+// explainAll reads the files, or standard input when there are none.
+func explainAll(e *explain.Explainer, files []string) error {
+	if len(files) == 0 {
+		return e.Read(os.Stdin)
+	}
+	for _, name := range files {
+		if err := explainFile(e, name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func explainFile(e *explain.Explainer, name string) error {
+	file, err := os.Open(name) //nolint:gosec // the operator names the file
+	if err != nil {
+		return eris.Wrap(err, "opening a log")
+	}
+	defer func(c io.Closer) { _ = c.Close() }(file)
+	return e.Read(file)
+}
--- /dev/null
+++ b/explain/explain_test.go
@@ -0,0 +1,79 @@
+package explain_test
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/explain"
+)
+
+// Each case is a log whose name is a request's id, beside the story expected.
+func TestStories(t *testing.T) {
+	t.Parallel()
+	logs, err := filepath.Glob("testdata/*.log")
+	require.NoError(t, err)
+	require.NotEmpty(t, logs)
+	for _, log := range logs {
+		id := strings.TrimSuffix(filepath.Base(log), ".log")
+		t.Run(id, func(t *testing.T) {
+			t.Parallel()
+			file, err := os.Open(log)
+			require.NoError(t, err)
+			defer file.Close()
+			var out bytes.Buffer
+			e := explain.Explainer{Request: id, Out: &out}
+			require.NoError(t, e.Read(file))
+			expected, err := os.ReadFile(strings.TrimSuffix(log, ".log") + ".story")
+			require.NoError(t, err)
+			require.Equal(t, string(expected), out.String())
+			require.Positive(t, e.Found())
+		})
+	}
+}
+
+func TestUnknownRequestHasNoStory(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	e := explain.Explainer{Request: "none", Out: &out}
+	require.NoError(t, e.Read(strings.NewReader("no line\n{\"msg\":\"started\"}\n{broken\n")))
+	require.Zero(t, e.Found())
+	require.Empty(t, out.String())
+}
+
+// endless repeats a line until so many bytes were read.
+type endless struct {
+	unit string
+	left int
+	at   int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.left <= 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, e.unit[e.at:])
+	e.at = (e.at + n) % len(e.unit)
+	e.left -= n
+	return n, nil
+}
+
+// A log of an hour is larger than memory. Reading it must not keep it.
+func TestLargeLogIsReadAsAStream(t *testing.T) { //nolint:paralleltest // it measures the memory of the process
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	e := explain.Explainer{Request: "x", Out: &bytes.Buffer{}}
+	unit := `{"time":"2026-01-01T00:00:00Z","msg":"upstream changed","router":"r","upstream":"u"}` + "\n"
+	require.NoError(t, e.Read(&endless{unit: unit, left: 20 << 20}))
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(2<<20))
+	require.Zero(t, e.Found())
+}
--- /dev/null
+++ b/explain/testdata/9e0387d2446797e8.story
@@ -0,0 +1,1 @@
+18:13:27.933 edge-mikkeli-dc-1 refused: deadline-before-turn (not-run) after 640.4 ms, of which 640.3 in the queue; 0 sent, 0 may have run, 0 events passed; route r-cw8554d, account vohu830, configuration 3; asked back after 154 ms; turn expected in 153.957435ms after 640.246282ms
