--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -110,7 +110,7 @@
 // lacks reports whether another router knows something newer.
 func (m *mesh) lacks(a *schema.Announcement) bool {
 	return a.GetConfigurationVersion() > uint64(m.state.Table().Version()) ||
-		a.GetUpstreamRevision() > uint64(m.state.Revision())
+		a.GetUpstreamRevision() > uint64(m.state.Settled())
 }
 
 // ask asks another router for what is newer there, unless it came meanwhile.
@@ -135,7 +135,7 @@
 	defer cancel()
 	own := m.announcement()
 	var body answerBody
-	q := question{Configuration: own.GetConfigurationVersion(), Upstreams: own.GetUpstreamRevision()}
+	q := question{Configuration: own.GetConfigurationVersion(), Upstreams: uint64(m.state.Settled())}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, q, &body); err != nil {
 		return err
 	}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -64,6 +64,9 @@
 	// RetryRatio and RetryBurst bound the retries of a service at this router.
 	RetryRatio float64
 	RetryBurst float64
+	// MaxConnections is how many connections of callers are kept; answers beyond
+	// it close theirs.
+	MaxConnections int
 	// Grace is the time between the request to stop and the end of the process.
 	Grace time.Duration
 	Log   *slog.Logger
@@ -79,7 +82,9 @@
 	metrics  *metric.Set
 	registry *prometheus.Registry
 	stopping atomic.Bool
-	actors   []actor
+	// connections is how many connections of callers are open.
+	connections atomic.Int64
+	actors      []actor
 }
 
 type actor struct {
@@ -99,6 +104,7 @@
 	r.client = &upstream.Client{Echoed: options.Echoed, Opened: r.metrics.Connections.Inc}
 	r.handler = &forward.Handler{
 		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics, Log: options.Log,
+		Crowded: r.isCrowded,
 	}
 	if err := r.connect(ctx); err != nil {
 		return nil, err
@@ -155,13 +161,15 @@
 	ready.GET(r.options.ReadyPath, r.ready)
 	metrics := echo.New()
 	metrics.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})))
+	callers := r.newServer(r.handler)
+	callers.ConnState = r.countConnection
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
 	}{
-		{"callers", r.options.CallerAddress, newServer(r.handler)},
-		{"readiness", r.options.ReadyAddress, newServer(ready)},
-		{"metrics", r.options.MetricsAddress, newServer(metrics)},
+		{"callers", r.options.CallerAddress, callers},
+		{"readiness", r.options.ReadyAddress, r.newServer(ready)},
+		{"metrics", r.options.MetricsAddress, r.newServer(metrics)},
 	} {
 		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", l.address)
 		if err != nil {
@@ -172,12 +180,31 @@
 	return nil
 }
 
-func newServer(handler http.Handler) *http.Server {
+func (r *Router) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeader,
+		ErrorLog: slog.NewLogLogger(r.options.Log.Handler(), slog.LevelWarn),
 	}
 }
 
+func (r *Router) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		r.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		r.connections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// isCrowded reports whether more connections of callers are open than are kept.
+//
+// It answers callers that repeat at once and often, each time on a new
+// connection, and leave the former open. A process that runs out of descriptors
+// accepts nobody for seconds; callers wait, leave, and their requests are read
+// and passed on when nobody waits for them any more.
+func (r *Router) isCrowded() bool { return r.connections.Load() > int64(r.options.MaxConnections) }
+
 // serve returns an actor that ends once the server was closed.
 func serve(server *http.Server, listener net.Listener) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -113,6 +113,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.changed(s.directory.Replace(time.Now(), list, as), from)
+	s.settleWhenDue()
 }
 
 // ApplyUpstreams takes changes of the list.
@@ -120,6 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.changed(s.directory.Apply(time.Now(), changes), from)
+	s.settleWhenDue()
 }
 
 // HearUpstreams takes changes that another router told.
@@ -136,6 +138,9 @@
 // Revision returns that of the latest change of the list that took effect here.
 func (s *State) Revision() registry.Revision { return s.directory.Latest() }
 
+// Settled returns the revision up to which all changes took effect here.
+func (s *State) Settled() registry.Revision { return s.directory.Settled() }
+
 // LoseUpstreams says that the list can't be read.
 func (s *State) LoseUpstreams() {
 	s.mu.Lock()
@@ -148,15 +153,22 @@
 func (s *State) RegainUpstreams() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	due := s.directory.Regained(now)
-	time.AfterFunc(due.Sub(now)+time.Millisecond, s.settle)
+	s.directory.Regained(time.Now())
+	s.settleWhenDue()
+}
+
+// settleWhenDue looks again when the first lapsed entry is gone.
+func (s *State) settleWhenDue() {
+	if due, some := s.directory.Due(); some {
+		time.AfterFunc(time.Until(due)+time.Millisecond, s.settle)
+	}
 }
 
 func (s *State) settle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.changed(s.directory.Settle(time.Now()), "lapsed in an outage")
+	s.settleWhenDue()
 }
 
 // changed logs what changed, and makes it take effect.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -93,13 +93,16 @@
 	Retries(service fleet.ServiceID) retry.Policy
 }
 
-// Handler serves callers. All fields have to be set.
+// Handler serves callers. All fields have to be set but Crowded.
 type Handler struct {
 	Dialect Dialect
 	State   State
 	Client  *upstream.Client
 	Metrics *metric.Set
 	Log     *slog.Logger
+	// Crowded reports whether connections should close after their answer, because
+	// too many are open; nil never.
+	Crowded func() bool
 
 	held   held
 	served atomic.Uint64
@@ -113,7 +116,7 @@
 	h.held.enter()
 	defer h.held.leave()
 	j := &job{handler: h, writer: w, request: r, arrived: time.Now()}
-	if h.held.isLeaving() {
+	if h.held.isLeaving() || (h.Crowded != nil && h.Crowded()) {
 		w.Header().Set("Connection", "close")
 	}
 	if err := j.admit(); err != nil {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -486,6 +486,22 @@
 	}
 }
 
+// Callers repeat at once, each time on a new connection, and leave the former
+// open. Beyond a bound each answer closes its connection, or the process runs out
+// of descriptors and accepts nobody.
+func TestCrowdedRouterClosesConnectionsAfterTheirAnswer(t *testing.T) {
+	t.Parallel()
+	f := start(t, served)
+	for _, crowded := range []bool{false, true} {
+		f.handler.Crowded = func() bool { return crowded }
+		answer, err := http.DefaultClient.Do(f.request(t, http.MethodPost, "/read/1", "body"))
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Equal(t, crowded, answer.Close)
+	}
+}
+
 // A router stops. Answers ask their callers to connect elsewhere, requests in
 // hand end, and what comes then is refused as not run.
 func TestStopping(t *testing.T) {
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -23,6 +23,15 @@
 // entries again within about two seconds; the rest is for the way to here.
 const returnGrace = 2200 * time.Millisecond
 
+// An entry that vanishes later than catchUp after the return was removed while
+// the list could be read: it may still have lapsed, if its upstream was slow to
+// come back, but has more probably left, and an upstream that has left must get
+// nothing new two seconds after that. So it stays for lapseGrace only.
+const (
+	catchUp    = 300 * time.Millisecond
+	lapseGrace = 1400 * time.Millisecond
+)
+
 // Revision orders the changes of the platform's list.
 type Revision uint64
 
@@ -52,8 +61,10 @@
 // entry is what is known of one id.
 type entry struct {
 	change Change
-	// lapsed is set while an entry that vanished during an outage may still return.
+	// lapsed is set while an entry that vanished in or after an outage may still
+	// return, until then.
 	lapsed bool
+	until  time.Time
 }
 
 // Directory is the list as one router knows it. Its zero value is empty. It is
@@ -62,7 +73,9 @@
 	mu      sync.Mutex
 	entries map[fleet.UpstreamID]entry
 	away    bool
-	// graceEnds is until when lapsed entries stay.
+	// regained is when the list could be read again, and graceEnds until when
+	// entries that lapsed before stay.
+	regained  time.Time
 	graceEnds time.Time
 	known     bool
 	// latest is the revision of the latest change that took effect.
@@ -134,6 +147,7 @@
 	}
 	if c.Gone && !settled && known && !before.change.Gone && d.mayReturn(now, before) {
 		before.lapsed = true
+		before.until = d.lapsesUntil(now)
 		before.change.Revision = c.Revision
 		d.entries[c.Upstream.ID] = before
 		return nil
@@ -152,6 +166,51 @@
 	return !e.change.Upstream.Draining && (d.away || now.Before(d.graceEnds))
 }
 
+// lapsesUntil returns how long an entry that vanishes now stays; the zero time
+// while the list can't be read.
+func (d *Directory) lapsesUntil(now time.Time) time.Time {
+	if d.away {
+		return time.Time{}
+	}
+	if now.Sub(d.regained) < catchUp {
+		return d.graceEnds
+	}
+	if latest := now.Add(lapseGrace); latest.Before(d.graceEnds) {
+		return latest
+	}
+	return d.graceEnds
+}
+
+// Due returns when the first lapsed entry is gone, and whether there is one.
+func (d *Directory) Due() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var first time.Time
+	for _, e := range d.entries {
+		if !e.lapsed || e.until.IsZero() {
+			continue
+		}
+		if first.IsZero() || e.until.Before(first) {
+			first = e.until
+		}
+	}
+	return first, !first.IsZero()
+}
+
+// Settled returns the revision up to which all changes have taken effect. It is
+// below Latest while entries may have lapsed: another router may know better.
+func (d *Directory) Settled() Revision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	settled := d.latest
+	for _, e := range d.entries {
+		if e.lapsed && e.change.Revision <= settled {
+			settled = e.change.Revision - 1
+		}
+	}
+	return settled
+}
+
 // Lost says that the list can't be read. What is known holds.
 func (d *Directory) Lost() {
 	d.mu.Lock()
@@ -159,29 +218,33 @@
 	d.away = true
 }
 
-// Regained says that the list can be read again. It returns when Settle is due.
-func (d *Directory) Regained(now time.Time) time.Time {
+// Regained says that the list can be read again.
+func (d *Directory) Regained(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.away {
-		d.away = false
-		d.graceEnds = now.Add(returnGrace)
+	if !d.away {
+		return
+	}
+	d.away = false
+	d.regained = now
+	d.graceEnds = now.Add(returnGrace)
+	for id, e := range d.entries {
+		if e.lapsed {
+			e.until = d.graceEnds
+			d.entries[id] = e
+		}
 	}
-	return d.graceEnds
 }
 
-// Settle takes the entries that lapsed in an outage and did not come back in
-// time for gone, and returns them.
+// Settle takes the entries that lapsed and did not come back in time for gone,
+// and returns them.
 func (d *Directory) Settle(now time.Time) []Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.away || now.Before(d.graceEnds) {
-		return nil
-	}
 	var gone []Change
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
 		e := d.entries[id]
-		if !e.lapsed {
+		if !e.lapsed || e.until.IsZero() || now.Before(e.until) {
 			continue
 		}
 		e.lapsed = false
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -70,8 +70,10 @@
 	d.Replace(start, []registry.Change{entry("a", 1), entry("b", 2), draining("c", 3)}, 3)
 	d.Lost()
 	back := start.Add(5 * time.Second)
-	due := d.Regained(back)
+	d.Regained(back)
 	d.Replace(back, nil, 20)
+	due, some := d.Due()
+	require.True(t, some)
 	require.Equal(t, []fleet.UpstreamID{"a", "b"}, ids(&d))
 	d.Apply(back.Add(time.Second), []registry.Change{entry("a", 21)})
 	require.Empty(t, d.Settle(back.Add(time.Second)))
@@ -81,6 +83,43 @@
 	require.Equal(t, []fleet.UpstreamID{"a"}, ids(&d))
 }
 
+// A router gets the list back, and a second later an upstream leaves without a
+// word. Its entry may have lapsed, and may have been removed; the upstream must
+// get nothing two seconds after that, so it isn't kept for as long as one that
+// vanished in the outage.
+func TestEntryThatVanishesAfterTheReturnIsKeptShorter(t *testing.T) {
+	t.Parallel()
+	var d registry.Directory
+	d.Replace(start, []registry.Change{entry("a", 1)}, 1)
+	d.Lost()
+	d.Regained(start)
+	vanished := start.Add(700 * time.Millisecond)
+	d.Apply(vanished, []registry.Change{gone("a", 9)})
+	require.Equal(t, []fleet.UpstreamID{"a"}, ids(&d))
+	due, some := d.Due()
+	require.True(t, some)
+	require.Less(t, due.Sub(vanished), 1500*time.Millisecond)
+	require.Len(t, d.Settle(due), 1)
+	require.Empty(t, ids(&d))
+}
+
+// A router that got the list back holds an entry that vanished meanwhile. Another
+// router, which the store never refused, knows that the upstream has left. Its
+// word is taken at once, though later changes have taken effect here already.
+func TestAnotherRouterKnowsThatALapsedEntryIsGone(t *testing.T) {
+	t.Parallel()
+	var d registry.Directory
+	d.Replace(start, []registry.Change{entry("a", 1), entry("b", 2)}, 2)
+	d.Lost()
+	d.Regained(start)
+	d.Apply(start, []registry.Change{gone("a", 7), draining("b", 9)})
+	require.EqualValues(t, 9, d.Latest())
+	require.EqualValues(t, 6, d.Settled())
+	require.Len(t, d.Hear(start, []registry.Change{gone("a", 7), draining("b", 9)}), 1)
+	require.Empty(t, ids(&d))
+	require.EqualValues(t, 9, d.Settled())
+}
+
 // An upstream leaves while the store is well: it gets nothing more at once.
 func TestEntryThatVanishesInCalmIsGoneAtOnce(t *testing.T) {
 	t.Parallel()
