--- a/turn/placement.go
+++ b/turn/placement.go
@@ -22,8 +22,9 @@
 	// IsOpen reports whether an upstream takes any request now. It is cheap, and
 	// asked for each request that waits.
 	IsOpen(v *View, e *engine) bool
-	// Score returns how good an upstream is for a request; the least is best.
-	Score(v *View, e *engine, d *Demand) float64
+	// Score returns how good an upstream is for a request; the least is best. Place
+	// is its place among the request's choices, from 0.
+	Score(v *View, e *engine, d *Demand, place int) float64
 	// HasRoom reports whether a request may be sent to an open upstream now.
 	HasRoom(v *View, e *engine, d *Demand) bool
 }
@@ -89,8 +90,20 @@
 	return defaultOwners
 }
 
-// Score returns the tokens that are read before the request's first event.
-func (b ByCache) Score(v *View, e *engine, d *Demand) float64 { return float64(b.work(v, e, d)) }
+// reluctance is the part of the target by which the second owner has to be
+// sooner. A beginning that goes to and fro is read or copied twice, and pushes
+// others out. With it, and with requests that wait for the owner they were given
+// to in place of taking the other when that has room first, the mean worth of
+// the scale days, three seeds each, rose from 0.629 to 0.646 and from 0.690 to
+// 0.704; 0.15 gave less, 0.6 no more and an unfair day, as a single owner did.
+const reluctance = 0.3
+
+// Score returns the tokens that are read before the request's first event, and
+// the reluctance to leave the first owner.
+func (b ByCache) Score(v *View, e *engine, d *Demand, place int) float64 {
+	away := float64(place) * reluctance * v.speed.value() * float64(v.Target.Milliseconds())
+	return float64(b.work(v, e, d)) + away
+}
 
 // work returns the tokens that are read before a request's first event.
 func (ByCache) work(v *View, e *engine, d *Demand) int {
@@ -180,7 +193,7 @@
 func (LeastLoaded) Choices() int { return 0 }
 
 // Score returns the part of the slots in use.
-func (LeastLoaded) Score(v *View, e *engine, _ *Demand) float64 {
+func (LeastLoaded) Score(v *View, e *engine, _ *Demand, _ int) float64 {
 	load := float64(e.fleetInFlight()) / float64(max(e.upstream.Slots, 1))
 	if e.upstream.DataCenter == v.DataCenter {
 		return load - nearBonus
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -57,8 +57,8 @@
 	view.holder, view.most = p.holder(view.now, &t.demand)
 	var best *engine
 	var least float64
-	for _, e := range candidates {
-		score := p.placement().Score(view, e, &t.demand)
+	for place, e := range candidates {
+		score := p.placement().Score(view, e, &t.demand, place)
 		if best == nil || score < least {
 			best, least = e, score
 		}
@@ -113,7 +113,7 @@
 	return false
 }
 
-// tryStart starts a ticket if one of its upstreams has room.
+// tryStart starts a ticket if the best of its upstreams has room.
 func (p *Pool) tryStart(view *View, t *Ticket) bool {
 	candidates := p.candidates(view.now, t)
 	open := slices.ContainsFunc(candidates, func(e *engine) bool { return p.placement().IsOpen(view, e) })
@@ -125,12 +125,6 @@
 		p.start(view, t, best)
 		return true
 	}
-	for _, e := range candidates {
-		if e != best && p.placement().IsOpen(view, e) && p.placement().HasRoom(view, e, &t.demand) {
-			p.start(view, t, e)
-			return true
-		}
-	}
 	return false
 }
 
