--- a/turn/account.go
+++ b/turn/account.go
@@ -106,6 +106,10 @@
 const (
 	mostPatience  = 1.5
 	leastPatience = 0.67
+	// idlePatience lets a request outlast idleGrace: on a quiet day one of an
+	// account that was served more would be refused beside an idle engine. Refused
+	// of 7,600 requests of such a day before: 190.
+	idlePatience = 110 * time.Millisecond
 )
 
 // patience returns how long a demand may wait. Accounts that were served less
@@ -115,7 +119,8 @@
 	_, least := p.line(now)
 	served := p.account(d.Account).served(now)
 	part := depth(served, min(least, served))
-	return time.Duration(min(max(part, leastPatience), mostPatience) * float64(d.Patience))
+	patience := time.Duration(min(max(part, leastPatience), mostPatience) * float64(d.Patience))
+	return max(patience, min(d.Patience, idlePatience))
 }
 
 // leastElsewhere returns the least service of the accounts that have work at
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -133,14 +133,14 @@
 
 // evenDepth is the depth of an account that was served about as much as others.
 // An account that was served more takes an idle upstream only after idleGrace,
-// two reports of the other routers: they may have work for it of accounts that
-// were served less, and see later than this router that it is idle. Without it
+// a report of the other routers and the way: they may have work for it of accounts
+// that were served less, and see later than this router that it is idle. Without it
 // each router starts a prompt at the moment at which an engine falls idle, and an
 // account that sits at five routers gets five times what one at a single router
 // gets. Mean worth of the scale days, three seeds each: 0.59 to 0.63.
 const (
 	evenDepth = 0.7
-	idleGrace = 120 * time.Millisecond
+	idleGrace = 70 * time.Millisecond
 )
 
 // IsOpen reports whether an upstream has a free slot and reads what it has in
