--- a/deployment/members.go
+++ b/deployment/members.go
@@ -58,6 +58,7 @@
 type memberSink struct {
 	self  fleet.RouterID
 	peers *peer.Peers
+	state *State
 
 	mu        sync.Mutex
 	addresses map[fleet.RouterID]string
@@ -100,6 +101,7 @@
 	}
 	s.forget(time.Now())
 	s.peers.Target(maps.Clone(s.addresses))
+	s.state.SetRouters(len(s.addresses) + 1)
 }
 
 // leave notes that a router has no entry any more.
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -37,6 +37,10 @@
 	sweepInterval = time.Second
 	// maxCallerHeader bounds a caller's header, in bytes.
 	maxCallerHeader = 64 << 10
+	// watchPerRouter stretches a wait for changes by the size of the fleet, up to
+	// maxWatch, the longest that the platform allows.
+	watchPerRouter = 330 * time.Millisecond
+	maxWatch       = 30 * time.Second
 	// peerBackoff bounds the time between two attempts to connect to a router, and
 	// so how long after the end of a cut the two hear each other again.
 	peerBackoff = time.Second
@@ -61,7 +65,8 @@
 	// prove to each other that they are of one fleet by.
 	PeerAddress string
 	FleetKey    []byte
-	// RetryRatio and RetryBurst bound the retries of a service at this router.
+	// RetryRatio bounds the retries of a service in relation to its requests, and
+	// RetryBurst those of the whole fleet beyond that.
 	RetryRatio float64
 	RetryBurst float64
 	// MaxConnections is how many connections of callers are kept; answers beyond
@@ -130,7 +135,7 @@
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
 		Metrics: r.metrics, Logger: r.options.Log, MaxBackoff: peerBackoff,
 	})
-	members := &memberSink{self: r.options.Self, peers: r.mesh.peers}
+	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.heard)
 	follower := &follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.Members, Sink: members, Log: r.options.Log,
@@ -146,9 +151,11 @@
 func (r *Router) follow() {
 	configurations := &follow.Follower[route.Configuration, registry.Revision]{
 		Name: "configuration", Feed: r.options.Configurations, Sink: configurationSink{r.state}, Log: r.options.Log,
+		Wait: r.watchWait,
 	}
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
 		Name: "upstreams", Feed: r.options.Upstreams, Sink: upstreamSink{r.state}, Log: r.options.Log,
+		Wait: r.watchWait,
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
@@ -156,6 +163,14 @@
 		actor{"connection sweep", r.sweep})
 }
 
+// watchWait returns how long one call waits for a change. In a large fleet it is
+// longer, so that the fleet makes some six calls a second at any size: routers
+// tell each other what is new, and a silent feed matters less.
+func (r *Router) watchWait() time.Duration {
+	scaled := time.Duration(len(r.mesh.peers.Routers())) * watchPerRouter
+	return min(max(follow.DefaultWait, scaled), maxWatch)
+}
+
 func (r *Router) listen(ctx context.Context) error {
 	ready := echo.New()
 	ready.GET(r.options.ReadyPath, r.ready)
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -17,6 +17,10 @@
 	"nutmeglock.example/nutmeglock/turn"
 )
 
+// usualRouters is how many routers a fleet is taken to have before its list is
+// known. A router that believed to be alone would use the whole fleet's bound.
+const usualRouters = 6
+
 // State is what a router knows. Make it by NewState. It is safe for concurrent use.
 type State struct {
 	options StateOptions
@@ -27,6 +31,8 @@
 	directory     registry.Directory
 	pools         map[fleet.ServiceID]*turn.Pool
 	retries       map[fleet.ServiceID]*retry.Budget
+	// routers is how many the fleet has, as far as known.
+	routers int
 	// addresses are those of the upstreams that take requests.
 	addresses map[string]bool
 }
@@ -34,7 +40,8 @@
 // StateOptions configure a State.
 type StateOptions struct {
 	DataCenter fleet.DataCenterID
-	// RetryRatio and RetryBurst bound the retries of a service at this router.
+	// RetryRatio bounds the retries of a service in relation to its requests, and
+	// RetryBurst those of the whole fleet beyond that.
 	RetryRatio float64
 	RetryBurst float64
 	Log        *slog.Logger
@@ -47,6 +54,7 @@
 func NewState(options StateOptions) *State {
 	return &State{
 		options: options,
+		routers: usualRouters,
 		pools:   make(map[fleet.ServiceID]*turn.Pool),
 		retries: make(map[fleet.ServiceID]*retry.Budget),
 	}
@@ -79,12 +87,22 @@
 	defer s.mu.Unlock()
 	budget := s.retries[service]
 	if budget == nil {
-		budget = &retry.Budget{Ratio: s.options.RetryRatio, Burst: s.options.RetryBurst}
+		budget = &retry.Budget{Ratio: s.options.RetryRatio, Burst: s.options.RetryBurst / float64(s.routers)}
 		s.retries[service] = budget
 	}
 	return budget
 }
 
+// SetRouters divides the fleet's bound on retries among so many routers.
+func (s *State) SetRouters(count int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.routers = max(count, 1)
+	for _, budget := range s.retries {
+		budget.Resize(s.options.RetryBurst / float64(s.routers))
+	}
+}
+
 // Ready reports whether the router can serve: it knows a configuration and the
 // list of upstreams.
 func (s *State) Ready() bool { return s.Table() != nil && s.directory.Known() }
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -31,11 +31,7 @@
 	if h.held.isRefusing() {
 		return refusal.New(refusal.Stopping, "this router stops", stoppingRetryAfter)
 	}
-	intake, err := h.Dialect.Intake(j.request.Header)
-	j.intake = intake
-	if err != nil {
-		return &refusal.Error{Reason: refusal.BadRequest, Outcome: refusal.NotRun, Detail: err.Error(), Cause: err}
-	}
+	j.intake = h.Dialect.Intake(j.request.Header)
 	table := h.State.Table()
 	if table == nil {
 		return refusal.New(refusal.NotReady, "this router has no configuration yet", notReadyRetryAfter)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -64,8 +64,8 @@
 
 // Dialect translates between header fields and what they mean.
 type Dialect interface {
-	// Intake reads a caller's header. It fails with *HeaderError.
-	Intake(header http.Header) (Intake, error)
+	// Intake reads a caller's header. A field that can't be read counts as absent.
+	Intake(header http.Header) Intake
 	// Clean removes the fields that callers may not set for upstreams, and the key.
 	Clean(header http.Header)
 	// Address sets the fields that an upstream is to get.
@@ -74,15 +74,6 @@
 	Verdict(status int, header http.Header) Verdict
 }
 
-// HeaderError is the error of a header field that can't be read.
-type HeaderError struct {
-	Field string
-	Value string
-}
-
-// Error names the field.
-func (e *HeaderError) Error() string { return "header field " + e.Field + " can't be read" }
-
 // State is what a router knows. It is safe for concurrent use.
 type State interface {
 	// Table returns the configuration in force, nil when none is known.
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -42,6 +42,14 @@
 	begins bool
 }
 
+// Resize bounds the retries saved up anew: a router's part of the fleet's bound
+// changes with the number of routers.
+func (b *Budget) Resize(burst float64) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.Burst = burst
+}
+
 // First counts a first try.
 func (b *Budget) First(now time.Time) {
 	b.mutex.Lock()
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// Routers are added. Each keeps a smaller part of the fleet's bound from then on,
+// or the fleet would repeat more with each router that it has.
+func TestResizedBudgetAllowsLess(t *testing.T) {
+	t.Parallel()
+	budget := retry.Budget{Burst: 12}
+	budget.Resize(3)
+	allowed := 0
+	for range 12 {
+		if budget.Allow(epoch, failed(func(*retry.Attempt) {})) {
+			allowed++
+		}
+	}
+	require.Equal(t, 3, allowed)
+}
+
 // One upstream turns slow and breaks what it is sent. Were each failure
 // repeated, the upstreams that still work would get twice the load and break
 // as well. Retries stay at a tenth of the first tries.
