--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -561,7 +562,7 @@
 		{Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
 	}})
 	pool := &turn.Pool{Placement: turn.LeastLoaded{}}
-	pool.Set(time.Now(), []registry.Upstream{{ID: "u", Address: server.Listener.Addr().String(), Slots: 64}}, time.Second)
+	pool.Set(time.Now(), []registry.Upstream{{ID: "u", Address: server.Listener.Addr().String(), Slots: 1024}}, time.Second)
 	handler := &forward.Handler{
 		Dialect: dialect{}, State: state{table, pool}, Client: &upstream.Client{},
 		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
@@ -578,9 +579,45 @@
 		r.Host = "h"
 		answer, err := client.Do(r)
 		if err != nil {
-			b.Fatal(err)
+			b.Error(err)
+			return
 		}
 		_, _ = io.Copy(io.Discard, answer.Body)
 		_ = answer.Body.Close()
 	}
 }
+
+// Streams that are open at once hold a connection on each side, their buffers
+// and two goroutines.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 500
+	release := make(chan struct{})
+	opened := make(chan struct{}, streams)
+	ask := benchmark(b, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		opened <- struct{}{}
+		<-release
+	})
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var group sync.WaitGroup
+		for range streams {
+			group.Go(func() { ask(b, "/stream/1") })
+		}
+		for range streams {
+			<-opened
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		inUse := func(m *runtime.MemStats) float64 { return float64(m.HeapInuse + m.StackInuse) }
+		b.ReportMetric((inUse(&after)-inUse(&before))/streams, "bytes/stream")
+		for range streams {
+			release <- struct{}{}
+		}
+		group.Wait()
+	}
+}
