--- /dev/null
+++ b/forward/bench_test.go
@@ -0,0 +1,109 @@
+package forward_test
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/turn"
+	"nutmeglock.example/nutmeglock/upstream"
+)
+
+func BenchmarkWhole(b *testing.B) {
+	f := benchmark(b, served)
+	for b.Loop() {
+		f(b, "/order/1")
+	}
+}
+
+func BenchmarkStream(b *testing.B) {
+	f := benchmark(b, events(1, 100, true))
+	for b.Loop() {
+		f(b, "/stream/1")
+	}
+}
+
+func benchmark(b *testing.B, fn http.HandlerFunc) func(b *testing.B, path string) {
+	b.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		fn(w, r)
+	}))
+	b.Cleanup(server.Close)
+	shares := []route.Share{{Service: "s", Weight: 1}}
+	table := route.NewTable(route.Configuration{Version: 1, Routes: []route.Route{
+		{Host: "h", Prefix: "/order/", Kind: route.NonIdempotent, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
+		{Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
+	}})
+	pool := &turn.Pool{Placement: turn.LeastLoaded{}}
+	pool.Set(time.Now(), []registry.Upstream{{ID: "u", Address: server.Listener.Addr().String(), Slots: 1024}}, time.Second)
+	handler := &forward.Handler{
+		Dialect: dialect{}, State: state{table, pool}, Client: &upstream.Client{},
+		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
+	}
+	front := httptest.NewServer(handler)
+	b.Cleanup(front.Close)
+	client := front.Client()
+	return func(b *testing.B, path string) {
+		b.Helper()
+		r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, front.URL+path, strings.NewReader("body"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Host = "h"
+		answer, err := client.Do(r)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_ = answer.Body.Close()
+	}
+}
+
+// Streams that are open at once hold a connection on each side, their buffers
+// and two goroutines.
+func BenchmarkOpenStreams(b *testing.B) {
+	const streams = 500
+	release := make(chan struct{})
+	opened := make(chan struct{}, streams)
+	ask := benchmark(b, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		opened <- struct{}{}
+		<-release
+	})
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		var group sync.WaitGroup
+		for range streams {
+			group.Go(func() { ask(b, "/stream/1") })
+		}
+		for range streams {
+			<-opened
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		inUse := func(m *runtime.MemStats) float64 { return float64(m.HeapInuse + m.StackInuse) }
+		b.ReportMetric((inUse(&after)-inUse(&before))/streams, "bytes/stream")
+		for range streams {
+			release <- struct{}{}
+		}
+		group.Wait()
+	}
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -1,15 +1,12 @@
 package forward_test
 
 import (
-	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -313,126 +310,6 @@
 	require.Equal(t, 2, f.count())
 }
 
-// events writes the events from..to and ends the answer, or breaks it off in
-// the middle of the next event.
-func events(from, to int, whole bool) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Signed", "yes")
-		w.Header().Set("Content-Type", "text/event-stream")
-		if last := r.Header.Get("Last-Event-Id"); last != "" {
-			_, _ = fmt.Sscan(last, &from)
-			from++
-		}
-		for i := from; i <= to; i++ {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
-			_ = http.NewResponseController(w).Flush()
-		}
-		if !whole {
-			_, _ = io.WriteString(w, "id: 99\nda")
-			_ = http.NewResponseController(w).Flush()
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
-func expect(to int) string {
-	var b strings.Builder
-	for i := 1; i <= to; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
-	}
-	return b.String()
-}
-
-// An engine breaks off in the middle of an event. The stream goes on at another
-// engine after the last whole event, and the caller sees each event once.
-func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
-	t.Parallel()
-	var once sync.Once
-	first := func(w http.ResponseWriter, r *http.Request) {
-		fn := events(1, 6, true)
-		once.Do(func() { fn = events(1, 3, false) })
-		fn(w, r)
-	}
-	f := start(t, first, first)
-	status, body, _, err := f.ask(t, "/stream/1")
-	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, status)
-	require.Equal(t, expect(6), body)
-	require.Equal(t, "3", f.reached[1].Header.Get("Last-Event-Id"))
-}
-
-// An engine goes on with a gap, or from the beginning. Events that the caller
-// has are left out; a gap ends the answer visibly, since it can't be filled.
-func TestResumedStreamsAreJoinedExactly(t *testing.T) {
-	t.Parallel()
-	cases := []struct {
-		name  string
-		again http.HandlerFunc
-		whole bool
-	}{
-		{"from the beginning", func(w http.ResponseWriter, r *http.Request) {
-			r.Header.Del("Last-Event-Id")
-			events(1, 5, true)(w, r)
-		}, true},
-		{"with a gap", func(w http.ResponseWriter, r *http.Request) {
-			r.Header.Del("Last-Event-Id")
-			events(4, 5, true)(w, r)
-		}, false},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			t.Parallel()
-			var once sync.Once
-			fn := func(w http.ResponseWriter, r *http.Request) {
-				chosen := c.again
-				once.Do(func() { chosen = events(1, 2, false) })
-				chosen(w, r)
-			}
-			f := start(t, fn, fn)
-			_, body, _, err := f.ask(t, "/stream/1")
-			if c.whole {
-				require.NoError(t, err)
-				require.Equal(t, expect(5), body)
-				return
-			}
-			require.Error(t, err)
-			require.Equal(t, expect(2), body)
-		})
-	}
-}
-
-// A stream that must not run twice breaks off. Its caller sees the break.
-func TestStreamThatMayNotGoOnBreaksOffVisibly(t *testing.T) {
-	t.Parallel()
-	f := start(t, events(1, 3, false), events(1, 3, false))
-	_, body, _, err := f.ask(t, "/once/1")
-	require.Error(t, err)
-	require.Equal(t, expect(3), body)
-	require.Equal(t, 1, f.count())
-}
-
-// An engine accepts a request and is silent. A stream that may go on elsewhere
-// does so while its caller still waits.
-func TestSilentEngineIsLeft(t *testing.T) {
-	t.Parallel()
-	var once sync.Once
-	silent := func(w http.ResponseWriter, r *http.Request) {
-		stuck := false
-		once.Do(func() { stuck = true })
-		if stuck {
-			<-r.Context().Done()
-			return
-		}
-		events(1, 2, true)(w, r)
-	}
-	f := start(t, silent, silent)
-	begin := time.Now()
-	_, body, _, err := f.ask(t, "/stream/1")
-	require.NoError(t, err)
-	require.Equal(t, expect(2), body)
-	require.Less(t, time.Since(begin), 4*time.Second)
-}
-
 // The time of a route is over while the upstream still works. The caller gets
 // the final answer then, and the upstream is told to stop.
 func TestRouteTimeoutEndsARequest(t *testing.T) {
@@ -457,36 +334,6 @@
 	require.LessOrEqual(t, left, 200*time.Millisecond)
 }
 
-// A caller leaves in the middle of its stream. The engine hears of it at once
-// and stops generating for nobody.
-func TestCallerThatLeavesStopsItsEngine(t *testing.T) {
-	t.Parallel()
-	stopped := make(chan time.Time, 1)
-	f := start(t, func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Signed", "yes")
-		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
-		_ = http.NewResponseController(w).Flush()
-		<-r.Context().Done()
-		stopped <- time.Now()
-	})
-	ctx, cancel := context.WithCancel(t.Context())
-	r := f.request(t, http.MethodPost, "/stream/1", "body").WithContext(ctx)
-	answer, err := http.DefaultClient.Do(r)
-	require.NoError(t, err)
-	defer answer.Body.Close()
-	line, err := bufio.NewReader(answer.Body).ReadString('\n')
-	require.NoError(t, err)
-	require.Equal(t, "id: 1\n", line)
-	left := time.Now()
-	cancel()
-	select {
-	case at := <-stopped:
-		require.Less(t, at.Sub(left), 500*time.Millisecond)
-	case <-time.After(5 * time.Second):
-		t.Fatal("the engine was not told")
-	}
-}
-
 // Callers repeat at once, each time on a new connection, and leave the former
 // open. Beyond a bound each answer closes its connection, or the process runs out
 // of descriptors and accepts nobody.
@@ -534,90 +381,3 @@
 	require.NoError(t, f.handler.Wait(t.Context()))
 	require.Equal(t, 1, f.count())
 }
-
-func BenchmarkWhole(b *testing.B) {
-	f := benchmark(b, served)
-	for b.Loop() {
-		f(b, "/order/1")
-	}
-}
-
-func BenchmarkStream(b *testing.B) {
-	f := benchmark(b, events(1, 100, true))
-	for b.Loop() {
-		f(b, "/stream/1")
-	}
-}
-
-func benchmark(b *testing.B, fn http.HandlerFunc) func(b *testing.B, path string) {
-	b.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Id", r.Header.Get("X-Id"))
-		fn(w, r)
-	}))
-	b.Cleanup(server.Close)
-	shares := []route.Share{{Service: "s", Weight: 1}}
-	table := route.NewTable(route.Configuration{Version: 1, Routes: []route.Route{
-		{Host: "h", Prefix: "/order/", Kind: route.NonIdempotent, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
-		{Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Shares: shares, Timeout: time.Minute, Target: time.Second, Attempts: 1},
-	}})
-	pool := &turn.Pool{Placement: turn.LeastLoaded{}}
-	pool.Set(time.Now(), []registry.Upstream{{ID: "u", Address: server.Listener.Addr().String(), Slots: 1024}}, time.Second)
-	handler := &forward.Handler{
-		Dialect: dialect{}, State: state{table, pool}, Client: &upstream.Client{},
-		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
-	}
-	front := httptest.NewServer(handler)
-	b.Cleanup(front.Close)
-	client := front.Client()
-	return func(b *testing.B, path string) {
-		b.Helper()
-		r, err := http.NewRequestWithContext(b.Context(), http.MethodPost, front.URL+path, strings.NewReader("body"))
-		if err != nil {
-			b.Fatal(err)
-		}
-		r.Host = "h"
-		answer, err := client.Do(r)
-		if err != nil {
-			b.Error(err)
-			return
-		}
-		_, _ = io.Copy(io.Discard, answer.Body)
-		_ = answer.Body.Close()
-	}
-}
-
-// Streams that are open at once hold a connection on each side, their buffers
-// and two goroutines.
-func BenchmarkOpenStreams(b *testing.B) {
-	const streams = 500
-	release := make(chan struct{})
-	opened := make(chan struct{}, streams)
-	ask := benchmark(b, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Signed", "yes")
-		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
-		_ = http.NewResponseController(w).Flush()
-		opened <- struct{}{}
-		<-release
-	})
-	for b.Loop() {
-		var before, after runtime.MemStats
-		runtime.GC()
-		runtime.ReadMemStats(&before)
-		var group sync.WaitGroup
-		for range streams {
-			group.Go(func() { ask(b, "/stream/1") })
-		}
-		for range streams {
-			<-opened
-		}
-		runtime.GC()
-		runtime.ReadMemStats(&after)
-		inUse := func(m *runtime.MemStats) float64 { return float64(m.HeapInuse + m.StackInuse) }
-		b.ReportMetric((inUse(&after)-inUse(&before))/streams, "bytes/stream")
-		for range streams {
-			release <- struct{}{}
-		}
-		group.Wait()
-	}
-}
--- /dev/null
+++ b/forward/stream_test.go
@@ -0,0 +1,165 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// events writes the events from..to and ends the answer, or breaks it off in
+// the middle of the next event.
+func events(from, to int, whole bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		w.Header().Set("Content-Type", "text/event-stream")
+		if last := r.Header.Get("Last-Event-Id"); last != "" {
+			_, _ = fmt.Sscan(last, &from)
+			from++
+		}
+		for i := from; i <= to; i++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+			_ = http.NewResponseController(w).Flush()
+		}
+		if !whole {
+			_, _ = io.WriteString(w, "id: 99\nda")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func expect(to int) string {
+	var b strings.Builder
+	for i := 1; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// An engine breaks off in the middle of an event. The stream goes on at another
+// engine after the last whole event, and the caller sees each event once.
+func TestBrokenStreamGoesOnElsewhere(t *testing.T) {
+	t.Parallel()
+	var once sync.Once
+	first := func(w http.ResponseWriter, r *http.Request) {
+		fn := events(1, 6, true)
+		once.Do(func() { fn = events(1, 3, false) })
+		fn(w, r)
+	}
+	f := start(t, first, first)
+	status, body, _, err := f.ask(t, "/stream/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, expect(6), body)
+	require.Equal(t, "3", f.reached[1].Header.Get("Last-Event-Id"))
+}
+
+// An engine goes on with a gap, or from the beginning. Events that the caller
+// has are left out; a gap ends the answer visibly, since it can't be filled.
+func TestResumedStreamsAreJoinedExactly(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name  string
+		again http.HandlerFunc
+		whole bool
+	}{
+		{"from the beginning", func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del("Last-Event-Id")
+			events(1, 5, true)(w, r)
+		}, true},
+		{"with a gap", func(w http.ResponseWriter, r *http.Request) {
+			r.Header.Del("Last-Event-Id")
+			events(4, 5, true)(w, r)
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var once sync.Once
+			fn := func(w http.ResponseWriter, r *http.Request) {
+				chosen := c.again
+				once.Do(func() { chosen = events(1, 2, false) })
+				chosen(w, r)
+			}
+			f := start(t, fn, fn)
+			_, body, _, err := f.ask(t, "/stream/1")
+			if c.whole {
+				require.NoError(t, err)
+				require.Equal(t, expect(5), body)
+				return
+			}
+			require.Error(t, err)
+			require.Equal(t, expect(2), body)
+		})
+	}
+}
+
+// A stream that must not run twice breaks off. Its caller sees the break.
+func TestStreamThatMayNotGoOnBreaksOffVisibly(t *testing.T) {
+	t.Parallel()
+	f := start(t, events(1, 3, false), events(1, 3, false))
+	_, body, _, err := f.ask(t, "/once/1")
+	require.Error(t, err)
+	require.Equal(t, expect(3), body)
+	require.Equal(t, 1, f.count())
+}
+
+// An engine accepts a request and is silent. A stream that may go on elsewhere
+// does so while its caller still waits.
+func TestSilentEngineIsLeft(t *testing.T) {
+	t.Parallel()
+	var once sync.Once
+	silent := func(w http.ResponseWriter, r *http.Request) {
+		stuck := false
+		once.Do(func() { stuck = true })
+		if stuck {
+			<-r.Context().Done()
+			return
+		}
+		events(1, 2, true)(w, r)
+	}
+	f := start(t, silent, silent)
+	begin := time.Now()
+	_, body, _, err := f.ask(t, "/stream/1")
+	require.NoError(t, err)
+	require.Equal(t, expect(2), body)
+	require.Less(t, time.Since(begin), 4*time.Second)
+}
+
+// A caller leaves in the middle of its stream. The engine hears of it at once
+// and stops generating for nobody.
+func TestCallerThatLeavesStopsItsEngine(t *testing.T) {
+	t.Parallel()
+	stopped := make(chan time.Time, 1)
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+		stopped <- time.Now()
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	r := f.request(t, http.MethodPost, "/stream/1", "body").WithContext(ctx)
+	answer, err := http.DefaultClient.Do(r)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	line, err := bufio.NewReader(answer.Body).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "id: 1\n", line)
+	left := time.Now()
+	cancel()
+	select {
+	case at := <-stopped:
+		require.Less(t, at.Sub(left), 500*time.Millisecond)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the engine was not told")
+	}
+}
