--- /dev/null
+++ b/deployment/export_test.go
@@ -0,0 +1,9 @@
+package deployment
+
+// What the tests of the package see besides its public parts.
+var (
+	EncodeConfiguration = encodeConfiguration
+	DecodeConfiguration = decodeConfiguration
+	EncodeChange        = encodeChange
+	DecodeChange        = decodeChange
+)
--- /dev/null
+++ b/deployment/state_test.go
@@ -0,0 +1,78 @@
+package deployment_test
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/deployment"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+func newState() *deployment.State {
+	return deployment.NewState(deployment.StateOptions{Log: slog.New(slog.DiscardHandler)})
+}
+
+func configuration(version fleet.Version) route.Configuration {
+	return route.Configuration{
+		Version: version,
+		Routes: []route.Route{{
+			Name: "r", Host: "h", Prefix: "/a/", Kind: route.Streaming, Timeout: 12 * time.Second, Target: 800 * time.Millisecond,
+			MaxPause: 300 * time.Millisecond, Attempts: 2, Resumable: true, Cached: true, Shares: []route.Share{{Service: "s", Weight: 90}},
+		}},
+		Services: []route.Service{{ID: "s", MaxConnections: 360, Slots: 64, CacheTokens: 664_478}},
+		Accounts: []route.Account{{ID: "ada", Keys: []string{"k1", "k2"}}},
+		Limits:   route.Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 22, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+}
+
+// Versions come from the feed, from whole reads and from other routers, in any
+// order and more than once. A withdrawn key must not come to life again, so the
+// version in force only rises.
+func TestConfigurationsNeverGoBack(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		s := newState()
+		highest := fleet.Version(0)
+		for _, n := range rapid.SliceOfN(rapid.IntRange(1, 20), 1, 30).Draw(t, "versions") {
+			version := fleet.Version(n)
+			require.Equal(t, version > highest, s.Configure(configuration(version), "test"))
+			highest = max(highest, version)
+			require.Equal(t, highest, s.Table().Version())
+		}
+	})
+}
+
+// A router that the store refuses gets the configuration from another one. What
+// is left out on the way would be a route or a key that nobody withdrew.
+func TestConfigurationSurvivesTheWayToAnotherRouter(t *testing.T) {
+	t.Parallel()
+	c := configuration(7)
+	require.Equal(t, c, deployment.DecodeConfiguration(deployment.EncodeConfiguration(c)))
+	change := registry.Change{
+		Upstream: registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", DataCenter: "z", Slots: 8, Life: 1782775556021, Draining: true},
+		Revision: 40, Gone: true,
+	}
+	require.Equal(t, change, deployment.DecodeChange(deployment.EncodeChange(change)))
+}
+
+// A service's upstreams are known before its configuration, as after a start. They
+// serve once both are there.
+func TestUpstreamsAndConfigurationComeInAnyOrder(t *testing.T) {
+	t.Parallel()
+	s := newState()
+	list := []*schema.UpstreamChange{{Id: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Revision: 3}}
+	s.HearUpstreams(list, "test")
+	require.False(t, s.Ready())
+	require.Nil(t, s.Pool("s"))
+	s.Configure(configuration(1), "test")
+	require.True(t, s.Ready())
+	require.NotNil(t, s.Pool("s"))
+	require.True(t, s.HasAddress("10.0.0.1:80"))
+}
