--- a/deployment/work.go
+++ b/deployment/work.go
@@ -31,7 +31,7 @@
 }
 
 func encodeWork(id fleet.ServiceID, report turn.Report) *schema.ServiceWork {
-	w := &schema.ServiceWork{Service: hashOf(id), Speed: float32(report.Speed)}
+	w := &schema.ServiceWork{Service: hashOf(id)}
 	for key, load := range report.Upstreams {
 		w.Upstreams = append(w.Upstreams, &schema.UpstreamWork{
 			Upstream: uint32(key), Unread: uint32(max(load.Unread, 0)), InFlight: uint32(max(load.InFlight, 0)),
@@ -62,7 +62,6 @@
 	r := turn.Report{
 		Upstreams: make(map[turn.Key]turn.Load, len(w.GetUpstreams())),
 		Accounts:  make(map[turn.Key]turn.Standing, len(w.GetAccounts())),
-		Speed:     float64(w.GetSpeed()),
 	}
 	for _, u := range w.GetUpstreams() {
 		r.Upstreams[turn.Key(u.GetUpstream())] = turn.Load{
--- a/turn/load.go
+++ b/turn/load.go
@@ -55,8 +55,6 @@
 type Report struct {
 	Upstreams map[Key]Load
 	Accounts  map[Key]Standing
-	// Speed is the tokens that an upstream reads in a millisecond, as observed.
-	Speed float64
 }
 
 // heard is a Report with the time at which it came.
@@ -72,7 +70,6 @@
 	r := Report{
 		Upstreams: make(map[Key]Load, len(p.engines)),
 		Accounts:  make(map[Key]Standing, len(p.accounts)),
-		Speed:     p.speed.value(),
 	}
 	for _, e := range p.engines {
 		own := Load{Unread: e.unread, InFlight: e.inFlight, Waiting: e.waiting, Read: e.news}
