upstream: a cancel while connecting tells its cause

Cause: the error was the dial's, not what ended the context. In the product the caller's leaving was told from the context already.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -79,7 +79,7 @@
 func (c *Client) Do(ctx context.Context, address string, request Request) (*Answer, error) {
 	connection, err := c.get(ctx, address)
 	if err != nil {
-		return nil, &Error{Address: address, Cause: err}
+		return nil, &Error{Address: address, Cause: causeOf(ctx, err)}
 	}
 	x := &exchange{client: c, conn: connection, address: address, written: make(chan struct{})}
 	x.release = context.AfterFunc(ctx, x.abort)
@@ -88,14 +88,20 @@
 	if err != nil {
 		x.abort()
 		<-x.written
-		if ctx.Err() != nil {
-			err = context.Cause(ctx)
-		}
-		return nil, &Error{Address: address, Sent: x.sent, Cause: err}
+		return nil, &Error{Address: address, Sent: x.sent, Cause: causeOf(ctx, err)}
 	}
 	return newAnswer(x, response), nil
 }
 
+// causeOf returns why an exchange failed: what ended its context, if that has,
+// since the connection's error only shows that it was closed then.
+func causeOf(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
 // get returns an idle connection, or a new one.
 func (c *Client) get(ctx context.Context, address string) (*conn, error) {
 	if kept := c.take(address); kept != nil {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -270,15 +270,19 @@
 // A caller leaves. The upstream sees its connection close at once, and stops.
 func TestCancelClosesTheConnection(t *testing.T) {
 	t.Parallel()
-	closed := make(chan struct{})
+	read, closed := make(chan struct{}), make(chan struct{})
 	s := play(t, func(_ net.Conn, in *bufio.Reader) {
 		_, _, _ = next(in)
+		close(read)
 		_, _ = in.ReadByte()
 		close(closed)
 	})
 	ctx, cancel := context.WithCancelCause(t.Context())
 	left := errors.New("left")
-	time.AfterFunc(20*time.Millisecond, func() { cancel(left) })
+	go func() {
+		<-read
+		cancel(left)
+	}()
 	_, err := newClient(t).Do(ctx, s.address, request("1", nil))
 	require.ErrorIs(t, err, left)
 	select {
@@ -287,3 +291,18 @@
 		t.Fatal("the upstream was not told")
 	}
 }
+
+// A caller leaves while the connection to its upstream is being opened. The cause
+// is the caller's leaving and not a connection that failed, or the upstream would
+// be held to be dead; and nothing was sent.
+func TestCancelWhileConnectingTellsTheCause(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithCancelCause(t.Context())
+	left := errors.New("left")
+	cancel(left)
+	_, err := newClient(t).Do(ctx, "127.0.0.1:1", request("1", nil))
+	require.ErrorIs(t, err, left)
+	var failed *upstream.Error
+	require.ErrorAs(t, err, &failed)
+	require.False(t, failed.Sent)
+}
