--- a/attempt/client.go
+++ b/attempt/client.go
@@ -134,13 +134,15 @@
 // request may run once at most, or when net/http would take it for repeatable:
 // an Idempotency-Key and no body are enough for that.
 func (c *Client) transport(request Request) *http.Transport {
-	if !request.Idempotent || (len(request.Body) == 0 && !usuallyEmpty(request.Method)) {
+	if !request.Idempotent || (len(request.Body) == 0 && !UsuallyEmpty(request.Method)) {
 		return c.fresh
 	}
 	return c.reused
 }
 
-func usuallyEmpty(method string) bool {
+// UsuallyEmpty reports whether requests of a method usually have no body, so that
+// no length is announced for an empty one.
+func UsuallyEmpty(method string) bool {
 	switch method {
 	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
 		return true
@@ -165,7 +167,7 @@
 		Body:          onceBody{bytes.NewReader(request.Body)},
 		ContentLength: int64(len(request.Body)),
 	}).WithContext(ctx)
-	if len(request.Body) == 0 && !usuallyEmpty(request.Method) {
+	if len(request.Body) == 0 && !UsuallyEmpty(request.Method) {
 		out.Body = http.NoBody
 	}
 	out.Header.Set(RequestIDHeader, string(request.ID))
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -57,7 +57,7 @@
 	// Owners is how many upstreams a beginning belongs to; zero means 2.
 	Owners int
 	// Depth is the part of the target within which an upstream has to read what
-	// it was sent; zero means 0.4. The rest is for the way, the wait here and the
+	// it was sent; zero means 0.35. The rest is for the way, the wait here and the
 	// batch's steps.
 	Depth float64
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
@@ -55,7 +56,7 @@
 			b.WriteString("\r\n")
 		}
 	}
-	if len(r.Body) > 0 || !usuallyEmpty(r.Method) {
+	if len(r.Body) > 0 || !attempt.UsuallyEmpty(r.Method) {
 		b.WriteString("Content-Length: ")
 		b.WriteString(strconv.Itoa(len(r.Body)))
 		b.WriteString("\r\n")
@@ -65,14 +66,6 @@
 	return b.Bytes()
 }
 
-func usuallyEmpty(method string) bool {
-	switch method {
-	case http.MethodGet, http.MethodHead, http.MethodDelete, http.MethodOptions:
-		return true
-	}
-	return false
-}
-
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	client  *Client
