--- a/deployment/codec.go
+++ b/deployment/codec.go
@@ -1,10 +1,7 @@
 package deployment
 
 import (
-	"time"
-
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -13,7 +10,7 @@
 func encodeConfiguration(c route.Configuration) *schema.Configuration {
 	out := &schema.Configuration{
 		Version: uint64(c.Version), MaxHeaderBytes: uint32(c.Limits.MaxHeaderBytes), MaxBodyBytes: uint32(c.Limits.MaxBodyBytes),
-		HeaderTimeoutMs: millis(c.Limits.HeaderTimeout), IdleTimeoutMs: millis(c.Limits.IdleTimeout),
+		HeaderTimeoutMs: schema.Millis(c.Limits.HeaderTimeout), IdleTimeoutMs: schema.Millis(c.Limits.IdleTimeout),
 	}
 	for i := range c.Routes {
 		out.Routes = append(out.Routes, encodeRoute(&c.Routes[i]))
@@ -32,7 +29,7 @@
 func encodeRoute(r *route.Route) *schema.Route {
 	out := &schema.Route{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: string(r.Kind),
-		TimeoutMs: millis(r.Timeout), TargetMs: millis(r.Target), MaxPauseMs: millis(r.MaxPause),
+		TimeoutMs: schema.Millis(r.Timeout), TargetMs: schema.Millis(r.Target), MaxPauseMs: schema.Millis(r.MaxPause),
 		Attempts: uint32(r.Attempts), Public: r.Public, Resumable: r.Resumable, Cached: r.Cached,
 	}
 	for _, s := range r.Shares {
@@ -47,7 +44,7 @@
 		Version: fleet.Version(in.GetVersion()),
 		Limits: route.Limits{
 			MaxHeaderBytes: int(in.GetMaxHeaderBytes()), MaxBodyBytes: int(in.GetMaxBodyBytes()),
-			HeaderTimeout: duration(in.GetHeaderTimeoutMs()), IdleTimeout: duration(in.GetIdleTimeoutMs()),
+			HeaderTimeout: schema.Duration(in.GetHeaderTimeoutMs()), IdleTimeout: schema.Duration(in.GetIdleTimeoutMs()),
 		},
 	}
 	for _, r := range in.GetRoutes() {
@@ -67,7 +64,7 @@
 func decodeRoute(in *schema.Route) route.Route {
 	out := route.Route{
 		Name: in.GetName(), Host: in.GetHost(), Prefix: in.GetPrefix(), Kind: route.Kind(in.GetKind()),
-		Timeout: duration(in.GetTimeoutMs()), Target: duration(in.GetTargetMs()), MaxPause: duration(in.GetMaxPauseMs()),
+		Timeout: schema.Duration(in.GetTimeoutMs()), Target: schema.Duration(in.GetTargetMs()), MaxPause: schema.Duration(in.GetMaxPauseMs()),
 		Attempts: int(in.GetAttempts()), Public: in.GetPublic(), Resumable: in.GetResumable(), Cached: in.GetCached(),
 	}
 	for _, s := range in.GetShares() {
@@ -75,26 +72,3 @@
 	}
 	return out
 }
-
-func encodeChange(c registry.Change) *schema.UpstreamChange {
-	u := c.Upstream
-	return &schema.UpstreamChange{
-		Id: string(u.ID), Service: string(u.Service), Address: u.Address, DataCenter: string(u.DataCenter),
-		Slots: uint32(u.Slots), Life: int64(u.Life), Draining: u.Draining, Gone: c.Gone, Revision: uint64(c.Revision),
-	}
-}
-
-func decodeChange(in *schema.UpstreamChange) registry.Change {
-	return registry.Change{
-		Upstream: registry.Upstream{
-			ID: fleet.UpstreamID(in.GetId()), Service: fleet.ServiceID(in.GetService()), Address: in.GetAddress(),
-			DataCenter: fleet.DataCenterID(in.GetDataCenter()), Slots: int(in.GetSlots()), Life: registry.Life(in.GetLife()),
-			Draining: in.GetDraining(),
-		},
-		Gone: in.GetGone(), Revision: registry.Revision(in.GetRevision()),
-	}
-}
-
-func millis(d time.Duration) uint32 { return uint32(d.Milliseconds()) }
-
-func duration(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -4,6 +4,4 @@
 var (
 	EncodeConfiguration = encodeConfiguration
 	DecodeConfiguration = decodeConfiguration
-	EncodeChange        = encodeChange
-	DecodeChange        = decodeChange
 )
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -28,9 +29,6 @@
 	// has at the upstreams. A prompt is read in some 50 to 300 ms; with older
 	// reports routers send to an engine that the others have just filled.
 	reportInterval = 50 * time.Millisecond
-	// reportPerRouter stretches the interval in a large fleet, so that a router
-	// gets 200 reports a second at most.
-	reportPerRouter = 5 * time.Millisecond
 	// refreshInterval is when a report is repeated that has not changed, well
 	// within the time for which it counts.
 	refreshInterval = 500 * time.Millisecond
@@ -42,6 +40,7 @@
 type mesh struct {
 	state *State
 	peers *peer.Peers
+	homes *home.Homes
 	log   *slog.Logger
 
 	mu sync.Mutex
@@ -53,6 +52,8 @@
 
 func newMesh(state *State, options peer.Options) *mesh {
 	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
+	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
+	state.homes = m.homes
 	m.peers.Handle(knowledgeMethod, m.answer)
 	m.peers.OnBatch(m.hear)
 	m.peers.OnChange(m.changed)
@@ -88,7 +89,10 @@
 // changed takes note of a connection that came or went.
 func (m *mesh) changed(c peer.Change) {
 	m.log.Info("router connection changed", "other", c.Router, "address", c.Address, "incarnation", c.Incarnation, "connected", c.Connected)
+	m.homes.SetRouters(m.peers.Routers())
+	m.state.setGrouped(m.homes.Decide())
 	if !c.Connected {
+		m.homes.Lost(c.Router)
 		return
 	}
 	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement()})
@@ -99,9 +103,13 @@
 
 // hear takes a batch of another router.
 func (m *mesh) hear(from fleet.RouterID, batch *schema.Batch) {
+	m.homes.Hear(from, batch)
 	if batch.GetAnnouncement() != nil && m.lacks(batch.GetAnnouncement()) {
 		time.AfterFunc(patience, func() { m.ask(from, batch.GetAnnouncement()) })
 	}
+	if m.homes.Decide() {
+		return // a report from before the fleet was large
+	}
 	for _, work := range batch.GetLoads() {
 		m.state.observe(from, work)
 	}
@@ -160,16 +168,18 @@
 	return answerBody{Knowledge: data}, nil
 }
 
-// Run reports what this router has at the upstreams until ctx ends.
+// Run reports what this router has at the upstreams until ctx ends, unless homes
+// decide: then nobody needs reports.
 func (m *mesh) Run(ctx context.Context) error {
 	pause := time.NewTimer(reportInterval)
 	defer pause.Stop()
 	for {
 		select {
 		case now := <-pause.C:
-			routers := m.peers.Routers()
-			m.report(now, routers)
-			pause.Reset(max(reportInterval, time.Duration(len(routers))*reportPerRouter))
+			if !m.homes.Decide() {
+				m.report(now, m.peers.Routers())
+			}
+			pause.Reset(reportInterval)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -4,12 +4,14 @@
 package deployment
 
 import (
+	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -17,6 +19,10 @@
 	"nutmeglock.example/nutmeglock/turn"
 )
 
+// unknownServiceRetryAfter is when a caller comes back to a service of which no
+// upstream is known yet; a router learns the list within some 100 ms.
+const unknownServiceRetryAfter = 250 * time.Millisecond
+
 // usualRouters is how many routers a fleet is taken to have before its list is
 // known. A router that believed to be alone would use the whole fleet's bound.
 const usualRouters = 6
@@ -30,7 +36,11 @@
 	configuration route.Configuration
 	directory     registry.Directory
 	pools         map[fleet.ServiceID]*turn.Pool
-	retries       map[fleet.ServiceID]*retry.Budget
+	// homes give the turns in a large fleet, nil in one of a single router.
+	homes *home.Homes
+	// grouped is true while homes decide.
+	grouped bool
+	retries map[fleet.ServiceID]*retry.Budget
 	// routers is how many the fleet has, as far as known.
 	routers int
 	// addresses are those of the upstreams that take requests.
@@ -70,6 +80,29 @@
 	return s.pools[service]
 }
 
+// Turn waits for a request's turn at a service. The error is *turn.RefusedError
+// when the turn can't come in time, or that of ctx.
+func (s *State) Turn(ctx context.Context, service fleet.ServiceID, demand turn.Demand) (home.Ticket, error) {
+	pool := s.Pool(service)
+	switch {
+	case pool == nil:
+		return nil, &turn.RefusedError{NoUpstream: true, RetryAfter: unknownServiceRetryAfter}
+	case s.homes == nil:
+		return home.Await(ctx, pool, demand)
+	}
+	return s.homes.Turn(ctx, service, pool, demand)
+}
+
+// setGrouped says whether homes decide.
+func (s *State) setGrouped(grouped bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grouped = grouped
+	for _, pool := range s.pools {
+		pool.SetGrouped(time.Now(), grouped)
+	}
+}
+
 // Pools returns the upstreams of all services.
 func (s *State) Pools() map[fleet.ServiceID]*turn.Pool {
 	s.mu.RLock()
@@ -146,7 +179,7 @@
 func (s *State) HearUpstreams(told []*schema.UpstreamChange, from string) {
 	changes := make([]registry.Change, 0, len(told))
 	for _, c := range told {
-		changes = append(changes, decodeChange(c))
+		changes = append(changes, registry.Decode(c))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -243,6 +276,7 @@
 	if configured.CacheTokens == 0 {
 		pool.Placement = turn.LeastLoaded{}
 	}
+	pool.SetGrouped(time.Now(), s.grouped)
 	s.pools[id] = pool
 	return pool
 }
--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -59,7 +59,7 @@
 		Upstream: registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", DataCenter: "z", Slots: 8, Life: 1782775556021, Draining: true},
 		Revision: 40, Gone: true,
 	}
-	require.Equal(t, change, deployment.DecodeChange(deployment.EncodeChange(change)))
+	require.Equal(t, change, registry.Decode(registry.Encode(change)))
 }
 
 // A service's upstreams are known before its configuration, as after a start. They
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
 )
@@ -85,7 +86,7 @@
 	}
 	for _, c := range s.directory.Changes() {
 		if uint64(c.Revision) > q.Upstreams {
-			out.Upstreams = append(out.Upstreams, encodeChange(c))
+			out.Upstreams = append(out.Upstreams, registry.Encode(c))
 		}
 	}
 	return out
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
-	"nutmeglock.example/nutmeglock/turn"
 )
 
 // sampleEvery is how many requests that were served in time share one log line.
@@ -125,7 +125,7 @@
 }
 
 // failed notes an attempt that failed.
-func (j *job) failed(ticket *turn.Ticket, f *failure) {
+func (j *job) failed(ticket home.Ticket, f *failure) {
 	to := ticket.Upstream()
 	j.handler.Log.Warn("attempt failed",
 		"request", j.intake.ID, "upstream", to.ID, "address", to.Address, "life", to.Life, "reason", f.reason,
@@ -134,7 +134,7 @@
 }
 
 // answered notes a request that was answered.
-func (j *job) answered(ticket *turn.Ticket) {
+func (j *job) answered(ticket home.Ticket) {
 	h := j.handler
 	now := time.Now()
 	first := j.firstEvent.Sub(j.arrived)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -71,7 +72,7 @@
 
 // attempt sends the request to the upstream of a ticket. It returns nil once
 // the answer has been passed on.
-func (j *job) attempt(ctx context.Context, ticket *turn.Ticket) *failure {
+func (j *job) attempt(ctx context.Context, ticket home.Ticket) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := newWatch(cancel, j.silence())
@@ -112,7 +113,7 @@
 	return j.route.Kind == route.Streaming && answer.Status == http.StatusOK
 }
 
-func (j *job) send(ctx context.Context, ticket *turn.Ticket) (*upstream.Answer, error) {
+func (j *job) send(ctx context.Context, ticket home.Ticket) (*upstream.Answer, error) {
 	to := ticket.Upstream()
 	passing := Passing{Left: time.Until(j.deadline), Account: j.account, Upstream: to, FetchFrom: ticket.FetchFrom()}
 	if j.begun && j.last > 0 {
@@ -126,7 +127,7 @@
 }
 
 // sendFailure sorts the failure of an exchange that brought no answer.
-func (j *job) sendFailure(ctx context.Context, ticket *turn.Ticket, err error) *failure {
+func (j *job) sendFailure(ctx context.Context, ticket home.Ticket, err error) *failure {
 	f := &failure{reason: retry.BrokenBefore, sent: true, cause: err}
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
@@ -174,7 +175,7 @@
 }
 
 // readWhole reads an answer that isn't a stream and passes it on.
-func (j *job) readWhole(ctx context.Context, ticket *turn.Ticket, answer *upstream.Answer) *failure {
+func (j *job) readWhole(ctx context.Context, ticket home.Ticket, answer *upstream.Answer) *failure {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	if err != nil {
 		f := &failure{reason: retry.BrokenBefore, sent: true, cause: err}
@@ -199,7 +200,7 @@
 }
 
 // passLong passes on an answer that is too long to be kept.
-func (j *job) passLong(ctx context.Context, ticket *turn.Ticket, w *whole, answer *upstream.Answer) *failure {
+func (j *job) passLong(ctx context.Context, ticket home.Ticket, w *whole, answer *upstream.Answer) *failure {
 	if j.begun {
 		return &failure{reason: retry.StreamBroken, sent: true, final: true, cause: errNotResumed}
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -9,12 +9,14 @@
 package forward
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
@@ -78,8 +80,9 @@
 type State interface {
 	// Table returns the configuration in force, nil when none is known.
 	Table() *route.Table
-	// Pool returns the upstreams of a service, nil when it isn't known.
-	Pool(service fleet.ServiceID) *turn.Pool
+	// Turn waits for a request's turn at a service. The error is
+	// *turn.RefusedError when the turn can't come in time, or that of ctx.
+	Turn(ctx context.Context, service fleet.ServiceID, demand turn.Demand) (home.Ticket, error)
 	// Retries returns the retry policy of a service.
 	Retries(service fleet.ServiceID) retry.Policy
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -17,6 +18,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
@@ -56,8 +58,12 @@
 	pool  *turn.Pool
 }
 
-func (s state) Table() *route.Table                  { return s.table }
-func (s state) Pool(fleet.ServiceID) *turn.Pool      { return s.pool }
+func (s state) Table() *route.Table { return s.table }
+
+func (s state) Turn(ctx context.Context, _ fleet.ServiceID, d turn.Demand) (home.Ticket, error) {
+	return home.Await(ctx, s.pool, d)
+}
+
 func (s state) Retries(fleet.ServiceID) retry.Policy { return &retry.Unlimited{} }
 
 // upstreams counts what reaches them.
--- a/forward/job.go
+++ b/forward/job.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -133,39 +134,17 @@
 }
 
 // takeTurn waits for a turn.
-func (j *job) takeTurn(ctx context.Context) (*turn.Ticket, *refusal.Error) {
-	pool := j.handler.State.Pool(j.service)
-	if pool == nil {
-		return nil, refusal.New(refusal.NoUpstream, "the service has no upstream", notReadyRetryAfter)
-	}
-	demand := j.demand()
+func (j *job) takeTurn(ctx context.Context) (home.Ticket, *refusal.Error) {
 	asked := time.Now()
-	ticket, err := pool.Ask(asked, demand)
-	if err != nil {
-		return nil, j.turnRefusal(err)
-	}
-	select {
-	case <-ticket.Granted():
-		return ticket, nil
-	default:
-	}
-	defer func() { j.waited += time.Since(asked) }()
-	patience := time.NewTimer(ticket.Patience())
-	defer patience.Stop()
-	select {
-	case <-ticket.Granted():
+	ticket, err := j.handler.State.Turn(ctx, j.service, j.demand())
+	j.waited += time.Since(asked)
+	switch {
+	case err == nil:
 		return ticket, nil
-	case <-patience.C:
-		if refused := ticket.GiveUp(time.Now()); refused != nil {
-			return nil, j.turnRefusal(refused)
-		}
-		return ticket, nil
-	case <-ctx.Done():
-		if ticket.GiveUp(time.Now()) == nil {
-			ticket.End(time.Now(), turn.Unsent)
-		}
+	case ctx.Err() != nil:
 		return nil, j.over(ctx)
 	}
+	return nil, j.turnRefusal(err)
 }
 
 func (j *job) turnRefusal(err error) *refusal.Error {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/stream"
 	"nutmeglock.example/nutmeglock/turn"
@@ -21,7 +22,7 @@
 
 // relay passes a stream on, event by event. Only whole events go out: an
 // upstream may stop in the middle of one.
-func (j *job) relay(ctx context.Context, ticket *turn.Ticket, answer *upstream.Answer, watch *watch) *failure {
+func (j *job) relay(ctx context.Context, ticket home.Ticket, answer *upstream.Answer, watch *watch) *failure {
 	events := stream.NewReader(answer.Body)
 	for {
 		event, err := events.Next()
@@ -58,7 +59,7 @@
 
 // passEvent passes one event on. One that the caller has already is left out; a
 // gap after a resumption ends the stream, which would lack events.
-func (j *job) passEvent(ticket *turn.Ticket, answer *upstream.Answer, event stream.Event, more bool) error {
+func (j *job) passEvent(ticket home.Ticket, answer *upstream.Answer, event stream.Event, more bool) error {
 	ticket.First(time.Now())
 	id := uint64(event.ID)
 	if id > 0 && j.last > 0 {
--- /dev/null
+++ b/registry/codec.go
@@ -0,0 +1,27 @@
+package registry
+
+import (
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// Encode returns a change as routers tell it each other.
+func Encode(c Change) *schema.UpstreamChange {
+	u := c.Upstream
+	return &schema.UpstreamChange{
+		Id: string(u.ID), Service: string(u.Service), Address: u.Address, DataCenter: string(u.DataCenter),
+		Slots: uint32(u.Slots), Life: int64(u.Life), Draining: u.Draining, Gone: c.Gone, Revision: uint64(c.Revision),
+	}
+}
+
+// Decode is the inverse of Encode.
+func Decode(in *schema.UpstreamChange) Change {
+	return Change{
+		Upstream: Upstream{
+			ID: fleet.UpstreamID(in.GetId()), Service: fleet.ServiceID(in.GetService()), Address: in.GetAddress(),
+			DataCenter: fleet.DataCenterID(in.GetDataCenter()), Slots: int(in.GetSlots()), Life: Life(in.GetLife()),
+			Draining: in.GetDraining(),
+		},
+		Gone: in.GetGone(), Revision: Revision(in.GetRevision()),
+	}
+}
--- /dev/null
+++ b/turn/group.go
@@ -0,0 +1,58 @@
+package turn
+
+import "time"
+
+// enginesPerGroup is how many engines at least a group has on the mean. A
+// beginning has two owners in one group, and with six few groups have but one
+// engine; with more in a group, fewer routers share the work of giving turns.
+const enginesPerGroup = 6
+
+// SetGrouped says whether the engines are parted into groups, and a request goes
+// to one group only, so that for each group another router can give the turns.
+func (p *Pool) SetGrouped(now time.Time, grouped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.grouped == grouped {
+		return
+	}
+	p.grouped = grouped
+	p.generation++
+	// Routers report no more once others give the turns. What they had told last
+	// would count for ever.
+	p.heard = nil
+	p.sumOthers(now)
+}
+
+// Group returns the number of the group that a demand belongs to. It is false
+// when demands of the service belong to all upstreams alike.
+func (p *Pool) Group(d *Demand) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	numbers := p.placement().Order(p.upstreams, d)
+	if len(numbers) == 0 {
+		return 0, false
+	}
+	return p.groupOf(p.engines[numbers[0]]), true
+}
+
+// Has reports whether a life of an upstream takes requests.
+func (p *Pool) Has(instance Instance) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.engines {
+		if e.instance == instance {
+			return true
+		}
+	}
+	return false
+}
+
+// groupOf returns the number of an engine's group. The number of groups is a power
+// of two, so that it changes seldom and then parts groups in two.
+func (p *Pool) groupOf(e *engine) int {
+	groups := 1
+	for groups*2*enginesPerGroup <= len(p.engines) {
+		groups *= 2
+	}
+	return int(e.key) % groups
+}
--- /dev/null
+++ b/turn/large_test.go
@@ -0,0 +1,49 @@
+package turn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+)
+
+// largeFleet is a load of more than what sixty engines can read, by way of 88
+// routers whose reports come seldom; each client account has a few callers, so it
+// sits at some of the routers.
+func largeFleet(seed uint64, load float64) modelLoad {
+	const routers = 88
+	m := modelLoad{
+		routers: routers, engines: 60, speed: 54.6, target: 800 * time.Millisecond, length: 9 * time.Second,
+		reports: 440 * time.Millisecond, shared: 1200, seed: seed,
+	}
+	weights := []float64{30, 15, 10, 8, 6, 5, 4, 3, 3, 2, 2, 1, 1, 1, 1, 1, 1, 1, 1, 1}
+	at := 0
+	for i, w := range weights {
+		a := modelAccount{id: fleet.AccountID(fmt.Sprintf("a%d", i)), rate: w * load}
+		for range max(1, int(w)) {
+			a.routers = append(a.routers, at%routers)
+			at += 7
+		}
+		m.accounts = append(m.accounts, a)
+	}
+	return m
+}
+
+// Many routers stand before many engines, and what each knows of the others is half
+// a second old. Several of them send to one engine at the same moment, and callers
+// see late first events while other engines idle. Where one router gives the turns
+// of a group of engines for all, few are late, and each account gets its share.
+func TestHomesServeALargeFleet(t *testing.T) {
+	t.Parallel()
+	for _, overload := range []float64{5, 12} {
+		load := largeFleet(1, overload)
+		load.homes = 8
+		m := play(load)
+		part, who, when := m.least()
+		require.Greater(t, part, 0.65, "%s from second %d", who, when)
+		require.Less(t, m.late, m.inTime/50)
+	}
+}
--- a/turn/load.go
+++ b/turn/load.go
@@ -108,8 +108,18 @@
 	p.pump(now)
 }
 
+// forgetOld drops reports that don't count any more. It is asked at each demand:
+// when all other routers are gone, no report comes that would displace theirs, and
+// what they had in flight would block the engines for ever.
+func (p *Pool) forgetOld(now time.Time) {
+	if len(p.heard) > 0 && now.Sub(p.oldest) >= loadAge {
+		p.sumOthers(now)
+	}
+}
+
 // sumOthers adds up the reports that are recent enough.
 func (p *Pool) sumOthers(now time.Time) {
+	p.oldest = now
 	for _, e := range p.engines {
 		e.others = Load{}
 	}
@@ -119,6 +129,9 @@
 			delete(p.heard, from)
 			continue
 		}
+		if h.at.Before(p.oldest) {
+			p.oldest = h.at
+		}
 		for _, e := range p.engines {
 			e.others = e.others.add(h.report.Upstreams[e.key])
 			if e.others.Unread > 0 {
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/turn"
 )
 
@@ -50,6 +51,9 @@
 	accounts         []modelAccount
 	shared           int // beginnings
 	seed             uint64
+	// homes is how many routers give the turns for all; zero means that each gives
+	// its own, by reports.
+	homes int
 }
 
 // modelAccount asks by a Poisson process at some of the routers.
@@ -117,14 +121,7 @@
 	for _, u := range list {
 		m.engines[u.ID] = &modelEngine{cache: make(map[uint64]time.Time)}
 	}
-	for range load.routers {
-		p := &turn.Pool{}
-		p.Set(m.now, list, load.target)
-		m.pools = append(m.pools, p)
-	}
-	for i := range m.pools {
-		m.after(time.Duration(m.random.Int64N(int64(load.reports))), func() { m.report(i) })
-	}
+	m.makePools(list)
 	for _, a := range load.accounts {
 		m.asked[a.id] = &[seconds]float64{}
 		m.begun[a.id] = &[seconds]float64{}
@@ -142,6 +139,26 @@
 	return m
 }
 
+// makePools makes a pool for each router, or for each home that has a part of the
+// engines and hears of all requests for them.
+func (m *model) makePools(list []registry.Upstream) {
+	homes := m.load.homes
+	for h := range homes {
+		p := &turn.Pool{}
+		p.Set(m.now, list[h*len(list)/homes:(h+1)*len(list)/homes], m.load.target)
+		m.pools = append(m.pools, p)
+	}
+	if homes > 0 {
+		return
+	}
+	for i := range m.load.routers {
+		p := &turn.Pool{}
+		p.Set(m.now, list, m.load.target)
+		m.pools = append(m.pools, p)
+		m.after(time.Duration(m.random.Int64N(int64(m.load.reports))), func() { m.report(i) })
+	}
+}
+
 func (m *model) report(from int) {
 	r := m.pools[from].Report(m.now)
 	m.after(modelWay, func() {
@@ -171,7 +188,11 @@
 	size := float64(d.Input + 2*d.Output)
 	m.asked[a.id][m.second()] += size
 	m.largest[a.id] = max(m.largest[a.id], size)
-	m.ask(a.routers[m.random.IntN(len(a.routers))], d, m.now)
+	pool := a.routers[m.random.IntN(len(a.routers))]
+	if m.load.homes > 0 {
+		pool = int(shared) % m.load.homes
+	}
+	m.ask(pool, d, m.now)
 }
 
 func (m *model) second() int { return min(int(m.now.Sub(start)/time.Second), seconds-1) }
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -36,8 +36,12 @@
 	// counts the lists.
 	upstreams  []registry.Upstream
 	generation int
-	accounts   map[fleet.AccountID]*account
-	heard      map[fleet.RouterID]heard
+	// grouped is true when a request goes to one group of engines only.
+	grouped  bool
+	accounts map[fleet.AccountID]*account
+	heard    map[fleet.RouterID]heard
+	// oldest is when the oldest report that counts came.
+	oldest time.Time
 	// elsewhere is how each account stands at the other routers, keys those of
 	// accounts.
 	elsewhere map[Key]Standing
@@ -81,6 +85,7 @@
 func (p *Pool) Ask(now time.Time, d Demand) (*Ticket, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.forgetOld(now)
 	t := &Ticket{pool: p, demand: d, asked: now, granted: make(chan struct{})}
 	view := p.view(now, 1)
 	best := p.best(view, t, p.candidates(now, t))
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -45,9 +45,12 @@
 	if numbers == nil {
 		return p.engines
 	}
-	order := make([]*engine, len(numbers))
-	for i, n := range numbers {
-		order[i] = p.engines[n]
+	order := make([]*engine, 0, len(numbers))
+	for _, n := range numbers {
+		e := p.engines[n]
+		if !p.grouped || p.groupOf(e) == p.groupOf(p.engines[numbers[0]]) {
+			order = append(order, e)
+		}
 	}
 	return order
 }
--- a/turn/turn_test.go
+++ b/turn/turn_test.go
@@ -213,6 +213,22 @@
 	require.True(t, started(ticket))
 }
 
+// All other routers lose power. No report comes any more that would take the place
+// of their last ones, and the router that is left refuses everything because of
+// what they had in flight.
+func TestLastRouterForgetsWhatTheOthersHad(t *testing.T) {
+	t.Parallel()
+	p := pool(1)
+	p.Observe(start, "gone", turn.Report{
+		Upstreams: map[turn.Key]turn.Load{turn.KeyOf(fleet.UpstreamID("e0")): {Unread: 1 << 20, InFlight: 64}},
+	})
+	_, err := p.Ask(start, prompt("a", 1, 2, 0))
+	require.Error(t, err)
+	ticket, err := p.Ask(start.Add(2*time.Second), prompt("a", 1, 2, 0))
+	require.NoError(t, err)
+	require.True(t, started(ticket))
+}
+
 // An engine starts again under its id, with an empty cache. What its former life
 // had must not be counted on.
 func TestNewLifeOfAnEngineHasAnEmptyCache(t *testing.T) {
