--- a/deployment/members.go
+++ b/deployment/members.go
@@ -36,6 +36,13 @@
 	// Routers that start connect to the others themselves, so news here is
 	// never urgent.
 	memberWait = 20 * time.Second
+	// memberStart is how long after its start a router looks at the list only now
+	// and then, each memberStep: all routers of a fleet start together, and each
+	// entry would be told to all.
+	memberStart = 3 * time.Second
+	memberStep  = time.Second
+	// memberCalm is the same later on in a large fleet.
+	memberCalm = 30 * time.Second
 	// registerTimeout bounds one try to write the own entry, registerPause and
 	// maxRegisterPause the time between two.
 	registerTimeout  = 1500 * time.Millisecond
@@ -50,6 +57,20 @@
 // are started again at the same address within seconds.
 const memberMemory = time.Minute
 
+// memberRest returns how long the list of routers need not be looked at.
+func memberRest(started time.Time, isLarge func() bool) func() time.Duration {
+	return func() time.Duration {
+		switch {
+		case time.Since(started) < memberStart:
+			return memberStep
+		case isLarge():
+			return memberCalm
+		default:
+			return 0
+		}
+	}
+}
+
 // memberSink tells the mesh which routers to connect to.
 //
 // A router that starts while the store refuses it knows nobody, and can serve
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
@@ -23,6 +25,12 @@
 	// store to tell it, before it asks the other router. The store tells all
 	// routers within some milliseconds, so in calm nobody asks.
 	patience = 150 * time.Millisecond
+	// restPatience is the most that a router waits which isn't told by the store.
+	restPatience = 30 * time.Millisecond
+	// gossipInterval and gossipRouters are how often a router of a large fleet tells
+	// how many others what it holds: 264 messages a second among 88.
+	gossipInterval = time.Second
+	gossipRouters  = 3
 	// knowledgeTimeout bounds one question to another router.
 	knowledgeTimeout = time.Second
 	// reportInterval is the least time between two reports of what this router
@@ -41,6 +49,8 @@
 	state *State
 	peers *peer.Peers
 	homes *home.Homes
+	// group says whether this router follows the store for others.
+	group *follow.Group
 	log   *slog.Logger
 
 	mu sync.Mutex
@@ -48,11 +58,14 @@
 	asking bool
 	told   time.Time
 	last   []byte
+	// blind is set while those that follow the store for this router have lost it.
+	blind bool
 }
 
 func newMesh(state *State, options peer.Options) *mesh {
 	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
 	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
+	m.group = &follow.Group{Self: options.Self}
 	state.homes = m.homes
 	m.peers.Handle(knowledgeMethod, m.answer)
 	m.peers.OnBatch(m.hear)
@@ -73,23 +86,72 @@
 
 // announcement returns how new this router's knowledge is.
 func (m *mesh) announcement() *schema.Announcement {
+	own := m.group.Own()
 	return &schema.Announcement{
-		ConfigurationVersion: uint64(m.state.Table().Version()), UpstreamRevision: uint64(m.state.Revision()),
+		ConfigurationVersion: uint64(m.state.Table().Version()), UpstreamRevision: uint64(m.state.Settled()),
+		Follows: own.Follows, StoreLost: own.Lost,
 	}
 }
 
-// announce tells all routers how new this router's knowledge is.
-func (m *mesh) announce() {
+// announce tells all routers how new this router's knowledge is, and whether it
+// follows the store.
+func (m *mesh) announce() { m.announceTo(m.peers.Routers()) }
+
+func (m *mesh) announceTo(routers []fleet.RouterID) {
 	batch := &schema.Batch{Announcement: m.announcement()}
-	for _, router := range m.peers.Routers() {
+	for _, router := range routers {
 		m.peers.Send(router, batch)
 	}
 }
 
+// learned announces what has taken effect here. In a large fleet a router that was
+// told by another one keeps quiet: all were told.
+func (m *mesh) learned(from string) {
+	if from == fromStore || m.group.Rest() == 0 {
+		m.announce()
+	}
+}
+
+// storeLost notes whether this router can read the store.
+func (m *mesh) storeLost(lost bool) {
+	m.group.SetLost(lost)
+	m.announce()
+}
+
+// gossip tells some routers how new this router's knowledge is. It answers a router
+// that is connected with none of those that follow the store, and announcements
+// that were lost with a connection.
+func (m *mesh) gossip() {
+	routers := m.peers.Routers()
+	rand.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
+	m.announceTo(routers[:min(len(routers), gossipRouters)])
+	m.checkBlind()
+}
+
+// checkBlind takes over from the routers that follow the store whether it can be
+// read: entries that vanish while it is away may return.
+func (m *mesh) checkBlind() {
+	blind := m.group.IsBlind()
+	m.mu.Lock()
+	changed := m.blind != blind
+	m.blind = blind
+	m.mu.Unlock()
+	switch {
+	case !changed:
+	case blind:
+		m.log.Warn("dependency lost", "dependency", "store", "table", "all", "error", "the routers that follow it can't read it")
+		m.state.LoseUpstreams()
+	default:
+		m.log.Info("dependency regained", "dependency", "store", "table", "all")
+		m.state.RegainUpstreams()
+	}
+}
+
 // changed takes note of a connection that came or went.
 func (m *mesh) changed(c peer.Change) {
 	m.log.Info("router connection changed", "other", c.Router, "address", c.Address, "incarnation", c.Incarnation, "connected", c.Connected)
 	m.homes.SetRouters(m.peers.Routers())
+	m.group.SetRouters(m.peers.Routers())
 	m.state.setGrouped(m.homes.Decide())
 	if !c.Connected {
 		m.homes.Lost(c.Router)
@@ -104,8 +166,8 @@
 // hear takes a batch of another router.
 func (m *mesh) hear(from fleet.RouterID, batch *schema.Batch) {
 	m.homes.Hear(from, batch)
-	if batch.GetAnnouncement() != nil && m.lacks(batch.GetAnnouncement()) {
-		time.AfterFunc(patience, func() { m.ask(from, batch.GetAnnouncement()) })
+	if a := batch.GetAnnouncement(); a != nil {
+		m.hearAnnouncement(from, a)
 	}
 	if m.homes.Decide() {
 		return // a report from before the fleet was large
@@ -115,6 +177,36 @@
 	}
 }
 
+func (m *mesh) hearAnnouncement(from fleet.RouterID, a *schema.Announcement) {
+	m.group.Hear(from, follow.Standing{Follows: a.GetFollows(), Lost: a.GetStoreLost()})
+	m.checkBlind()
+	if m.lacks(a) {
+		time.AfterFunc(m.patience(), func() { m.ask(from, a) })
+	}
+	own := m.announcement()
+	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > a.GetUpstreamRevision() {
+		m.tellBehind(from, own)
+	}
+}
+
+// tellBehind answers an announcement that is older than what is known here. In a
+// small fleet each router has announced it to all already.
+func (m *mesh) tellBehind(router fleet.RouterID, own *schema.Announcement) {
+	if m.homes.Decide() {
+		m.peers.Send(router, &schema.Batch{Announcement: own})
+	}
+}
+
+// patience returns how long to wait for the store to tell what another router
+// announced. A router that rests isn't told by the store; it asks one of those that
+// announce, and not all the same one.
+func (m *mesh) patience() time.Duration {
+	if m.group.Rest() > 0 {
+		return rand.N(restPatience)
+	}
+	return patience
+}
+
 // lacks reports whether another router knows something newer.
 func (m *mesh) lacks(a *schema.Announcement) bool {
 	return a.GetConfigurationVersion() > uint64(m.state.Table().Version()) ||
@@ -173,8 +265,14 @@
 func (m *mesh) Run(ctx context.Context) error {
 	pause := time.NewTimer(reportInterval)
 	defer pause.Stop()
+	gossip := time.NewTicker(gossipInterval)
+	defer gossip.Stop()
 	for {
 		select {
+		case <-gossip.C:
+			if m.homes.Decide() {
+				m.gossip()
+			}
 		case now := <-pause.C:
 			if !m.homes.Decide() {
 				m.report(now, m.peers.Routers())
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -33,14 +33,14 @@
 	// use one again after nearly as long as the configuration lets it idle, and
 	// a request that crosses the close is lost, so this is well above that.
 	idleTimeout = 2 * time.Minute
+	// noProbes spares four system calls for each connection of a caller. One whose
+	// caller has gone without a word ends with its idle time, or when an answer
+	// isn't acknowledged.
+	noProbes = -1
 	// sweepInterval is how often idle connections to upstreams are looked over.
 	sweepInterval = time.Second
 	// maxCallerHeader bounds a caller's header, in bytes.
 	maxCallerHeader = 64 << 10
-	// watchPerRouter stretches a wait for changes by the size of the fleet, up to
-	// maxWatch, the longest that the platform allows.
-	watchPerRouter = 330 * time.Millisecond
-	maxWatch       = 30 * time.Second
 	// peerBackoff bounds the time between two attempts to connect to a router, and
 	// so how long after the end of a cut the two hear each other again.
 	peerBackoff = time.Second
@@ -119,9 +119,9 @@
 }
 
 // changed tells the other routers that something has taken effect here.
-func (r *Router) changed() {
+func (r *Router) changed(from string) {
 	r.metrics.NoteVersion.Set(float64(r.state.Table().Version()))
-	r.mesh.announce()
+	r.mesh.learned(from)
 }
 
 // connect makes the connections to the other routers.
@@ -139,7 +139,7 @@
 	r.mesh.peers.OnChange(members.heard)
 	follower := &follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.Members, Sink: members, Log: r.options.Log,
-		Wait: func() time.Duration { return memberWait },
+		Wait: func() time.Duration { return memberWait }, Rest: memberRest(time.Now(), r.mesh.homes.Decide),
 	}
 	r.actors = append(r.actors,
 		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
@@ -151,11 +151,11 @@
 func (r *Router) follow() {
 	configurations := &follow.Follower[route.Configuration, registry.Revision]{
 		Name: "configuration", Feed: r.options.Configurations, Sink: configurationSink{r.state}, Log: r.options.Log,
-		Wait: r.watchWait,
+		Rest: r.mesh.group.Rest,
 	}
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
-		Name: "upstreams", Feed: r.options.Upstreams, Sink: upstreamSink{r.state}, Log: r.options.Log,
-		Wait: r.watchWait,
+		Name: "upstreams", Feed: r.options.Upstreams, Sink: upstreamSink{r.state, r.mesh}, Log: r.options.Log,
+		Rest: r.mesh.group.Rest,
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
@@ -163,14 +163,6 @@
 		actor{"connection sweep", r.sweep})
 }
 
-// watchWait returns how long one call waits for a change. In a large fleet it is
-// longer, so that the fleet makes some six calls a second at any size: routers
-// tell each other what is new, and a silent feed matters less.
-func (r *Router) watchWait() time.Duration {
-	scaled := time.Duration(len(r.mesh.peers.Routers())) * watchPerRouter
-	return min(max(follow.DefaultWait, scaled), maxWatch)
-}
-
 func (r *Router) listen(ctx context.Context) error {
 	ready := echo.New()
 	ready.GET(r.options.ReadyPath, r.ready)
@@ -186,7 +178,7 @@
 		{"readiness", r.options.ReadyAddress, r.newServer(ready)},
 		{"metrics", r.options.MetricsAddress, r.newServer(metrics)},
 	} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", l.address)
+		listener, err := (&net.ListenConfig{KeepAlive: noProbes}).Listen(ctx, "tcp", l.address)
 		if err != nil {
 			return eris.Wrapf(err, "listening for %s on %s", l.name, l.address)
 		}
--- a/deployment/sink.go
+++ b/deployment/sink.go
@@ -26,7 +26,10 @@
 func (configurationSink) Regained()  {}
 
 // upstreamSink keeps the list of upstreams.
-type upstreamSink struct{ state *State }
+type upstreamSink struct {
+	state *State
+	mesh  *mesh
+}
 
 func (s upstreamSink) Replace(rows []registry.Change, as registry.Revision) {
 	s.state.ReplaceUpstreams(rows, as, fromStore)
@@ -36,5 +39,14 @@
 	s.state.ApplyUpstreams(rows, fromStore)
 }
 
-func (s upstreamSink) Lost(error) { s.state.LoseUpstreams() }
-func (s upstreamSink) Regained()  { s.state.RegainUpstreams() }
+// Lost and Regained tell the other routers too, which may rely on this one.
+func (s upstreamSink) Lost(error) {
+	s.state.LoseUpstreams()
+	s.mesh.storeLost(true)
+}
+
+// Regained is the end of what Lost says.
+func (s upstreamSink) Regained() {
+	s.state.RegainUpstreams()
+	s.mesh.storeLost(false)
+}
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -56,8 +56,8 @@
 	RetryBurst float64
 	Log        *slog.Logger
 	// OnChange is called, unless it is nil, when a configuration or a change of
-	// the list has taken effect here.
-	OnChange func()
+	// the list has taken effect here, with who told it.
+	OnChange func(from string)
 }
 
 // NewState returns a State that knows nothing yet.
@@ -155,7 +155,7 @@
 	s.options.Log.Info("configuration in force", "version", c.Version, "before", before, "from", from,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts))
 	s.refresh(time.Now())
-	s.tell()
+	s.tell(from)
 	return true
 }
 
@@ -175,15 +175,16 @@
 	s.settleWhenDue()
 }
 
-// HearUpstreams takes changes that another router told.
-func (s *State) HearUpstreams(told []*schema.UpstreamChange, from string) {
+// HearUpstreams takes changes that another router told, and up to which revision
+// they are complete.
+func (s *State) HearUpstreams(told []*schema.UpstreamChange, complete registry.Revision, from string) {
 	changes := make([]registry.Change, 0, len(told))
 	for _, c := range told {
 		changes = append(changes, registry.Decode(c))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changed(s.directory.Hear(time.Now(), changes), from)
+	s.changed(s.directory.Hear(time.Now(), changes, complete), from)
 }
 
 // Revision returns that of the latest change of the list that took effect here.
@@ -218,7 +219,7 @@
 func (s *State) settle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changed(s.directory.Settle(time.Now()), "lapsed in an outage")
+	s.changed(s.directory.Settle(time.Now()), lapsed)
 	s.settleWhenDue()
 }
 
@@ -233,13 +234,16 @@
 			"gone", c.Gone, "revision", c.Revision, "from", from)
 	}
 	s.refresh(time.Now())
-	s.tell()
+	s.tell(from)
 }
 
+// lapsed says in a log line that an entry vanished in an outage and didn't return.
+const lapsed = "lapsed in an outage"
+
 // tell calls OnChange without the lock: it reads the state.
-func (s *State) tell() {
+func (s *State) tell(from string) {
 	if s.options.OnChange != nil {
-		go s.options.OnChange()
+		go s.options.OnChange(from)
 	}
 }
 
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -77,7 +77,7 @@
 
 // knowledge returns what is newer here than what another router holds.
 func (s *State) knowledge(q question) *schema.Knowledge {
-	out := &schema.Knowledge{}
+	out := &schema.Knowledge{UpstreamRevision: uint64(s.directory.Settled())}
 	s.mu.RLock()
 	held := s.configuration
 	s.mu.RUnlock()
@@ -97,5 +97,5 @@
 	if k.GetConfiguration() != nil {
 		s.Configure(decodeConfiguration(k.GetConfiguration()), from)
 	}
-	s.HearUpstreams(k.GetUpstreams(), from)
+	s.HearUpstreams(k.GetUpstreams(), registry.Revision(k.GetUpstreamRevision()), from)
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -68,9 +68,15 @@
 	Sink Sink[R, V]
 	// Wait is how long one call waits for a change; nil means always 4 s.
 	Wait func() time.Duration
+	// Rest returns how long the table need not be looked at, since others tell what
+	// is new, zero when it has to be followed; nil means always. It is asked again
+	// and again, and may change.
+	Rest func() time.Duration
 	Log  *slog.Logger
 
 	lost bool
+	// asked is when the store was last asked.
+	asked time.Time
 }
 
 // Run follows until ctx ends, and returns its error.
@@ -79,6 +85,10 @@
 	whole := true
 	pause := firstPause
 	for ctx.Err() == nil {
+		if !f.asked.IsZero() {
+			f.rest(ctx)
+		}
+		f.asked = time.Now()
 		var err error
 		if whole {
 			as, err = f.read(ctx)
@@ -105,6 +115,25 @@
 	return ctx.Err()
 }
 
+// restStep is how often a Follower that rests looks whether it still may.
+const restStep = 100 * time.Millisecond
+
+// rest waits until the table has to be looked at. Followers that rest for as long
+// spread their calls.
+func (f *Follower[R, V]) rest(ctx context.Context) {
+	if f.Rest == nil {
+		return
+	}
+	spread := 0.5 + rand.Float64()
+	for ctx.Err() == nil {
+		rest := time.Duration(spread * float64(f.Rest()))
+		if time.Since(f.asked) >= rest {
+			return
+		}
+		sleep(ctx, min(restStep, rest))
+	}
+}
+
 func (f *Follower[R, V]) read(ctx context.Context) (V, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -122,6 +151,9 @@
 	if f.Wait != nil {
 		wait = f.Wait()
 	}
+	if f.Rest != nil && f.Rest() > 0 {
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	rows, as, err := f.Feed.Watch(ctx, after, wait)
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -43,9 +43,24 @@
 	if err := j.authenticate(table); err != nil {
 		return err
 	}
+	if err := j.checkLine(); err != nil {
+		return err
+	}
 	return j.readBody(table.Limits())
 }
 
+// checkLine refuses a request, before its body is read, when so many of its account
+// wait here that its turn can't come in time.
+func (j *job) checkLine() *refusal.Error {
+	after, full := j.handler.lines.IsFull(j.arrived, j.line(), j.patience())
+	if !full {
+		return nil
+	}
+	return refusal.New(refusal.AccountQueueFull, "too many requests of the account wait here", after)
+}
+
+func (j *job) line() lineKey { return lineKey{j.service, j.account} }
+
 func (j *job) findRoute(table *route.Table) *refusal.Error {
 	path, _, _ := strings.Cut(j.request.RequestURI, "?")
 	found, ok := table.Find(j.request.Host, path)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmeglock.example/nutmeglock/admission"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
@@ -98,10 +99,17 @@
 	// too many are open; nil never.
 	Crowded func() bool
 
+	lines  admission.Lines[lineKey]
 	held   held
 	served atomic.Uint64
 }
 
+// lineKey is whose requests wait in one line.
+type lineKey struct {
+	service fleet.ServiceID
+	account fleet.AccountID
+}
+
 // isSampled reports whether a request that was served as usual is logged.
 func (h *Handler) isSampled() bool { return h.served.Add(1)%sampleEvery == 1 }
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -121,23 +121,31 @@
 		Account: j.account, Beginnings: j.intake.Beginnings, Tried: j.tried,
 		Input: max(j.intake.Input, 1), Output: j.intake.Output, Target: j.route.Target,
 	}
-	part := plainPatience
-	if j.route.Kind == route.Streaming {
-		part = streamPatience
-	}
-	d.Patience = time.Duration(part * float64(j.route.Target))
-	if j.begun {
-		d.Patience = resumePatience
-	}
-	d.Patience = max(min(d.Patience, time.Until(j.deadline)), 0)
+	d.Patience = max(min(j.patience(), time.Until(j.deadline)), 0)
 	return d
 }
 
+// patience returns how long the request may wait for its next turn, its account
+// and its deadline aside.
+func (j *job) patience() time.Duration {
+	switch {
+	case j.begun:
+		return resumePatience
+	case j.route.Kind == route.Streaming:
+		return time.Duration(streamPatience * float64(j.route.Target))
+	default:
+		return time.Duration(plainPatience * float64(j.route.Target))
+	}
+}
+
 // takeTurn waits for a turn.
 func (j *job) takeTurn(ctx context.Context) (home.Ticket, *refusal.Error) {
 	asked := time.Now()
+	j.handler.lines.Enter(j.line())
 	ticket, err := j.handler.State.Turn(ctx, j.service, j.demand())
-	j.waited += time.Since(asked)
+	now := time.Now()
+	j.handler.lines.Leave(now, j.line(), err == nil)
+	j.waited += now.Sub(asked)
 	switch {
 	case err == nil:
 		return ticket, nil
--- a/home/ask.go
+++ b/home/ask.go
@@ -46,8 +46,8 @@
 	id, a := h.open(home)
 	defer h.closeAsk(id)
 	asked := time.Now()
-	h.Send(home, &schema.Batch{TurnAsks: []*schema.TurnAsk{encodeAsk(id, service, &d)}})
-	timer := time.NewTimer(ackTimeout)
+	h.Send(home, &schema.Batch{TurnAsks: []*schema.TurnAsk{encodeAsk(id, service, &d)}, TurnNotes: h.takeNotes(home)})
+	timer := newWait(ackTimeout)
 	defer timer.Stop()
 	queued := false
 	for {
@@ -60,8 +60,12 @@
 				return nil, decodeRefusal(answer.GetRefusal())
 			}
 			queued = true
-			timer.Reset(schema.Duration(answer.GetPatienceMs()) + ackTimeout)
+			timer.restart(schema.Duration(answer.GetPatienceMs()) + ackTimeout)
 		case <-timer.C:
+			if timer.isLate() {
+				timer.restart(ackTimeout)
+				continue
+			}
 			h.tellLeft(home, id)
 			h.isSilent(home)
 			if queued {
@@ -77,6 +81,33 @@
 	}
 }
 
+// ownLag is how late a wait may end here before its end says nothing about the home.
+const ownLag = 30 * time.Millisecond
+
+// wait is the wait for a home's answer.
+//
+// A router without enough processor time notices the end of a wait late, and the
+// answer lies unread in its own queue. Were the home blamed, the router would ask
+// another one, and then decide alone: three times the work, when it has too much
+// already, until it reads its callers' requests seconds late.
+type wait struct {
+	*time.Timer
+	due time.Time
+}
+
+func newWait(d time.Duration) *wait {
+	return &wait{Timer: time.NewTimer(d), due: time.Now().Add(d)}
+}
+
+func (w *wait) restart(d time.Duration) {
+	w.Reset(d)
+	w.due = time.Now().Add(d)
+}
+
+// isLate reports whether the end of the wait was noticed late.
+func (w *wait) isLate() bool { return time.Since(w.due) > ownLag }
+
+// open begins an ask and returns its number.
 func (h *Homes) open(home fleet.RouterID) (uint64, *ask) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -99,6 +130,7 @@
 	h.Send(home, &schema.Batch{TurnNotes: []*schema.TurnNote{{Id: id, Left: true}}})
 }
 
+// isSilent notes that a home let an ask wait.
 func (h *Homes) isSilent(home fleet.RouterID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -166,15 +198,53 @@
 	t.tell(&schema.TurnNote{Id: t.id, Read: true})
 }
 
-// End tells the home that the request has ended.
+// End tells the home that the request has ended: soon when it was served, at once
+// when something went wrong, which says something about the upstream.
 func (t *remote) End(_ time.Time, outcome turn.Outcome) {
 	if t.ended {
 		return
 	}
 	t.ended = true
-	t.tell(&schema.TurnNote{Id: t.id, Outcome: uint32(outcome)})
+	note := &schema.TurnNote{Id: t.id, Outcome: uint32(outcome)}
+	if outcome == turn.Served {
+		t.homes.tellSoon(t.home, note)
+		return
+	}
+	t.tell(note)
 }
 
 func (t *remote) tell(note *schema.TurnNote) {
 	t.homes.Send(t.home, &schema.Batch{TurnNotes: []*schema.TurnNote{note}})
 }
+
+// noteDelay is how long the note of a served request may wait for another message
+// to its home. It frees one slot of an engine's many; the prompt's place was freed
+// with the first event.
+const noteDelay = 50 * time.Millisecond
+
+// tellSoon tells a home something with the next ask, or after noteDelay.
+func (h *Homes) tellSoon(home fleet.RouterID, note *schema.TurnNote) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.notes == nil {
+		h.notes = make(map[fleet.RouterID][]*schema.TurnNote)
+	}
+	h.notes[home] = append(h.notes[home], note)
+	if len(h.notes[home]) == 1 {
+		time.AfterFunc(noteDelay, func() { h.sendNotes(home) })
+	}
+}
+
+func (h *Homes) takeNotes(home fleet.RouterID) []*schema.TurnNote {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	notes := h.notes[home]
+	delete(h.notes, home)
+	return notes
+}
+
+func (h *Homes) sendNotes(home fleet.RouterID) {
+	if notes := h.takeNotes(home); len(notes) > 0 {
+		h.Send(home, &schema.Batch{TurnNotes: notes})
+	}
+}
--- a/home/home.go
+++ b/home/home.go
@@ -80,6 +80,8 @@
 	chosen map[group]fleet.RouterID
 	last   uint64
 	asks   map[uint64]*ask
+	// notes wait for the next message to their home.
+	notes map[fleet.RouterID][]*schema.TurnNote
 	// turns are those that other routers have asked for here.
 	turns map[fleet.RouterID]map[uint64]*held
 }
@@ -184,15 +186,15 @@
 // Hear takes what another router sent.
 func (h *Homes) Hear(from fleet.RouterID, batch *schema.Batch) {
 	h.heard(from)
+	for _, n := range batch.GetTurnNotes() {
+		h.note(from, n) // before the asks, which may need the places
+	}
 	for _, a := range batch.GetTurnAsks() {
 		h.serve(from, a)
 	}
 	for _, a := range batch.GetTurnAnswers() {
 		h.answered(from, a)
 	}
-	for _, n := range batch.GetTurnNotes() {
-		h.note(from, n)
-	}
 }
 
 // heard lets a router be a home again that was silent.
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -6,6 +6,7 @@
 package logging
 
 import (
+	"context"
 	"io"
 	"log/slog"
 	"strconv"
@@ -20,6 +21,10 @@
 	// perSecond bounds the lines of a second. A line costs about 5 µs with its
 	// write, so the log takes at most some 0.2 % of a processor.
 	perSecond = 400
+	// gathering is how long lines are gathered before they are written together.
+	// Under load each write by itself wakes a thread and costs as much as the line.
+	// A process that is killed loses the lines of so long.
+	gathering = 10 * time.Millisecond
 )
 
 // Writer queues whole lines for another writer. Make it by New.
@@ -44,7 +49,29 @@
 
 // Log returns a logger that writes lines of JSON to w.
 func (w *Writer) Log(level slog.Level) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}))
+	return slog.New(&bounded{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w})
+}
+
+// bounded drops lines beyond the bound of a second before they are put together,
+// which costs more than all else that is done for them.
+type bounded struct {
+	slog.Handler
+	writer *Writer
+}
+
+// Enabled reports whether a line of a level would be written now.
+func (b *bounded) Enabled(ctx context.Context, level slog.Level) bool {
+	return b.Handler.Enabled(ctx, level) && b.writer.hasRoom()
+}
+
+// WithAttrs and WithGroup keep the bound.
+func (b *bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &bounded{b.Handler.WithAttrs(attrs), b.writer}
+}
+
+// WithGroup keeps the bound.
+func (b *bounded) WithGroup(name string) slog.Handler {
+	return &bounded{b.Handler.WithGroup(name), b.writer}
 }
 
 // Write queues one line. It never waits, and fails never: a line that doesn't
@@ -64,6 +91,18 @@
 	return len(line), nil
 }
 
+// hasRoom reports whether the bound of this second leaves room for a line, and
+// counts a line that is dropped if not.
+func (w *Writer) hasRoom() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.second != time.Now().Unix() || w.count < perSecond {
+		return true
+	}
+	w.dropped.Add(1)
+	return false
+}
+
 // admits counts a line of a second and reports whether it is within the bound.
 func (w *Writer) admits(second int64) bool {
 	if second != w.second {
@@ -92,10 +131,8 @@
 	defer close(w.done)
 	told := uint64(0)
 	for line := range w.lines {
-		_, err := w.out.Write(line)
-		if err != nil {
-			w.dropped.Add(1) // nobody is left to tell but the counter
-		}
+		time.Sleep(gathering)
+		w.writeQueued(line)
 		dropped := w.Dropped()
 		if len(w.lines) == 0 && dropped > told {
 			told = dropped
@@ -103,3 +140,31 @@
 		}
 	}
 }
+
+// writeQueued writes a line and those that are queued behind it.
+func (w *Writer) writeQueued(line []byte) {
+	for line != nil {
+		var batch []byte
+		batch, line = w.gather(line)
+		if _, err := w.out.Write(batch); err != nil {
+			w.dropped.Add(1) // nobody is left to tell but the counter
+		}
+	}
+}
+
+// atomicWrite is how many bytes a pipe takes whole or not at all. What reads the
+// log may lose the end of a longer write.
+const atomicWrite = 4096
+
+// gather returns the lines that are queued and fit into one write, the first in
+// front, and a line that didn't fit any more.
+func (w *Writer) gather(batch []byte) (lines, next []byte) {
+	for range len(w.lines) {
+		line := <-w.lines
+		if len(batch)+len(line) > atomicWrite {
+			return batch, line
+		}
+		batch = append(batch, line...)
+	}
+	return batch, nil
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -78,8 +78,10 @@
 	regained  time.Time
 	graceEnds time.Time
 	known     bool
-	// latest is the revision of the latest change that took effect.
-	latest Revision
+	// latest is the revision of the latest change that took effect, and complete
+	// that up to which all changes are known.
+	latest   Revision
+	complete Revision
 }
 
 // Replace takes a whole read of the list as of a revision: what it lacks and
@@ -102,6 +104,7 @@
 		gone := Change{Upstream: e.change.Upstream, Revision: as, Gone: true}
 		changed = append(changed, d.take(now, gone, false)...)
 	}
+	d.complete = max(d.complete, d.latest)
 	return changed
 }
 
@@ -111,9 +114,14 @@
 }
 
 // Hear takes changes that took effect at another router, which has already
-// waited for entries that may return.
-func (d *Directory) Hear(now time.Time, changes []Change) []Change {
-	return d.takeAll(now, changes, true)
+// waited for entries that may return. Complete is the revision up to which they,
+// and those that were known here, are all there are.
+func (d *Directory) Hear(now time.Time, changes []Change, complete Revision) []Change {
+	changed := d.takeAll(now, changes, true)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.complete = max(d.complete, complete)
+	return changed
 }
 
 func (d *Directory) takeAll(now time.Time, changes []Change, settled bool) []Change {
@@ -122,6 +130,9 @@
 	var changed []Change
 	for _, c := range changes {
 		changed = append(changed, d.take(now, c, settled)...)
+		if !settled {
+			d.complete = max(d.complete, c.Revision)
+		}
 	}
 	if settled && len(changes) > 0 {
 		d.known = true
@@ -198,11 +209,11 @@
 }
 
 // Settled returns the revision up to which all changes have taken effect. It is
-// below Latest while entries may have lapsed: another router may know better.
+// lower while entries may have lapsed: another router may know better.
 func (d *Directory) Settled() Revision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	settled := d.latest
+	settled := d.complete
 	for _, e := range d.entries {
 		if e.lapsed && e.change.Revision <= settled {
 			settled = e.change.Revision - 1
