--- a/admission/line.go
+++ b/admission/line.go
@@ -16,6 +16,12 @@
 	lineSlack = 4
 	// leastLine may always wait.
 	leastLine = 16
+	// askSlack is how many times as often as of late an account's requests get their
+	// turns they may ask for one, and leastAsks is how often they always may, in
+	// requests a second. Most of a flood is refused at once and never waits, but each
+	// ask costs as much as an event or two of a stream.
+	askSlack  = 5
+	leastAsks = 100
 	// leastLineRetry and mostLineRetry bound when a caller is asked back.
 	leastLineRetry = 100 * time.Millisecond
 	mostLineRetry  = 2 * time.Second
@@ -36,12 +42,24 @@
 
 type line struct {
 	waiting int
-	starts  float64
-	as      time.Time
+	asks    recent
+	starts  recent
 }
 
-func (l *line) rate(now time.Time) float64 {
-	return l.starts * math.Exp(-now.Sub(l.as).Seconds()/lineMemory.Seconds()) / lineMemory.Seconds()
+// recent counts what happened of late.
+type recent struct {
+	count float64
+	as    time.Time
+}
+
+func (r *recent) add(now time.Time) {
+	r.count = r.rate(now)*lineMemory.Seconds() + 1
+	r.as = now
+}
+
+// rate returns how often it happened in a second.
+func (r *recent) rate(now time.Time) float64 {
+	return r.count * math.Exp(-now.Sub(r.as).Seconds()/lineMemory.Seconds()) / lineMemory.Seconds()
 }
 
 // IsFull reports whether a line is so long that a request whose patience is given
@@ -50,11 +68,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.lines[key]
-	if l == nil || l.waiting < leastLine {
+	if l == nil {
 		return 0, false
 	}
-	rate := l.rate(now)
-	if float64(l.waiting) < lineSlack*rate*patience.Seconds() {
+	rate := l.starts.rate(now)
+	isLong := l.waiting >= leastLine && float64(l.waiting) >= lineSlack*rate*patience.Seconds()
+	if !isLong && l.asks.rate(now) <= max(askSlack*rate, leastAsks) {
 		return 0, false
 	}
 	seconds := float64(l.waiting) / max(rate, 1)
@@ -63,7 +82,7 @@
 }
 
 // Enter counts a request that waits from now on.
-func (s *Lines[K]) Enter(key K) {
+func (s *Lines[K]) Enter(now time.Time, key K) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.lines == nil {
@@ -73,6 +92,7 @@
 		s.lines[key] = &line{}
 	}
 	s.lines[key].waiting++
+	s.lines[key].asks.add(now)
 }
 
 // Leave counts a request that waits no more, because it got its turn or not.
@@ -81,9 +101,7 @@
 	defer s.mu.Unlock()
 	l := s.lines[key]
 	l.waiting--
-	if !started {
-		return
+	if started {
+		l.starts.add(now)
 	}
-	l.starts = l.rate(now)*lineMemory.Seconds() + 1
-	l.as = now
 }
--- a/admission/line_test.go
+++ b/admission/line_test.go
@@ -27,7 +27,7 @@
 			require.GreaterOrEqual(t, after, 100*time.Millisecond)
 			full++
 		} else {
-			lines.Enter("flood")
+			lines.Enter(now, "flood")
 			queue = append(queue, waiting{now})
 		}
 		if i%16 == 0 && len(queue) > 0 {
@@ -46,6 +46,30 @@
 	require.False(t, isFull)
 }
 
+// Nearly all of a flood is refused at once by who gives the turns, and never waits.
+// Asking for each of them takes more of a small router than what it serves.
+func TestFloodAsksSeldom(t *testing.T) {
+	t.Parallel()
+	var lines admission.Lines[string]
+	now := time.Unix(0, 0)
+	asks, starts := 0, 0
+	for range 3000 {
+		now = now.Add(time.Millisecond)
+		if _, isFull := lines.IsFull(now, "flood", linePatience); isFull {
+			continue
+		}
+		asks++
+		hasTurn := asks%8 == 0
+		lines.Enter(now, "flood")
+		lines.Leave(now, "flood", hasTurn)
+		if hasTurn {
+			starts++
+		}
+	}
+	require.Less(t, asks, 600)
+	require.Greater(t, starts, 30)
+}
+
 // A burst of an account finds engines free. All of its requests get their turns,
 // and none is refused because many came at once.
 func TestBurstThatIsServedIsNotRefused(t *testing.T) {
@@ -56,7 +80,7 @@
 		now = now.Add(time.Millisecond)
 		_, isFull := lines.IsFull(now, "burst", linePatience)
 		require.False(t, isFull)
-		lines.Enter("burst")
+		lines.Enter(now, "burst")
 		lines.Leave(now, "burst", true)
 	}
 }
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -51,7 +51,9 @@
 	homes *home.Homes
 	// group says whether this router follows the store for others.
 	group *follow.Group
-	log   *slog.Logger
+	// overload hears how late reports are made.
+	overload overload
+	log      *slog.Logger
 
 	mu sync.Mutex
 	// asking is set while a question to another router is under way.
@@ -265,6 +267,7 @@
 func (m *mesh) Run(ctx context.Context) error {
 	pause := time.NewTimer(reportInterval)
 	defer pause.Stop()
+	due := time.Now().Add(reportInterval)
 	gossip := time.NewTicker(gossipInterval)
 	defer gossip.Stop()
 	for {
@@ -274,16 +277,26 @@
 				m.gossip()
 			}
 		case now := <-pause.C:
+			m.notice(time.Now(), due)
 			if !m.homes.Decide() {
 				m.report(now, m.peers.Routers())
 			}
 			pause.Reset(reportInterval)
+			due = time.Now().Add(reportInterval)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// notice looks whether the router is overloaded, by how late it does this.
+func (m *mesh) notice(now, due time.Time) {
+	if !m.overload.observe(now, now.Sub(due)) {
+		return
+	}
+	m.log.Warn("overload changed", "overloaded", m.overload.isOverloaded(), "late-ms", now.Sub(due).Milliseconds())
+}
+
 // report sends a report when it differs from the last one, or that is old.
 func (m *mesh) report(now time.Time, routers []fleet.RouterID) {
 	batch := &schema.Batch{Loads: m.state.work(now)}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -210,7 +210,9 @@
 // connection, and leave the former open. A process that runs out of descriptors
 // accepts nobody for seconds; callers wait, leave, and their requests are read
 // and passed on when nobody waits for them any more.
-func (r *Router) isCrowded() bool { return r.connections.Load() > int64(r.options.MaxConnections) }
+func (r *Router) isCrowded() bool {
+	return r.connections.Load() > int64(r.options.MaxConnections) || r.mesh.overload.isOverloaded()
+}
 
 // serve returns an actor that ends once the server was closed.
 func serve(server *http.Server, listener net.Listener) func(ctx context.Context) error {
@@ -227,7 +229,7 @@
 
 // ready answers the balancer.
 func (r *Router) ready(c echo.Context) error {
-	if r.stopping.Load() || !r.state.Ready() {
+	if r.stopping.Load() || !r.state.Ready() || r.mesh.overload.isOverloaded() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
--- a/forward/job.go
+++ b/forward/job.go
@@ -141,7 +141,7 @@
 // takeTurn waits for a turn.
 func (j *job) takeTurn(ctx context.Context) (home.Ticket, *refusal.Error) {
 	asked := time.Now()
-	j.handler.lines.Enter(j.line())
+	j.handler.lines.Enter(asked, j.line())
 	ticket, err := j.handler.State.Turn(ctx, j.service, j.demand())
 	now := time.Now()
 	j.handler.lines.Leave(now, j.line(), err == nil)
--- a/home/ask.go
+++ b/home/ask.go
@@ -43,16 +43,19 @@
 // until it is heard again: frozen, cut off or without a processor, it would cost
 // each request its time, and callers would see their first event late.
 func (h *Homes) ask(ctx context.Context, home fleet.RouterID, service fleet.ServiceID, pool *turn.Pool, d turn.Demand) (Ticket, error) {
-	id, a := h.open(home)
+	id, a, bound := h.open(home)
 	defer h.closeAsk(id)
 	asked := time.Now()
 	h.Send(home, &schema.Batch{TurnAsks: []*schema.TurnAsk{encodeAsk(id, service, &d)}, TurnNotes: h.takeNotes(home)})
-	timer := newWait(ackTimeout)
+	timer := time.NewTimer(bound)
 	defer timer.Stop()
 	queued := false
 	for {
 		select {
 		case answer := <-a.answers:
+			if !queued {
+				h.observe(time.Since(asked))
+			}
 			switch {
 			case answer.GetGrant() != nil:
 				return h.granted(home, id, pool, answer.GetGrant())
@@ -60,14 +63,10 @@
 				return nil, decodeRefusal(answer.GetRefusal())
 			}
 			queued = true
-			timer.restart(schema.Duration(answer.GetPatienceMs()) + ackTimeout)
+			timer.Reset(schema.Duration(answer.GetPatienceMs()) + bound)
 		case <-timer.C:
-			if timer.isLate() {
-				timer.restart(ackTimeout)
-				continue
-			}
 			h.tellLeft(home, id)
-			h.isSilent(home)
+			h.isSilent(home, id, asked)
 			if queued {
 				return nil, &turn.RefusedError{Waited: time.Since(asked), RetryAfter: retryAfterSilence}
 			}
@@ -81,34 +80,8 @@
 	}
 }
 
-// ownLag is how late a wait may end here before its end says nothing about the home.
-const ownLag = 30 * time.Millisecond
-
-// wait is the wait for a home's answer.
-//
-// A router without enough processor time notices the end of a wait late, and the
-// answer lies unread in its own queue. Were the home blamed, the router would ask
-// another one, and then decide alone: three times the work, when it has too much
-// already, until it reads its callers' requests seconds late.
-type wait struct {
-	*time.Timer
-	due time.Time
-}
-
-func newWait(d time.Duration) *wait {
-	return &wait{Timer: time.NewTimer(d), due: time.Now().Add(d)}
-}
-
-func (w *wait) restart(d time.Duration) {
-	w.Reset(d)
-	w.due = time.Now().Add(d)
-}
-
-// isLate reports whether the end of the wait was noticed late.
-func (w *wait) isLate() bool { return time.Since(w.due) > ownLag }
-
-// open begins an ask and returns its number.
-func (h *Homes) open(home fleet.RouterID) (uint64, *ask) {
+// open begins an ask. It returns its number, and how long its answer may take.
+func (h *Homes) open(home fleet.RouterID) (uint64, *ask, time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.last++
@@ -117,7 +90,13 @@
 		h.asks = make(map[uint64]*ask)
 	}
 	h.asks[h.last] = a
-	return h.last, a
+	return h.last, a, h.roundTrip.bound()
+}
+
+func (h *Homes) observe(took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.roundTrip.observe(took)
 }
 
 func (h *Homes) closeAsk(id uint64) {
@@ -131,14 +110,16 @@
 }
 
 // isSilent notes that a home let an ask wait.
-func (h *Homes) isSilent(home fleet.RouterID) {
+// isSilent notes that a home let an ask wait.
+func (h *Homes) isSilent(home fleet.RouterID, id uint64, asked time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.roundTrip.giveUp(id, asked)
 	if h.silent == nil {
 		h.silent = make(map[fleet.RouterID]bool)
 	}
 	if !h.silent[home] {
-		h.Log.Warn("home does not answer", "home", home, "after-ms", ackTimeout.Milliseconds())
+		h.Log.Warn("home does not answer", "home", home, "after-ms", time.Since(asked).Milliseconds())
 	}
 	h.silent[home] = true
 	h.chosen = nil
@@ -160,6 +141,9 @@
 func (h *Homes) answered(from fleet.RouterID, answer *schema.TurnAnswer) {
 	h.mu.Lock()
 	a := h.asks[answer.GetId()]
+	if a == nil {
+		h.roundTrip.late(time.Now(), answer.GetId())
+	}
 	h.mu.Unlock()
 	if a != nil && a.home == from {
 		select {
--- a/home/home.go
+++ b/home/home.go
@@ -38,11 +38,8 @@
 	// reports are at most 50 ms old, and six routers before twelve engines begin 98
 	// in 100 of the requests that homes would, without a router to depend on.
 	leastRouters = 16
-	// ackTimeout is how long a home may take to answer an ask: two ways between
-	// data centres and the pause of a processor whose quota is used up.
-	ackTimeout = 120 * time.Millisecond
 	// maxHomes is how many homes are asked before a router decides alone; each that
-	// is silent costs ackTimeout of the request's time.
+	// is silent costs leastAck and more of the request's time.
 	maxHomes = 2
 )
 
@@ -80,6 +77,8 @@
 	chosen map[group]fleet.RouterID
 	last   uint64
 	asks   map[uint64]*ask
+	// roundTrip is how long homes take to answer.
+	roundTrip roundTrip
 	// notes wait for the next message to their home.
 	notes map[fleet.RouterID][]*schema.TurnNote
 	// turns are those that other routers have asked for here.
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -32,6 +32,8 @@
 	routers map[fleet.RouterID]*home.Homes
 	pools   map[fleet.RouterID]*turn.Pool
 	cut     map[fleet.RouterID]bool
+	// slow is how late a router reads what it is sent.
+	slow map[fleet.RouterID]time.Duration
 	// asked counts the asks that each router was sent.
 	asked map[fleet.RouterID]int
 }
@@ -49,6 +51,7 @@
 	n := &network{
 		routers: make(map[fleet.RouterID]*home.Homes), pools: make(map[fleet.RouterID]*turn.Pool),
 		cut: make(map[fleet.RouterID]bool), asked: make(map[fleet.RouterID]int),
+		slow: make(map[fleet.RouterID]time.Duration),
 	}
 	for i := range routers {
 		id := fleet.RouterID(fmt.Sprintf("r%d", i))
@@ -87,7 +90,24 @@
 	if n.cut[from] || n.cut[to] || receiver == nil {
 		return
 	}
-	time.AfterFunc(way, func() { receiver.Hear(from, batch) })
+	time.AfterFunc(way+n.slow[to], func() { receiver.Hear(from, batch) })
+}
+
+func (n *network) setSlow(id fleet.RouterID, late time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.slow[id] = late
+}
+
+// total returns how many asks were made.
+func (n *network) total() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sum := 0
+	for _, count := range n.asked {
+		sum += count
+	}
+	return sum
 }
 
 func (n *network) askedOf(id fleet.RouterID) int {
@@ -201,6 +221,30 @@
 	})
 }
 
+// A router is short of processor time, and reads each answer a fifth of a second
+// after it came. All homes would seem silent, and it would decide alone, beside what
+// they decide. It learns what answers take here, and waits for them.
+func TestSlowRouterWaitsForItsHomes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := start(20, 1)
+		n.setSlow("r1", 200*time.Millisecond)
+		alone := 0
+		for i := range uint64(20) {
+			before := n.total()
+			ticket, err := n.turn(t.Context(), "r1", prompt(1, i))
+			if err == nil {
+				ticket.End(time.Now(), turn.Served)
+			}
+			if i >= 5 && (err != nil || n.total() != before+1) {
+				alone++
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.Zero(t, alone)
+	})
+}
+
 // All routers but one are silent. It decides alone after asking two of them, well
 // before its callers' patience ends.
 func TestRouterDecidesAloneWhenNobodyAnswers(t *testing.T) {
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -57,7 +57,7 @@
 
 // best returns the candidate with the least score, nil when there is none.
 func (p *Pool) best(view *View, t *Ticket, candidates []*engine) *engine {
-	view.holder, view.most = p.holder(view.now, &t.demand)
+	view.holder, view.most = p.holder(view.now, t)
 	var best *engine
 	var least float64
 	for place, e := range candidates {
@@ -69,14 +69,16 @@
 	return best
 }
 
-// holder returns the upstream that probably has most of a prompt in its cache.
-func (p *Pool) holder(now time.Time, d *Demand) (*engine, int) {
+// holder returns the upstream that probably has most of a prompt in its cache, of
+// those in the ticket's order: with homes, those of its group.
+func (p *Pool) holder(now time.Time, t *Ticket) (*engine, int) {
+	d := &t.demand
 	if len(d.Beginnings) == 0 {
 		return nil, 0
 	}
 	var best *engine
 	most := 0
-	for _, e := range p.engines {
+	for _, e := range t.order {
 		if held := e.held(now, d); held > most && p.detector.Usable(now, e.instance) {
 			best, most = e, held
 		}
