--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -152,8 +152,9 @@
 // changed takes note of a connection that came or went.
 func (m *mesh) changed(c peer.Change) {
 	m.log.Info("router connection changed", "other", c.Router, "address", c.Address, "incarnation", c.Incarnation, "connected", c.Connected)
-	m.homes.SetRouters(m.peers.Routers())
-	m.group.SetRouters(m.peers.Routers())
+	routers := m.peers.Routers()
+	m.homes.SetRouters(routers)
+	m.group.SetRouters(routers)
 	m.state.setGrouped(m.homes.Decide())
 	if !c.Connected {
 		m.homes.Lost(c.Router)
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -36,7 +36,7 @@
 	configuration route.Configuration
 	directory     registry.Directory
 	pools         map[fleet.ServiceID]*turn.Pool
-	// homes give the turns in a large fleet, nil in one of a single router.
+	// homes give the turns in a large fleet; nil until the mesh is made.
 	homes *home.Homes
 	// grouped is true while homes decide.
 	grouped bool
@@ -219,7 +219,7 @@
 func (s *State) settle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changed(s.directory.Settle(time.Now()), lapsed)
+	s.changed(s.directory.Settle(time.Now()), "lapsed in an outage")
 	s.settleWhenDue()
 }
 
@@ -237,9 +237,6 @@
 	s.tell(from)
 }
 
-// lapsed says in a log line that an entry vanished in an outage and didn't return.
-const lapsed = "lapsed in an outage"
-
 // tell calls OnChange without the lock: it reads the state.
 func (s *State) tell(from string) {
 	if s.options.OnChange != nil {
--- a/follow/group.go
+++ b/follow/group.go
@@ -9,9 +9,6 @@
 )
 
 const (
-	// leastGroup is the size of a fleet from which a few routers follow the store
-	// for all.
-	leastGroup = 16
 	// followers is how many do. Two that are cut off at the same moment, and one
 	// that is frozen, leave one.
 	followers = 4
@@ -40,10 +37,13 @@
 type Group struct {
 	Self fleet.RouterID
 
-	mu      sync.Mutex
-	routers []fleet.RouterID
-	others  map[fleet.RouterID]Standing
-	lost    bool
+	mu sync.Mutex
+	// count is how many other routers are connected, and before are those of them
+	// that follow rather than this one.
+	count  int
+	before []fleet.RouterID
+	others map[fleet.RouterID]Standing
+	lost   bool
 }
 
 // Standing is what a router says of itself.
@@ -58,9 +58,15 @@
 func (g *Group) SetRouters(others []fleet.RouterID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.routers = others
+	g.count = len(others)
+	g.before = nil
+	key := rendezvous.KeyOf("follow", "store")
+	own := rendezvous.Score(key, g.Self)
 	known := make(map[fleet.RouterID]Standing, len(others))
 	for _, id := range others {
+		if rendezvous.Score(key, id) > own {
+			g.before = append(g.before, id)
+		}
 		if s, ok := g.others[id]; ok {
 			known[id] = s
 		}
@@ -96,22 +102,16 @@
 // first ones in an order that all routers agree on, and as many more as there are
 // before it that can't read the store, up to a bound.
 func (g *Group) follows() bool {
-	if len(g.routers)+1 < leastGroup {
+	if !fleet.IsLarge(g.count + 1) {
 		return true
 	}
-	key := rendezvous.KeyOf("follow", "store")
-	own := rendezvous.Score(key, g.Self)
-	before, lost := 0, 0
-	for _, id := range g.routers {
-		if rendezvous.Score(key, id) <= own {
-			continue
-		}
-		before++
+	lost := 0
+	for _, id := range g.before {
 		if g.others[id].Lost {
 			lost++
 		}
 	}
-	return before-min(lost, substitutes) < followers
+	return len(g.before)-min(lost, substitutes) < followers
 }
 
 // Rest returns how long this router need not look at the store, zero when it has
--- a/home/home.go
+++ b/home/home.go
@@ -33,15 +33,9 @@
 	"nutmeglock.example/nutmeglock/turn"
 )
 
-const (
-	// leastRouters is the size of a fleet from which homes decide. Below it
-	// reports are at most 50 ms old, and six routers before twelve engines begin 98
-	// in 100 of the requests that homes would, without a router to depend on.
-	leastRouters = 16
-	// maxHomes is how many homes are asked before a router decides alone; each that
-	// is silent costs leastAck and more of the request's time.
-	maxHomes = 2
-)
+// maxHomes is how many homes are asked before a router decides alone; each that is
+// silent costs leastAck and more of the request's time.
+const maxHomes = 2
 
 // Ticket is a request's turn at an upstream.
 type Ticket interface {
@@ -98,11 +92,12 @@
 	h.chosen = nil
 }
 
-// Decide reports whether homes give the turns, and not each router by itself.
+// Decide reports whether homes give the turns, and not each router by itself. A
+// small fleet depends on no home.
 func (h *Homes) Decide() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return len(h.routers) >= leastRouters
+	return fleet.IsLarge(len(h.routers))
 }
 
 // home returns the router that decides for a group.
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -64,7 +64,7 @@
 	return b.Handler.Enabled(ctx, level) && b.writer.hasRoom()
 }
 
-// WithAttrs and WithGroup keep the bound.
+// WithAttrs keeps the bound.
 func (b *bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return &bounded{b.Handler.WithAttrs(attrs), b.writer}
 }
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -45,14 +45,15 @@
 	if numbers == nil {
 		return p.engines
 	}
-	order := make([]*engine, 0, len(numbers))
-	for _, n := range numbers {
-		e := p.engines[n]
-		if !p.grouped || p.groupOf(e) == p.groupOf(p.engines[numbers[0]]) {
-			order = append(order, e)
-		}
+	order := make([]*engine, len(numbers))
+	for i, n := range numbers {
+		order[i] = p.engines[n]
+	}
+	if !p.grouped || len(order) == 0 {
+		return order
 	}
-	return order
+	group := p.groupOf(order[0])
+	return slices.DeleteFunc(order, func(e *engine) bool { return p.groupOf(e) != group })
 }
 
 // best returns the candidate with the least score, nil when there is none.
