--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -14,6 +14,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -51,9 +52,11 @@
 	homes *home.Homes
 	// group says whether this router follows the store for others.
 	group *follow.Group
-	// overload hears how late reports are made.
-	overload overload
-	log      *slog.Logger
+	// overload tells whether this router has too little processor time, by how long
+	// its goroutines wait for it.
+	overload   overload.Detector
+	scheduling overload.Scheduling
+	log        *slog.Logger
 
 	mu sync.Mutex
 	// asking is set while a question to another router is under way.
@@ -268,7 +271,6 @@
 func (m *mesh) Run(ctx context.Context) error {
 	pause := time.NewTimer(reportInterval)
 	defer pause.Stop()
-	due := time.Now().Add(reportInterval)
 	gossip := time.NewTicker(gossipInterval)
 	defer gossip.Stop()
 	for {
@@ -278,24 +280,25 @@
 				m.gossip()
 			}
 		case now := <-pause.C:
-			m.notice(time.Now(), due)
+			m.notice(now)
 			if !m.homes.Decide() {
 				m.report(now, m.peers.Routers())
 			}
 			pause.Reset(reportInterval)
-			due = time.Now().Add(reportInterval)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
-// notice looks whether the router is overloaded, by how late it does this.
-func (m *mesh) notice(now, due time.Time) {
-	if !m.overload.observe(now, now.Sub(due)) {
+// notice looks whether the router is overloaded.
+func (m *mesh) notice(now time.Time) {
+	wait := m.scheduling.Wait()
+	if !m.overload.Observe(now, wait) {
 		return
 	}
-	m.log.Warn("overload changed", "overloaded", m.overload.isOverloaded(), "late-ms", now.Sub(due).Milliseconds())
+	m.log.Warn("overload changed", "overloaded", m.overload.IsOverloaded(), "wait-ms", wait.Milliseconds(),
+		"mean-wait-ms", m.overload.Wait().Milliseconds())
 }
 
 // report sends a report when it differs from the last one, or that is old.
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -211,7 +211,7 @@
 // accepts nobody for seconds; callers wait, leave, and their requests are read
 // and passed on when nobody waits for them any more.
 func (r *Router) isCrowded() bool {
-	return r.connections.Load() > int64(r.options.MaxConnections) || r.mesh.overload.isOverloaded()
+	return r.connections.Load() > int64(r.options.MaxConnections) || r.mesh.overload.IsOverloaded()
 }
 
 // serve returns an actor that ends once the server was closed.
@@ -229,7 +229,7 @@
 
 // ready answers the balancer.
 func (r *Router) ready(c echo.Context) error {
-	if r.stopping.Load() || !r.state.Ready() || r.mesh.overload.isOverloaded() {
+	if r.stopping.Load() || !r.state.Ready() || r.mesh.overload.IsOverloaded() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
