overload: a router without processor time takes a part of the requests; the list of routers is looked at once

Cause: the balancer brings one account whole to one router of 0.19 cores. What it takes lines up, so all its requests and those of other accounts there are served late; when it says that it isn't ready, the account goes whole to the next small router. And 1,290 of 1,704 calls to the store were made in the first 18 s of 91 routers: 91 looked at the list of routers 3 to 4 times. Change: overload.Shedder, a part of the requests by how long goroutines wait, shared by max-min of accounts; share.Level serves turn too.

--- a/deployment/members.go
+++ b/deployment/members.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
@@ -36,13 +37,15 @@
 	// Routers that start connect to the others themselves, so news here is
 	// never urgent.
 	memberWait = 20 * time.Second
-	// memberStart is how long after its start a router looks at the list only now
-	// and then, each memberStep: all routers of a fleet start together, and each
-	// entry would be told to all.
+	// memberStart is how long after its start a router doesn't look at the list again:
+	// all routers of a fleet start together, and each entry would be told to all.
 	memberStart = 3 * time.Second
-	memberStep  = time.Second
 	// memberCalm is the same later on in a large fleet.
 	memberCalm = 30 * time.Second
+	// memberPatience is how long the first look at the list waits for the own entry
+	// to be written, which takes some milliseconds. A store that takes no entry may
+	// tell the others all the same.
+	memberPatience = 500 * time.Millisecond
 	// registerTimeout bounds one try to write the own entry, registerPause and
 	// maxRegisterPause the time between two.
 	registerTimeout  = 1500 * time.Millisecond
@@ -57,17 +60,48 @@
 // are started again at the same address within seconds.
 const memberMemory = time.Minute
 
-// memberRest returns how long the list of routers need not be looked at.
-func memberRest(started time.Time, isLarge func() bool) func() time.Duration {
-	return func() time.Duration {
-		switch {
-		case time.Since(started) < memberStart:
-			return memberStep
-		case isLarge():
-			return memberCalm
-		default:
+// memberList follows the list of routers.
+//
+// It looks at the list once its own entry is in it. Of two routers that start
+// together, the one whose entry is later then finds the other, and connects to it,
+// so neither has to look again. At 91 routers, each that looked three times before
+// made 270 calls to the store in the first seconds.
+type memberList struct {
+	follow.Follower[Member, registry.Revision]
+	started    time.Time
+	isLarge    func() bool
+	registered chan struct{}
+	// missed is set while the first look came before the own entry.
+	missed atomic.Bool
+}
+
+func (l *memberList) run(ctx context.Context) error {
+	select {
+	case <-l.registered:
+	case <-time.After(memberPatience):
+		l.missed.Store(true)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return l.Run(ctx)
+}
+
+// rest returns how long the list need not be looked at.
+func (l *memberList) rest() time.Duration {
+	select {
+	case <-l.registered:
+		if l.missed.CompareAndSwap(true, false) {
 			return 0
 		}
+	default:
+	}
+	switch {
+	case time.Since(l.started) < memberStart:
+		return memberStart
+	case l.isLarge():
+		return memberCalm
+	default:
+		return 0
 	}
 }
 
@@ -167,6 +201,7 @@
 		err := r.registerOnce(ctx, own)
 		if err == nil {
 			r.options.Log.Info("registered", "address", own.Address)
+			close(r.registered)
 			<-ctx.Done()
 			return ctx.Err()
 		}
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -56,6 +56,7 @@
 	// its goroutines wait for it.
 	overload   overload.Detector
 	scheduling overload.Scheduling
+	shedder    overload.Shedder[fleet.AccountID]
 	log        *slog.Logger
 
 	mu sync.Mutex
@@ -291,9 +292,10 @@
 	}
 }
 
-// notice looks whether the router is overloaded.
+// notice looks whether the router has enough processor time.
 func (m *mesh) notice(now time.Time) {
 	wait := m.scheduling.Wait()
+	m.shedder.Observe(now, wait)
 	if !m.overload.Observe(now, wait) {
 		return
 	}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -87,6 +87,8 @@
 	metrics  *metric.Set
 	registry *prometheus.Registry
 	stopping atomic.Bool
+	// registered is closed once the own entry is in the list of routers.
+	registered chan struct{}
 	// connections is how many connections of callers are open.
 	connections atomic.Int64
 	actors      []actor
@@ -101,7 +103,7 @@
 func New(ctx context.Context, options Options) (*Router, error) {
 	registered := prometheus.NewRegistry()
 	registered.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r := &Router{options: options, registry: registered, metrics: metric.New(registered)}
+	r := &Router{options: options, registry: registered, metrics: metric.New(registered), registered: make(chan struct{})}
 	r.state = NewState(StateOptions{
 		DataCenter: options.DataCenter, RetryRatio: options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
 		OnChange: r.changed,
@@ -114,6 +116,7 @@
 	if err := r.connect(ctx); err != nil {
 		return nil, err
 	}
+	r.handler.Takes = r.mesh.shedder.Takes
 	r.follow()
 	return r, r.listen(ctx)
 }
@@ -137,13 +140,14 @@
 	})
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.heard)
-	follower := &follow.Follower[Member, registry.Revision]{
+	list := &memberList{started: time.Now(), isLarge: r.mesh.homes.Decide, registered: r.registered}
+	list.Follower = follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.Members, Sink: members, Log: r.options.Log,
-		Wait: func() time.Duration { return memberWait }, Rest: memberRest(time.Now(), r.mesh.homes.Decide),
+		Wait: func() time.Duration { return memberWait }, Rest: list.rest,
 	}
 	r.actors = append(r.actors,
 		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
-		actor{"router list", follower.Run}, actor{"registration", r.register})
+		actor{"router list", list.run}, actor{"registration", r.register})
 	return nil
 }
 
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -18,6 +18,10 @@
 	notReadyRetryAfter = 250 * time.Millisecond
 	// stoppingRetryAfter sends a caller to another router at once.
 	stoppingRetryAfter = 50 * time.Millisecond
+	// overloadedRetryAfter is when a caller comes back that this router has no processor
+	// time for. The balancer brings most to the same router again, where streams end
+	// within some tenths of a second; the strictest targets leave no more.
+	overloadedRetryAfter = 200 * time.Millisecond
 	// defaultMaxBody bounds a body before a configuration says how long it may be.
 	defaultMaxBody = 4 << 20
 	// bodyTimeout bounds the arrival of a body that the caller has begun to send.
@@ -43,6 +47,9 @@
 	if err := j.authenticate(table); err != nil {
 		return err
 	}
+	if h.Takes != nil && !h.Takes(j.arrived, j.account) {
+		return refusal.New(refusal.RouterOverloaded, "this router has too much to do", overloadedRetryAfter)
+	}
 	if err := j.checkLine(); err != nil {
 		return err
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,7 +88,7 @@
 	Retries(service fleet.ServiceID) retry.Policy
 }
 
-// Handler serves callers. All fields have to be set but Crowded.
+// Handler serves callers. All fields have to be set but Crowded and Takes.
 type Handler struct {
 	Dialect Dialect
 	State   State
@@ -98,6 +98,9 @@
 	// Crowded reports whether connections should close after their answer, because
 	// too many are open; nil never.
 	Crowded func() bool
+	// Takes reports whether the router has processor time for a request of an
+	// account that has just arrived; nil always.
+	Takes func(now time.Time, account fleet.AccountID) bool
 
 	lines  admission.Lines[lineKey]
 	held   held
--- /dev/null
+++ b/overload/shedder_test.go
@@ -0,0 +1,107 @@
+package overload_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/overload"
+)
+
+// machine is a small router in virtual time: requests and the events of streams that
+// were taken line up for its processor.
+type machine struct {
+	shedder overload.Shedder[string]
+	now     time.Time
+	// share is the part of a processor that the machine has.
+	share float64
+	// backlog is the work that waits, in seconds of the processor.
+	backlog float64
+	// streams is how many streams are open.
+	streams float64
+	taken   map[string]int
+	asked   map[string]int
+	longest time.Duration
+}
+
+const (
+	// What a request costs that is refused, what one costs that is taken at its start,
+	// and what a stream costs in each second after it, in seconds of the processor:
+	// as measured for streams of 50 events over some 4 s.
+	refusedCost = 60e-6
+	startCost   = 250e-6
+	streamCost  = 160e-6
+	// streamSeconds is how long a stream lasts.
+	streamSeconds = 4
+)
+
+// run lets accounts ask at rates, in requests a second, for a time.
+func (m *machine) run(d time.Duration, rates map[string]float64) {
+	const step = time.Millisecond
+	due := make(map[string]float64)
+	for elapsed := time.Duration(0); elapsed < d; elapsed += step {
+		m.now = m.now.Add(step)
+		for _, account := range []string{"large", "small-1", "small-2"} {
+			due[account] += rates[account] * step.Seconds()
+			for ; due[account] >= 1; due[account]-- {
+				m.ask(account)
+			}
+		}
+		m.streams -= m.streams * step.Seconds() / streamSeconds
+		m.backlog += m.streams * streamCost * step.Seconds()
+		m.backlog = max(m.backlog-m.share*step.Seconds(), 0)
+		wait := time.Duration(m.backlog / m.share * float64(time.Second))
+		m.longest = max(m.longest, wait)
+		if m.now.UnixNano()%int64(look) == 0 {
+			m.shedder.Observe(m.now, wait)
+		}
+	}
+}
+
+func (m *machine) ask(account string) {
+	m.asked[account]++
+	if !m.shedder.Takes(m.now, account) {
+		m.backlog += refusedCost
+		return
+	}
+	m.taken[account]++
+	m.backlog += startCost
+	m.streams++
+}
+
+func newMachine() *machine {
+	return &machine{now: time.Unix(0, 0), share: 0.19, taken: make(map[string]int), asked: make(map[string]int)}
+}
+
+// One account sends 600 requests a second to a router that has processor time for
+// 200 streams a second, and two others send a few. Without bounds all wait for
+// seconds. The router takes what it can, and all of the small accounts.
+func TestFloodAtOneRouterIsTakenInPart(t *testing.T) {
+	t.Parallel()
+	m := newMachine()
+	rates := map[string]float64{"large": 600, "small-1": 10, "small-2": 5}
+	m.run(20*time.Second, rates)
+	m.taken, m.asked, m.longest = make(map[string]int), make(map[string]int), 0
+	m.run(30*time.Second, rates)
+	require.Less(t, m.longest, 250*time.Millisecond)
+	require.Equal(t, m.asked["small-1"], m.taken["small-1"])
+	require.Equal(t, m.asked["small-2"], m.taken["small-2"])
+	part := float64(m.taken["large"]) / float64(m.asked["large"])
+	require.Greater(t, part, 0.15, "what the processor has time for is used")
+	require.Less(t, part, 0.4)
+}
+
+// After a flood the router takes all again; in calm it has never refused any.
+func TestRouterTakesAllInCalmAndSoonAfterAFlood(t *testing.T) {
+	t.Parallel()
+	m := newMachine()
+	calm := map[string]float64{"large": 60, "small-1": 10}
+	m.run(10*time.Second, calm)
+	require.Equal(t, m.asked, m.taken)
+	m.run(10*time.Second, map[string]float64{"large": 900, "small-1": 10})
+	m.run(15*time.Second, calm)
+	m.taken, m.asked = make(map[string]int), make(map[string]int)
+	m.run(10*time.Second, calm)
+	require.Equal(t, m.asked, m.taken)
+}
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -35,6 +35,7 @@
 	ServiceNotAllowed  Reason = "service-not-allowed"
 	AccountQueueFull   Reason = "account-queue-full"
 	RouterQueueFull    Reason = "router-queue-full"
+	RouterOverloaded   Reason = "router-overloaded"
 	DeadlineBeforeTurn Reason = "deadline-before-turn"
 	DeadlinePassed     Reason = "deadline-passed"
 	NoUpstream         Reason = "no-upstream"
@@ -57,7 +58,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
-		ServiceNotAllowed, AccountQueueFull, RouterQueueFull, DeadlineBeforeTurn, DeadlinePassed,
+		ServiceNotAllowed, AccountQueueFull, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
 		NoUpstream, UpstreamFailed, UpstreamBusy, RetriesExhausted, Stopping, NotReady,
 		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
 		ResumeExpired, CallerGone, Internal,
@@ -104,6 +105,7 @@
 	ServiceNotAllowed:  http.StatusForbidden,
 	AccountQueueFull:   http.StatusTooManyRequests,
 	RouterQueueFull:    http.StatusServiceUnavailable,
+	RouterOverloaded:   http.StatusServiceUnavailable,
 	DeadlineBeforeTurn: http.StatusServiceUnavailable,
 	DeadlinePassed:     http.StatusGatewayTimeout,
 	NoUpstream:         http.StatusServiceUnavailable,
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -27,6 +27,7 @@
 	upstream registry.Upstream
 	instance Instance
 	key      Key
+	group    Group
 	// unread and inFlight are those of this router's requests, waiting the
 	// tokens of those that wait here for this upstream first of all.
 	unread   int
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -36,6 +36,8 @@
 	// counts the lists.
 	upstreams  []registry.Upstream
 	generation int
+	// orders are those of the engines by what demands share, as of this list.
+	orders map[orderKey][]*engine
 	// grouped is true when a request goes to one group of engines only.
 	grouped  bool
 	accounts map[fleet.AccountID]*account
@@ -64,6 +66,7 @@
 	p.engines = p.engines[:0:0]
 	p.upstreams = upstreams
 	p.generation++
+	p.orders = nil
 	keep := make(map[Instance]bool, len(upstreams))
 	for _, u := range upstreams {
 		instance := InstanceOf(u)
@@ -75,6 +78,7 @@
 		e.upstream = u
 		p.engines = append(p.engines, e)
 	}
+	p.setGroups()
 	p.detector.Keep(keep)
 	p.sumOthers(now)
 	p.pump(now)
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -17,7 +17,7 @@
 func (p *Pool) candidates(now time.Time, t *Ticket) []*engine {
 	if t.generation != p.generation {
 		t.generation = p.generation
-		t.order = p.ordered(t)
+		t.order = p.ordered(&t.demand)
 	}
 	most := p.placement().Choices()
 	var usable, out []*engine
@@ -40,22 +40,6 @@
 	return usable
 }
 
-func (p *Pool) ordered(t *Ticket) []*engine {
-	numbers := p.placement().Order(p.upstreams, &t.demand)
-	if numbers == nil {
-		return p.engines
-	}
-	order := make([]*engine, len(numbers))
-	for i, n := range numbers {
-		order[i] = p.engines[n]
-	}
-	if !p.grouped || len(order) == 0 {
-		return order
-	}
-	group := p.groupOf(order[0])
-	return slices.DeleteFunc(order, func(e *engine) bool { return p.groupOf(e) != group })
-}
-
 // best returns the candidate with the least score, nil when there is none.
 func (p *Pool) best(view *View, t *Ticket, candidates []*engine) *engine {
 	view.holder, view.most = p.holder(view.now, t)
--- a/turn/share.go
+++ b/turn/share.go
@@ -1,10 +1,10 @@
 package turn
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
+
+	"nutmeglock.example/nutmeglock/share"
 )
 
 // turnover is how often what waits is replaced within the service window:
@@ -63,31 +63,15 @@
 		}
 	}
 	served, asked := 0.0, 0.0
+	claimed := make([]float64, 0, len(claimants))
 	for _, c := range claimants {
 		served += c.served
 		asked += c.asked
+		claimed = append(claimed, c.asked)
 	}
 	if asked > 0 {
 		out.pressure = 1 - served/asked
 	}
-	out.level = level(claimants)
+	out.level = share.Level(claimed, served)
 	return out
 }
-
-// level returns the max-min level at which claimants would have shared what they
-// were served in all.
-func level(claimants []claimant) float64 {
-	left := 0.0
-	for _, c := range claimants {
-		left += c.served
-	}
-	slices.SortFunc(claimants, func(a, b claimant) int { return cmp.Compare(a.asked, b.asked) })
-	for i, c := range claimants {
-		even := left / float64(len(claimants)-i)
-		if c.asked >= even {
-			return even
-		}
-		left -= c.asked
-	}
-	return math.Inf(1)
-}
