--- a/deployment/router.go
+++ b/deployment/router.go
@@ -19,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/logging"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
@@ -116,7 +117,7 @@
 	})
 	r.client = &upstream.Client{Echoed: options.Echoed, Opened: r.metrics.Connections.Inc}
 	r.handler = &forward.Handler{
-		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics, Log: options.Log,
+		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics, Log: logging.Bulk(options.Log),
 		Crowded: r.isCrowded,
 	}
 	if err := r.connect(ctx); err != nil {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -21,6 +21,10 @@
 	// perSecond bounds the lines of a second. A line costs about 5 µs with its
 	// write, so the log takes at most some 0.2 % of a processor.
 	perSecond = 400
+	// bulkPerSecond is how many of these may be lines about single requests. The rest is
+	// for what a router believes of itself, of others and of upstreams, which explains
+	// those lines: under a flood it would be dropped first of all.
+	bulkPerSecond = 300
 	// gathering is how long lines are gathered before they are written together.
 	// Under load each write by itself wakes a thread and costs as much as the line.
 	// A process that is killed loses the lines of so long.
@@ -49,7 +53,17 @@
 
 // Log returns a logger that writes lines of JSON to w.
 func (w *Writer) Log(level slog.Level) *slog.Logger {
-	return slog.New(&bounded{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w})
+	return slog.New(&bounded{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w, perSecond})
+}
+
+// Bulk returns a logger for lines about single requests, which leaves room for others.
+// A logger that isn't a Writer's is returned as it is.
+func Bulk(log *slog.Logger) *slog.Logger {
+	b, ok := log.Handler().(*bounded)
+	if !ok {
+		return log
+	}
+	return slog.New(&bounded{b.Handler, b.writer, bulkPerSecond})
 }
 
 // bounded drops lines beyond the bound of a second before they are put together,
@@ -57,21 +71,23 @@
 type bounded struct {
 	slog.Handler
 	writer *Writer
+	// most is how many lines of a second this one may follow.
+	most int
 }
 
 // Enabled reports whether a line of a level would be written now.
 func (b *bounded) Enabled(ctx context.Context, level slog.Level) bool {
-	return b.Handler.Enabled(ctx, level) && b.writer.hasRoom()
+	return b.Handler.Enabled(ctx, level) && b.writer.hasRoom(b.most)
 }
 
 // WithAttrs keeps the bound.
 func (b *bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &bounded{b.Handler.WithAttrs(attrs), b.writer}
+	return &bounded{b.Handler.WithAttrs(attrs), b.writer, b.most}
 }
 
 // WithGroup keeps the bound.
 func (b *bounded) WithGroup(name string) slog.Handler {
-	return &bounded{b.Handler.WithGroup(name), b.writer}
+	return &bounded{b.Handler.WithGroup(name), b.writer, b.most}
 }
 
 // Write queues one line. It never waits, and fails never: a line that doesn't
@@ -91,12 +107,12 @@
 	return len(line), nil
 }
 
-// hasRoom reports whether the bound of this second leaves room for a line, and
+// hasRoom reports whether fewer than so many lines were written in this second, and
 // counts a line that is dropped if not.
-func (w *Writer) hasRoom() bool {
+func (w *Writer) hasRoom(most int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.second != time.Now().Unix() || w.count < perSecond {
+	if w.second != time.Now().Unix() || w.count < most {
 		return true
 	}
 	w.dropped.Add(1)
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -68,3 +68,22 @@
 	}
 	w.Close()
 }
+
+// A router is flooded and refuses a thousand requests a second, each with a line. The
+// few lines that say why, such as that it is overloaded, must not be among those that
+// are dropped, or nobody can tell afterwards what happened.
+func TestLinesAboutRequestsLeaveRoomForOthers(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	w := logging.New(&out)
+	log := w.Log(slog.LevelInfo)
+	requests := logging.Bulk(log.With("router", "r"))
+	for range 1000 {
+		requests.Warn("request refused")
+	}
+	log.Warn("overload changed")
+	w.Close()
+	require.Contains(t, out.String(), "overload changed")
+	require.Contains(t, out.String(), `"router":"r"`)
+	require.Positive(t, w.Dropped())
+}
