--- a/overload/shedder.go
+++ b/overload/shedder.go
@@ -22,7 +22,7 @@
 	// longer one, and to mostFall of it at most. A stream costs most of its processor time
 	// over some seconds after it was taken, so that what is taken before a flood shows is
 	// late for as long. In the model of the tests, with 1,800 requests a second that come
-	// at once, the longest wait is 8.3 s with a fall of 0.03 at each look, and 0.27 s so.
+	// at once, the longest wait is 8.3 s with a fall of 0.03 at each look, and 0.31 s so.
 	fall     = 0.03
 	mostFall = 0.5
 	rise     = 1.01
