--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -356,6 +356,20 @@
 	}
 }
 
+// A router has no processor time for a request. Its caller hears so at once, with when
+// to come back, and nothing reaches an upstream.
+func TestRequestWithoutProcessorTimeIsRefusedAtOnce(t *testing.T) {
+	t.Parallel()
+	f := start(t, served)
+	f.handler.Takes = func(time.Time, fleet.AccountID) bool { return false }
+	answer, err := http.DefaultClient.Do(f.request(t, http.MethodPost, "/order/1", "body"))
+	require.NoError(t, err)
+	require.NoError(t, answer.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
+	require.Equal(t, "0.200", answer.Header.Get("Retry-After"))
+	require.Empty(t, f.reached)
+}
+
 // A router stops. Answers ask their callers to connect elsewhere, requests in
 // hand end, and what comes then is refused as not run.
 func TestStopping(t *testing.T) {
