--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -41,7 +41,7 @@
 func TestFloodedRouterIsOverloadedUntilItRecovers(t *testing.T) {
 	t.Parallel()
 	p := player{now: time.Unix(0, 0)}
-	p.see(150*time.Millisecond, 1)
+	p.see(300*time.Millisecond, 1)
 	require.False(t, p.IsOverloaded())
 	p.see(2*time.Millisecond, 20)
 	require.False(t, p.IsOverloaded())
