--- a/overload/detector.go
+++ b/overload/detector.go
@@ -37,25 +37,21 @@
 // Detector tells whether the router gets enough processor time. Its zero value is a
 // router that does. It is safe for concurrent use.
 type Detector struct {
-	mu   sync.Mutex
-	wait time.Duration
-	// last is the wait at the look before.
-	last      time.Duration
+	mu        sync.Mutex
+	steady    steady
+	wait      time.Duration
 	hold      time.Duration
 	since     time.Time
 	recovered time.Time
 	is        bool
 }
 
-// Observe takes how long goroutines waited for the processor of late. A single long
-// wait, as of a machine that stood still for a moment, says nothing. It returns whether
-// that changed what IsOverloaded says.
+// Observe takes how long goroutines waited for the processor of late. It returns
+// whether that changed what IsOverloaded says.
 func (d *Detector) Observe(now time.Time, wait time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	pressed := min(wait, d.last)
-	d.last = wait
-	d.wait += time.Duration(waitWeight * float64(pressed-d.wait))
+	d.wait += time.Duration(waitWeight * float64(d.steady.observe(wait)-d.wait))
 	switch {
 	case !d.is && d.wait >= overloadedAfter:
 		d.begin(now)
--- a/overload/shedder.go
+++ b/overload/shedder.go
@@ -55,10 +55,9 @@
 	mu sync.Mutex
 	// less is the part of the requests that isn't taken, and level the count of late up
 	// to which accounts are taken whole.
-	less  float64
-	level float64
-	// last is the wait at the look before.
-	last time.Duration
+	less   float64
+	level  float64
+	steady steady
 	// sheds is what the last look told of shedding.
 	sheds    bool
 	accounts map[K]*arrivals
@@ -71,15 +70,13 @@
 	credit float64
 }
 
-// Observe takes how long goroutines wait for the processor, at each look. A single
-// long wait, as of a machine that stood still for a moment, says nothing. It returns
-// whether that began or ended shedding.
+// Observe takes how long goroutines wait for the processor, at each look. It
+// returns whether that began or ended shedding.
 func (s *Shedder[K]) Observe(now time.Time, wait time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	part := 1 - s.less
-	pressed := min(wait, s.last)
-	s.last = wait
+	pressed := s.steady.observe(wait)
 	switch {
 	case pressed >= pressedAfter:
 		part *= max(1-fall*float64(pressed)/float64(pressedAfter), mostFall)
