follow: the log tells how long a call was waited for that failed or regained the store

An outage of the store that ends, and one that only seems to last because a call that began in it is given up late, looked alike in the log: one line lost, one regained. The lines now say how long the call was waited for, how long the store was lost, and how many calls failed meanwhile.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -74,7 +74,10 @@
 	Rest func() time.Duration
 	Log  *slog.Logger
 
-	lost bool
+	// lost is when the store was found not to answer, zero while it does, and failed
+	// counts the calls since that had no answer.
+	lost   time.Time
+	failed int
 	// asked is when the store was last asked.
 	asked time.Time
 }
@@ -168,20 +171,26 @@
 }
 
 func (f *Follower[R, V]) setLost(cause error) {
-	if f.lost {
+	f.failed++
+	if !f.lost.IsZero() {
 		return
 	}
-	f.lost = true
-	f.Log.Warn("dependency lost", "dependency", "store", "table", f.Name, "error", cause)
+	f.lost = time.Now()
+	f.Log.Warn("dependency lost", "dependency", "store", "table", f.Name, "waited-ms", time.Since(f.asked).Milliseconds(), "error", cause)
 	f.Sink.Lost(cause)
 }
 
+// setRegained notes an answer. Its line says how long there was none, how many calls
+// failed, and how long the last one that succeeded took: a call that began in an
+// outage and was given up late is told from a store that was away for so long.
 func (f *Follower[R, V]) setRegained() {
-	if !f.lost {
+	if f.lost.IsZero() {
 		return
 	}
-	f.lost = false
-	f.Log.Info("dependency regained", "dependency", "store", "table", f.Name)
+	f.Log.Info("dependency regained", "dependency", "store", "table", f.Name, "lost-ms", time.Since(f.lost).Milliseconds(),
+		"failed-calls", f.failed, "waited-ms", time.Since(f.asked).Milliseconds())
+	f.lost = time.Time{}
+	f.failed = 0
 	f.Sink.Regained()
 }
 
