follow: news is known within the users' bound after the store was silent

What callers saw: requests handled by a configuration that was replaced two seconds and more before, four seconds after an outage of the store. Cause: the call that asks again after a lost one waited for a change as long as any, 4 s and 1.2 s for its answer. One that began in the outage hid its end for 5.2 s. The same holds for one lost answer in calm. Class: a probe with the timeout of a long poll. Ruled out: changes told late by the store, versions refused by the routers. Change: while the store doesn't answer, calls don't wait for a change; in calm they wait so long that one that is lost is given up in the time that the platform gives for it (its settings say how long after a disturbance its bounds hold: 3 s, 4 s, 5 s).

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -51,7 +51,7 @@
 	peerBackoff = time.Second
 )
 
-// Options are what a Router is made of. All are needed.
+// Options are what a Router is made of. All are needed but Recovery.
 type Options struct {
 	Self       fleet.RouterID
 	DataCenter fleet.DataCenterID
@@ -74,6 +74,9 @@
 	// RetryBurst those of the whole fleet beyond that.
 	RetryRatio float64
 	RetryBurst float64
+	// Recovery is how soon after a disturbance of the store what it tells has to be in
+	// force, zero means follow.DefaultRecovery.
+	Recovery time.Duration
 	// MaxConnections is how many connections of callers are kept; answers beyond
 	// it close theirs.
 	MaxConnections int
@@ -150,7 +153,7 @@
 	list := &memberList{started: r.started, isLarge: r.mesh.homes.Decide, registered: r.registered}
 	list.Follower = follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.Members, Sink: members, Log: r.options.Log,
-		Wait: func() time.Duration { return memberWait }, Rest: list.rest,
+		Wait: memberWait, Rest: list.rest,
 	}
 	r.actors = append(r.actors,
 		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
@@ -162,11 +165,11 @@
 func (r *Router) follow() {
 	configurations := &follow.Follower[route.Configuration, registry.Revision]{
 		Name: "configuration", Feed: r.options.Configurations, Sink: configurationSink{r.state}, Log: r.options.Log,
-		Rest: r.rest,
+		Wait: follow.WaitFor(r.options.Recovery), Rest: r.rest,
 	}
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
 		Name: "upstreams", Feed: r.options.Upstreams, Sink: upstreamSink{r.state, r.mesh}, Log: r.options.Log,
-		Rest: r.rest,
+		Wait: follow.WaitFor(r.options.Recovery), Rest: r.rest,
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -3,9 +3,9 @@
 //
 // A Follower reads a table whole, and then waits for its changes. It answers
 // the faults of such a feed: a store that is away for long (what is known
-// holds, and the return is noticed within a second), a history that was dropped
-// (the table is read whole again), and a connection that has gone silent
-// without a reset (each wait has an end, and what comes after it is asked anew).
+// holds, and the return is noticed within two seconds), a history that was dropped
+// (the table is read whole again), and a store or a connection that has gone silent
+// without a reset (each wait ends in time for news to be known when it has to be).
 package follow
 
 import (
@@ -28,11 +28,27 @@
 	readTimeout = 1500 * time.Millisecond
 	// answerSlack is what an answer may take beyond the wait that was asked for.
 	answerSlack = 1200 * time.Millisecond
-	// DefaultWait is how long one call waits for a change. A connection that
-	// has gone silent is noticed after it, and each wait costs a call.
-	DefaultWait = 4 * time.Second
+	// askAgain is the time from a call that is given up to an answer of the next one.
+	askAgain = 400 * time.Millisecond
+	// leastWait bounds what waits cost where answers are due so soon that they can't be.
+	leastWait = 300 * time.Millisecond
+	// DefaultRecovery is how soon after a disturbance of the store its news is known
+	// unless a deployment says otherwise.
+	DefaultRecovery = 3 * time.Second
 )
 
+// WaitFor returns how long one call may wait for a change so that news is known
+// within a time after the store, or a connection to it, stopped answering for a moment.
+//
+// An answer that is lost is noticed only when the call is given up, and until then
+// requests are handled by a configuration that was replaced. Longer waits cost fewer calls.
+func WaitFor(recovery time.Duration) time.Duration {
+	if recovery <= 0 {
+		recovery = DefaultRecovery
+	}
+	return max(recovery-answerSlack-askAgain, leastWait)
+}
+
 // HistoryLostError is the error of a wait for changes that the store no longer has.
 type HistoryLostError struct{ Table string }
 
@@ -66,8 +82,8 @@
 	Name string
 	Feed Feed[R, V]
 	Sink Sink[R, V]
-	// Wait is how long one call waits for a change; nil means always 4 s.
-	Wait func() time.Duration
+	// Wait is how long one call waits for a change; zero means WaitFor(DefaultRecovery).
+	Wait time.Duration
 	// Rest returns how long the table need not be looked at, since others tell what
 	// is new, zero when it has to be followed; nil means always. It is asked again
 	// and again, and may change.
@@ -150,13 +166,7 @@
 }
 
 func (f *Follower[R, V]) watch(ctx context.Context, after V) (V, error) {
-	wait := DefaultWait
-	if f.Wait != nil {
-		wait = f.Wait()
-	}
-	if f.Rest != nil && f.Rest() > 0 {
-		wait = 0
-	}
+	wait := f.wait()
 	ctx, cancel := context.WithTimeout(ctx, wait+answerSlack)
 	defer cancel()
 	rows, as, err := f.Feed.Watch(ctx, after, wait)
@@ -170,6 +180,20 @@
 	return as, nil
 }
 
+// wait returns how long the next call waits for a change. While the store doesn't
+// answer it is none: a call that is swallowed by an outage would hide its end for as
+// long as it waits, while routers go on with what was replaced meanwhile.
+func (f *Follower[R, V]) wait() time.Duration {
+	switch {
+	case !f.lost.IsZero(), f.Rest != nil && f.Rest() > 0:
+		return 0
+	case f.Wait > 0:
+		return f.Wait
+	default:
+		return WaitFor(DefaultRecovery)
+	}
+}
+
 func (f *Follower[R, V]) setLost(cause error) {
 	f.failed++
 	if !f.lost.IsZero() {
--- a/follow/silence_test.go
+++ b/follow/silence_test.go
@@ -97,7 +97,10 @@
 // Callers got answers of a route by a configuration that had been replaced more
 // than two seconds before, at all routers of a data centre. The store had answered
 // nobody for six seconds, while its connections stayed open, and had been back
-// for four when the routers heard of the new configurations.
+// for four when the routers heard of the new configurations. A call that began in the
+// outage was never answered, and since it was to wait four seconds for a change, it was given
+// up only after five. The routers' logs proved it: the call after `dependency lost` was
+// the last one for 5.2 s, while the store answered the next call about another table.
 func TestNewsAfterASilenceIsHeardInTime(t *testing.T) {
 	t.Parallel()
 	for _, silence := range []time.Duration{10 * time.Millisecond, 300 * time.Millisecond, time.Second, 2500 * time.Millisecond, 6200 * time.Millisecond, 11 * time.Second} {
