metric: a router's own figures come first on its page, and refused tokens are counted by account

Operators' collectors keep the beginning of a page of metrics, 4,000 bytes at the users'; the Go runtime's figures sort first by name and filled it in each of some 700 pages that were recorded. Nothing was known of refusals or of service by account. A router also counts the tokens that it served and refused by account and reason: an account that its router holds back is told from one that lacks engines.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -13,7 +13,6 @@
 	"github.com/oklog/run"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/fleet"
@@ -87,13 +86,14 @@
 
 // Router serves the callers of a deployment. Make it by New.
 type Router struct {
-	options  Options
-	state    *State
-	mesh     *mesh
-	handler  *forward.Handler
-	client   *upstream.Client
-	metrics  *metric.Set
-	registry *prometheus.Registry
+	options Options
+	state   *State
+	mesh    *mesh
+	handler *forward.Handler
+	client  *upstream.Client
+	metrics *metric.Set
+	// figures serves the metrics.
+	figures  http.Handler
 	stopping atomic.Bool
 	// started is when the router was made.
 	started time.Time
@@ -111,9 +111,9 @@
 
 // New returns a Router whose addresses are open.
 func New(ctx context.Context, options Options) (*Router, error) {
-	registered := prometheus.NewRegistry()
-	registered.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r := &Router{options: options, registry: registered, metrics: metric.New(registered), started: time.Now(), registered: make(chan struct{})}
+	own, process := prometheus.NewRegistry(), prometheus.NewRegistry()
+	process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r := &Router{options: options, figures: metric.Handler(own, process), metrics: metric.New(own), started: time.Now(), registered: make(chan struct{})}
 	r.state = NewState(StateOptions{
 		DataCenter: options.DataCenter, RetryRatio: options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
 		OnChange: r.changed,
@@ -193,7 +193,7 @@
 	ready := echo.New()
 	ready.GET(r.options.ReadyPath, r.ready)
 	metrics := echo.New()
-	metrics.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.registry, promhttp.HandlerOpts{})))
+	metrics.GET("/metrics", echo.WrapHandler(r.figures))
 	callers := r.newServer(r.handler)
 	callers.ConnState = r.countConnection
 	for _, l := range []struct {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -61,6 +61,9 @@
 	j.logRefusal(e)
 	h := j.handler
 	h.Metrics.Refusals.WithLabelValues(string(e.Reason)).Inc()
+	if j.account != "" {
+		h.Metrics.RefusedTokens.WithLabelValues(string(j.account), string(e.Reason)).Add(j.cost())
+	}
 	if j.begun || e.Reason == refusal.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
@@ -139,6 +142,9 @@
 	now := time.Now()
 	first := j.firstEvent.Sub(j.arrived)
 	h.Metrics.Requests.WithLabelValues(string(j.service), "answered").Inc()
+	if j.account != "" {
+		h.Metrics.Service.WithLabelValues(string(j.account)).Add(j.cost())
+	}
 	h.Metrics.QueueSeconds.WithLabelValues(string(j.service)).Observe(j.waited.Seconds())
 	h.Metrics.FirstByteSeconds.WithLabelValues(string(j.service)).Observe(first.Seconds())
 	late := first > j.route.Target
--- a/forward/job.go
+++ b/forward/job.go
@@ -125,6 +125,9 @@
 	return d
 }
 
+// cost returns what the request counts in its account's service.
+func (j *job) cost() float64 { return turn.Cost(max(j.intake.Input, 1), j.intake.Output) }
+
 // patience returns how long the request may wait for its next turn, its account
 // and its deadline aside.
 func (j *job) patience() time.Duration {
--- /dev/null
+++ b/metric/handler_test.go
@@ -0,0 +1,42 @@
+package metric_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/metric"
+)
+
+// keptOfAPage is how much of a page of metrics the users' collector keeps, in bytes.
+const keptOfAPage = 4000
+
+// After an incident nothing was known of what routers had refused: of each page of
+// metrics the collector had kept 4,000 bytes, and the Go runtime's figures, which sort
+// first by name, had filled them.
+func TestOwnMetricsComeFirst(t *testing.T) {
+	t.Parallel()
+	own, process := prometheus.NewRegistry(), prometheus.NewRegistry()
+	process.MustRegister(collectors.NewGoCollector())
+	set := metric.New(own)
+	set.Refusals.WithLabelValues("router-overloaded").Add(17)
+	set.RefusedTokens.WithLabelValues("ada", "router-overloaded").Add(1234)
+	set.Service.WithLabelValues("ada").Add(99)
+	set.QueueSeconds.WithLabelValues("engines").Observe(0.1)
+	recorder := httptest.NewRecorder()
+	metric.Handler(own, process).ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	page := recorder.Body.String()
+	kept := page[:keptOfAPage]
+	for _, line := range []string{
+		`nutmeglock_note_version 0`, `nutmeglock_refusals_total{reason="router-overloaded"} 17`,
+		`nutmeglock_refused_tokens_total{account="ada",reason="router-overloaded"} 1234`, `nutmeglock_service_tokens_total{account="ada"} 99`,
+	} {
+		require.Contains(t, kept, line+"\n")
+	}
+	require.Less(t, strings.LastIndex(page, "nutmeglock_"), strings.Index(page, "# HELP go_"))
+	require.Contains(t, page, "go_goroutines")
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -19,6 +19,10 @@
 	Retries *prometheus.CounterVec
 	// Service is the weighted tokens that an account received through this router.
 	Service *prometheus.CounterVec
+	// RefusedTokens is the weighted tokens of an account's requests that this router
+	// refused, by account and reason. One that lacks service because the router has too
+	// much to do is told from one that lacks engines.
+	RefusedTokens *prometheus.CounterVec
 	// InFlight is the number of requests at upstreams, by service.
 	InFlight *prometheus.GaugeVec
 	// Waiting is the number of requests that wait for a turn, by service.
@@ -58,6 +62,7 @@
 		Refusals:         counter("refusals_total", "The router's own answers by reason.", "reason"),
 		Retries:          counter("retries_total", "Further attempts by reason.", "reason"),
 		Service:          counter("service_tokens_total", "Weighted tokens received, by account.", "account"),
+		RefusedTokens:    counter("refused_tokens_total", "Weighted tokens refused, by account and reason.", "account", "reason"),
 		InFlight:         gauges("in_flight", "Requests at upstreams, by service."),
 		Waiting:          gauges("waiting", "Requests that wait for a turn, by service."),
 		QueueSeconds:     seconds("queue_seconds", "Time from arrival to a slot."),
@@ -68,7 +73,7 @@
 		NoteVersion:      gauge("note_version", "The release note version in force."),
 		Routers:          gauge("routers", "Routers believed alive, this one included."),
 	}
-	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.Service, s.InFlight, s.Waiting,
+	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.Service, s.RefusedTokens, s.InFlight, s.Waiting,
 		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.Connections, s.NoteVersion, s.Routers)
 	s.touch()
 	return s
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -57,9 +57,11 @@
 	Tried []Instance
 }
 
-// cost is what a request counts in its account's service: each token that is
+// Cost returns what a request counts in its account's service: each token that is
 // read once, and each that is generated twice, as the users weigh them.
-func (d *Demand) cost() float64 { return float64(d.Input + 2*d.Output) }
+func Cost(input, output int) float64 { return float64(input + 2*output) }
+
+func (d *Demand) cost() float64 { return Cost(d.Input, d.Output) }
 
 // shared returns the hash that requests with the same shared beginning have in
 // common. The last part of a prompt is the request's own.
