--- a/turn/large_test.go
+++ b/turn/large_test.go
@@ -47,3 +47,43 @@
 		require.Less(t, m.late, m.inTime/50)
 	}
 }
+
+// floodedRouter is a load of what inundates one small router: all of an account's
+// requests come there, and it has processor time for a part of them. Another account
+// asks as much at many routers, and small ones ask now and then.
+func floodedRouter(seed uint64, taken float64) modelLoad {
+	m := modelLoad{
+		routers: 67, engines: 60, speed: 54.6, target: 500 * time.Millisecond, length: 14 * time.Second,
+		reports: 440 * time.Millisecond, shared: 1200, seed: seed, homes: 8,
+	}
+	all := make([]int, m.routers)
+	for i := range all {
+		all[i] = i
+	}
+	m.accounts = []modelAccount{
+		{id: "flooded", rate: 950, taken: taken, credit: new(float64), routers: []int{3}},
+		{id: "everywhere", rate: 1000, routers: all},
+	}
+	for i := range 28 {
+		m.accounts = append(m.accounts, modelAccount{id: fleet.AccountID(fmt.Sprintf("small-%d", i)), rate: 10, routers: all})
+	}
+	return m
+}
+
+// unfairBelow is the part of its due below which an account is treated unfairly: the
+// users let nobody who waits get less than half of what another one gets.
+const unfairBelow = 0.5
+
+// An account got 13 million tokens in six seconds of the 58 million that it asked for,
+// another one 29 million. The balancer had brought all of its requests to one small
+// router, which had no processor time for most of them and refused them.
+func TestAccountAtAFloodedRouterGetsHalfOfWhatOthersGet(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(5) {
+		for _, taken := range []float64{120, 160, 200} {
+			m := play(floodedRouter(seed, taken))
+			part, who, when := m.least()
+			require.Greater(t, part, unfairBelow, "%s from second %d, seed %d, %v taken", who, when, seed, taken)
+		}
+	}
+}
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -63,6 +63,11 @@
 	routers []int
 	from    time.Duration
 	until   time.Duration
+	// taken is the requests a second that the account's router has processor time for,
+	// zero for all.
+	taken float64
+	// credit is the part of a request that the router may take beyond those that it took.
+	credit *float64
 }
 
 type modelEngine struct {
@@ -188,6 +193,10 @@
 	size := float64(d.Input + 2*d.Output)
 	m.asked[a.id][m.second()] += size
 	m.largest[a.id] = max(m.largest[a.id], size)
+	if !a.takes() {
+		m.refuse(d)
+		return
+	}
 	pool := a.routers[m.random.IntN(len(a.routers))]
 	if m.load.homes > 0 {
 		pool = int(shared) % m.load.homes
@@ -195,6 +204,19 @@
 	m.ask(pool, d, m.now)
 }
 
+// takes reports whether the account's router has processor time for its next request.
+func (a modelAccount) takes() bool {
+	if a.taken == 0 {
+		return true
+	}
+	*a.credit += a.taken / a.rate
+	if *a.credit < 1 {
+		return false
+	}
+	*a.credit--
+	return true
+}
+
 func (m *model) second() int { return min(int(m.now.Sub(start)/time.Second), seconds-1) }
 
 func (m *model) ask(router int, d turn.Demand, came time.Time) {
