turn, home: those who give turns hear of what a router has no processor time for

Cause: a router without processor time refuses before it asks for a turn, and told nobody. Homes saw an account that got all it asked for, and gave the others the rest. Class: a decision that counts only what reaches it. Ruled out: engines that are late for the account; a flood that moves (the model has neither, and shows it).

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -127,6 +127,7 @@
 		return nil, err
 	}
 	r.handler.Takes = r.mesh.shedder.Takes
+	r.handler.Shed = r.mesh.homes.Shed
 	r.follow()
 	return r, r.listen(ctx)
 }
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -42,6 +42,7 @@
 	for key, standing := range report.Accounts {
 		w.Accounts = append(w.Accounts, &schema.AccountService{
 			Account: uint32(key), Tokens: uint32(standing.Served), Waiting: uint32(max(standing.Waiting, 0)), Denied: uint32(standing.Denied),
+			Shed: uint32(standing.Shed),
 		})
 	}
 	slices.SortFunc(w.Upstreams, func(a, b *schema.UpstreamWork) int { return cmp.Compare(a.GetUpstream(), b.GetUpstream()) })
@@ -70,7 +71,9 @@
 		}
 	}
 	for _, a := range w.GetAccounts() {
-		r.Accounts[turn.Key(a.GetAccount())] = turn.Standing{Served: float64(a.GetTokens()), Waiting: int(a.GetWaiting()), Denied: float64(a.GetDenied())}
+		r.Accounts[turn.Key(a.GetAccount())] = turn.Standing{
+			Served: float64(a.GetTokens()), Waiting: int(a.GetWaiting()), Denied: float64(a.GetDenied()), Shed: float64(a.GetShed()),
+		}
 	}
 	return r
 }
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -48,7 +48,7 @@
 		return err
 	}
 	if h.Takes != nil && !h.Takes(j.arrived, j.account) {
-		return refusal.New(refusal.RouterOverloaded, "this router has too much to do", overloadedRetryAfter)
+		return j.shed()
 	}
 	if err := j.checkLine(); err != nil {
 		return err
@@ -56,6 +56,14 @@
 	return j.readBody(table.Limits())
 }
 
+// shed refuses a request for which this router has no processor time.
+func (j *job) shed() *refusal.Error {
+	if j.handler.Shed != nil {
+		j.handler.Shed(j.service, j.account, j.cost())
+	}
+	return refusal.New(refusal.RouterOverloaded, "this router has too much to do", overloadedRetryAfter)
+}
+
 // checkLine refuses a request, before its body is read, when so many of its account
 // wait here that its turn can't come in time.
 func (j *job) checkLine() *refusal.Error {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,7 +88,7 @@
 	Retries(service fleet.ServiceID) retry.Policy
 }
 
-// Handler serves callers. All fields have to be set but Crowded and Takes.
+// Handler serves callers. All fields have to be set but Crowded, Takes and Shed.
 type Handler struct {
 	Dialect Dialect
 	State   State
@@ -101,6 +101,9 @@
 	// Takes reports whether the router has processor time for a request of an
 	// account that has just arrived; nil always.
 	Takes func(now time.Time, account fleet.AccountID) bool
+	// Shed is told of each request that Takes refused, with what it counts in its account's
+	// service, in tokens; it may be nil.
+	Shed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
 
 	lines  admission.Lines[lineKey]
 	held   held
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -357,17 +357,21 @@
 }
 
 // A router has no processor time for a request. Its caller hears so at once, with when
-// to come back, and nothing reaches an upstream.
+// to come back, and nothing reaches an upstream. Those that share out the engines' work
+// are told, or the account would seem to get all that it asks for.
 func TestRequestWithoutProcessorTimeIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	f := start(t, served)
 	f.handler.Takes = func(time.Time, fleet.AccountID) bool { return false }
+	told := 0.0
+	f.handler.Shed = func(_ fleet.ServiceID, _ fleet.AccountID, tokens float64) { told += tokens }
 	answer, err := http.DefaultClient.Do(f.request(t, http.MethodPost, "/order/1", "body"))
 	require.NoError(t, err)
 	require.NoError(t, answer.Body.Close())
 	require.Equal(t, http.StatusServiceUnavailable, answer.StatusCode)
 	require.Equal(t, "0.200", answer.Header.Get("Retry-After"))
 	require.Empty(t, f.reached)
+	require.InDelta(t, 1, told, 0, "a request without a prompt counts as one token")
 }
 
 // A router stops. Answers ask their callers to connect elsewhere, requests in
--- a/home/home.go
+++ b/home/home.go
@@ -75,6 +75,8 @@
 	roundTrip roundTrip
 	// notes wait for the next message to their home.
 	notes map[fleet.RouterID][]*schema.TurnNote
+	// shed is what this router refused and hasn't told yet, in tokens.
+	shed map[shedKey]float64
 	// turns are those that other routers have asked for here.
 	turns map[fleet.RouterID]map[uint64]*held
 }
@@ -183,6 +185,7 @@
 	for _, n := range batch.GetTurnNotes() {
 		h.note(from, n) // before the asks, which may need the places
 	}
+	h.hearShed(batch)
 	for _, a := range batch.GetTurnAsks() {
 		h.serve(from, a)
 	}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -333,6 +333,42 @@
 	})
 }
 
+// A router refuses requests without asking for their turns, since it has no processor time
+// for them. Each home hears of its part, or it would think the account served and let others
+// have several times as much.
+func TestHomesHearOfWhatARouterHasNoTimeFor(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const tokens = 80_000
+		n := start(20, 24)
+		n.routers["r1"].Shed("s", "ada", tokens)
+		n.routers["r1"].Shed("s", "ada", tokens)
+		time.Sleep(time.Second / 4)
+		told, homes := 0.0, 0
+		for _, pool := range n.pools {
+			for _, standing := range pool.Report(time.Now()).Accounts {
+				told += standing.Shed
+				homes++
+			}
+		}
+		require.Greater(t, homes, 1)
+		require.InDelta(t, 2*tokens, told, 0.1*tokens, "what was told of late, less what is forgotten since")
+	})
+}
+
+// A small fleet has no homes: what a router refuses stands in its reports.
+func TestReportsTellWhatARouterHasNoTimeFor(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := start(6, 2)
+		n.routers["r1"].Shed("s", "ada", 80_000)
+		time.Sleep(time.Second / 4)
+		for id, pool := range n.pools {
+			require.Equal(t, id == "r1", len(pool.Report(time.Now()).Accounts) == 1)
+		}
+	})
+}
+
 // Small fleets tell each other what they have, and depend on no home.
 func TestSmallFleetHasNoHomes(t *testing.T) {
 	t.Parallel()
--- a/metric/handler_test.go
+++ b/metric/handler_test.go
@@ -1,6 +1,7 @@
 package metric_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -28,7 +29,7 @@
 	set.Service.WithLabelValues("ada").Add(99)
 	set.QueueSeconds.WithLabelValues("engines").Observe(0.1)
 	recorder := httptest.NewRecorder()
-	metric.Handler(own, process).ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	metric.Handler(own, process).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	page := recorder.Body.String()
 	kept := page[:keptOfAPage]
 	for _, line := range []string{
--- a/turn/account.go
+++ b/turn/account.go
@@ -20,6 +20,8 @@
 	own rate.Recent
 	// denied is the tokens of its requests that were refused here.
 	denied rate.Recent
+	// shed is the tokens of those that a router refused before it asked.
+	shed rate.Recent
 	// elsewhere is how it stands at the other routers.
 	elsewhere Standing
 	queue     []*Ticket
@@ -36,7 +38,10 @@
 
 // standing returns how the account stands at this router.
 func (a *account) standing(now time.Time) Standing {
-	return Standing{Served: a.own.At(now, serviceWindow), Waiting: a.waiting, Denied: a.denied.At(now, serviceWindow)}
+	return Standing{
+		Served: a.own.At(now, serviceWindow), Waiting: a.waiting,
+		Denied: a.denied.At(now, serviceWindow), Shed: a.shed.At(now, serviceWindow),
+	}
 }
 
 func (p *Pool) account(id fleet.AccountID) *account {
@@ -108,9 +113,7 @@
 // patience returns how long a demand may wait. Accounts that were served less
 // wait longer before they are refused, so that their turn comes; what those that
 // were served more would wait for is given to others meanwhile.
-func (p *Pool) patience(now time.Time, d *Demand) time.Duration {
-	standing := p.account(d.Account).total(now)
-	claims := p.claims(now)
+func patience(claims claims, standing Standing, d *Demand) time.Duration {
 	part := depth(standing.Served, claims.share(standing.lacks()), claims.pressure)
 	patience := time.Duration(min(max(part, leastPatience), mostPatience) * float64(d.Patience))
 	return max(patience, min(d.Patience, idlePatience))
--- a/turn/group.go
+++ b/turn/group.go
@@ -39,6 +39,17 @@
 	return order[0].group, true
 }
 
+// Groups returns how many groups of engines requests belong to, zero when they belong to
+// all upstreams alike.
+func (p *Pool) Groups() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.grouped || p.placement().Choices() == 0 {
+		return 0
+	}
+	return p.groups
+}
+
 // Has reports whether a life of an upstream takes requests.
 func (p *Pool) Has(instance Instance) bool {
 	p.mu.Lock()
@@ -54,11 +65,11 @@
 // setGroups parts the engines into groups. The number of groups is a power of two, so
 // that it changes seldom and then parts groups in two.
 func (p *Pool) setGroups() {
-	groups := 1
-	for groups*2*enginesPerGroup <= len(p.engines) {
-		groups *= 2
+	p.groups = 1
+	for p.groups*2*enginesPerGroup <= len(p.engines) {
+		p.groups *= 2
 	}
 	for _, e := range p.engines {
-		e.group = int(e.key) % groups
+		e.group = int(e.key) % p.groups
 	}
 }
--- a/turn/large_test.go
+++ b/turn/large_test.go
@@ -76,7 +76,10 @@
 
 // An account got 13 million tokens in six seconds of the 58 million that it asked for,
 // another one 29 million. The balancer had brought all of its requests to one small
-// router, which had no processor time for most of them and refused them.
+// router, which had no processor time for most of them and refused them. Those that give
+// turns never heard of these: the account seemed to get what it asked for, and the rest
+// went to the others. Its refusals proved it, all for want of processor time and none for want of a
+// turn; and told of them, the homes give the others less.
 func TestAccountAtAFloodedRouterGetsHalfOfWhatOthersGet(t *testing.T) {
 	t.Parallel()
 	for seed := range uint64(5) {
--- a/turn/load.go
+++ b/turn/load.go
@@ -48,13 +48,19 @@
 	Waiting int
 	// Denied is the tokens of its requests that were refused there of late.
 	Denied float64
+	// Shed is the tokens of those that were refused there before they asked for a turn,
+	// since the router has too much to do.
+	Shed float64
 }
 
 // lacks reports whether the account has work that isn't served.
 func (s Standing) lacks() bool { return s.Waiting > 0 || s.Denied >= 1 }
 
 func (s Standing) add(other Standing) Standing {
-	return Standing{Served: s.Served + other.Served, Waiting: s.Waiting + other.Waiting, Denied: s.Denied + other.Denied}
+	return Standing{
+		Served: s.Served + other.Served, Waiting: s.Waiting + other.Waiting,
+		Denied: s.Denied + other.Denied, Shed: s.Shed + other.Shed,
+	}
 }
 
 // Report is what one router tells the others of a service.
@@ -86,7 +92,7 @@
 	}
 	for _, a := range p.accounts {
 		own := a.standing(now)
-		if own.Served >= 1 || own.lacks() {
+		if own.Served >= 1 || own.Shed >= 1 || own.lacks() {
 			r.Accounts[a.key] = own
 		}
 	}
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -194,7 +194,7 @@
 	m.asked[a.id][m.second()] += size
 	m.largest[a.id] = max(m.largest[a.id], size)
 	if !a.takes() {
-		m.refuse(d)
+		m.shed(a, d)
 		return
 	}
 	pool := a.routers[m.random.IntN(len(a.routers))]
@@ -204,6 +204,19 @@
 	m.ask(pool, d, m.now)
 }
 
+// shed refuses a request for which the account's router has no time, and tells those that
+// give turns.
+func (m *model) shed(a modelAccount, d turn.Demand) {
+	m.refuse(d)
+	if m.load.homes == 0 {
+		m.pools[a.routers[0]].Shed(m.now, a.id, turn.Cost(d.Input, d.Output))
+		return
+	}
+	for _, p := range m.pools {
+		p.Shed(m.now, a.id, turn.Cost(d.Input, d.Output)/float64(m.load.homes))
+	}
+}
+
 // takes reports whether the account's router has processor time for its next request.
 func (a modelAccount) takes() bool {
 	if a.taken == 0 {
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -7,6 +7,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/outlier"
+	"nutmeglock.example/nutmeglock/rate"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -38,8 +39,9 @@
 	generation int
 	// orders are those of the engines by what demands share, as of this list.
 	orders map[uint64][]*engine
-	// grouped is true when a request goes to one group of engines only.
+	// grouped is true when a request goes to one group of engines only, of so many.
 	grouped  bool
+	groups   int
 	accounts map[fleet.AccountID]*account
 	heard    map[fleet.RouterID]heard
 	// oldest is when the oldest report that counts came.
@@ -48,9 +50,11 @@
 	// accounts.
 	elsewhere map[Key]Standing
 	keys      map[Key]bool
-	speed     speed
-	detector  outlier.Detector[Instance]
-	waiting   int
+	// most is the most that was served of late, in tokens of one service window.
+	most     rate.Recent
+	speed    speed
+	detector outlier.Detector[Instance]
+	waiting  int
 }
 
 // Set replaces the upstreams that take requests, and the time to the first
@@ -96,9 +100,13 @@
 	if best == nil {
 		return nil, &RefusedError{NoUpstream: true, RetryAfter: noUpstreamRetryAfter}
 	}
-	t.patience = p.patience(now, &d)
+	a, claims := p.account(d.Account), p.claims(now)
+	t.patience = patience(claims, a.total(now), &d)
+	if !claims.mayStart(a.total(now)) {
+		return nil, p.hold(now, &d, best)
+	}
 	if wait := p.expected(now, best, &d); wait > t.patience {
-		p.account(d.Account).denied.Add(now, serviceWindow, d.cost())
+		a.denied.Add(now, serviceWindow, d.cost())
 		return nil, &RefusedError{Wait: wait, RetryAfter: max(wait, leastRetryAfter)}
 	}
 	p.enqueue(t, best)
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -93,6 +93,9 @@
 func (p *Pool) startNext(now time.Time) bool {
 	claims := p.claims(now)
 	for _, a := range p.line(now) {
+		if !claims.mayStart(a.total(now)) {
+			continue
+		}
 		view := p.view(now, depth(a.served, claims.share(true), claims.pressure))
 		for _, t := range a.queue {
 			if p.tryStart(view, t) {
--- a/turn/share.go
+++ b/turn/share.go
@@ -11,11 +11,12 @@
 // requests wait for an eighth to a third of a second before they are refused.
 const turnover = 5
 
-// claimant is an account with what it got of late and what it asked for.
-type claimant struct{ served, asked float64 }
+// claimant is an account with what it got of late, what it asked for, and what its
+// routers refused beyond that by themselves.
+type claimant struct{ served, asked, shed float64 }
 
 func (s Standing) claimant() claimant {
-	return claimant{served: s.Served, asked: s.Served + s.Denied + turnover*float64(s.Waiting)}
+	return claimant{served: s.Served, asked: s.Served + s.Denied + turnover*float64(s.Waiting), shed: s.Shed}
 }
 
 // claims are what all accounts of a service got of late and asked for.
@@ -28,6 +29,10 @@
 	lacking int
 	// pressure is the part of what was asked of late that wasn't served.
 	pressure float64
+	// heldBack are the accounts that their routers hold back, and right is the level of
+	// what the engines have done at most.
+	heldBack []claimant
+	right    float64
 }
 
 // share returns the service that an account has a right to while others lack
@@ -49,10 +54,14 @@
 	claimants := make([]claimant, 0, len(p.accounts)+len(p.elsewhere))
 	out := claims{}
 	collect := func(s Standing) {
-		claimants = append(claimants, s.claimant())
+		c := s.claimant()
+		claimants = append(claimants, c)
 		if s.lacks() {
 			out.lacking++
 		}
+		if c.isHeldBack() {
+			out.heldBack = append(out.heldBack, c)
+		}
 	}
 	for _, a := range p.accounts {
 		collect(a.total(now))
@@ -73,5 +82,9 @@
 		out.pressure = 1 - served/asked
 	}
 	out.level = share.Level(claimed, served)
+	peak := p.peak(now, served)
+	if len(out.heldBack) > 0 {
+		out.right = rightOf(claimants, peak)
+	}
 	return out
 }
