forward: a request of a caller that has left is not passed on by a busy router

Cause: net/http learns of the close by a goroutine that reads on behind the request; on a router short of processor time it runs after those that pass requests on. Change: the connection is looked at, without reading, before a turn is asked for and before a send: two system calls a request. Test: 5 of 40 such requests reached the upstream before, none now.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -197,6 +197,7 @@
 	metrics.GET("/metrics", echo.WrapHandler(r.figures))
 	callers := r.newServer(r.handler)
 	callers.ConnState = r.countConnection
+	callers.ConnContext = forward.WithCaller
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -135,7 +135,9 @@
 		Dialect: dialect{}, State: state{table, pool}, Client: client,
 		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	}
-	f.front = httptest.NewServer(f.handler)
+	f.front = httptest.NewUnstartedServer(f.handler)
+	f.front.Config.ConnContext = forward.WithCaller
+	f.front.Start()
 	t.Cleanup(f.front.Close)
 	return f
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -77,12 +77,20 @@
 	ctx, cancel := context.WithDeadlineCause(j.request.Context(), j.deadline, errDeadline)
 	defer cancel()
 	j.handler.retries(j).First(j.arrived)
+	if j.hasLeft() {
+		j.leave(nil)
+		return
+	}
 	for {
 		ticket, refused := j.takeTurn(ctx)
 		if refused != nil {
 			j.refuseOrPass(refused)
 			return
 		}
+		if j.hasLeft() {
+			j.leave(ticket)
+			return
+		}
 		f := j.attempt(ctx, ticket)
 		if f == nil {
 			j.answered(ticket)
