--- a/forward/job.go
+++ b/forward/job.go
@@ -20,8 +20,7 @@
 	// streamPatience is the part of the target that a stream may wait here for
 	// its turn, more or less by its account; the rest is for reading its prompt and
 	// for the way. Longer waits end in late answers, which take the place of ones
-	// in time: mean worth of the scale days, three seeds each, 0.646 and 0.704 with
-	// 0.45 for all, 0.677 and 0.731 so; 0.18 gave 0.667 and 0.734.
+	// in time.
 	streamPatience = 0.25
 	// plainPatience is the same for other requests, whose work takes about a
 	// fifth of their target.
--- a/home/home.go
+++ b/home/home.go
@@ -5,10 +5,7 @@
 // a time, and each router sees what the others have sent there by reports that
 // are the older the more routers there are. With 88 routers they are half a second
 // old: several fill one engine at the same moment while another idles, and an
-// account's service depends on how many routers it sits at. In the model of turn's
-// tests, 88 routers before 60 engines, 2,500 requests of 4,300 were begun in time
-// by reports and 3,300 with homes; the least part of its due that an account got
-// was 0.51 and 0.76.
+// account's service depends on how many routers it sits at.
 //
 // Nothing is agreed on and nothing has to last. All routers choose the same home
 // by rendezvous hashing over those that are connected. While two disagree for a
--- a/overload/shedder.go
+++ b/overload/shedder.go
@@ -12,17 +12,15 @@
 	// pressedAfter is how long goroutines wait for the processor from which the router
 	// takes fewer requests, and relievedAfter that below which it takes more again. A
 	// request's way through a router takes some ten such waits, and the strictest targets
-	// of the users are 120 to 800 ms. From 8 ms on first events are sooner (at the median
-	// of the largest kind 233 ms, 253 from 15 ms, 267 from 30), but a small router then
-	// does so little that its account gets less than half of what another one gets.
+	// of the users are 120 to 800 ms. With shorter ones first events are sooner, but a small
+	// router then does so little that its account gets less than half of what another one gets.
 	pressedAfter  = 20 * time.Millisecond
 	relievedAfter = 5 * time.Millisecond
 	// Each look, 20 of which are made in a second, changes the part of the requests
 	// that is taken. It falls by this part of it for a wait of pressedAfter, by more for a
 	// longer one, and to mostFall of it at most. A stream costs most of its processor time
 	// over some seconds after it was taken, so that what is taken before a flood shows is
-	// late for as long. In the model of the tests, with 1,800 requests a second that come
-	// at once, the longest wait is 8.3 s with a fall of 0.03 at each look, and 0.31 s so.
+	// late for as long.
 	fall     = 0.03
 	mostFall = 0.5
 	rise     = 1.01
@@ -36,9 +34,7 @@
 	leastTaken = 0.05
 	// exhausted is the part that is taken from which on the router should give its callers
 	// away, if goroutines still wait. An account that is held to less by one small router
-	// gets less than its share of the engines. Served in time of 26,400 prompts of such a
-	// day, with waits of 15 ms: 14,700 and 15,100 if callers stay until the part is a
-	// tenth, 17,600 so.
+	// gets less than its share of the engines.
 	exhausted = 0.4
 	// noticeable is the part that is refused from which on the router says so.
 	noticeable = 0.1
--- a/turn/account.go
+++ b/turn/account.go
@@ -9,9 +9,8 @@
 
 // serviceWindow is how long service counts against an account. The users compare
 // what accounts get second by second, so what one was served before the others
-// came is no reason to let it wait. With four seconds an account that had been
-// alone got a third of what the next one got for as long; the mean worth of the
-// scale days, three seeds each, rose from 0.63 to 0.64 and from 0.67 to 0.68.
+// came is no reason to let it wait: an account that had been alone would get a
+// fraction of what the next one gets for as long as the window lasts.
 const serviceWindow = time.Second
 
 // account is what is known of one account at one service.
@@ -69,18 +68,14 @@
 	// Of the work that an upstream may have unread, an account that was served
 	// its share while others lack something may use shareDepth, one that was served
 	// less up to mostDepth, and one that was served twice its share excessDepth less,
-	// down to leastDepth. Mean worth of the scale days, three seeds each, measured
-	// by the least served account before: 0.675 and 0.735, one of twelve days
-	// unfair; so: 0.684 and 0.740, none. With a shareDepth of 1.25: 0.642 and 0.697,
-	// first events come later; of 0.8: 0.672 and 0.711 of two seeds.
+	// down to leastDepth. With a larger shareDepth first events come later.
 	shareDepth  = 0.6
 	mostDepth   = 1.5
 	excessDepth = 3
 	leastDepth  = 0.1
 	// fullPressure is the part of what is asked that isn't served from which
 	// shareDepth holds. Below it, as on a quiet day on which a large account lacks
-	// something for a moment, there is less need to leave room: refused of 2,057
-	// long requests of three such days 295, with it 260.
+	// something for a moment, there is less need to leave room.
 	fullPressure = 0.25
 )
 
@@ -105,8 +100,7 @@
 	mostPatience  = 1.5
 	leastPatience = 0.67
 	// idlePatience lets a request outlast idleGrace: on a quiet day one of an
-	// account that was served more would be refused beside an idle engine. Refused
-	// of 7,600 requests of such a day before: 190.
+	// account that was served more would be refused beside an idle engine.
 	idlePatience = 110 * time.Millisecond
 )
 
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -92,10 +92,7 @@
 
 // reluctance is the part of the target by which the second owner has to be
 // sooner. A beginning that goes to and fro is read or copied twice, and pushes
-// others out. With it, and with requests that wait for the owner they were given
-// to in place of taking the other when that has room first, the mean worth of
-// the scale days, three seeds each, rose from 0.629 to 0.646 and from 0.690 to
-// 0.704; 0.15 gave less, 0.6 no more and an unfair day, as a single owner did.
+// others out.
 const reluctance = 0.3
 
 // Score returns the tokens that are read before the request's first event, and
@@ -137,7 +134,7 @@
 // that were served less, and see later than this router that it is idle. Without it
 // each router starts a prompt at the moment at which an engine falls idle, and an
 // account that sits at five routers gets five times what one at a single router
-// gets. Mean worth of the scale days, three seeds each: 0.59 to 0.63.
+// gets.
 const (
 	evenDepth = 0.7
 	idleGrace = 70 * time.Millisecond
