turn: a request that was begun goes on though its account got enough; the refusal has its own reason

Refusals for the sake of an account that is held back were logged and counted as deadline-before-turn with a wait of zero; they are account-ahead now, on the operators' page.

--- a/docs/operator/reasons_test.go
+++ b/docs/operator/reasons_test.go
@@ -35,6 +35,7 @@
 	set := metric.New(registry)
 	set.Requests.WithLabelValues("s", "2xx")
 	set.Service.WithLabelValues("a")
+	set.RefusedTokens.WithLabelValues("a", "r")
 	set.InFlight.WithLabelValues("s")
 	set.Waiting.WithLabelValues("s")
 	set.QueueSeconds.WithLabelValues("s")
--- a/forward/job.go
+++ b/forward/job.go
@@ -171,8 +171,11 @@
 	var refused *turn.RefusedError
 	if errors.As(err, &refused) {
 		out.RetryAfter = refused.RetryAfter
-		if refused.NoUpstream {
+		switch {
+		case refused.NoUpstream:
 			out.Reason = refusal.NoUpstream
+		case refused.Held:
+			out.Reason = refusal.AccountAhead
 		}
 	}
 	out.Outcome = j.outcome()
--- a/rate/peak.go
+++ b/rate/peak.go
@@ -14,7 +14,7 @@
 	p.most.Add(now, memory, max(amount-p.most.At(now, memory), 0))
 }
 
-// Add raises the peak by an amount.
+// Add adds an amount to the peak.
 func (p *Peak) Add(now time.Time, memory time.Duration, amount float64) {
 	p.most.Add(now, memory, amount)
 }
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -34,6 +34,7 @@
 	UnknownRoute       Reason = "unknown-route"
 	ServiceNotAllowed  Reason = "service-not-allowed"
 	AccountQueueFull   Reason = "account-queue-full"
+	AccountAhead       Reason = "account-ahead"
 	RouterQueueFull    Reason = "router-queue-full"
 	RouterOverloaded   Reason = "router-overloaded"
 	DeadlineBeforeTurn Reason = "deadline-before-turn"
@@ -58,7 +59,7 @@
 func Reasons() []Reason {
 	return []Reason{
 		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
-		ServiceNotAllowed, AccountQueueFull, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
+		ServiceNotAllowed, AccountQueueFull, AccountAhead, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
 		NoUpstream, UpstreamFailed, UpstreamBusy, RetriesExhausted, Stopping, NotReady,
 		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
 		ResumeExpired, CallerGone, Internal,
@@ -104,6 +105,7 @@
 	UnknownRoute:       http.StatusNotFound,
 	ServiceNotAllowed:  http.StatusForbidden,
 	AccountQueueFull:   http.StatusTooManyRequests,
+	AccountAhead:       http.StatusTooManyRequests,
 	RouterQueueFull:    http.StatusServiceUnavailable,
 	RouterOverloaded:   http.StatusServiceUnavailable,
 	DeadlineBeforeTurn: http.StatusServiceUnavailable,
--- a/turn/hold.go
+++ b/turn/hold.go
@@ -37,7 +37,7 @@
 	p.account(id).shed.Add(now, serviceWindow, tokens)
 }
 
-// wanted is what the account asked for, of those that give turns or in vain of its router.
+// wanted is what the account asked for, what its router refused by itself included.
 func (c claimant) wanted() float64 { return c.asked + c.shed }
 
 // isHeldBack reports whether its router refuses so much of what the account asks for that
@@ -67,15 +67,20 @@
 	return bound
 }
 
-// mayStart reports whether an account may get a turn now beside those that are held back.
-func (c claims) mayStart(s Standing) bool {
+// isEnough reports whether an account got all that it may get beside those that are held
+// back.
+func (c claims) isEnough(s Standing) bool {
 	if len(c.heldBack) == 0 {
-		return true
+		return false
 	}
 	claimant := s.claimant()
-	return claimant.served < c.bound(claimant)
+	return claimant.served >= c.bound(claimant)
 }
 
+// isBegun reports whether the request was sent before: its caller has a part of the answer,
+// or has waited for it, which would be lost if it didn't go on.
+func (d *Demand) isBegun() bool { return len(d.Tried) > 0 }
+
 // hold refuses a demand whose account got enough beside one that is held back. What is
 // refused beside an idle engine counts as done, on the mean of the peak's memory: without it
 // a fleet that starts beside a router that passes nothing on would stay at next to nothing.
@@ -84,5 +89,5 @@
 	if best.fleetUnread() == 0 {
 		p.most.Add(now, peakMemory, d.cost()*float64(serviceWindow)/float64(peakMemory))
 	}
-	return &RefusedError{RetryAfter: leastRetryAfter}
+	return &RefusedError{Held: true, RetryAfter: leastRetryAfter}
 }
--- a/turn/hold_test.go
+++ b/turn/hold_test.go
@@ -77,3 +77,26 @@
 		})
 	}
 }
+
+// A stream broke off at its engine while its account had got enough beside one that is held
+// back. Its caller has a part of the answer, so it goes on elsewhere at once.
+func TestStreamThatBrokeOffGoesOnThoughItsAccountGotEnough(t *testing.T) {
+	t.Parallel()
+	p := pool(60)
+	now := start
+	p.Shed(now, "held-back", 4_000_000)
+	var refused *turn.RefusedError
+	for i := range uint64(20) {
+		if _, err := p.Ask(now, prompt("asking", i, i|1<<40, 10_000)); err != nil {
+			require.ErrorAs(t, err, &refused)
+			break
+		}
+	}
+	require.NotNil(t, refused)
+	require.True(t, refused.Held)
+	again := prompt("asking", 30, 1<<41, 10_000)
+	again.Tried = []turn.Instance{{ID: "e0", Life: 1}}
+	ticket, err := p.Ask(now, again)
+	require.NoError(t, err)
+	require.True(t, started(ticket))
+}
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -102,7 +102,7 @@
 	}
 	a, claims := p.account(d.Account), p.claims(now)
 	t.patience = patience(claims, a.total(now), &d)
-	if !claims.mayStart(a.total(now)) {
+	if !d.isBegun() && claims.isEnough(a.total(now)) {
 		return nil, p.hold(now, &d, best)
 	}
 	if wait := p.expected(now, best, &d); wait > t.patience {
--- a/turn/pump.go
+++ b/turn/pump.go
@@ -93,12 +93,10 @@
 func (p *Pool) startNext(now time.Time) bool {
 	claims := p.claims(now)
 	for _, a := range p.line(now) {
-		if !claims.mayStart(a.total(now)) {
-			continue
-		}
+		enough := claims.isEnough(a.total(now))
 		view := p.view(now, depth(a.served, claims.share(true), claims.pressure))
 		for _, t := range a.queue {
-			if p.tryStart(view, t) {
+			if (!enough || t.demand.isBegun()) && p.tryStart(view, t) {
 				return true
 			}
 		}
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -86,6 +86,8 @@
 	RetryAfter time.Duration
 	// NoUpstream is true when no upstream of the service takes requests.
 	NoUpstream bool
+	// Held is true when the account got enough beside one that its router holds back.
+	Held bool
 }
 
 // Error tells the times.
@@ -93,5 +95,8 @@
 	if e.NoUpstream {
 		return "no upstream takes requests"
 	}
+	if e.Held {
+		return "the account got enough beside one that its router holds back"
+	}
 	return fmt.Sprintf("turn expected in %v after %v", e.Wait, e.Waited)
 }
