--- a/follow/silence_test.go
+++ b/follow/silence_test.go
@@ -28,7 +28,6 @@
 	written  []time.Time
 	// answerTime is what an answer takes.
 	answerTime time.Duration
-	calls      int
 }
 
 // isLost reports whether a call that was made at begin and would be answered at
@@ -62,13 +61,11 @@
 }
 
 func (s *silentStore) Read(ctx context.Context) ([]int, int, error) {
-	s.calls++
 	now := time.Now()
 	return s.answer(ctx, now, now.Add(s.answerTime), 0)
 }
 
 func (s *silentStore) Watch(ctx context.Context, after int, wait time.Duration) ([]int, int, error) {
-	s.calls++
 	begin := time.Now()
 	end := begin.Add(wait)
 	if after < len(s.written) && s.written[after].Before(end) {
