--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -75,12 +75,13 @@
 func (j *job) attempt(ctx context.Context, ticket home.Ticket) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := newWatch(cancel, j.silence())
-	defer watch.stop()
-
+	limit := j.silence()
 	j.sends++
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
-	answer, err := j.send(ctx, ticket)
+	watch := newWatch(ctx, cancel, limit, j.findOther())
+	defer func() { j.next = watch.stop() }()
+
+	answer, err := j.send(ctx, ticket, &watch.probe)
 	if err != nil {
 		return j.sendFailure(ctx, ticket, err)
 	}
@@ -100,7 +101,7 @@
 	if j.isStream(answer) {
 		return j.relay(ctx, ticket, answer, watch)
 	}
-	return j.readWhole(ctx, ticket, answer)
+	return j.readWhole(ctx, ticket, answer, watch)
 }
 
 // isFalse reports whether an answer can't be an upstream's own: a success
@@ -113,7 +114,7 @@
 	return j.route.Kind == route.Streaming && answer.Status == http.StatusOK
 }
 
-func (j *job) send(ctx context.Context, ticket home.Ticket) (*upstream.Answer, error) {
+func (j *job) send(ctx context.Context, ticket home.Ticket, probe *upstream.Probe) (*upstream.Answer, error) {
 	to := ticket.Upstream()
 	passing := Passing{Left: time.Until(j.deadline), Account: j.account, Upstream: to, FetchFrom: ticket.FetchFrom()}
 	if j.begun && j.last > 0 {
@@ -122,7 +123,7 @@
 	j.handler.Dialect.Address(j.header, passing)
 	return j.handler.Client.Do(ctx, to.Address, upstream.Request{
 		ID: j.intake.ID, Method: j.request.Method, URI: j.request.RequestURI,
-		Host: j.request.Host, Header: j.header, Body: j.body,
+		Host: j.request.Host, Header: j.header, Body: j.body, Probe: probe,
 	})
 }
 
@@ -165,7 +166,7 @@
 // zero when there is nothing better to do than to wait.
 func (j *job) silence() time.Duration {
 	switch {
-	case !j.route.Idempotent() || j.runs+1 >= j.route.Attempts:
+	case !j.route.Idempotent() || j.runs+1 >= j.route.Attempts || j.sends+1 >= maxSends:
 		return 0
 	case j.route.Kind == route.Streaming:
 		return time.Duration(silenceFactor*float64(j.route.Target)) + silenceMargin
@@ -175,7 +176,7 @@
 }
 
 // readWhole reads an answer that isn't a stream and passes it on.
-func (j *job) readWhole(ctx context.Context, ticket home.Ticket, answer *upstream.Answer) *failure {
+func (j *job) readWhole(ctx context.Context, ticket home.Ticket, answer *upstream.Answer, watch *watch) *failure {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	if err != nil {
 		f := &failure{reason: retry.BrokenBefore, sent: true, cause: err}
@@ -185,6 +186,10 @@
 	ticket.First(time.Now())
 	w := &whole{status: answer.Status, header: answer.Header, body: body}
 	if len(body) > maxBuffered {
+		if !watch.settle() {
+			ticket.End(time.Now(), turn.Failed)
+			return &failure{reason: retry.BrokenBefore, sent: true, cause: errSilent}
+		}
 		return j.passLong(ctx, ticket, w, answer)
 	}
 	if answer.Status >= http.StatusInternalServerError {
@@ -223,28 +228,3 @@
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
-
-// watch ends an attempt whose upstream is silent.
-type watch struct {
-	timer *time.Timer
-}
-
-func newWatch(cancel context.CancelCauseFunc, limit time.Duration) *watch {
-	if limit <= 0 {
-		return &watch{}
-	}
-	return &watch{timer: time.AfterFunc(limit, func() { cancel(errSilent) })}
-}
-
-// heard starts the wait anew with another limit.
-func (w *watch) heard(limit time.Duration) {
-	if w.timer != nil {
-		w.timer.Reset(limit)
-	}
-}
-
-func (w *watch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
--- a/forward/bench_test.go
+++ b/forward/bench_test.go
@@ -50,7 +50,7 @@
 	pool := &turn.Pool{Placement: turn.LeastLoaded{}}
 	pool.Set(time.Now(), []registry.Upstream{{ID: "u", Address: server.Listener.Addr().String(), Slots: 1024}}, time.Second)
 	handler := &forward.Handler{
-		Dialect: dialect{}, State: state{table, pool}, Client: &upstream.Client{},
+		Dialect: dialect{}, State: &state{table: table, pool: pool}, Client: &upstream.Client{},
 		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	}
 	front := httptest.NewServer(handler)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -56,15 +56,27 @@
 type state struct {
 	table *route.Table
 	pool  *turn.Pool
+	// turn gives turns in place of the pool unless it is nil.
+	turn func(ctx context.Context, d turn.Demand) (home.Ticket, error)
+	// retries is retry.Unlimited when nil.
+	retries retry.Policy
 }
 
-func (s state) Table() *route.Table { return s.table }
+func (s *state) Table() *route.Table { return s.table }
 
-func (s state) Turn(ctx context.Context, _ fleet.ServiceID, d turn.Demand) (home.Ticket, error) {
+func (s *state) Turn(ctx context.Context, _ fleet.ServiceID, d turn.Demand) (home.Ticket, error) {
+	if s.turn != nil {
+		return s.turn(ctx, d)
+	}
 	return home.Await(ctx, s.pool, d)
 }
 
-func (s state) Retries(fleet.ServiceID) retry.Policy { return &retry.Unlimited{} }
+func (s *state) Retries(fleet.ServiceID) retry.Policy {
+	if s.retries != nil {
+		return s.retries
+	}
+	return &retry.Unlimited{}
+}
 
 // upstreams counts what reaches them.
 type upstreams struct {
@@ -91,6 +103,7 @@
 	*upstreams
 	front   *httptest.Server
 	handler *forward.Handler
+	state   *state
 }
 
 // start serves with upstreams that answer by fns, and routes of each kind.
@@ -131,8 +144,9 @@
 	pool.Set(time.Now(), list, time.Second)
 	client := &upstream.Client{Echoed: func(h http.Header) fleet.RequestID { return fleet.RequestID(h.Get("X-Id")) }}
 	t.Cleanup(client.Close)
+	f.state = &state{table: table, pool: pool}
 	f.handler = &forward.Handler{
-		Dialect: dialect{}, State: state{table, pool}, Client: client,
+		Dialect: dialect{}, State: f.state, Client: client,
 		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	}
 	f.front = httptest.NewUnstartedServer(f.handler)
@@ -247,7 +261,7 @@
 func TestRouterWithoutConfigurationPromisesNothing(t *testing.T) {
 	t.Parallel()
 	f := start(t, served)
-	f.handler.State = state{}
+	f.handler.State = &state{}
 	status, _, header, err := f.ask(t, "/order/1")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
--- a/forward/job.go
+++ b/forward/job.go
@@ -36,6 +36,8 @@
 	errDeadline = eris.New("the caller's or the route's time is over")
 	errLeft     = eris.New("the caller has left")
 	errSilent   = eris.New("the upstream was silent for too long")
+	// errNoRetries is why a request stays at a silent upstream.
+	errNoRetries = eris.New("the budget for retries is used up")
 )
 
 // job is one request in hand. It is used by one goroutine.
@@ -58,6 +60,8 @@
 	sends int
 	runs  int
 	tried []turn.Instance
+	// next is the turn in whose favour the last attempt has ended, if any.
+	next home.Ticket
 	// begun is true once the header of an answer has gone out, events counts
 	// what followed it, and last is the id of the latest event.
 	begun  bool
@@ -75,13 +79,14 @@
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadlineCause(j.request.Context(), j.deadline, errDeadline)
 	defer cancel()
+	defer j.dropNext()
 	j.handler.retries(j).First(j.arrived)
 	if j.hasLeft() {
 		j.leave(nil)
 		return
 	}
 	for {
-		ticket, refused := j.takeTurn(ctx)
+		ticket, refused := j.nextTurn(ctx)
 		if refused != nil {
 			j.refuseOrPass(refused)
 			return
@@ -148,14 +153,28 @@
 	}
 }
 
+// nextTurn returns the turn that was found while an upstream was silent, or waits for one.
+func (j *job) nextTurn(ctx context.Context) (home.Ticket, *refusal.Error) {
+	if j.next == nil {
+		return j.takeTurn(ctx)
+	}
+	next := j.next
+	j.next = nil
+	return next, nil
+}
+
+// dropNext gives a turn back that isn't needed any more.
+func (j *job) dropNext() {
+	if j.next != nil {
+		j.next.End(time.Now(), turn.Unsent)
+	}
+}
+
 // takeTurn waits for a turn.
 func (j *job) takeTurn(ctx context.Context) (home.Ticket, *refusal.Error) {
 	asked := time.Now()
-	j.handler.lines.Enter(asked, j.line())
-	ticket, err := j.handler.State.Turn(ctx, j.service, j.demand())
-	now := time.Now()
-	j.handler.lines.Leave(now, j.line(), err == nil)
-	j.waited += now.Sub(asked)
+	ticket, err := j.wait(ctx, j.demand())
+	j.waited += time.Since(asked)
 	switch {
 	case err == nil:
 		return ticket, nil
@@ -165,6 +184,14 @@
 	return nil, j.turnRefusal(err)
 }
 
+// wait waits for a turn in the line of the account.
+func (j *job) wait(ctx context.Context, demand turn.Demand) (home.Ticket, error) {
+	j.handler.lines.Enter(time.Now(), j.line())
+	ticket, err := j.handler.State.Turn(ctx, j.service, demand)
+	j.handler.lines.Leave(time.Now(), j.line(), err == nil)
+	return ticket, err
+}
+
 func (j *job) turnRefusal(err error) *refusal.Error {
 	out := refusal.New(refusal.DeadlineBeforeTurn, err.Error(), 0)
 	out.Cause = err
@@ -204,6 +231,9 @@
 	if f.final || j.sends >= maxSends {
 		return false
 	}
+	if j.next != nil {
+		return true
+	}
 	if j.begun && (j.route.Kind != route.Streaming || !j.route.Resumable) {
 		return false
 	}
--- a/forward/refused_test.go
+++ b/forward/refused_test.go
@@ -80,7 +80,7 @@
 		configuration.Accounts = append(configuration.Accounts, account)
 	}
 	handler := &forward.Handler{
-		Dialect: dialect{}, State: state{route.NewTable(configuration), pool}, Client: &upstream.Client{},
+		Dialect: dialect{}, State: &state{table: route.NewTable(configuration), pool: pool}, Client: &upstream.Client{},
 		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	}
 	front := httptest.NewUnstartedServer(handler)
--- /dev/null
+++ b/forward/watch.go
@@ -0,0 +1,156 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/retry"
+	"nutmeglock.example/nutmeglock/turn"
+	"nutmeglock.example/nutmeglock/upstream"
+)
+
+// finder returns a turn at another upstream, nil when there is none.
+type finder func(ctx context.Context) home.Ticket
+
+// watch looks for another upstream while that of an attempt is silent. It ends the attempt
+// only once the other one takes the request, because a silent upstream may still answer.
+type watch struct {
+	ctx    context.Context //nolint:containedctx // of the attempt, which the watch doesn't outlive
+	cancel context.CancelCauseFunc
+	find   finder
+	probe  upstream.Probe
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// limit is how long the upstream may be silent, zero for ever.
+	limit time.Duration
+	// progress counts what the upstream has sent.
+	progress int
+	settled  bool
+	next     home.Ticket
+}
+
+// newWatch returns the watch of an attempt, which is ended by cancel with errSilent.
+func newWatch(ctx context.Context, cancel context.CancelCauseFunc, limit time.Duration, find finder) *watch {
+	w := &watch{ctx: ctx, cancel: cancel, limit: limit, find: find}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if limit > 0 {
+		w.timer = time.AfterFunc(limit, w.silent)
+	}
+	return w
+}
+
+// silent looks for another upstream, and again after another limit if there is none. What
+// has arrived and wasn't read shows that this router is late, and not the upstream.
+func (w *watch) silent() {
+	progress, watching := w.state()
+	if !watching {
+		return
+	}
+	var ticket home.Ticket
+	if !w.probe.Arrived() {
+		ticket = w.find(w.ctx)
+	}
+	if !w.moveTo(ticket, progress) && ticket != nil {
+		ticket.End(time.Now(), turn.Unsent)
+	}
+}
+
+// state returns the progress so far, and whether the attempt is still watched.
+func (w *watch) state() (progress int, watching bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.progress, !w.settled
+}
+
+// moveTo ends the attempt in favour of a turn, unless its upstream was heard meanwhile.
+func (w *watch) moveTo(ticket home.Ticket, progress int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.settled || w.progress != progress:
+		return false
+	case ticket == nil:
+		w.timer.Reset(w.limit)
+		return false
+	}
+	w.next = ticket
+	w.settled = true
+	w.cancel(errSilent)
+	return true
+}
+
+// heard begins the wait anew, with another limit.
+func (w *watch) heard(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.progress++
+	if w.timer == nil || w.settled {
+		return
+	}
+	w.limit = limit
+	w.timer.Reset(limit)
+}
+
+// settle ends the watch. It returns false if the attempt has ended in favour of another one.
+func (w *watch) settle() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.settled = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	return w.next == nil
+}
+
+// stop ends the watch. It returns the turn in whose favour the attempt has ended, if any.
+func (w *watch) stop() home.Ticket {
+	w.settle()
+	return w.next
+}
+
+// findOther returns how an attempt of this request finds another upstream.
+//
+// The finder runs beside the attempt, so what it needs is copied.
+func (j *job) findOther() finder {
+	demand := j.demand()
+	demand.Patience = resumePatience
+	return func(ctx context.Context) home.Ticket {
+		ticket, err := j.wait(ctx, demand)
+		if err != nil {
+			j.logKept(ctx, err)
+			return nil
+		}
+		if j.allowMove(ctx) {
+			return ticket
+		}
+		ticket.End(time.Now(), turn.Unsent)
+		return nil
+	}
+}
+
+// allowMove takes a retry from the budget for a request that leaves a silent upstream.
+func (j *job) allowMove(ctx context.Context) bool {
+	allowed := j.handler.retries(j).Allow(time.Now(), retry.Attempt{
+		Count: 1, Outcome: refusal.Unknown, Idempotent: true, Deadline: j.deadline,
+	})
+	if !allowed {
+		j.logKept(ctx, errNoRetries)
+		return false
+	}
+	j.count(retry.UpstreamSilent)
+	return true
+}
+
+// logKept notes that the request stays at a silent upstream, unless its attempt has ended.
+func (j *job) logKept(ctx context.Context, reason error) {
+	if ctx.Err() != nil {
+		return
+	}
+	j.handler.Log.Info("silent upstream is kept", "request", j.intake.ID, "service", j.service,
+		"age-ms", ms(time.Since(j.arrived)), "reason", reason)
+}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -24,11 +24,12 @@
 	BrokenBefore     Reason = "broken-before-answer"
 	StreamBroken     Reason = "stream-broken"
 	AnsweredError    Reason = "answered-error"
+	UpstreamSilent   Reason = "upstream-silent"
 )
 
 // Reasons lists every reason, for counters that start at zero.
 func Reasons() []Reason {
-	return []Reason{ConnectFailed, UpstreamRefused, UpstreamDraining, BrokenBefore, StreamBroken, AnsweredError}
+	return []Reason{ConnectFailed, UpstreamRefused, UpstreamDraining, BrokenBefore, StreamBroken, AnsweredError, UpstreamSilent}
 }
 
 // Attempt is what is known of an attempt that failed.
--- /dev/null
+++ b/socket/arrived_linux.go
@@ -0,0 +1,17 @@
+package socket
+
+import (
+	"errors"
+	"syscall"
+)
+
+// Arrived reports whether the next read on a connection would return at once: with bytes,
+// the other side's end, or a reset. Unlike Pending it may be called beside a read.
+func Arrived(raw syscall.RawConn) bool {
+	arrived := false
+	err := raw.Control(func(fd uintptr) {
+		_, err := peek(fd)
+		arrived = !errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && arrived
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -81,6 +81,7 @@
 	if err != nil {
 		return nil, &Error{Address: address, Cause: causeOf(ctx, err)}
 	}
+	request.Probe.watch(connection)
 	x := &exchange{client: c, conn: connection, address: address, written: make(chan struct{})}
 	x.release = context.AfterFunc(ctx, x.abort)
 	x.send(request)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -35,6 +35,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Probe, unless it is nil, tells from now on what has arrived of the answer.
+	Probe *Probe
 }
 
 // encode returns the bytes of a request. Its body has a length, whatever way
