--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -5,3 +5,6 @@
 	EncodeConfiguration = encodeConfiguration
 	DecodeConfiguration = decodeConfiguration
 )
+
+// NewListener is newListener.
+var NewListener = newListener
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -38,6 +38,8 @@
 	// has at the upstreams. A prompt is read in some 50 to 300 ms; with older
 	// reports routers send to an engine that the others have just filled.
 	reportInterval = 50 * time.Millisecond
+	// mostQueueWait bounds what connections that wait to be accepted count for.
+	mostQueueWait = 40 * time.Millisecond
 	// refreshInterval is when a report is repeated that has not changed, well
 	// within the time for which it counts.
 	refreshInterval = 500 * time.Millisecond
@@ -57,7 +59,11 @@
 	overload   overload.Detector
 	scheduling overload.Scheduling
 	shedder    overload.Shedder[fleet.AccountID]
-	log        *slog.Logger
+	// queue is that of connections that wait to be accepted.
+	queue overload.Standing
+	// inHand returns how many requests of callers are in hand; nil when it isn't known.
+	inHand func() int
+	log    *slog.Logger
 
 	mu sync.Mutex
 	// asking is set while a question to another router is under way.
@@ -277,6 +283,7 @@
 	for {
 		select {
 		case <-gossip.C:
+			m.logAdmission()
 			if m.homes.Decide() {
 				m.gossip()
 			}
@@ -294,7 +301,8 @@
 
 // notice looks whether the router has enough processor time.
 func (m *mesh) notice(now time.Time) {
-	wait := m.scheduling.Wait()
+	// A queue may stand long and be short, so it counts for no more than a moderate wait.
+	wait := max(m.scheduling.Wait(), min(m.queue.For(now), mostQueueWait))
 	if m.shedder.Observe(now, wait) {
 		m.log.Warn("shedding changed", "shedding", m.shedder.IsShedding(), "wait-ms", wait.Milliseconds())
 	}
@@ -311,6 +319,16 @@
 		"mean-wait-ms", m.overload.Wait().Milliseconds())
 }
 
+// logAdmission notes what was admitted in the last second if some was refused.
+func (m *mesh) logAdmission() {
+	counted := m.shedder.Admission()
+	if !m.shedder.IsShedding() || m.inHand == nil {
+		return
+	}
+	m.log.Info("admission limited", "rate", counted.Rate, "requests", counted.Requests, "admitted", counted.Admitted,
+		"in-hand", m.inHand(), "queue-ms", m.queue.For(time.Now()).Milliseconds(), "mean-wait-ms", m.overload.Wait().Milliseconds())
+}
+
 // report sends a report when it differs from the last one, or that is old.
 func (m *mesh) report(now time.Time, routers []fleet.RouterID) {
 	batch := &schema.Batch{Loads: m.state.work(now)}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -20,6 +20,7 @@
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/logging"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
@@ -126,6 +127,7 @@
 	if err := r.connect(ctx); err != nil {
 		return nil, err
 	}
+	r.mesh.inHand = r.handler.InHand
 	r.handler.Takes = r.mesh.shedder.Takes
 	r.handler.Shed = r.mesh.homes.Shed
 	r.follow()
@@ -201,16 +203,20 @@
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
+		queue         *overload.Standing
 	}{
-		{"callers", r.options.CallerAddress, callers},
-		{"readiness", r.options.ReadyAddress, r.newServer(ready)},
-		{"metrics", r.options.MetricsAddress, r.newServer(metrics)},
+		{"callers", r.options.CallerAddress, callers, &r.mesh.queue},
+		{"readiness", r.options.ReadyAddress, r.newServer(ready), nil},
+		{"metrics", r.options.MetricsAddress, r.newServer(metrics), nil},
 	} {
-		listener, err := (&net.ListenConfig{KeepAlive: noProbes}).Listen(ctx, "tcp", l.address)
+		opened, err := (&net.ListenConfig{KeepAlive: noProbes}).Listen(ctx, "tcp", l.address)
+		if err == nil && l.queue != nil {
+			opened, err = newListener(opened, l.queue)
+		}
 		if err != nil {
 			return eris.Wrapf(err, "listening for %s on %s", l.name, l.address)
 		}
-		r.actors = append(r.actors, actor{l.name, serve(l.server, listener)})
+		r.actors = append(r.actors, actor{l.name, serve(l.server, opened)})
 	}
 	return nil
 }
--- a/overload/shedder.go
+++ b/overload/shedder.go
@@ -70,6 +70,16 @@
 	// sheds is what the last look told of shedding.
 	sheds    bool
 	accounts map[K]*arrivals
+	admitted Admission
+}
+
+// Admission counts requests over a time.
+type Admission struct {
+	// Rate is the part of the requests that is admitted now, from 0 to 1.
+	Rate float64
+	// Requests have arrived, and Admitted of them were taken.
+	Requests int
+	Admitted int
 }
 
 // arrivals are the requests of one account.
@@ -147,6 +157,16 @@
 	return 1-s.less <= exhausted
 }
 
+// Admission returns what was counted since the last call.
+func (s *Shedder[K]) Admission() Admission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counted := s.admitted
+	counted.Rate = 1 - s.less
+	s.admitted = Admission{}
+	return counted
+}
+
 // setLevel works out up to which count of requests all accounts are taken.
 func (s *Shedder[K]) setLevel(now time.Time) {
 	counts := make([]float64, 0, len(s.accounts))
@@ -167,6 +187,15 @@
 func (s *Shedder[K]) Takes(now time.Time, key K) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.admitted.Requests++
+	admitted := s.admit(now, key)
+	if admitted {
+		s.admitted.Admitted++
+	}
+	return admitted
+}
+
+func (s *Shedder[K]) admit(now time.Time, key K) bool {
 	if s.accounts == nil {
 		s.accounts = make(map[K]*arrivals)
 	}
--- a/overload/shedder_test.go
+++ b/overload/shedder_test.go
@@ -191,3 +191,16 @@
 // calmAgain is how long after the end of a disturbance users expect a router to keep what
 // is promised.
 const calmAgain = 3 * time.Second
+
+func TestAdmissionIsCountedSinceTheLastCall(t *testing.T) {
+	t.Parallel()
+	m := newMachine()
+	m.run(10*time.Second, map[string]float64{"large": 1800})
+	counted := m.shedder.Admission()
+	require.Equal(t, m.asked["large"], counted.Requests)
+	require.Equal(t, m.taken["large"], counted.Admitted)
+	require.Less(t, counted.Rate, 1.0)
+	again := m.shedder.Admission()
+	require.Zero(t, again.Requests+again.Admitted)
+	require.InDelta(t, counted.Rate, again.Rate, 0)
+}
--- /dev/null
+++ b/socket/waiting_linux.go
@@ -0,0 +1,18 @@
+package socket
+
+import (
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// Waiting reports whether a connection waits to be accepted by a listener.
+func Waiting(raw syscall.RawConn) bool {
+	waiting := false
+	err := raw.Control(func(fd uintptr) {
+		entries := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(entries, 0)
+		waiting = err == nil && n > 0
+	})
+	return err == nil && waiting
+}
