--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -326,7 +326,8 @@
 		return
 	}
 	m.log.Info("admission limited", "rate", counted.Rate, "requests", counted.Requests, "admitted", counted.Admitted,
-		"in-hand", m.inHand(), "queue-ms", m.queue.For(time.Now()).Milliseconds(), "mean-wait-ms", m.overload.Wait().Milliseconds())
+		"in-hand", m.inHand(), "queue-ms", m.queue.For(time.Now()).Milliseconds(),
+		"mean-wait-ms", m.overload.Wait().Milliseconds(), "memory-mb", overload.Memory()>>20)
 }
 
 // report sends a report when it differs from the last one, or that is old.
