--- a/forward/relay.go
+++ b/forward/relay.go
@@ -27,8 +27,9 @@
 	for {
 		event, err := events.Next()
 		if err == nil {
-			watch.heard(j.pause())
+			watch.heard()
 			err = j.passEvent(ticket, answer, event, events.More())
+			watch.passed(j.pause())
 		}
 		switch {
 		case err == nil:
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -29,8 +29,10 @@
 	limit time.Duration
 	// progress counts what the upstream has sent.
 	progress int
-	settled  bool
-	next     home.Ticket
+	// passing is true while the caller is written to, which may take long.
+	passing bool
+	settled bool
+	next    home.Ticket
 }
 
 // newWatch returns the watch of an attempt, which is ended by cancel with errSilent.
@@ -60,11 +62,11 @@
 	}
 }
 
-// state returns the progress so far, and whether the attempt is still watched.
+// state returns the progress so far, and whether the upstream is waited for.
 func (w *watch) state() (progress int, watching bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.progress, !w.settled
+	return w.progress, !w.settled && !w.passing
 }
 
 // moveTo ends the attempt in favour of a turn, unless its upstream was heard meanwhile.
@@ -84,11 +86,19 @@
 	return true
 }
 
-// heard begins the wait anew, with another limit.
-func (w *watch) heard(limit time.Duration) {
+// heard suspends the wait: the upstream has sent something, which is passed on now.
+func (w *watch) heard() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.progress++
+	w.passing = true
+}
+
+// passed begins the wait anew, with another limit.
+func (w *watch) passed(limit time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.passing = false
 	if w.timer == nil || w.settled {
 		return
 	}
