--- a/forward/relay.go
+++ b/forward/relay.go
@@ -39,12 +39,21 @@
 			ticket.End(time.Now(), turn.Served)
 			return nil
 		}
-		f := &failure{reason: retry.StreamBroken, sent: true, cause: err, final: isFinal(err)}
+		f := &failure{reason: retry.StreamBroken, sent: true, cause: endOf(ctx, err), final: isFinal(err)}
 		ticket.End(time.Now(), j.judge(ctx, f))
 		return f
 	}
 }
 
+// endOf returns why a stream ended: what ended its context, if that has, since the error of the
+// connection only shows that it was closed then.
+func endOf(ctx context.Context, err error) error {
+	if ctx.Err() == nil || isFinal(err) {
+		return err
+	}
+	return context.Cause(ctx)
+}
+
 // isFinal reports whether another upstream can't mend what happened: events are
 // missing, or the caller takes none.
 func isFinal(err error) bool {
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -1,9 +1,11 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -125,11 +127,15 @@
 		events(1, 2, true)(w, r)
 	}
 	f := start(t, fn, fn)
+	var log bytes.Buffer
+	f.handler.Log = slog.New(slog.NewTextHandler(&log, nil))
 	status, body, _, err := f.ask(t, "/stream/1")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, expect(2), body)
 	require.Equal(t, "1", f.reached[1].Header.Get("Last-Event-Id"))
+	f.front.Close() // no request logs any more
+	require.Contains(t, log.String(), "the upstream was silent for too long")
 }
 
 // Guards against a stream that is taken from its upstream because its caller reads slowly.
