--- a/deployment/router.go
+++ b/deployment/router.go
@@ -209,10 +209,7 @@
 		{"readiness", r.options.ReadyAddress, r.newServer(ready), nil},
 		{"metrics", r.options.MetricsAddress, r.newServer(metrics), nil},
 	} {
-		opened, err := (&net.ListenConfig{KeepAlive: noProbes}).Listen(ctx, "tcp", l.address)
-		if err == nil && l.queue != nil {
-			opened, err = newListener(opened, l.queue)
-		}
+		opened, err := open(ctx, l.address, l.queue)
 		if err != nil {
 			return eris.Wrapf(err, "listening for %s on %s", l.name, l.address)
 		}
@@ -221,6 +218,15 @@
 	return nil
 }
 
+// open listens on an address. Connections give way to what is in hand if queue isn't nil.
+func open(ctx context.Context, address string, queue *overload.Standing) (net.Listener, error) {
+	opened, err := (&net.ListenConfig{KeepAlive: noProbes}).Listen(ctx, "tcp", address)
+	if err != nil || queue == nil {
+		return opened, err
+	}
+	return newListener(opened, queue)
+}
+
 func (r *Router) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeader,
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -46,11 +46,11 @@
 	return w
 }
 
-// silent looks for another upstream, and again after another limit if there is none. What
-// has arrived and wasn't read shows that this router is late, and not the upstream.
+// silent looks for another upstream, and again after another limit if there is none. It doesn't
+// if bytes have arrived that weren't read: this router is late then, and not the upstream.
 func (w *watch) silent() {
-	progress, watching := w.state()
-	if !watching {
+	progress, waiting := w.state()
+	if !waiting {
 		return
 	}
 	var ticket home.Ticket
@@ -63,13 +63,14 @@
 }
 
 // state returns the progress so far, and whether the upstream is waited for.
-func (w *watch) state() (progress int, watching bool) {
+func (w *watch) state() (progress int, waiting bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.progress, !w.settled && !w.passing
 }
 
-// moveTo ends the attempt in favour of a turn, unless its upstream was heard meanwhile.
+// moveTo ends the attempt in favour of a turn at another upstream. It returns false if there is
+// no turn, if the attempt has ended, or if its upstream has sent something meanwhile.
 func (w *watch) moveTo(ticket home.Ticket, progress int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
