--- a/deployment/listener_test.go
+++ b/deployment/listener_test.go
@@ -26,8 +26,7 @@
 	stepsInHand = 10
 )
 
-// Guards against a flood of new connections that delays requests in hand, so that callers
-// that have left are noticed late.
+// Guards against a flood of new connections that delays requests in hand.
 func TestRequestsInHandGoBeforeNewConnections(t *testing.T) {
 	t.Parallel()
 	if os.Getenv(oneProcessor) != "" {
@@ -45,8 +44,7 @@
 	require.LessOrEqual(t, accepted, 2*stepsInHand)
 }
 
-// acceptedBeforeAnswer returns how many connections were accepted until a request in hand
-// had run as often as it has to.
+// acceptedBeforeAnswer returns how many connections were accepted until a request was answered.
 func acceptedBeforeAnswer(t *testing.T) int {
 	t.Helper()
 	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -50,8 +50,7 @@
 	latePause = 1100 * time.Millisecond
 )
 
-// Guards against an answer that is broken off because its upstream is silent, though no
-// other one takes the request.
+// Guards against an answer broken off for silence though no other upstream takes the request.
 func TestSilentUpstreamIsKeptWithoutAnother(t *testing.T) {
 	t.Parallel()
 	late := map[string]http.HandlerFunc{
@@ -81,8 +80,7 @@
 	require.Equal(t, 1, f.count())
 }
 
-// Guards against a stream that is broken off by an event that arrives while another
-// upstream is being found.
+// Guards against a stream broken off by an event that arrives during the search for an upstream.
 func TestEventEndsTheSearchForAnotherUpstream(t *testing.T) {
 	t.Parallel()
 	fn := pausing(0, latePause)
