--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -235,29 +235,32 @@
 	}
 	m.asking = true
 	m.mu.Unlock()
-	err := m.fetch(from)
+	begun := time.Now()
+	size, err := m.fetch(from)
 	m.mu.Lock()
 	m.asking = false
 	m.mu.Unlock()
-	m.log.Info("asked another router", "other", from, "error", err,
+	m.log.Info("asked another router", "other", from, "error", err, "waited-ms", time.Since(begun).Milliseconds(), "bytes", size,
+		"announced-configuration", a.GetConfigurationVersion(), "announced-upstream-revision", a.GetUpstreamRevision(),
 		"configuration", m.state.Table().Version(), "upstream-revision", m.state.Revision())
 }
 
-func (m *mesh) fetch(from fleet.RouterID) error {
+// fetch returns the size of the answer in bytes.
+func (m *mesh) fetch(from fleet.RouterID) (int, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), knowledgeTimeout)
 	defer cancel()
 	own := m.announcement()
 	var body answerBody
 	q := question{Configuration: own.GetConfigurationVersion(), Upstreams: uint64(m.state.Settled())}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, q, &body); err != nil {
-		return err
+		return 0, err
 	}
 	var knowledge schema.Knowledge
 	if err := proto.Unmarshal(body.Knowledge, &knowledge); err != nil {
-		return eris.Wrap(err, "decoding another router's knowledge")
+		return len(body.Knowledge), eris.Wrap(err, "decoding another router's knowledge")
 	}
 	m.state.learn(&knowledge, "router "+string(from))
-	return nil
+	return len(body.Knowledge), nil
 }
 
 // answer tells another router what is newer here.
