deployment: tests of a source that is silent or asked by many, which fail

A router asks one other router at a time. While that one is silent, neither the same configuration from a second router nor the draining of an upstream is asked for; and a source encodes the whole configuration for each asker: 8,431 allocations for 2,800 routes where 22 serve for one.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -1,10 +1,30 @@
 package deployment
 
+import (
+	"context"
+	"encoding/json"
+
+	"nutmeglock.example/nutmeglock/peer"
+)
+
 // What the tests of the package see besides its public parts.
 var (
 	EncodeConfiguration = encodeConfiguration
 	DecodeConfiguration = decodeConfiguration
+	NewListener         = newListener
+	NewMesh             = newMesh
 )
 
-// NewListener is newListener.
-var NewListener = newListener
+// Mesh is mesh.
+type Mesh = mesh
+
+// Peers returns the connections to the other routers.
+func (m *mesh) Peers() *peer.Peers { return m.peers }
+
+// Learned is learned.
+func (m *mesh) Learned(from string) { m.learned(from) }
+
+// Answer answers a question of another router.
+func (m *mesh) Answer(question string) (any, error) {
+	return m.answer(context.Background(), json.RawMessage(question))
+}
--- /dev/null
+++ b/deployment/mesh_test.go
@@ -0,0 +1,125 @@
+package deployment_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/deployment"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/route"
+)
+
+const (
+	// updateBound is the users' strictest bound on the time to put a change in force.
+	updateBound = 2 * time.Second
+	// settleTime is for an announcement on loopback to arrive. It is shorter than the
+	// time that a router waits for the store before it asks another router.
+	settleTime = 50 * time.Millisecond
+)
+
+// node is a router's knowledge with its connections to other routers.
+type node struct {
+	id      fleet.RouterID
+	address string
+	state   *deployment.State
+	mesh    *deployment.Mesh
+}
+
+func newNode(t *testing.T, id fleet.RouterID) *node {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	n := &node{id: id, address: listener.Addr().String()}
+	n.state = deployment.NewState(deployment.StateOptions{
+		Log: slog.New(slog.DiscardHandler), OnChange: func(from string) { n.mesh.Learned(from) },
+	})
+	n.mesh = deployment.NewMesh(n.state, peer.Options{
+		Self: id, Incarnation: 1, Address: n.address, Key: []byte("one fleet"), Listener: listener,
+		Logger: slog.New(slog.DiscardHandler), Heartbeat: 10 * time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.mesh.Peers().Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.ErrorIs(t, <-ended, context.Canceled)
+	})
+	return n
+}
+
+// connect connects a router to others, each at an address.
+func (n *node) connect(t *testing.T, addresses map[fleet.RouterID]string) {
+	t.Helper()
+	n.mesh.Peers().Target(addresses)
+	require.Eventually(t, func() bool { return len(n.mesh.Peers().Routers()) == len(addresses) }, 5*time.Second, time.Millisecond)
+}
+
+// withRoutes returns version 2 of the configuration, with so many routes more.
+func withRoutes(routes int) route.Configuration {
+	c := configuration(2)
+	for i := range routes {
+		added := c.Routes[0]
+		added.Name = fmt.Sprintf("added-%d", i)
+		added.Prefix = fmt.Sprintf("/added-%d/", i)
+		c.Routes = append(c.Routes, added)
+	}
+	return c
+}
+
+func draining(revision registry.Revision) []registry.Change {
+	return []registry.Change{{
+		Upstream: registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Draining: true}, Revision: revision,
+	}}
+}
+
+// Guards against a router that waits for one silent source of a new configuration though
+// another router has announced the same.
+func TestConfigurationIsTakenFromAnotherSourceThanASilentOne(t *testing.T) {
+	t.Parallel()
+	reader, silent, sound := newNode(t, "reader"), newNode(t, "silent"), newNode(t, "sound")
+	link := newPauser(t, silent.address)
+	reader.connect(t, map[fleet.RouterID]string{"silent": link.address, "sound": sound.address})
+	silent.state.Configure(withRoutes(1400), "store")
+	time.Sleep(settleTime)
+	link.pause()
+	sound.state.Configure(withRoutes(1400), "store")
+	require.Eventually(t, func() bool { return reader.state.Table().Version() == 2 }, updateBound, time.Millisecond)
+}
+
+// Guards against an upstream's draining that waits for the transfer of a configuration.
+func TestDrainingIsNotDelayedByATransferOfTheConfiguration(t *testing.T) {
+	t.Parallel()
+	reader, silent, sound := newNode(t, "reader"), newNode(t, "silent"), newNode(t, "sound")
+	link := newPauser(t, silent.address)
+	reader.connect(t, map[fleet.RouterID]string{"silent": link.address, "sound": sound.address})
+	silent.state.Configure(withRoutes(1400), "store")
+	time.Sleep(settleTime)
+	link.pause()
+	sound.state.ApplyUpstreams(draining(7), "store")
+	require.Eventually(t, func() bool { return reader.state.Settled() == 7 }, updateBound, time.Millisecond)
+}
+
+// Guards against a source that works anew for each router that asks it for the same
+// configuration: in a large fleet many ask at once.
+func TestWorkOfAnAnswerDoesNotGrowWithTheConfigurationWhenItIsRepeated(t *testing.T) { //nolint:paralleltest // counts allocations
+	const question = `{"configuration-version":1,"upstream-revision":0,"configuration-encoding":"deflate"}`
+	allocations := func(routes int) float64 {
+		source := newNode(t, "source")
+		source.state.Configure(withRoutes(routes), "test")
+		return testing.AllocsPerRun(20, func() {
+			_, err := source.mesh.Answer(question)
+			require.NoError(t, err)
+		})
+	}
+	small := allocations(1)
+	large := allocations(2800)
+	require.Less(t, large, 2*small+10)
+}
