deployment: a configuration is encoded and compressed once for all routers that ask for it

Callers saw requests handled by a configuration that had been replaced 3.4 s before (CONFIG), and requests at upstreams that had said they drain (DRAIN), at 91 routers. Four routers read the store and hand a new configuration to all others. Each answer encoded the whole configuration as protobuf, base64 and JSON; with 2,850 routes 45 askers kept a router of 0.19 cores busy for 2.5 s, it lost its connections to 70 routers and its call to the store, and the askers gave up after 1 s and came again: 306 of 484 calls failed.

The encoding is kept for the version in force, and compressed: 100 KB become 23 KB. Routers of an older program get the plain form.

TestWorkOfAnAnswerDoesNotGrowWithTheConfigurationWhenItIsRepeated failed before with 8,431 allocations for 2,800 routes where 22 serve for one.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -16,6 +16,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -63,7 +64,9 @@
 	queue overload.Standing
 	// inHand returns how many requests of callers are in hand; nil when it isn't known.
 	inHand func() int
-	log    *slog.Logger
+	// encodings holds the configuration as other routers get it.
+	encodings encodingCache
+	log       *slog.Logger
 
 	mu sync.Mutex
 	// asking is set while a question to another router is under way.
@@ -89,11 +92,16 @@
 type question struct {
 	Configuration uint64 `json:"configuration-version"`
 	Upstreams     uint64 `json:"upstream-revision"`
+	// Encoding is how the router that asks can read a configuration; empty means as
+	// part of Knowledge.
+	Encoding string `json:"configuration-encoding,omitempty"`
 }
 
 // answerBody carries a schema.Knowledge.
 type answerBody struct {
 	Knowledge []byte `json:"knowledge"`
+	// Configuration is a schema.Configuration in the encoding that was asked for.
+	Configuration []byte `json:"configuration,omitempty"`
 }
 
 // announcement returns how new this router's knowledge is.
@@ -251,16 +259,32 @@
 	defer cancel()
 	own := m.announcement()
 	var body answerBody
-	q := question{Configuration: own.GetConfigurationVersion(), Upstreams: uint64(m.state.Settled())}
+	q := question{Configuration: own.GetConfigurationVersion(), Upstreams: uint64(m.state.Settled()), Encoding: deflated}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, q, &body); err != nil {
 		return 0, err
 	}
+	return len(body.Knowledge) + len(body.Configuration), m.learn(&body, "router "+string(from))
+}
+
+// learn takes what another router told.
+func (m *mesh) learn(body *answerBody, from string) error {
 	var knowledge schema.Knowledge
 	if err := proto.Unmarshal(body.Knowledge, &knowledge); err != nil {
-		return len(body.Knowledge), eris.Wrap(err, "decoding another router's knowledge")
+		return eris.Wrap(err, "decoding another router's knowledge")
+	}
+	m.state.HearUpstreams(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), from)
+	configuration := knowledge.GetConfiguration()
+	if len(body.Configuration) > 0 {
+		inflated, err := inflate(body.Configuration)
+		if err != nil {
+			return err
+		}
+		configuration = inflated
+	}
+	if configuration != nil {
+		m.state.Configure(decodeConfiguration(configuration), from)
 	}
-	m.state.learn(&knowledge, "router "+string(from))
-	return len(body.Knowledge), nil
+	return nil
 }
 
 // answer tells another router what is newer here.
@@ -269,11 +293,26 @@
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "decoding a question")
 	}
-	data, err := proto.Marshal(m.state.knowledge(q))
+	var body answerBody
+	knowledge := m.state.updates(registry.Revision(q.Upstreams))
+	held := m.state.held()
+	switch {
+	case uint64(held.Version) <= q.Configuration:
+	case q.Encoding == deflated:
+		data, err := m.encodings.encode(held)
+		if err != nil {
+			return nil, err
+		}
+		body.Configuration = data
+	default:
+		knowledge.Configuration = encodeConfiguration(held)
+	}
+	data, err := proto.Marshal(knowledge)
 	if err != nil {
 		return nil, eris.Wrap(err, "encoding knowledge")
 	}
-	return answerBody{Knowledge: data}, nil
+	body.Knowledge = data
+	return body, nil
 }
 
 // Run reports what this router has at the upstreams until ctx ends, unless homes
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"net"
@@ -9,12 +10,14 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/deployment"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/schema"
 )
 
 const (
@@ -123,3 +126,21 @@
 	large := allocations(2800)
 	require.Less(t, large, 2*small+10)
 }
+
+// Guards against a fleet of two versions of this program in which the older routers can't
+// read the configuration that the newer ones send.
+func TestRouterThatReadsNoCompressedConfigurationGetsAPlainOne(t *testing.T) {
+	t.Parallel()
+	source := newNode(t, "source")
+	source.state.Configure(withRoutes(3), "test")
+	answer, err := source.mesh.Answer(`{"configuration-version":1,"upstream-revision":0}`)
+	require.NoError(t, err)
+	text, err := json.Marshal(answer)
+	require.NoError(t, err)
+	var body struct{ Knowledge, Configuration []byte }
+	require.NoError(t, json.Unmarshal(text, &body))
+	require.Empty(t, body.Configuration)
+	var knowledge schema.Knowledge
+	require.NoError(t, proto.Unmarshal(body.Knowledge, &knowledge))
+	require.Equal(t, withRoutes(3), deployment.DecodeConfiguration(knowledge.GetConfiguration()))
+}
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
 )
@@ -78,27 +79,20 @@
 	return r
 }
 
-// knowledge returns what is newer here than what another router holds.
-func (s *State) knowledge(q question) *schema.Knowledge {
+// updates returns the changes of the list of upstreams after a revision.
+func (s *State) updates(after registry.Revision) *schema.Knowledge {
 	out := &schema.Knowledge{UpstreamRevision: uint64(s.directory.Settled())}
-	s.mu.RLock()
-	held := s.configuration
-	s.mu.RUnlock()
-	if uint64(held.Version) > q.Configuration {
-		out.Configuration = encodeConfiguration(held)
-	}
 	for _, c := range s.directory.Changes() {
-		if uint64(c.Revision) > q.Upstreams {
+		if c.Revision > after {
 			out.Upstreams = append(out.Upstreams, registry.Encode(c))
 		}
 	}
 	return out
 }
 
-// learn takes what another router told.
-func (s *State) learn(k *schema.Knowledge, from string) {
-	if k.GetConfiguration() != nil {
-		s.Configure(decodeConfiguration(k.GetConfiguration()), from)
-	}
-	s.HearUpstreams(k.GetUpstreams(), registry.Revision(k.GetUpstreamRevision()), from)
+// held returns the configuration in force.
+func (s *State) held() route.Configuration {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.configuration
 }
