deployment: a source that is silent or busy holds up no update of another source or kind

Callers saw requests handled by a configuration that had been replaced 3.4 s before (CONFIG), and requests at upstreams that had said they drain (DRAIN), at 91 routers. A router asked one other router at a time, for all that is newer, and heard no announcement meanwhile: a source that was silent or busy cost 1 s and the wait for the next announcement, three of them more than the users' bound of 3 s. The draining of an upstream, 100 bytes, waited behind the configuration.

follow.Sources keeps who announced what, and asks a second source after 0.2 s beside the first, up to four; late answers still count. Configuration and upstreams are asked for apart.

--- a/deployment/encoding.go
+++ b/deployment/encoding.go
@@ -74,5 +74,8 @@
 		return nil, eris.Wrap(err, "decompressing a configuration")
 	}
 	c := &schema.Configuration{}
-	return c, eris.Wrap(proto.Unmarshal(plain, c), "decoding a configuration")
+	if err := proto.Unmarshal(plain, c); err != nil {
+		return nil, eris.Wrap(err, "decoding a configuration")
+	}
+	return c, nil
 }
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/timer"
 )
 
 const (
@@ -33,8 +35,6 @@
 	// how many others what it holds: 264 messages a second among 88.
 	gossipInterval = time.Second
 	gossipRouters  = 3
-	// knowledgeTimeout bounds one question to another router.
-	knowledgeTimeout = time.Second
 	// reportInterval is the least time between two reports of what this router
 	// has at the upstreams. A prompt is read in some 50 to 300 ms; with older
 	// reports routers send to an engine that the others have just filled.
@@ -68,11 +68,13 @@
 	encodings encodingCache
 	log       *slog.Logger
 
-	mu sync.Mutex
-	// asking is set while a question to another router is under way.
-	asking bool
-	told   time.Time
-	last   []byte
+	// configurations and upstreams take from other routers what is newer there.
+	configurations puller
+	upstreams      puller
+
+	mu   sync.Mutex
+	told time.Time
+	last []byte
 	// blind is set while those that follow the store for this router have lost it.
 	blind bool
 }
@@ -81,6 +83,12 @@
 	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
 	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
 	m.group = &follow.Group{Self: options.Self}
+	m.configurations = puller{
+		name: "configuration", held: m.configurationHeld, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
+	}
+	m.upstreams = puller{
+		name: "upstreams", held: m.upstreamsHeld, fetch: m.fetchUpstreams, timer: timer.System{}, log: options.Logger,
+	}
 	state.homes = m.homes
 	m.peers.Handle(knowledgeMethod, m.answer)
 	m.peers.OnBatch(m.hear)
@@ -88,6 +96,9 @@
 	return m
 }
 
+// nothing in a question stands for a kind of knowledge that isn't asked for.
+const nothing = math.MaxUint64
+
 // question is what a router holds that asks for what is newer.
 type question struct {
 	Configuration uint64 `json:"configuration-version"`
@@ -176,6 +187,8 @@
 	m.state.setGrouped(m.homes.Decide())
 	if !c.Connected {
 		m.homes.Lost(c.Router)
+		m.configurations.sources.Forget(c.Router)
+		m.upstreams.sources.Forget(c.Router)
 		return
 	}
 	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement()})
@@ -201,9 +214,8 @@
 func (m *mesh) hearAnnouncement(from fleet.RouterID, a *schema.Announcement) {
 	m.group.Hear(from, follow.Standing{Follows: a.GetFollows(), Lost: a.GetStoreLost()})
 	m.checkBlind()
-	if m.lacks(a) {
-		time.AfterFunc(m.patience(), func() { m.ask(from, a) })
-	}
+	m.configurations.announce(from, a.GetConfigurationVersion(), m.patience())
+	m.upstreams.announce(from, a.GetUpstreamRevision(), m.patience())
 	own := m.announcement()
 	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > a.GetUpstreamRevision() {
 		m.tellBehind(from, own)
@@ -228,63 +240,50 @@
 	return patience
 }
 
-// lacks reports whether another router knows something newer.
-func (m *mesh) lacks(a *schema.Announcement) bool {
-	return a.GetConfigurationVersion() > uint64(m.state.Table().Version()) ||
-		a.GetUpstreamRevision() > uint64(m.state.Settled())
-}
+func (m *mesh) configurationHeld() uint64 { return uint64(m.state.Table().Version()) }
 
-// ask asks another router for what is newer there, unless it came meanwhile.
-func (m *mesh) ask(from fleet.RouterID, a *schema.Announcement) {
-	m.mu.Lock()
-	if m.asking || !m.lacks(a) {
-		m.mu.Unlock()
-		return
-	}
-	m.asking = true
-	m.mu.Unlock()
-	begun := time.Now()
-	size, err := m.fetch(from)
-	m.mu.Lock()
-	m.asking = false
-	m.mu.Unlock()
-	m.log.Info("asked another router", "other", from, "error", err, "waited-ms", time.Since(begun).Milliseconds(), "bytes", size,
-		"announced-configuration", a.GetConfigurationVersion(), "announced-upstream-revision", a.GetUpstreamRevision(),
-		"configuration", m.state.Table().Version(), "upstream-revision", m.state.Revision())
-}
+func (m *mesh) upstreamsHeld() uint64 { return uint64(m.state.Settled()) }
 
-// fetch returns the size of the answer in bytes.
-func (m *mesh) fetch(from fleet.RouterID) (int, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), knowledgeTimeout)
-	defer cancel()
-	own := m.announcement()
+// fetchConfiguration takes the configuration of another router.
+func (m *mesh) fetchConfiguration(ctx context.Context, from fleet.RouterID, held uint64) (int, error) {
 	var body answerBody
-	q := question{Configuration: own.GetConfigurationVersion(), Upstreams: uint64(m.state.Settled()), Encoding: deflated}
+	q := question{Configuration: held, Upstreams: nothing, Encoding: deflated}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, q, &body); err != nil {
 		return 0, err
 	}
-	return len(body.Knowledge) + len(body.Configuration), m.learn(&body, "router "+string(from))
+	configuration, err := body.configuration()
+	if configuration != nil {
+		m.state.Configure(decodeConfiguration(configuration), fromRouter(from))
+	}
+	return len(body.Knowledge) + len(body.Configuration), err
 }
 
-// learn takes what another router told.
-func (m *mesh) learn(body *answerBody, from string) error {
+// fetchUpstreams takes the changes of the list of upstreams from another router.
+func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, held uint64) (int, error) {
+	var body answerBody
+	q := question{Configuration: nothing, Upstreams: held}
+	if err := m.peers.Call(ctx, from, knowledgeMethod, q, &body); err != nil {
+		return 0, err
+	}
 	var knowledge schema.Knowledge
 	if err := proto.Unmarshal(body.Knowledge, &knowledge); err != nil {
-		return eris.Wrap(err, "decoding another router's knowledge")
-	}
-	m.state.HearUpstreams(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), from)
-	configuration := knowledge.GetConfiguration()
-	if len(body.Configuration) > 0 {
-		inflated, err := inflate(body.Configuration)
-		if err != nil {
-			return err
-		}
-		configuration = inflated
+		return len(body.Knowledge), eris.Wrap(err, "decoding changes of the list of upstreams")
 	}
-	if configuration != nil {
-		m.state.Configure(decodeConfiguration(configuration), from)
+	m.state.HearUpstreams(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), fromRouter(from))
+	return len(body.Knowledge), nil
+}
+
+// fromRouter says in a log line that another router told something.
+func fromRouter(id fleet.RouterID) string { return "router " + string(id) }
+
+// configuration returns the configuration of an answer, nil when it has none.
+func (b *answerBody) configuration() (*schema.Configuration, error) {
+	if len(b.Configuration) > 0 {
+		return inflate(b.Configuration)
 	}
-	return nil
+	var knowledge schema.Knowledge
+	err := proto.Unmarshal(b.Knowledge, &knowledge)
+	return knowledge.GetConfiguration(), eris.Wrap(err, "decoding another router's knowledge")
 }
 
 // answer tells another router what is newer here.
