--- a/forward/answer.go
+++ b/forward/answer.go
@@ -132,7 +132,7 @@
 	to := ticket.Upstream()
 	j.handler.Log.Warn("attempt failed",
 		"request", j.intake.ID, "upstream", to.ID, "address", to.Address, "life", to.Life, "reason", f.reason,
-		"sent", f.sent, "not-run", f.notRun, "attempt", j.sends, "events", j.events, "last-event", j.last,
+		"fingerprint", j.fingerprint(), "sent", f.sent, "not-run", f.notRun, "attempt", j.sends, "events", j.events, "last-event", j.last,
 		"unread-tokens", ticket.Work(), "age-ms", ms(time.Since(j.arrived)), "cause", causeOf(f.cause))
 }
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -10,6 +10,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -55,6 +56,8 @@
 	deadline time.Time
 	header   http.Header
 	body     []byte
+	// print is zero until fingerprint has worked it out.
+	print quarantine.Fingerprint
 
 	// sends counts what was sent, runs what may have been run.
 	sends int
@@ -137,6 +140,16 @@
 	return d
 }
 
+// fingerprint returns what the request has in common with its repetitions.
+func (j *job) fingerprint() quarantine.Fingerprint {
+	if j.print == 0 {
+		j.print = quarantine.FingerprintOf(quarantine.Request{
+			Account: j.account, Method: j.request.Method, Host: j.request.Host, URI: j.request.RequestURI, Body: j.body,
+		})
+	}
+	return j.print
+}
+
 // cost returns what the request counts in its account's service.
 func (j *job) cost() float64 { return turn.Cost(max(j.intake.Input, 1), j.intake.Output) }
 
