quarantine: a request under which three upstreams ended is no longer sent, at any router

Callers saw broken streams and refusals: up to 17 requests broke off each time an upstream ended, and it ended again and again under one request that came back from its caller at other routers, and once more as a retry of each router.

Cause: an unbounded repetition across requests. Retries are bounded for one request and by a budget for a service, and nothing in the fleet knew that the next request was the same. Ruled out: more retries for one request than its route allows (two runs at most in all logs).

A router that loses an upstream under a request reports the request's fingerprint to three routers, which count upstreams that ended one after the other. Requests that ran beside it are told apart by success: a router that has served a request since the first crash objects, and upstreams that end together, as in a power cut, count once.

--- /dev/null
+++ b/deployment/crashes.go
@@ -0,0 +1,154 @@
+package deployment
+
+import (
+	"log/slog"
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/rendezvous"
+	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/turn"
+)
+
+// crashCounters is how many routers count the crashes under one request, so that one
+// that is cut off or has just started is not alone.
+const crashCounters = 3
+
+// crashes connects this router's watch for requests that crash upstreams with those of
+// the other routers.
+type crashes struct {
+	self    fleet.RouterID
+	watch   quarantine.Watch
+	routers func() []fleet.RouterID
+	send    func(to fleet.RouterID, batch *schema.Batch)
+	log     *slog.Logger
+}
+
+var _ forward.Quarantine = (*crashes)(nil)
+
+// Refuses returns for how long a request is refused, zero if it isn't.
+func (c *crashes) Refuses(now time.Time, request quarantine.Fingerprint) time.Duration {
+	return c.watch.Refuses(now, request)
+}
+
+// Served notes that an upstream has answered a request.
+func (c *crashes) Served(now time.Time, request quarantine.Fingerprint) {
+	if v, some := c.watch.Served(now, request); some {
+		c.broadcast(v)
+	}
+}
+
+// Crashed notes that an upstream ended while it ran a request.
+func (c *crashes) Crashed(now time.Time, request quarantine.Fingerprint, upstream turn.Instance, ran time.Duration) {
+	report, verdict := c.watch.Crashed(now, request, upstream, ran)
+	if verdict.Standing == quarantine.Refused {
+		c.broadcast(verdict)
+		return
+	}
+	batch := &schema.Batch{CrashReports: []*schema.CrashReport{encodeCrash(report)}}
+	for _, router := range c.counters(request) {
+		if router == c.self {
+			c.report(now, report)
+			continue
+		}
+		c.send(router, batch)
+	}
+}
+
+// counters returns the routers that count the crashes under a request.
+func (c *crashes) counters(request quarantine.Fingerprint) []fleet.RouterID {
+	key := rendezvous.KeyOfNumber("crash", uint64(request))
+	ranked := rendezvous.Rank(key, append(c.routers(), c.self))
+	return ranked[:min(len(ranked), crashCounters)]
+}
+
+func (c *crashes) report(now time.Time, crash quarantine.Crash) {
+	if v, some := c.watch.Report(now, crash); some {
+		c.broadcast(v)
+	}
+}
+
+// broadcast tells all other routers a verdict that holds here already.
+func (c *crashes) broadcast(v quarantine.Verdict) {
+	c.note(v, c.self)
+	batch := &schema.Batch{RequestVerdicts: []*schema.RequestVerdict{encodeVerdict(v)}}
+	for _, router := range c.routers() {
+		c.send(router, batch)
+	}
+}
+
+// receive takes what another router tells of crashes.
+func (c *crashes) receive(from fleet.RouterID, batch *schema.Batch) {
+	now := time.Now()
+	for _, report := range batch.GetCrashReports() {
+		c.report(now, decodeCrash(report))
+	}
+	for _, told := range batch.GetRequestVerdicts() {
+		v := decodeVerdict(told)
+		objection, objects, changed := c.watch.Receive(now, v)
+		switch {
+		case objects:
+			c.broadcast(objection)
+		case changed:
+			c.note(v, from)
+		}
+	}
+}
+
+// greet tells a router that has just connected what is refused.
+func (c *crashes) greet(router fleet.RouterID) {
+	batch := &schema.Batch{}
+	for _, v := range c.watch.Refused(time.Now()) {
+		batch.RequestVerdicts = append(batch.RequestVerdicts, encodeVerdict(v))
+	}
+	if len(batch.GetRequestVerdicts()) > 0 {
+		c.send(router, batch)
+	}
+}
+
+func (c *crashes) note(v quarantine.Verdict, from fleet.RouterID) {
+	switch v.Standing {
+	case quarantine.Refused:
+		c.log.Warn("request quarantined", "fingerprint", v.Request, "from", from, "term-s", v.Term.Seconds(), "first-crash-ms", v.Since.Milliseconds())
+	case quarantine.Suspected:
+		c.log.Info("request suspected of crashing upstreams", "fingerprint", v.Request, "from", from, "first-crash-ms", v.Since.Milliseconds())
+	case quarantine.Unremarkable:
+		c.log.Info("request cleared of crashing upstreams", "fingerprint", v.Request, "from", from)
+	}
+}
+
+func encodeCrash(c quarantine.Crash) *schema.CrashReport {
+	return &schema.CrashReport{
+		Request:  uint64(c.Request),
+		Upstream: &schema.UpstreamLife{Id: string(c.Upstream.ID), Life: int64(c.Upstream.Life)},
+		RanMs:    schema.Millis(c.Ran), Served: c.Served > 0, ServedMs: schema.Millis(c.Served),
+	}
+}
+
+func decodeCrash(in *schema.CrashReport) quarantine.Crash {
+	out := quarantine.Crash{
+		Request:  quarantine.Fingerprint(in.GetRequest()),
+		Upstream: turn.Instance{ID: fleet.UpstreamID(in.GetUpstream().GetId()), Life: registry.Life(in.GetUpstream().GetLife())},
+		Ran:      schema.Duration(in.GetRanMs()),
+	}
+	if in.GetServed() {
+		out.Served = max(schema.Duration(in.GetServedMs()), time.Millisecond)
+	}
+	return out
+}
+
+func encodeVerdict(v quarantine.Verdict) *schema.RequestVerdict {
+	return &schema.RequestVerdict{
+		Request: uint64(v.Request), Standing: uint32(v.Standing), SinceMs: schema.Millis(v.Since), TermMs: schema.Millis(v.Term),
+	}
+}
+
+func decodeVerdict(in *schema.RequestVerdict) quarantine.Verdict {
+	return quarantine.Verdict{
+		Request: quarantine.Fingerprint(in.GetRequest()), Standing: quarantine.Standing(in.GetStanding()),
+		Since: schema.Duration(in.GetSinceMs()), Term: schema.Duration(in.GetTermMs()),
+	}
+}
--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/peer"
 )
 
@@ -24,6 +25,9 @@
 // Learned is learned.
 func (m *mesh) Learned(from string) { m.learned(from) }
 
+// Quarantine returns what is known of requests that crash upstreams.
+func (m *mesh) Quarantine() forward.Quarantine { return &m.crashes }
+
 // Answer answers a question of another router.
 func (m *mesh) Answer(question string) (any, error) {
 	return m.answer(context.Background(), json.RawMessage(question))
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -64,6 +64,8 @@
 	queue overload.Standing
 	// inHand returns how many requests of callers are in hand; nil when it isn't known.
 	inHand func() int
+	// crashes finds requests that crash upstreams.
+	crashes crashes
 	// encodings holds the configuration as other routers get it.
 	encodings encodingCache
 	log       *slog.Logger
@@ -83,6 +85,7 @@
 	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
 	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
 	m.group = &follow.Group{Self: options.Self}
+	m.crashes = crashes{self: options.Self, routers: m.peers.Routers, send: m.peers.Send, log: options.Logger}
 	m.configurations = puller{
 		name: "configuration", held: m.configurationHeld, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
 	}
@@ -192,6 +195,7 @@
 		return
 	}
 	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement()})
+	m.crashes.greet(c.Router)
 	m.mu.Lock()
 	m.last = nil // the next report goes to all
 	m.mu.Unlock()
@@ -200,6 +204,7 @@
 // hear takes a batch of another router.
 func (m *mesh) hear(from fleet.RouterID, batch *schema.Batch) {
 	m.homes.Hear(from, batch)
+	m.crashes.receive(from, batch)
 	if a := batch.GetAnnouncement(); a != nil {
 		m.hearAnnouncement(from, a)
 	}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -130,6 +130,7 @@
 	r.mesh.inHand = r.handler.InHand
 	r.handler.Takes = r.mesh.shedder.Takes
 	r.handler.Shed = r.mesh.homes.Shed
+	r.handler.Quarantine = &r.mesh.crashes
 	r.follow()
 	return r, r.listen(ctx)
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -138,6 +138,7 @@
 
 // answered notes a request that was answered.
 func (j *job) answered(ticket home.Ticket) {
+	j.noteServed()
 	h := j.handler
 	now := time.Now()
 	first := j.firstEvent.Sub(j.arrived)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -77,6 +77,7 @@
 	defer cancel(nil)
 	limit := j.silence()
 	j.sends++
+	j.sent = time.Now()
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
 	watch := newWatch(ctx, cancel, limit, j.findOther())
 	defer func() { j.next = watch.stop() }()
@@ -139,6 +140,14 @@
 	if f.sent {
 		j.runs++
 	}
+	return j.fail(ctx, ticket, f)
+}
+
+// fail ends a ticket whose exchange has failed.
+func (j *job) fail(ctx context.Context, ticket home.Ticket, f *failure) *failure {
+	if f.sent && endedByUpstream(ctx, f.cause) {
+		j.noteCrash(ticket)
+	}
 	ticket.End(time.Now(), j.judge(ctx, f))
 	return f
 }
@@ -179,9 +188,7 @@
 func (j *job) readWhole(ctx context.Context, ticket home.Ticket, answer *upstream.Answer, watch *watch) *failure {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
 	if err != nil {
-		f := &failure{reason: retry.BrokenBefore, sent: true, cause: err}
-		ticket.End(time.Now(), j.judge(ctx, f))
-		return f
+		return j.fail(ctx, ticket, &failure{reason: retry.BrokenBefore, sent: true, cause: err})
 	}
 	ticket.First(time.Now())
 	w := &whole{status: answer.Status, header: answer.Header, body: body}
@@ -193,6 +200,7 @@
 		return j.passLong(ctx, ticket, w, answer)
 	}
 	if answer.Status >= http.StatusInternalServerError {
+		j.noteServed()
 		ticket.End(time.Now(), turn.Failed)
 		return &failure{reason: retry.AnsweredError, sent: true, answer: w}
 	}
@@ -213,9 +221,7 @@
 	_, _ = j.writer.Write(w.body) // a caller that left ends ctx
 	_, err := io.Copy(j.writer, answer.Body)
 	if err != nil {
-		f := &failure{reason: retry.StreamBroken, sent: true, final: true, cause: err}
-		ticket.End(time.Now(), j.judge(ctx, f))
-		return f
+		return j.fail(ctx, ticket, &failure{reason: retry.StreamBroken, sent: true, final: true, cause: err})
 	}
 	ticket.End(time.Now(), turn.Served)
 	return nil
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -88,7 +89,18 @@
 	Retries(service fleet.ServiceID) retry.Policy
 }
 
-// Handler serves callers. All fields have to be set but Crowded, Takes and Shed.
+// Quarantine knows requests that crash the upstreams that run them. It is safe for
+// concurrent use.
+type Quarantine interface {
+	// Refuses returns for how long a request is refused, zero if it isn't.
+	Refuses(now time.Time, request quarantine.Fingerprint) time.Duration
+	// Served notes that an upstream has answered a request.
+	Served(now time.Time, request quarantine.Fingerprint)
+	// Crashed notes that an upstream ended while it ran a request, and for how long it had run.
+	Crashed(now time.Time, request quarantine.Fingerprint, upstream turn.Instance, ran time.Duration)
+}
+
+// Handler serves callers. All fields have to be set but Crowded, Takes, Shed and Quarantine.
 type Handler struct {
 	Dialect Dialect
 	State   State
@@ -104,6 +116,8 @@
 	// Shed is told of each request that Takes refused, with what it counts in its account's
 	// service, in tokens; it may be nil.
 	Shed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
+	// Quarantine may be nil.
+	Quarantine Quarantine
 
 	lines  admission.Lines[lineKey]
 	held   held
--- a/forward/job.go
+++ b/forward/job.go
@@ -59,8 +59,10 @@
 	// print is zero until fingerprint has worked it out.
 	print quarantine.Fingerprint
 
-	// sends counts what was sent, runs what may have been run.
+	// sends counts what was sent, runs what may have been run, and sent is when the
+	// latest was sent.
 	sends int
+	sent  time.Time
 	runs  int
 	tried []turn.Instance
 	// next is the turn in whose favour the last attempt has ended, if any.
@@ -89,6 +91,10 @@
 		return
 	}
 	for {
+		if refused := j.checkQuarantine(); refused != nil {
+			j.refuseOrPass(refused)
+			return
+		}
 		ticket, refused := j.nextTurn(ctx)
 		if refused != nil {
 			j.refuseOrPass(refused)
@@ -98,6 +104,11 @@
 			j.leave(ticket)
 			return
 		}
+		if refused := j.checkQuarantine(); refused != nil {
+			ticket.End(time.Now(), turn.Unsent)
+			j.refuseOrPass(refused)
+			return
+		}
 		f := j.attempt(ctx, ticket)
 		if f == nil {
 			j.answered(ticket)
@@ -140,16 +151,6 @@
 	return d
 }
 
-// fingerprint returns what the request has in common with its repetitions.
-func (j *job) fingerprint() quarantine.Fingerprint {
-	if j.print == 0 {
-		j.print = quarantine.FingerprintOf(quarantine.Request{
-			Account: j.account, Method: j.request.Method, Host: j.request.Host, URI: j.request.RequestURI, Body: j.body,
-		})
-	}
-	return j.print
-}
-
 // cost returns what the request counts in its account's service.
 func (j *job) cost() float64 { return turn.Cost(max(j.intake.Input, 1), j.intake.Output) }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -39,9 +39,7 @@
 			ticket.End(time.Now(), turn.Served)
 			return nil
 		}
-		f := &failure{reason: retry.StreamBroken, sent: true, cause: endOf(ctx, err), final: isFinal(err)}
-		ticket.End(time.Now(), j.judge(ctx, f))
-		return f
+		return j.fail(ctx, ticket, &failure{reason: retry.StreamBroken, sent: true, cause: endOf(ctx, err), final: isFinal(err)})
 	}
 }
 
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -42,6 +42,7 @@
 	NoUpstream         Reason = "no-upstream"
 	UpstreamFailed     Reason = "upstream-failed"
 	UpstreamBusy       Reason = "upstream-busy"
+	CrashesUpstreams   Reason = "crashes-upstreams"
 	RetriesExhausted   Reason = "retries-exhausted"
 	Stopping           Reason = "stopping"
 	NotReady           Reason = "not-ready"
@@ -60,7 +61,7 @@
 	return []Reason{
 		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
 		ServiceNotAllowed, AccountQueueFull, AccountAhead, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
-		NoUpstream, UpstreamFailed, UpstreamBusy, RetriesExhausted, Stopping, NotReady,
+		NoUpstream, UpstreamFailed, UpstreamBusy, CrashesUpstreams, RetriesExhausted, Stopping, NotReady,
 		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
 		ResumeExpired, CallerGone, Internal,
 	}
@@ -113,6 +114,7 @@
 	NoUpstream:         http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
 	UpstreamBusy:       http.StatusServiceUnavailable,
+	CrashesUpstreams:   http.StatusServiceUnavailable,
 	RetriesExhausted:   http.StatusBadGateway,
 	Stopping:           http.StatusServiceUnavailable,
 	NotReady:           http.StatusServiceUnavailable,
