quarantine: only an upstream that has ended counts, not one that resets a connection

Resets by faulty upstreams looked like crashes.

A router whose exchange was ended by the upstream looks at the upstream: it has ended if no connection can be had or its entry has a new life. One that was leaving isn't counted.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -1,7 +1,9 @@
 package deployment
 
 import (
+	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
@@ -17,6 +19,13 @@
 // that is cut off or has just started is not alone.
 const crashCounters = 3
 
+// checkTimeout bounds a check of whether an upstream can be reached.
+const checkTimeout = 400 * time.Millisecond
+
+// checkPauses are the times between two looks at an upstream whose connection broke. One
+// that starts again at once can be reached, and is known to have ended by its new entry.
+var checkPauses = []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second}
+
 // crashes connects this router's watch for requests that crash upstreams with those of
 // the other routers.
 type crashes struct {
@@ -24,7 +33,21 @@
 	watch   quarantine.Watch
 	routers func() []fleet.RouterID
 	send    func(to fleet.RouterID, batch *schema.Batch)
-	log     *slog.Logger
+	// entry returns the latest change of an upstream's entry.
+	entry func(id fleet.UpstreamID) (registry.Change, bool)
+	// check returns an error if an upstream can't be reached.
+	check func(ctx context.Context, address string) error
+	log   *slog.Logger
+
+	mu sync.Mutex
+	// checked holds the requests that broke at each upstream that is being looked at.
+	checked map[turn.Instance][]broken
+}
+
+// broken is a request whose upstream ended the connection.
+type broken struct {
+	request      quarantine.Fingerprint
+	began, ended time.Time
 }
 
 var _ forward.Quarantine = (*crashes)(nil)
@@ -41,15 +64,74 @@
 	}
 }
 
-// Crashed notes that an upstream ended while it ran a request.
-func (c *crashes) Crashed(now time.Time, request quarantine.Fingerprint, upstream turn.Instance, ran time.Duration) {
-	report, verdict := c.watch.Crashed(now, request, upstream, ran)
+// Broken notes that an upstream ended its connection while it ran a request. That is a
+// crash only if the upstream has ended: one that is faulty resets connections and lives on.
+func (c *crashes) Broken(request quarantine.Fingerprint, upstream registry.Upstream, began time.Time) {
+	instance := turn.InstanceOf(upstream)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list, looking := c.checked[instance]
+	if c.checked == nil {
+		c.checked = make(map[turn.Instance][]broken)
+	}
+	c.checked[instance] = append(list, broken{request: request, began: began, ended: time.Now()})
+	if !looking {
+		go c.look(upstream)
+	}
+}
+
+// look finds out whether an upstream has ended, and reports the requests that broke there.
+func (c *crashes) look(upstream registry.Upstream) {
+	instance := turn.InstanceOf(upstream)
+	ended := false
+	for _, pause := range checkPauses {
+		time.Sleep(pause)
+		if c.hasLeft(instance) {
+			break
+		}
+		if ended = c.hasEnded(upstream); ended {
+			break
+		}
+	}
+	c.mu.Lock()
+	list := c.checked[instance]
+	delete(c.checked, instance)
+	c.mu.Unlock()
+	if !ended {
+		return
+	}
+	for _, b := range list {
+		c.crashed(b, instance)
+	}
+}
+
+// hasLeft reports whether an upstream was leaving, which ends connections as well.
+func (c *crashes) hasLeft(instance turn.Instance) bool {
+	known, some := c.entry(instance.ID)
+	return some && known.Upstream.Life == instance.Life && (known.Gone || known.Upstream.Draining)
+}
+
+func (c *crashes) hasEnded(upstream registry.Upstream) bool {
+	if known, some := c.entry(upstream.ID); some && known.Upstream.Life != upstream.Life {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	return c.check(ctx, upstream.Address) != nil
+}
+
+// crashed reports a request to the routers that count.
+func (c *crashes) crashed(b broken, upstream turn.Instance) {
+	now := time.Now()
+	report, verdict := c.watch.Crashed(now, quarantine.Crash{
+		Request: b.request, Upstream: upstream, Began: now.Sub(b.began), Ended: now.Sub(b.ended),
+	})
 	if verdict.Standing == quarantine.Refused {
 		c.broadcast(verdict)
 		return
 	}
 	batch := &schema.Batch{CrashReports: []*schema.CrashReport{encodeCrash(report)}}
-	for _, router := range c.counters(request) {
+	for _, router := range c.counters(b.request) {
 		if router == c.self {
 			c.report(now, report)
 			continue
@@ -124,7 +206,8 @@
 	return &schema.CrashReport{
 		Request:  uint64(c.Request),
 		Upstream: &schema.UpstreamLife{Id: string(c.Upstream.ID), Life: int64(c.Upstream.Life)},
-		RanMs:    schema.Millis(c.Ran), Served: c.Served > 0, ServedMs: schema.Millis(c.Served),
+		BeganMs:  schema.Millis(c.Began), EndedMs: schema.Millis(c.Ended),
+		Served: c.Served > 0, ServedMs: schema.Millis(c.Served),
 	}
 }
 
@@ -132,7 +215,7 @@
 	out := quarantine.Crash{
 		Request:  quarantine.Fingerprint(in.GetRequest()),
 		Upstream: turn.Instance{ID: fleet.UpstreamID(in.GetUpstream().GetId()), Life: registry.Life(in.GetUpstream().GetLife())},
-		Ran:      schema.Duration(in.GetRanMs()),
+		Began:    schema.Duration(in.GetBeganMs()), Ended: schema.Duration(in.GetEndedMs()),
 	}
 	if in.GetServed() {
 		out.Served = max(schema.Duration(in.GetServedMs()), time.Millisecond)
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -81,11 +81,14 @@
 	blind bool
 }
 
-func newMesh(state *State, options peer.Options) *mesh {
+// newMesh returns a mesh. Check returns an error if an upstream can't be reached.
+func newMesh(state *State, options peer.Options, check func(ctx context.Context, address string) error) *mesh {
 	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
 	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
 	m.group = &follow.Group{Self: options.Self}
-	m.crashes = crashes{self: options.Self, routers: m.peers.Routers, send: m.peers.Send, log: options.Logger}
+	m.crashes = crashes{
+		self: options.Self, routers: m.peers.Routers, send: m.peers.Send, entry: state.Upstream, check: check, log: options.Logger,
+	}
 	m.configurations = puller{
 		name: "configuration", held: m.configurationHeld, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
 	}
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -18,6 +18,7 @@
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/upstream"
 )
 
 const (
@@ -34,6 +35,15 @@
 	address string
 	state   *deployment.State
 	mesh    *deployment.Mesh
+	// alive are the addresses of upstreams that can be reached; nil none.
+	alive map[string]bool
+}
+
+func (n *node) check(_ context.Context, address string) error {
+	if n.alive[address] {
+		return nil
+	}
+	return &upstream.Error{Address: address}
 }
 
 func newNode(t *testing.T, id fleet.RouterID) *node {
@@ -47,7 +57,7 @@
 	n.mesh = deployment.NewMesh(n.state, peer.Options{
 		Self: id, Incarnation: 1, Address: n.address, Key: []byte("one fleet"), Listener: listener,
 		Logger: slog.New(slog.DiscardHandler), Heartbeat: 10 * time.Second,
-	})
+	}, n.check)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.mesh.Peers().Run(ctx) }()
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -151,7 +151,7 @@
 		Self: r.options.Self, DataCenter: r.options.DataCenter, Incarnation: fleet.IncarnationAt(time.Now()),
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
 		Metrics: r.metrics, Logger: r.options.Log, MaxBackoff: peerBackoff,
-	})
+	}, r.client.Check)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.heard)
 	list := &memberList{started: r.started, isLarge: r.mesh.homes.Decide, registered: r.registered}
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -293,5 +293,8 @@
 	return s.addresses[address]
 }
 
+// Upstream returns the latest change of an upstream's entry, and whether there is one.
+func (s *State) Upstream(id fleet.UpstreamID) (registry.Change, bool) { return s.directory.Get(id) }
+
 // Upstreams returns all that is known of the list.
 func (s *State) Upstreams() []registry.Change { return s.directory.Changes() }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -146,7 +146,7 @@
 // fail ends a ticket whose exchange has failed.
 func (j *job) fail(ctx context.Context, ticket home.Ticket, f *failure) *failure {
 	if f.sent && endedByUpstream(ctx, f.cause) {
-		j.noteCrash(ticket)
+		j.noteBroken(ticket)
 	}
 	ticket.End(time.Now(), j.judge(ctx, f))
 	return f
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,7 +10,6 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
-	"nutmeglock.example/nutmeglock/turn"
 )
 
 // fingerprint returns what the request has in common with its repetitions.
@@ -44,11 +43,10 @@
 	}
 }
 
-// noteCrash notes that an upstream ended while it ran the request.
-func (j *job) noteCrash(ticket home.Ticket) {
+// noteBroken notes that the upstream ended its connection while it ran the request.
+func (j *job) noteBroken(ticket home.Ticket) {
 	if j.handler.Quarantine != nil {
-		now := time.Now()
-		j.handler.Quarantine.Crashed(now, j.fingerprint(), turn.InstanceOf(ticket.Upstream()), now.Sub(j.sent))
+		j.handler.Quarantine.Broken(j.fingerprint(), ticket.Upstream(), j.sent)
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -96,8 +96,9 @@
 	Refuses(now time.Time, request quarantine.Fingerprint) time.Duration
 	// Served notes that an upstream has answered a request.
 	Served(now time.Time, request quarantine.Fingerprint)
-	// Crashed notes that an upstream ended while it ran a request, and for how long it had run.
-	Crashed(now time.Time, request quarantine.Fingerprint, upstream turn.Instance, ran time.Duration)
+	// Broken notes that an upstream ended its connection while it ran a request that began
+	// at a time.
+	Broken(request quarantine.Fingerprint, upstream registry.Upstream, began time.Time)
 }
 
 // Handler serves callers. All fields have to be set but Crowded, Takes, Shed and Quarantine.
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -23,8 +23,8 @@
 type Crash struct {
 	Request  Fingerprint
 	Upstream turn.Instance
-	// Ran is how long the request had run.
-	Ran time.Duration
+	// Began and Ended are how long ago the request began to run and the upstream ended.
+	Began, Ended time.Duration
 	// Served is how long ago the request was last served at the router that tells of
 	// the crash, zero for never.
 	Served time.Duration
@@ -42,7 +42,7 @@
 
 // record is the evidence against one request.
 type record struct {
-	// count is how many crashes count, first and last when they were reported.
+	// count is how many crashes count, first and last when their upstreams ended.
 	count       int
 	first, last time.Time
 	// ended are the upstreams of all its crashes.
@@ -72,14 +72,15 @@
 		return Unremarkable
 	}
 	r.ended[c.Upstream] = true
-	if r.count > 0 && now.Add(-c.Ran).Before(r.last.Add(-clockSlack)) {
+	if r.count > 0 && now.Add(-c.Began).Before(r.last.Add(-clockSlack)) {
 		return Unremarkable
 	}
+	ended := now.Add(-c.Ended)
 	if r.count == 0 {
-		r.first = now
+		r.first = ended
 	}
 	r.count++
-	r.last = now
+	r.last = ended
 	switch {
 	case r.count >= refusedAfter:
 		return Refused
@@ -90,7 +91,7 @@
 	}
 }
 
-// since returns how long ago the first crash under a request was reported.
+// since returns how long ago the first crash under a request was.
 func (l *ledger) since(now time.Time, request Fingerprint) time.Duration {
 	if r := l.records[request]; r != nil {
 		return now.Sub(r.first)
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"nutmeglock.example/nutmeglock/turn"
 )
 
 // Verdict is what a router tells all others of a request.
@@ -54,23 +52,22 @@
 // Crashed notes that an upstream ended while it ran a request of this router. It returns
 // either what has to be reported to those that count, or a verdict for all routers, if
 // the request was refused of late and is refused again.
-func (w *Watch) Crashed(now time.Time, request Fingerprint, upstream turn.Instance, ran time.Duration) (Crash, Verdict) {
+func (w *Watch) Crashed(now time.Time, crash Crash) (Crash, Verdict) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	crash := Crash{Request: request, Upstream: upstream, Ran: ran}
-	if ago, served := w.recent.ago(now, request); served {
-		crash.Served = ago
+	if ago, served := w.recent.ago(now, crash.Request); served {
+		crash.Served = max(ago, 1)
 	}
-	if w.list.left(now, request) > 0 {
+	if w.list.left(now, crash.Request) > 0 {
 		return crash, Verdict{}
 	}
 	w.list.expire(now)
-	term := w.list.nextTerm(request)
+	term := w.list.nextTerm(crash.Request)
 	if term == 0 {
 		return crash, Verdict{}
 	}
-	w.list.refuse(now, request, term)
-	return crash, Verdict{Request: request, Standing: Refused, Term: term, Since: ran}
+	w.list.refuse(now, crash.Request, term)
+	return crash, Verdict{Request: crash.Request, Standing: Refused, Term: term, Since: crash.Ended}
 }
 
 // Report takes a crash of any router, as one of those that count. It returns a verdict for
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -267,6 +267,14 @@
 	return gone
 }
 
+// Get returns the latest change of an entry, and whether there is one.
+func (d *Directory) Get(id fleet.UpstreamID) (Change, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, known := d.entries[id]
+	return e.change, known
+}
+
 // Known reports whether the list was ever read.
 func (d *Directory) Known() bool {
 	d.mu.Lock()
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -46,6 +46,8 @@
 	// idleMargin is the part of the announced time that is used. A request must
 	// not cross the upstream's close.
 	idleMargin = 0.75
+	// checkedIdleTime is how long a connection is kept that was only opened to check its upstream.
+	checkedIdleTime = time.Second
 	// readerSize holds the header of an answer, and several events of a stream.
 	readerSize = 4 << 10
 )
@@ -135,6 +137,16 @@
 	return &conn{Conn: opened, raw: raw, reader: bufio.NewReaderSize(opened, readerSize), fresh: true}, nil
 }
 
+// Check returns an error if no connection to an upstream can be had. Nothing is sent.
+func (c *Client) Check(ctx context.Context, address string) error {
+	connection, err := c.get(ctx, address)
+	if err != nil {
+		return &Error{Address: address, Cause: causeOf(ctx, err)}
+	}
+	c.put(address, connection, checkedIdleTime)
+	return nil
+}
+
 // take returns the idle connection that was used last, closing those that may
 // not be used any more.
 func (c *Client) take(address string) *conn {
