quarantine: upstreams that end within 50 ms of one another end by one cause

Only the first of the two ends counts now.

TestRetryThatBreaksOffInTheSamePowerCutDoesNotCount failed before: three of three routers refused.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -15,6 +15,9 @@
 	evidenceLife = 5 * time.Minute
 	// clockSlack is how much reports of one event may differ in their age.
 	clockSlack = 10 * time.Millisecond
+	// togetherWithin is the time within which upstreams end that end by one cause. A retry
+	// may begin and break off meanwhile.
+	togetherWithin = 50 * time.Millisecond
 	// generationSize is how many requests are remembered at least. Up to twice as many are.
 	generationSize = 2048
 )
@@ -52,8 +55,8 @@
 // ledger counts the upstreams that ended under each request. Its zero value is empty.
 //
 // Upstreams that end together, as in a power cut, count once: a crash only counts if the
-// request began to run after the crash before it. A success clears the request, so a
-// popular one that runs everywhere collects nothing.
+// request began to run after the crash before it, and clearly later. A success clears the
+// request, so a popular one that runs everywhere collects nothing.
 type ledger struct {
 	// records are those with a recent crash, older those of the generation before. When
 	// records is full it becomes older, and what was older is dropped.
@@ -72,10 +75,10 @@
 		return Unremarkable
 	}
 	r.ended[c.Upstream] = true
-	if r.count > 0 && now.Add(-c.Began).Before(r.last.Add(-clockSlack)) {
+	began, ended := now.Add(-c.Began), now.Add(-c.Ended)
+	if r.count > 0 && (began.Before(r.last.Add(-clockSlack)) || ended.Before(r.last.Add(togetherWithin))) {
 		return Unremarkable
 	}
-	ended := now.Add(-c.Ended)
 	if r.count == 0 {
 		r.first = ended
 	}
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -123,6 +123,17 @@
 	require.Zero(t, f.refusing())
 }
 
+// Guards against a power cut that counts more than once for a request that is retried in it.
+func TestRetryThatBreaksOffInTheSamePowerCutDoesNotCount(t *testing.T) {
+	t.Parallel()
+	f := newRouters(3)
+	for i := range 10 {
+		f.now = f.now.Add(4 * time.Millisecond)
+		f.crash(1, upstreamNumber(i), time.Millisecond)
+	}
+	require.Zero(t, f.refusing())
+}
+
 // Guards against one crash that counts for each router that had sent the request there.
 func TestCrashThatManyRoutersReportCountsOnce(t *testing.T) {
 	t.Parallel()
