--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -37,7 +37,9 @@
 	entry func(id fleet.UpstreamID) (registry.Change, bool)
 	// check returns an error if an upstream can't be reached.
 	check func(ctx context.Context, address string) error
-	log   *slog.Logger
+	// keep keeps a verdict of this router at the platform.
+	keep func(v quarantine.Verdict)
+	log  *slog.Logger
 
 	mu sync.Mutex
 	// checked holds the requests that broke at each upstream that is being looked at.
@@ -156,6 +158,7 @@
 // broadcast tells all other routers a verdict that holds here already.
 func (c *crashes) broadcast(v quarantine.Verdict) {
 	c.note(v, c.self)
+	c.keep(v)
 	batch := &schema.Batch{RequestVerdicts: []*schema.RequestVerdict{encodeVerdict(v)}}
 	for _, router := range c.routers() {
 		c.send(router, batch)
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -64,8 +64,9 @@
 	queue overload.Standing
 	// inHand returns how many requests of callers are in hand; nil when it isn't known.
 	inHand func() int
-	// crashes finds requests that crash upstreams.
-	crashes crashes
+	// crashes finds requests that crash upstreams, and quarantines keeps what it found.
+	crashes     crashes
+	quarantines quarantineKeeper
 	// encodings holds the configuration as other routers get it.
 	encodings encodingCache
 	log       *slog.Logger
@@ -87,7 +88,8 @@
 	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
 	m.group = &follow.Group{Self: options.Self}
 	m.crashes = crashes{
-		self: options.Self, routers: m.peers.Routers, send: m.peers.Send, entry: state.Upstream, check: check, log: options.Logger,
+		self: options.Self, routers: m.peers.Routers, send: m.peers.Send, entry: state.Upstream, check: check,
+		keep: m.quarantines.keep, log: options.Logger,
 	}
 	m.configurations = puller{
 		name: "configuration", held: m.configurationHeld, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -66,6 +66,7 @@
 	Configurations follow.Feed[route.Configuration, registry.Revision]
 	Upstreams      follow.Feed[registry.Change, registry.Revision]
 	Members        Members
+	Quarantines    Quarantines
 	// PeerAddress is where the other routers connect to, FleetKey what they
 	// prove to each other that they are of one fleet by.
 	PeerAddress string
@@ -152,6 +153,7 @@
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
 		Metrics: r.metrics, Logger: r.options.Log, MaxBackoff: peerBackoff,
 	}, r.client.Check)
+	r.mesh.quarantines.open(r.options.Quarantines, &r.mesh.crashes.watch, r.options.Log)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.heard)
 	list := &memberList{started: r.started, isLarge: r.mesh.homes.Decide, registered: r.registered}
@@ -161,7 +163,7 @@
 	}
 	r.actors = append(r.actors,
 		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
-		actor{"router list", list.run}, actor{"registration", r.register})
+		actor{"router list", list.run}, actor{"registration", r.register}, actor{"quarantine", r.mesh.quarantines.run})
 	return nil
 }
 
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -35,6 +35,17 @@
 	return true
 }
 
+// restore takes an entry that was kept, unless a later one is known.
+func (l *list) restore(e Entry) {
+	if !e.Until.After(l.entries[e.Request].until) {
+		return
+	}
+	if l.entries == nil {
+		l.entries = make(map[Fingerprint]entry)
+	}
+	l.entries[e.Request] = entry{until: e.Until, term: e.Term}
+}
+
 // left returns for how long a request is refused, zero if it isn't.
 func (l *list) left(now time.Time, request Fingerprint) time.Duration {
 	return max(l.entries[request].until.Sub(now), 0)
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -216,6 +216,30 @@
 	require.Positive(t, started.Refuses(f.now, request))
 }
 
+// Guards against a fleet that starts anew and knows nothing of a request that crashes upstreams.
+func TestEntryThatWasKeptIsRefusedAfterARestart(t *testing.T) {
+	t.Parallel()
+	kept := quarantine.Entry{Request: request, Until: epoch.Add(time.Minute), Term: time.Minute}
+	f := newRouters(2)
+	for _, w := range f.watches {
+		w.Restore(f.now, []quarantine.Entry{kept})
+	}
+	require.Equal(t, 2, f.refusing())
+	f.now = epoch.Add(time.Minute + time.Second)
+	require.Zero(t, f.refusing())
+	f.crashNext(1)
+	require.Equal(t, 2, f.refusing(), "it was refused of late")
+}
+
+// Guards against entries of long ago that refuse a request at once.
+func TestEntryOfLongAgoSaysNothing(t *testing.T) {
+	t.Parallel()
+	f := newRouters(1)
+	f.watches[0].Restore(f.now, []quarantine.Entry{{Request: request, Until: epoch.Add(-time.Hour), Term: time.Minute}})
+	f.crashNext(0)
+	require.Zero(t, f.refusing())
+}
+
 // Guards against memory that grows with the requests of a fleet whose upstreams crash.
 func TestEvidenceIsBounded(t *testing.T) {
 	t.Parallel()
