quarantine: a sound request that was unlucky is sent again after 30 s, and not repeated then

After a term it is sent, a router doesn't repeat it, and one crash is enough to refuse it again everywhere.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -59,6 +59,11 @@
 	return c.watch.Refuses(now, request)
 }
 
+// IsOnProbation reports whether a request was refused of late.
+func (c *crashes) IsOnProbation(now time.Time, request quarantine.Fingerprint) bool {
+	return c.watch.IsOnProbation(now, request)
+}
+
 // Served notes that an upstream has answered a request.
 func (c *crashes) Served(now time.Time, request quarantine.Fingerprint) {
 	if v, some := c.watch.Served(now, request); some {
@@ -197,7 +202,7 @@
 func (c *crashes) note(v quarantine.Verdict, from fleet.RouterID) {
 	switch v.Standing {
 	case quarantine.Refused:
-		c.log.Warn("request quarantined", "fingerprint", v.Request, "from", from, "term-s", v.Term.Seconds(), "first-crash-ms", v.Since.Milliseconds())
+		c.log.Warn("request quarantined", "fingerprint", v.Request, "from", from, "left-s", v.Left.Seconds(), "first-crash-ms", v.Since.Milliseconds())
 	case quarantine.Suspected:
 		c.log.Info("request suspected of crashing upstreams", "fingerprint", v.Request, "from", from, "first-crash-ms", v.Since.Milliseconds())
 	case quarantine.Unremarkable:
@@ -228,13 +233,14 @@
 
 func encodeVerdict(v quarantine.Verdict) *schema.RequestVerdict {
 	return &schema.RequestVerdict{
-		Request: uint64(v.Request), Standing: uint32(v.Standing), SinceMs: schema.Millis(v.Since), TermMs: schema.Millis(v.Term),
+		Request: uint64(v.Request), Standing: uint32(v.Standing), SinceMs: schema.Millis(v.Since),
+		TermMs: schema.Millis(v.Term), LeftMs: schema.Millis(v.Left),
 	}
 }
 
 func decodeVerdict(in *schema.RequestVerdict) quarantine.Verdict {
 	return quarantine.Verdict{
 		Request: quarantine.Fingerprint(in.GetRequest()), Standing: quarantine.Standing(in.GetStanding()),
-		Since: schema.Duration(in.GetSinceMs()), Term: schema.Duration(in.GetTermMs()),
+		Since: schema.Duration(in.GetSinceMs()), Term: schema.Duration(in.GetTermMs()), Left: schema.Duration(in.GetLeftMs()),
 	}
 }
--- a/deployment/quarantines.go
+++ b/deployment/quarantines.go
@@ -107,5 +107,5 @@
 	if v.Standing == quarantine.Unremarkable {
 		return k.store.Drop(ctx, v.Request)
 	}
-	return k.store.Save(ctx, quarantine.Entry{Request: v.Request, Until: time.Now().Add(v.Term), Term: v.Term})
+	return k.store.Save(ctx, quarantine.Entry{Request: v.Request, Until: time.Now().Add(v.Left), Term: v.Term})
 }
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -36,6 +36,11 @@
 	return refused
 }
 
+// isOnProbation reports whether the request was refused of late for crashing upstreams.
+func (j *job) isOnProbation() bool {
+	return j.handler.Quarantine != nil && j.handler.Quarantine.IsOnProbation(time.Now(), j.fingerprint())
+}
+
 // noteServed notes that an upstream has answered the request.
 func (j *job) noteServed() {
 	if j.handler.Quarantine != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -94,6 +94,9 @@
 type Quarantine interface {
 	// Refuses returns for how long a request is refused, zero if it isn't.
 	Refuses(now time.Time, request quarantine.Fingerprint) time.Duration
+	// IsOnProbation reports whether a request was refused of late, so that it isn't sent
+	// again if it breaks off.
+	IsOnProbation(now time.Time, request quarantine.Fingerprint) bool
 	// Served notes that an upstream has answered a request.
 	Served(now time.Time, request quarantine.Fingerprint)
 	// Broken notes that an upstream ended its connection while it ran a request that began
--- a/forward/job.go
+++ b/forward/job.go
@@ -242,7 +242,7 @@
 // mayRepeat reports whether the request may be sent again after a failure, and
 // takes what that costs.
 func (j *job) mayRepeat(f *failure) bool {
-	if f.final || j.sends >= maxSends {
+	if f.final || j.sends >= maxSends || (f.sent && !f.notRun && j.isOnProbation()) {
 		return false
 	}
 	if j.next != nil {
--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -10,16 +10,20 @@
 	Term  time.Duration
 }
 
-// IsOver reports whether an entry says nothing any more.
-func (e Entry) IsOver(now time.Time) bool { return now.Sub(e.Until) > e.Term }
-
 // Restore takes entries that were kept.
 func (w *Watch) Restore(now time.Time, kept []Entry) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, e := range kept {
-		if !e.IsOver(now) {
-			w.list.restore(e)
+	for _, k := range kept {
+		e := entry{until: k.Until, term: k.Term}
+		known, some := w.list.entries[k.Request]
+		if e.isOver(now) || (some && !e.until.After(known.until)) {
+			continue
+		}
+		if w.list.entries == nil {
+			w.list.entries = make(map[Fingerprint]entry)
 		}
+		w.list.expire(now)
+		w.list.entries[k.Request] = e
 	}
 }
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -2,11 +2,16 @@
 
 import "time"
 
+// terms are for how long a request is refused at first, and each time that it crashes an
+// upstream again after that. The first is short, since a sound request may have been
+// unlucky; a request that does crash upstreams ends three more of them in a day.
+var terms = [...]time.Duration{30 * time.Second, 5 * time.Minute, time.Hour, 24 * time.Hour}
+
 const (
-	// firstTerm is how long a request is refused at first. Each time it crashes an
-	// upstream again after that, the term doubles up to maxTerm.
-	firstTerm = 5 * time.Minute
-	maxTerm   = time.Hour
+	// probation is how long after its term one crash is enough to refuse a request again.
+	probation = time.Hour
+	// maxEntries bounds the requests that are refused.
+	maxEntries = 1024
 )
 
 // entry is a request that is refused, or was of late.
@@ -15,46 +20,49 @@
 	term  time.Duration
 }
 
+// isOver reports whether an entry says nothing any more.
+func (e entry) isOver(now time.Time) bool { return now.Sub(e.until) > probation }
+
 // list holds the requests that are refused. Its zero value is empty.
 type list struct {
 	entries map[Fingerprint]entry
 }
 
-// refuse refuses a request for a time. It returns false if it is refused as long already.
-func (l *list) refuse(now time.Time, request Fingerprint, term time.Duration) bool {
-	until := now.Add(term)
-	known, ok := l.entries[request]
-	if ok && !until.After(known.until.Add(clockSlack)) {
+// refuse refuses a request for a time, of a term of which a part may be over. It returns
+// false if it is refused as long already.
+func (l *list) refuse(now time.Time, request Fingerprint, left, term time.Duration) bool {
+	until := now.Add(left)
+	if !until.After(l.entries[request].until.Add(clockSlack)) {
 		return false
 	}
 	if l.entries == nil {
 		l.entries = make(map[Fingerprint]entry)
 	}
 	l.expire(now)
-	l.entries[request] = entry{until: until, term: max(term, known.term)}
+	l.entries[request] = entry{until: until, term: term}
 	return true
 }
 
-// restore takes an entry that was kept, unless a later one is known.
-func (l *list) restore(e Entry) {
-	if !e.Until.After(l.entries[e.Request].until) {
-		return
-	}
-	if l.entries == nil {
-		l.entries = make(map[Fingerprint]entry)
-	}
-	l.entries[e.Request] = entry{until: e.Until, term: e.Term}
-}
-
 // left returns for how long a request is refused, zero if it isn't.
 func (l *list) left(now time.Time, request Fingerprint) time.Duration {
 	return max(l.entries[request].until.Sub(now), 0)
 }
 
-// nextTerm returns for how long a request is refused that has crashed an upstream again
-// after its term, zero if it wasn't refused of late.
+// isOnProbation reports whether a request was refused of late and isn't now.
+func (l *list) isOnProbation(now time.Time, request Fingerprint) bool {
+	e, known := l.entries[request]
+	return known && !now.Before(e.until) && !e.isOver(now)
+}
+
+// nextTerm returns for how long a request is refused the next time.
 func (l *list) nextTerm(request Fingerprint) time.Duration {
-	return min(2*l.entries[request].term, maxTerm)
+	last := l.entries[request].term
+	for _, term := range terms {
+		if term > last {
+			return term
+		}
+	}
+	return terms[len(terms)-1]
 }
 
 // release ends a term. It returns false if the request wasn't refused of late.
@@ -64,11 +72,19 @@
 	return known
 }
 
-// expire drops the requests whose term has been over for as long as it was.
+// expire drops the entries that are over, and the one that ends first if there are too many.
 func (l *list) expire(now time.Time) {
+	var first Fingerprint
 	for request, e := range l.entries {
-		if now.Sub(e.until) > e.term {
+		if e.isOver(now) {
 			delete(l.entries, request)
+			continue
+		}
+		if first == 0 || e.until.Before(l.entries[first].until) {
+			first = request
 		}
 	}
+	if len(l.entries) >= maxEntries {
+		delete(l.entries, first)
+	}
 }
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -12,8 +12,8 @@
 	Standing Standing
 	// Since is how long ago the first crash under the request was.
 	Since time.Duration
-	// Term is for how long a request that is Refused is refused.
-	Term time.Duration
+	// Term is for how long a request that is Refused is refused in all, and Left from now on.
+	Term, Left time.Duration
 }
 
 // Watch is one router's part in finding requests that crash upstreams. Its zero value is
@@ -36,6 +36,14 @@
 	return w.list.left(now, request)
 }
 
+// IsOnProbation reports whether a request was refused of late. It is sent, and not
+// repeated if it breaks off.
+func (w *Watch) IsOnProbation(now time.Time, request Fingerprint) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.list.isOnProbation(now, request)
+}
+
 // Served notes that an upstream has answered a request. It returns a verdict for all
 // routers if the request was refused of late.
 func (w *Watch) Served(now time.Time, request Fingerprint) (Verdict, bool) {
@@ -58,16 +66,17 @@
 	if ago, served := w.recent.ago(now, crash.Request); served {
 		crash.Served = max(ago, 1)
 	}
-	if w.list.left(now, crash.Request) > 0 {
+	if !w.list.isOnProbation(now, crash.Request) {
 		return crash, Verdict{}
 	}
-	w.list.expire(now)
-	term := w.list.nextTerm(crash.Request)
-	if term == 0 {
-		return crash, Verdict{}
-	}
-	w.list.refuse(now, crash.Request, term)
-	return crash, Verdict{Request: crash.Request, Standing: Refused, Term: term, Since: crash.Ended}
+	return crash, w.refuse(now, crash.Request, crash.Ended)
+}
+
+// refuse refuses a request for its next term.
+func (w *Watch) refuse(now time.Time, request Fingerprint, since time.Duration) Verdict {
+	term := w.list.nextTerm(request)
+	w.list.refuse(now, request, term, term)
+	return Verdict{Request: request, Standing: Refused, Since: since, Term: term, Left: term}
 }
 
 // Report takes a crash of any router, as one of those that count. It returns a verdict for
@@ -85,8 +94,7 @@
 		return Verdict{}, false
 	}
 	if standing == Refused {
-		v.Term = firstTerm
-		w.list.refuse(now, crash.Request, firstTerm)
+		v = w.refuse(now, crash.Request, v.Since)
 	}
 	return v, true
 }
@@ -105,7 +113,7 @@
 		return Verdict{Request: v.Request}, true, w.list.release(v.Request)
 	}
 	if v.Standing == Refused {
-		changed = w.list.refuse(now, v.Request, v.Term)
+		changed = w.list.refuse(now, v.Request, v.Left, v.Term)
 	}
 	return Verdict{}, false, changed
 }
@@ -116,9 +124,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var all []Verdict
-	for request := range w.list.entries {
+	for request, e := range w.list.entries {
 		if left := w.list.left(now, request); left > 0 {
-			all = append(all, Verdict{Request: request, Standing: Refused, Term: left})
+			all = append(all, Verdict{Request: request, Standing: Refused, Term: e.term, Left: left})
 		}
 	}
 	return all
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -169,7 +169,7 @@
 	late := &quarantine.Watch{}
 	late.Served(served, request)
 	f.watches = append(f.watches, late)
-	f.tell(quarantine.Verdict{Request: request, Standing: quarantine.Refused, Since: f.now.Sub(epoch), Term: time.Minute})
+	f.tell(quarantine.Verdict{Request: request, Standing: quarantine.Refused, Since: f.now.Sub(epoch), Term: time.Minute, Left: time.Minute})
 	require.Zero(t, f.refusing())
 }
 
@@ -188,6 +188,28 @@
 	require.Greater(t, f.watches[1].Refuses(f.now, request), term)
 }
 
+// Guards against a request that ends more than three upstreams in a day once it is known.
+func TestKnownRequestEndsAtMostThreeUpstreamsInADay(t *testing.T) {
+	t.Parallel()
+	f := newRouters(3)
+	for range 3 {
+		f.crashNext(1)
+	}
+	known := f.now
+	crashes := 0
+	for f.now.Sub(known) < 24*time.Hour {
+		f.now = f.now.Add(time.Second)
+		if f.refusing() > 0 {
+			continue
+		}
+		require.True(t, f.watches[2].IsOnProbation(f.now, request))
+		f.crashNext(2)
+		require.Equal(t, 3, f.refusing())
+		crashes++
+	}
+	require.Equal(t, 3, crashes)
+}
+
 // Guards against a request that stays suspect for ever once it is served after its term.
 func TestSuccessAfterATermClearsTheRequest(t *testing.T) {
 	t.Parallel()
@@ -235,7 +257,7 @@
 func TestEntryOfLongAgoSaysNothing(t *testing.T) {
 	t.Parallel()
 	f := newRouters(1)
-	f.watches[0].Restore(f.now, []quarantine.Entry{{Request: request, Until: epoch.Add(-time.Hour), Term: time.Minute}})
+	f.watches[0].Restore(f.now, []quarantine.Entry{{Request: request, Until: epoch.Add(-2 * time.Hour), Term: time.Minute}})
 	f.crashNext(0)
 	require.Zero(t, f.refusing())
 }
