--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -25,14 +25,14 @@
 const (
 	// knowledgeMethod asks another router for what is newer there.
 	knowledgeMethod = "deployment.knowledge"
-	// patience is how long a router that hears of something newer waits for the
-	// store to tell it, before it asks the other router. The store tells all
-	// routers within some milliseconds, so in calm nobody asks.
+	// patience is how long a router waits for an announced update to come from the
+	// store before it asks the other router. The store sends it to all routers within
+	// some milliseconds, so in calm nobody asks.
 	patience = 150 * time.Millisecond
-	// restPatience is the most that a router waits which isn't told by the store.
+	// restPatience is the most that a router waits that doesn't follow the store.
 	restPatience = 30 * time.Millisecond
-	// gossipInterval and gossipRouters are how often a router of a large fleet tells
-	// how many others what it holds: 264 messages a second among 88.
+	// gossipInterval and gossipRouters are how often a router of a large fleet announces
+	// its versions to how many others.
 	gossipInterval = time.Second
 	gossipRouters  = 3
 	// reportInterval is the least time between two reports of what this router
@@ -46,9 +46,8 @@
 	refreshInterval = 500 * time.Millisecond
 )
 
-// mesh connects the state of a router with those of the others. It answers a
-// store that serves some routers and refuses others, or that tells nothing for
-// a while: what one router knows, all know soon.
+// mesh connects the state of a router with those of the others, so that an update
+// reaches all of them even if the store serves only some.
 type mesh struct {
 	state *State
 	peers *peer.Peers
@@ -75,10 +74,10 @@
 	configurations puller
 	upstreams      puller
 
-	mu   sync.Mutex
-	told time.Time
-	last []byte
-	// blind is set while those that follow the store for this router have lost it.
+	mu       sync.Mutex
+	reported time.Time
+	last     []byte
+	// blind is set while no router that follows the store for this one can read it.
 	blind bool
 }
 
@@ -99,7 +98,7 @@
 	}
 	state.homes = m.homes
 	m.peers.Handle(knowledgeMethod, m.answer)
-	m.peers.OnBatch(m.hear)
+	m.peers.OnBatch(m.receive)
 	m.peers.OnChange(m.changed)
 	return m
 }
@@ -123,7 +122,7 @@
 	Configuration []byte `json:"configuration,omitempty"`
 }
 
-// announcement returns how new this router's knowledge is.
+// announcement returns the versions that this router holds.
 func (m *mesh) announcement() *schema.Announcement {
 	own := m.group.Own()
 	return &schema.Announcement{
@@ -132,8 +131,8 @@
 	}
 }
 
-// announce tells all routers how new this router's knowledge is, and whether it
-// follows the store.
+// announce tells all routers which versions this router holds, and whether it follows
+// the store.
 func (m *mesh) announce() { m.announceTo(m.peers.Routers()) }
 
 func (m *mesh) announceTo(routers []fleet.RouterID) {
@@ -143,8 +142,8 @@
 	}
 }
 
-// learned announces what has taken effect here. In a large fleet a router that was
-// told by another one keeps quiet: all were told.
+// learned announces what has taken effect here. In a large fleet a router doesn't
+// announce what came from another one, which has announced it to all.
 func (m *mesh) learned(from string) {
 	if from == fromStore || m.group.Rest() == 0 {
 		m.announce()
@@ -157,9 +156,8 @@
 	m.announce()
 }
 
-// gossip tells some routers how new this router's knowledge is. It answers a router
-// that is connected with none of those that follow the store, and announcements
-// that were lost with a connection.
+// gossip announces this router's versions to some others, for routers that are connected
+// with none that follows the store, and for announcements lost with a connection.
 func (m *mesh) gossip() {
 	routers := m.peers.Routers()
 	rand.Shuffle(len(routers), func(i, j int) { routers[i], routers[j] = routers[j], routers[i] })
@@ -167,8 +165,8 @@
 	m.checkBlind()
 }
 
-// checkBlind takes over from the routers that follow the store whether it can be
-// read: entries that vanish while it is away may return.
+// checkBlind notes whether the routers that follow the store can read it: entries that
+// vanish while they can't may return.
 func (m *mesh) checkBlind() {
 	blind := m.group.IsBlind()
 	m.mu.Lock()
@@ -195,8 +193,8 @@
 	m.state.setGrouped(m.homes.Decide())
 	if !c.Connected {
 		m.homes.Lost(c.Router)
-		m.configurations.sources.Forget(c.Router)
-		m.upstreams.sources.Forget(c.Router)
+		m.configurations.forget(c.Router)
+		m.upstreams.forget(c.Router)
 		return
 	}
 	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement()})
@@ -206,12 +204,12 @@
 	m.mu.Unlock()
 }
 
-// hear takes a batch of another router.
-func (m *mesh) hear(from fleet.RouterID, batch *schema.Batch) {
+// receive handles a batch of another router.
+func (m *mesh) receive(from fleet.RouterID, batch *schema.Batch) {
 	m.homes.Hear(from, batch)
 	m.crashes.receive(from, batch)
 	if a := batch.GetAnnouncement(); a != nil {
-		m.hearAnnouncement(from, a)
+		m.handleAnnouncement(from, a)
 	}
 	if m.homes.Decide() {
 		return // a report from before the fleet was large
@@ -221,28 +219,27 @@
 	}
 }
 
-func (m *mesh) hearAnnouncement(from fleet.RouterID, a *schema.Announcement) {
+func (m *mesh) handleAnnouncement(from fleet.RouterID, a *schema.Announcement) {
 	m.group.Hear(from, follow.Standing{Follows: a.GetFollows(), Lost: a.GetStoreLost()})
 	m.checkBlind()
 	m.configurations.announce(from, a.GetConfigurationVersion(), m.patience())
 	m.upstreams.announce(from, a.GetUpstreamRevision(), m.patience())
 	own := m.announcement()
 	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > a.GetUpstreamRevision() {
-		m.tellBehind(from, own)
+		m.sendUpdate(from, own)
 	}
 }
 
-// tellBehind answers an announcement that is older than what is known here. In a
-// small fleet each router has announced it to all already.
-func (m *mesh) tellBehind(router fleet.RouterID, own *schema.Announcement) {
+// sendUpdate announces newer versions to a router that announced older ones. In a
+// small fleet each router has announced them to all already.
+func (m *mesh) sendUpdate(router fleet.RouterID, own *schema.Announcement) {
 	if m.homes.Decide() {
 		m.peers.Send(router, &schema.Batch{Announcement: own})
 	}
 }
 
-// patience returns how long to wait for the store to tell what another router
-// announced. A router that rests isn't told by the store; it asks one of those that
-// announce, and not all the same one.
+// patience returns how long to wait for an announced update to come from the store. A
+// router that doesn't follow the store asks soon, at a random time.
 func (m *mesh) patience() time.Duration {
 	if m.group.Rest() > 0 {
 		return rand.N(restPatience)
@@ -279,11 +276,11 @@
 	if err := proto.Unmarshal(body.Knowledge, &knowledge); err != nil {
 		return len(body.Knowledge), eris.Wrap(err, "decoding changes of the list of upstreams")
 	}
-	m.state.HearUpstreams(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), fromRouter(from))
+	m.state.ReceiveUpstreams(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), fromRouter(from))
 	return len(body.Knowledge), nil
 }
 
-// fromRouter says in a log line that another router told something.
+// fromRouter names another router as a source in log lines.
 func fromRouter(id fleet.RouterID) string { return "router " + string(id) }
 
 // configuration returns the configuration of an answer, nil when it has none.
@@ -296,7 +293,7 @@
 	return knowledge.GetConfiguration(), eris.Wrap(err, "decoding another router's knowledge")
 }
 
-// answer tells another router what is newer here.
+// answer returns to another router what is newer here.
 func (m *mesh) answer(_ context.Context, params json.RawMessage) (any, error) {
 	var q question
 	if err := json.Unmarshal(params, &q); err != nil {
@@ -390,10 +387,10 @@
 		return
 	}
 	m.mu.Lock()
-	same := string(data) == string(m.last) && now.Sub(m.told) < refreshInterval
+	same := string(data) == string(m.last) && now.Sub(m.reported) < refreshInterval
 	if !same {
 		m.last = data
-		m.told = now
+		m.reported = now
 	}
 	m.mu.Unlock()
 	if same || len(data) == 0 {
--- a/deployment/puller.go
+++ b/deployment/puller.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// forget drops a router that is no longer connected.
+func (p *puller) forget(router fleet.RouterID) { p.sources.Forget(router) }
+
 // schedule makes pull look after a delay, unless it does so earlier.
 func (p *puller) schedule(delay time.Duration) {
 	due := p.timer.Now().Add(delay)
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -56,7 +56,7 @@
 	RetryBurst float64
 	Log        *slog.Logger
 	// OnChange is called, unless it is nil, when a configuration or a change of
-	// the list has taken effect here, with who told it.
+	// the list has taken effect here, with its source.
 	OnChange func(from string)
 }
 
@@ -155,7 +155,7 @@
 	s.options.Log.Info("configuration in force", "version", c.Version, "before", before, "from", from,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts))
 	s.refresh(time.Now())
-	s.tell(from)
+	s.notify(from)
 	return true
 }
 
@@ -175,16 +175,16 @@
 	s.settleWhenDue()
 }
 
-// HearUpstreams takes changes that another router told, and up to which revision
-// they are complete.
-func (s *State) HearUpstreams(told []*schema.UpstreamChange, complete registry.Revision, from string) {
-	changes := make([]registry.Change, 0, len(told))
-	for _, c := range told {
+// ReceiveUpstreams takes changes from another router, and up to which revision they
+// are complete.
+func (s *State) ReceiveUpstreams(received []*schema.UpstreamChange, complete registry.Revision, from string) {
+	changes := make([]registry.Change, 0, len(received))
+	for _, c := range received {
 		changes = append(changes, registry.Decode(c))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.changed(s.directory.Hear(time.Now(), changes, complete), from)
+	s.changed(s.directory.Receive(time.Now(), changes, complete), from)
 }
 
 // Revision returns that of the latest change of the list that took effect here.
@@ -234,11 +234,11 @@
 			"gone", c.Gone, "revision", c.Revision, "from", from)
 	}
 	s.refresh(time.Now())
-	s.tell(from)
+	s.notify(from)
 }
 
-// tell calls OnChange without the lock: it reads the state.
-func (s *State) tell(from string) {
+// notify calls OnChange without the lock: it reads the state.
+func (s *State) notify(from string) {
 	if s.options.OnChange != nil {
 		go s.options.OnChange(from)
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -1,11 +1,10 @@
 // Package registry holds the upstreams that register themselves at the
 // platform, as one router knows them.
 //
-// It answers a list that comes from several mouths at once: the platform's
-// feed, whole reads after a gap, and other routers. Each entry bears the
-// revision at which the platform took it, and the newest revision wins,
-// whoever tells it. Without revisions, a slow reply would bring back an
-// upstream that has left, and callers would see requests sent to it fail.
+// The list comes from several sources: the platform's feed, whole reads after a
+// gap, and other routers. Each entry has the revision at which the platform took
+// it, and the newest revision wins. Without revisions a slow reply would bring back
+// an upstream that has left.
 package registry
 
 import (
@@ -108,15 +107,15 @@
 	return changed
 }
 
-// Apply takes single changes. It returns those that were news and took effect.
+// Apply takes single changes. It returns those that were newer and took effect.
 func (d *Directory) Apply(now time.Time, changes []Change) []Change {
 	return d.takeAll(now, changes, false)
 }
 
-// Hear takes changes that took effect at another router, which has already
+// Receive takes changes that took effect at another router, which has already
 // waited for entries that may return. Complete is the revision up to which they,
 // and those that were known here, are all there are.
-func (d *Directory) Hear(now time.Time, changes []Change, complete Revision) []Change {
+func (d *Directory) Receive(now time.Time, changes []Change, complete Revision) []Change {
 	changed := d.takeAll(now, changes, true)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -115,7 +115,7 @@
 	d.Apply(start, []registry.Change{gone("a", 7), draining("b", 9)})
 	require.EqualValues(t, 9, d.Latest())
 	require.EqualValues(t, 6, d.Settled())
-	require.Len(t, d.Hear(start, []registry.Change{gone("a", 7), draining("b", 9)}, 9), 1)
+	require.Len(t, d.Receive(start, []registry.Change{gone("a", 7), draining("b", 9)}, 9), 1)
 	require.Empty(t, ids(&d))
 	require.EqualValues(t, 9, d.Settled())
 }
