--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -170,14 +170,14 @@
 	}
 }
 
-// receive takes what another router tells of crashes.
+// receive handles the reports and verdicts of another router.
 func (c *crashes) receive(from fleet.RouterID, batch *schema.Batch) {
 	now := time.Now()
 	for _, report := range batch.GetCrashReports() {
 		c.report(now, decodeCrash(report))
 	}
-	for _, told := range batch.GetRequestVerdicts() {
-		v := decodeVerdict(told)
+	for _, received := range batch.GetRequestVerdicts() {
+		v := decodeVerdict(received)
 		objection, objects, changed := c.watch.Receive(now, v)
 		switch {
 		case objects:
