quarantine: a stream that ends within an event was ended by its upstream as well

A stream without length whose upstream crashes ends with its connection, within an event. That end was not reported, so the crash did not count. TestQuarantineIsToldWhatBecameOfARequest failed before in that case.

--- a/forward/crash.go
+++ b/forward/crash.go
@@ -10,6 +10,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/stream"
 )
 
 // fingerprint returns what the request has in common with its repetitions.
@@ -61,7 +62,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, stream.ErrPartial, syscall.ECONNRESET, syscall.EPIPE} {
 		if errors.Is(cause, end) {
 			return true
 		}
