quarantine: a run that ends well clears its request also while it is refused

A popular request that is refused by mistake has other runs under way. One that was answered after the verdict was noted and told nobody, so the request stayed refused for its term. TestRunThatEndsWellAfterTheVerdictClearsTheRequest failed before: four of four routers refused.

--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -122,6 +122,9 @@
 
 // keep puts a record into the latest generation.
 func (l *ledger) keep(request Fingerprint, r *record) {
+	if l.records[request] == r {
+		return
+	}
 	if l.records == nil || len(l.records) >= generationSize {
 		l.older = l.records
 		l.records = make(map[Fingerprint]*record)
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -45,12 +45,12 @@
 }
 
 // Served notes that an upstream has answered a request. It returns a verdict for all
-// routers if the request was refused of late.
+// routers if the request is refused, or was of late: a run that began before may end well.
 func (w *Watch) Served(now time.Time, request Fingerprint) (Verdict, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.recent.add(now, request)
-	if w.list.left(now, request) > 0 || !w.list.release(request) {
+	if !w.list.release(request) {
 		return Verdict{}, false
 	}
 	w.ledger.clear(request)
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -210,6 +210,18 @@
 	require.Equal(t, 3, crashes)
 }
 
+// Guards against a sound request that stays refused though a run of it ended well.
+func TestRunThatEndsWellAfterTheVerdictClearsTheRequest(t *testing.T) {
+	t.Parallel()
+	f := newRouters(4)
+	for range 3 {
+		f.crashNext(1)
+	}
+	require.Equal(t, 4, f.refusing())
+	f.serve(2)
+	require.Zero(t, f.refusing())
+}
+
 // Guards against a request that stays suspect for ever once it is served after its term.
 func TestSuccessAfterATermClearsTheRequest(t *testing.T) {
 	t.Parallel()
