quarantine: the log shows a fingerprint as a text

As a number of JSON it is rounded by readers such as jq, and the lines of one request could not be told from those of another. The new test failed before.

--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -15,6 +15,9 @@
 // String returns the fingerprint as the log shows it.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
+// MarshalText makes it a text in logs of JSON, whose readers round large numbers.
+func (f Fingerprint) MarshalText() ([]byte, error) { return []byte(f.String()), nil }
+
 // Request is what a Fingerprint is made from.
 type Request struct {
 	Account fleet.AccountID
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -1,6 +1,8 @@
 package quarantine_test
 
 import (
+	"bytes"
+	"log/slog"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -30,3 +32,12 @@
 		require.Equal(t, c.same, quarantine.FingerprintOf(base) == quarantine.FingerprintOf(changed), c.name)
 	}
 }
+
+// Guards against log lines of one request that don't show the same fingerprint, since
+// readers of JSON round it.
+func TestFingerprintIsATextInTheLog(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	slog.New(slog.NewJSONHandler(&out, nil)).Info("line", "fingerprint", quarantine.Fingerprint(0xf81f9b3c4d5e6f71))
+	require.Contains(t, out.String(), `"fingerprint":"f81f9b3c4d5e6f71"`)
+}
