--- a/deployment/state.go
+++ b/deployment/state.go
@@ -187,9 +187,6 @@
 	s.changed(s.directory.Receive(time.Now(), changes, complete), from)
 }
 
-// Revision returns that of the latest change of the list that took effect here.
-func (s *State) Revision() registry.Revision { return s.directory.Latest() }
-
 // Settled returns the revision up to which all changes took effect here.
 func (s *State) Settled() registry.Revision { return s.directory.Settled() }
 
