deployment: the router's entry and the quarantine are written by one loop

The loop of the quarantine was that of the router's own entry again, with the same three constants. Drop takes the one request that it is ever given.

--- a/deployment/members.go
+++ b/deployment/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -46,11 +45,6 @@
 	// to be written, which takes some milliseconds. A store that takes no entry may
 	// tell the others all the same.
 	memberPatience = 500 * time.Millisecond
-	// registerTimeout bounds one try to write the own entry, registerPause and
-	// maxRegisterPause the time between two.
-	registerTimeout  = 1500 * time.Millisecond
-	registerPause    = 200 * time.Millisecond
-	maxRegisterPause = 2 * time.Second
 	// withdrawTimeout bounds the removal of the own entry at a shutdown. An entry
 	// that stays costs the others an attempt to connect now and then.
 	withdrawTimeout = time.Second
@@ -195,32 +189,17 @@
 
 // register writes the own entry, trying until it is written or ctx ends.
 func (r *Router) register(ctx context.Context) error {
-	pause := registerPause
 	own := Member{ID: r.options.Self, Address: r.options.PeerAddress}
-	for ctx.Err() == nil {
-		err := r.registerOnce(ctx, own)
-		if err == nil {
-			r.options.Log.Info("registered", "address", own.Address)
-			close(r.registered)
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		r.options.Log.Warn("not registered", "error", err)
-		select {
-		case <-time.After(pause/2 + rand.N(pause)):
-		case <-ctx.Done():
-		}
-		pause = min(2*pause, maxRegisterPause)
+	written := persist(ctx, func(ctx context.Context) error { return r.options.Members.Register(ctx, own) },
+		func(err error) { r.options.Log.Warn("not registered", "error", err) })
+	if written {
+		r.options.Log.Info("registered", "address", own.Address)
+		close(r.registered)
+		<-ctx.Done()
 	}
 	return ctx.Err()
 }
 
-func (r *Router) registerOnce(ctx context.Context, own Member) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	return r.options.Members.Register(ctx, own)
-}
-
 // withdraw removes the own entry.
 func (r *Router) withdraw() {
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
--- a/deployment/quarantines.go
+++ b/deployment/quarantines.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"nutmeglock.example/nutmeglock/quarantine"
@@ -16,19 +15,12 @@
 	Load(ctx context.Context) ([]quarantine.Entry, error)
 	// Save keeps an entry in place of an earlier one of the same request.
 	Save(ctx context.Context, e quarantine.Entry) error
-	// Drop removes the entries of requests.
-	Drop(ctx context.Context, requests ...quarantine.Fingerprint) error
+	// Drop removes the entry of a request.
+	Drop(ctx context.Context, request quarantine.Fingerprint) error
 }
 
-const (
-	// quarantineTimeout bounds one call, quarantinePause and maxQuarantinePause the time
-	// between two.
-	quarantineTimeout  = 1500 * time.Millisecond
-	quarantinePause    = 200 * time.Millisecond
-	maxQuarantinePause = 2 * time.Second
-	// unkept bounds the verdicts that wait to be kept.
-	unkept = 64
-)
+// unkept bounds the verdicts that wait to be kept.
+const unkept = 64
 
 // quarantineKeeper loads what was kept when the router starts, and keeps what it finds.
 type quarantineKeeper struct {
@@ -72,21 +64,9 @@
 
 // persist makes a call until it succeeds or ctx ends.
 func (k *quarantineKeeper) persist(ctx context.Context, operation string, call func(context.Context) error) {
-	pause := quarantinePause
-	for ctx.Err() == nil {
-		bounded, cancel := context.WithTimeout(ctx, quarantineTimeout)
-		err := call(bounded)
-		cancel()
-		if err == nil {
-			return
-		}
+	persist(ctx, call, func(err error) {
 		k.log.Warn("quarantine not persisted", "operation", operation, "error", err)
-		select {
-		case <-time.After(pause/2 + rand.N(pause)):
-		case <-ctx.Done():
-		}
-		pause = min(2*pause, maxQuarantinePause)
-	}
+	})
 }
 
 func (k *quarantineKeeper) load(ctx context.Context) error {
