--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -31,7 +31,6 @@
 
 // node is a router's knowledge with its connections to other routers.
 type node struct {
-	id      fleet.RouterID
 	address string
 	state   *deployment.State
 	mesh    *deployment.Mesh
@@ -50,7 +49,7 @@
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	n := &node{id: id, address: listener.Addr().String()}
+	n := &node{address: listener.Addr().String()}
 	n.state = deployment.NewState(deployment.StateOptions{
 		Log: slog.New(slog.DiscardHandler), OnChange: func(from string) { n.mesh.Learned(from) },
 	})
@@ -93,16 +92,25 @@
 	}}
 }
 
-// Guards against a router that waits for one silent source of a new configuration though
-// another router has announced the same.
-func TestConfigurationIsTakenFromAnotherSourceThanASilentOne(t *testing.T) {
-	t.Parallel()
-	reader, silent, sound := newNode(t, "reader"), newNode(t, "silent"), newNode(t, "sound")
+// readFromSilent returns a router, and another one that it is connected to beside a third
+// that has announced a large configuration and fallen silent.
+func readFromSilent(t *testing.T) (reader, sound *node) {
+	t.Helper()
+	reader, sound = newNode(t, "reader"), newNode(t, "sound")
+	silent := newNode(t, "silent")
 	link := newPauser(t, silent.address)
 	reader.connect(t, map[fleet.RouterID]string{"silent": link.address, "sound": sound.address})
 	silent.state.Configure(withRoutes(1400), "store")
 	time.Sleep(settleTime)
 	link.pause()
+	return reader, sound
+}
+
+// Guards against a router that waits for one silent source of a new configuration though
+// another router has announced the same.
+func TestConfigurationIsTakenFromAnotherSourceThanASilentOne(t *testing.T) {
+	t.Parallel()
+	reader, sound := readFromSilent(t)
 	sound.state.Configure(withRoutes(1400), "store")
 	require.Eventually(t, func() bool { return reader.state.Table().Version() == 2 }, updateBound, time.Millisecond)
 }
@@ -110,12 +118,7 @@
 // Guards against an upstream's draining that waits for the transfer of a configuration.
 func TestDrainingIsNotDelayedByATransferOfTheConfiguration(t *testing.T) {
 	t.Parallel()
-	reader, silent, sound := newNode(t, "reader"), newNode(t, "silent"), newNode(t, "sound")
-	link := newPauser(t, silent.address)
-	reader.connect(t, map[fleet.RouterID]string{"silent": link.address, "sound": sound.address})
-	silent.state.Configure(withRoutes(1400), "store")
-	time.Sleep(settleTime)
-	link.pause()
+	reader, sound := readFromSilent(t)
 	sound.state.ApplyUpstreams(draining(7), "store")
 	require.Eventually(t, func() bool { return reader.state.Settled() == 7 }, updateBound, time.Millisecond)
 }
