--- a/quarantine/entry.go
+++ b/quarantine/entry.go
@@ -15,15 +15,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, k := range kept {
-		e := entry{until: k.Until, term: k.Term}
-		known, some := w.list.entries[k.Request]
-		if e.isOver(now) || (some && !e.until.After(known.until)) {
-			continue
+		if e := (entry{until: k.Until, term: k.Term}); !e.isOver(now) {
+			w.list.put(now, k.Request, e)
 		}
-		if w.list.entries == nil {
-			w.list.entries = make(map[Fingerprint]entry)
-		}
-		w.list.expire(now)
-		w.list.entries[k.Request] = e
 	}
 }
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -31,15 +31,19 @@
 // refuse refuses a request for a time, of a term of which a part may be over. It returns
 // false if it is refused as long already.
 func (l *list) refuse(now time.Time, request Fingerprint, left, term time.Duration) bool {
-	until := now.Add(left)
-	if !until.After(l.entries[request].until.Add(clockSlack)) {
+	return l.put(now, request, entry{until: now.Add(left), term: term})
+}
+
+// put keeps an entry, and returns false if one that ends as late is known.
+func (l *list) put(now time.Time, request Fingerprint, e entry) bool {
+	if !e.until.After(l.entries[request].until.Add(clockSlack)) {
 		return false
 	}
 	if l.entries == nil {
 		l.entries = make(map[Fingerprint]entry)
 	}
 	l.expire(now)
-	l.entries[request] = entry{until: until, term: term}
+	l.entries[request] = e
 	return true
 }
 
