--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -213,7 +213,7 @@
 func encodeCrash(c quarantine.Crash) *schema.CrashReport {
 	return &schema.CrashReport{
 		Request:  uint64(c.Request),
-		Upstream: &schema.UpstreamLife{Id: string(c.Upstream.ID), Life: int64(c.Upstream.Life)},
+		Upstream: turn.EncodeInstance(c.Upstream),
 		BeganMs:  schema.Millis(c.Began), EndedMs: schema.Millis(c.Ended),
 		Served: c.Served > 0, ServedMs: schema.Millis(c.Served),
 	}
@@ -222,7 +222,7 @@
 func decodeCrash(in *schema.CrashReport) quarantine.Crash {
 	out := quarantine.Crash{
 		Request:  quarantine.Fingerprint(in.GetRequest()),
-		Upstream: turn.Instance{ID: fleet.UpstreamID(in.GetUpstream().GetId()), Life: registry.Life(in.GetUpstream().GetLife())},
+		Upstream: turn.DecodeInstance(in.GetUpstream()),
 		Began:    schema.Duration(in.GetBeganMs()), Ended: schema.Duration(in.GetEndedMs()),
 	}
 	if in.GetServed() {
--- a/home/codec.go
+++ b/home/codec.go
@@ -16,7 +16,7 @@
 		a.Beginnings = append(a.Beginnings, &schema.PromptBeginning{Hash: b.Hash, Tokens: uint32(max(b.Tokens, 0))})
 	}
 	for _, i := range d.Tried {
-		a.Tried = append(a.Tried, &schema.UpstreamLife{Id: string(i.ID), Life: int64(i.Life)})
+		a.Tried = append(a.Tried, turn.EncodeInstance(i))
 	}
 	return a
 }
@@ -30,7 +30,7 @@
 		d.Beginnings = append(d.Beginnings, turn.Beginning{Hash: b.GetHash(), Tokens: int(b.GetTokens())})
 	}
 	for _, t := range a.GetTried() {
-		d.Tried = append(d.Tried, turn.Instance{ID: fleet.UpstreamID(t.GetId()), Life: registry.Life(t.GetLife())})
+		d.Tried = append(d.Tried, turn.DecodeInstance(t))
 	}
 	return fleet.ServiceID(a.GetService()), d
 }
--- /dev/null
+++ b/turn/codec.go
@@ -0,0 +1,17 @@
+package turn
+
+import (
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// EncodeInstance returns an instance as routers send it to each other.
+func EncodeInstance(i Instance) *schema.UpstreamLife {
+	return &schema.UpstreamLife{Id: string(i.ID), Life: int64(i.Life)}
+}
+
+// DecodeInstance is the inverse of EncodeInstance.
+func DecodeInstance(in *schema.UpstreamLife) Instance {
+	return Instance{ID: fleet.UpstreamID(in.GetId()), Life: registry.Life(in.GetLife())}
+}
