turn: test of a request that waits while the last upstream goes, which fails

The process ends: "panic: runtime error: integer divide by zero" in turn.(*Pool).expected, from Ticket.GiveUp. Callers of the router lose all connections and streams in hand.

--- a/turn/turn_test.go
+++ b/turn/turn_test.go
@@ -338,3 +338,21 @@
 		p.Observe(start.Add(time.Duration(i)), "other", turn.Report{})
 	}
 }
+
+// Guards against a process that ends because a request still waits when the last upstream goes.
+func TestRequestThatWaitsOutlivesTheLastUpstream(t *testing.T) {
+	t.Parallel()
+	p := pool(1)
+	granted, err := p.Ask(start, prompt("a", 1, 2, 40_000))
+	require.NoError(t, err)
+	require.True(t, started(granted))
+	waiting, err := p.Ask(start, prompt("b", 1, 3, 1_000))
+	require.NoError(t, err)
+	require.False(t, started(waiting))
+	p.Set(start, nil, target)
+	refused := waiting.GiveUp(start)
+	require.NotNil(t, refused)
+	require.True(t, refused.NoUpstream)
+	require.Positive(t, refused.RetryAfter)
+	granted.End(start, turn.Failed)
+}
