turn: what waits is refused when the last upstream goes, and the process lives on

Cause: a list without upstreams left the waiting tickets in their queues, with a preferred upstream that was no longer in the pool. The end of their patience worked out a wait by dividing by the number of upstreams.

Fix: each change of the list, and of the groups, goes through what waits. A ticket whose upstream has left counts at its next best one; one that can go nowhere is refused at once (NoUpstream, not run, with when to come back), at a home as at the router itself. A stream that waits to go on is broken off at once as well. Before, where the process lived, callers waited out their patience.

Found beside it: a wait that ended twice (the patience at a home, and the asking router leaving in the same moment) was counted down twice, so that the queue passed for empty and the next ticket in it was not seen. GiveUp may be repeated.

--- /dev/null
+++ b/forward/empty_test.go
@@ -0,0 +1,82 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/turn"
+)
+
+// emptied makes each request that has to wait see the last upstream leave.
+func (f *fixture) emptied() {
+	f.state.turn = func(ctx context.Context, d turn.Demand) (home.Ticket, error) {
+		time.AfterFunc(50*time.Millisecond, func() { f.state.pool.Set(time.Now(), nil, time.Second) })
+		d.Patience = time.Hour
+		return home.Await(ctx, f.state.pool, d)
+	}
+}
+
+// occupy takes all places of the upstreams.
+func (f *fixture) occupy(t *testing.T) {
+	t.Helper()
+	for {
+		ticket, err := f.state.pool.Ask(time.Now(), turn.Demand{Account: "other", Patience: time.Hour})
+		require.NoError(t, err)
+		select {
+		case <-ticket.Granted():
+		default:
+			require.NotNil(t, ticket.GiveUp(time.Now()))
+			return
+		}
+	}
+}
+
+// Guards against a caller that waits for its turn after the last upstream has left.
+func TestRequestIsRefusedWhenTheLastUpstreamLeaves(t *testing.T) {
+	t.Parallel()
+	f := start(t, served)
+	f.occupy(t)
+	f.emptied()
+	begin := time.Now()
+	status, body, header, err := f.ask(t, "/order/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "no-upstream\n", body)
+	require.NotEmpty(t, header.Get("Retry-After"))
+	require.Less(t, time.Since(begin), time.Second)
+	require.Zero(t, f.count())
+}
+
+// Guards against a broken stream that waits to go on after the last upstream has left.
+func TestBrokenStreamEndsWhenTheLastUpstreamLeaves(t *testing.T) {
+	t.Parallel()
+	breaks := make(chan struct{})
+	f := start(t, func(w http.ResponseWriter, r *http.Request) {
+		<-breaks
+		events(1, 3, false)(w, r)
+	})
+	busy := registry.Upstream{ID: "busy", Address: "127.0.0.1:9", Slots: 1}
+	begin := make(chan time.Time, 1)
+	pool := f.state.pool
+	f.state.turn = func(ctx context.Context, d turn.Demand) (home.Ticket, error) {
+		if len(d.Tried) > 0 {
+			pool.Set(time.Now(), []registry.Upstream{busy}, time.Second)
+			f.occupy(t)
+			f.emptied()
+			begin <- time.Now()
+			return f.state.turn(ctx, d)
+		}
+		defer close(breaks)
+		return home.Await(ctx, pool, d)
+	}
+	_, body, _, err := f.ask(t, "/stream/1")
+	require.Error(t, err)
+	require.Equal(t, expect(3), body)
+	require.Less(t, time.Since(<-begin), time.Second)
+}
--- a/home/home.go
+++ b/home/home.go
@@ -163,6 +163,8 @@
 	select {
 	case <-ticket.Granted():
 		return ticket, nil
+	case refused := <-ticket.Refused():
+		return nil, refused
 	case <-patience.C:
 		if refused := ticket.GiveUp(time.Now()); refused != nil {
 			return nil, refused
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -380,3 +380,36 @@
 		require.Empty(t, n.asked)
 	})
 }
+
+// Guards against a request that waits at its home although no upstream is left.
+func TestHomeRefusesWhatWaitsWithTheLastUpstream(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := start(20, 1)
+		long := prompt(1, 2)
+		long.Input = 60_000
+		_, err := n.turn(t.Context(), "r1", long)
+		require.NoError(t, err)
+		errs := make(chan error, 1)
+		d := prompt(1, 3)
+		d.Patience = time.Hour
+		go func() {
+			_, err := n.turn(t.Context(), "r2", d)
+			errs <- err
+		}()
+		time.Sleep(10 * way)
+		select {
+		case err := <-errs:
+			require.NoError(t, err, "the request waits")
+		default:
+		}
+		left := time.Now()
+		for _, pool := range n.pools {
+			pool.Set(time.Now(), nil, target)
+		}
+		var refused *turn.RefusedError
+		require.ErrorAs(t, <-errs, &refused)
+		require.True(t, refused.NoUpstream)
+		require.LessOrEqual(t, time.Since(left), 2*way)
+	})
+}
--- a/home/serve.go
+++ b/home/serve.go
@@ -58,6 +58,9 @@
 	select {
 	case <-t.ticket.Granted():
 		h.grant(from, id, t)
+	case refused := <-t.ticket.Refused():
+		h.drop(from, id)
+		h.refuse(from, id, refused)
 	case <-patience.C:
 		refused := t.ticket.GiveUp(time.Now())
 		if refused == nil {
--- a/turn/group.go
+++ b/turn/group.go
@@ -22,6 +22,7 @@
 	// would count for ever.
 	p.heard = nil
 	p.sumOthers(now)
+	p.reassign(now)
 }
 
 // Group returns the number of the group that a demand belongs to. It is false
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -85,6 +85,7 @@
 	p.setGroups()
 	p.detector.Keep(keep)
 	p.sumOthers(now)
+	p.reassign(now)
 	p.pump(now)
 }
 
@@ -94,7 +95,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forgetOld(now)
-	t := &Ticket{pool: p, demand: d, asked: now, granted: make(chan struct{})}
+	t := &Ticket{pool: p, demand: d, asked: now, granted: make(chan struct{}), refused: make(chan *RefusedError, 1)}
 	view := p.view(now, 1)
 	best := p.best(view, t, p.candidates(now, t))
 	if best == nil {
@@ -133,7 +134,7 @@
 	p.waiting--
 }
 
-// expected returns when a demand's turn comes at an upstream: the time in which
+// expected returns when a demand's turn comes at an upstream of the pool: the time in which
 // it reads what was sent and what goes first, less what it may have unread.
 //
 // What waits of accounts that were served more goes later. What waits at the
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -21,7 +21,10 @@
 	// preferred is where the ticket counts as waiting.
 	preferred *engine
 	// granted is closed with the turn; engine and work are set before.
-	granted  chan struct{}
+	granted chan struct{}
+	// refused gets refusal when the pool refuses the ticket by itself.
+	refused  chan *RefusedError
+	refusal  *RefusedError
 	engine   *engine
 	uncached int
 	// fetchFrom is the address of an upstream whose cache has more of the prompt.
@@ -39,6 +42,10 @@
 // Granted returns a channel that is closed once the ticket has its turn.
 func (t *Ticket) Granted() <-chan struct{} { return t.granted }
 
+// Refused returns a channel that gets an error if the ticket's turn can't come any more, since
+// the last upstream that it could go to has left. The ticket needs no GiveUp then.
+func (t *Ticket) Refused() <-chan *RefusedError { return t.refused }
+
 // Upstream returns where the request goes. It may be called once the ticket
 // has its turn.
 func (t *Ticket) Upstream() registry.Upstream { return t.engine.upstream }
@@ -51,20 +58,29 @@
 // prompt, empty when none has or fetching isn't worth it.
 func (t *Ticket) FetchFrom() string { return t.fetchFrom }
 
-// GiveUp ends the wait of a ticket. It returns nil when the turn came meanwhile.
+// GiveUp ends the wait of a ticket. It returns nil when the turn came meanwhile. It may be
+// called again, and after a refusal.
 func (t *Ticket) GiveUp(now time.Time) *RefusedError {
 	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	select {
-	case <-t.granted:
-		return nil
-	default:
+	if t.isGranted() || t.refusal != nil {
+		return t.refusal
 	}
 	p.dequeue(t)
 	p.account(t.demand.Account).deny(now, &t.demand)
 	wait := max(p.expected(now, t.preferred, &t.demand), 0)
-	return &RefusedError{Wait: wait, Waited: now.Sub(t.asked), RetryAfter: max(wait, leastRetryAfter)}
+	t.refusal = &RefusedError{Wait: wait, Waited: now.Sub(t.asked), RetryAfter: max(wait, leastRetryAfter)}
+	return t.refusal
+}
+
+func (t *Ticket) isGranted() bool {
+	select {
+	case <-t.granted:
+		return true
+	default:
+		return false
+	}
 }
 
 // First notes that the first event has come: the prompt was read.
--- a/turn/turn_test.go
+++ b/turn/turn_test.go
@@ -356,3 +356,79 @@
 	require.Positive(t, refused.RetryAfter)
 	granted.End(start, turn.Failed)
 }
+
+// Guards against a request that waits out its patience although no upstream is left.
+func TestRequestThatWaitsIsRefusedWithTheLastUpstream(t *testing.T) {
+	t.Parallel()
+	for name, empty := range map[string]func(p *turn.Pool, tried turn.Instance){
+		"all have left":          func(p *turn.Pool, _ turn.Instance) { p.Set(start, nil, target) },
+		"only a tried one stays": func(p *turn.Pool, _ turn.Instance) { p.Set(start, engines(1), target) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := pool(2)
+			tried := turn.InstanceOf(engines(1)[0])
+			d := prompt("b", 1, 3, 1_000)
+			d.Tried = []turn.Instance{tried}
+			fill(t, p)
+			waiting, err := p.Ask(start, d)
+			require.NoError(t, err)
+			require.False(t, started(waiting))
+			empty(p, tried)
+			require.Len(t, waiting.Refused(), 1)
+			refused := <-waiting.Refused()
+			require.True(t, refused.NoUpstream)
+			require.Positive(t, refused.RetryAfter)
+			require.Equal(t, refused, waiting.GiveUp(start), "the ticket has ended")
+		})
+	}
+}
+
+// fill gives each upstream of a pool of two a prompt that takes its target to read.
+func fill(t *testing.T, p *turn.Pool) {
+	t.Helper()
+	for i := range uint64(2) {
+		d := prompt("a", 1, 10+i, 40_000)
+		if i > 0 {
+			d.Tried = []turn.Instance{turn.InstanceOf(engines(2)[0])}
+		} else {
+			d.Tried = []turn.Instance{turn.InstanceOf(engines(2)[1])}
+		}
+		ticket, err := p.Ask(start, d)
+		require.NoError(t, err)
+		require.True(t, started(ticket))
+	}
+}
+
+// Guards against a request that stays with an upstream that has left while another one is free.
+func TestRequestThatWaitsMovesToAnUpstreamThatComes(t *testing.T) {
+	t.Parallel()
+	p := pool(2)
+	fill(t, p)
+	waiting, err := p.Ask(start, prompt("b", 1, 3, 1_000))
+	require.NoError(t, err)
+	require.False(t, started(waiting))
+	p.Set(start, engines(3)[2:], target)
+	require.True(t, started(waiting))
+	require.Equal(t, engines(3)[2].ID, waiting.Upstream().ID)
+}
+
+// Guards against a queue that is counted down twice when a wait ends twice, as it does when a
+// home's patience ends while the router that asked leaves.
+func TestWaitThatEndsTwiceIsCountedOnce(t *testing.T) {
+	t.Parallel()
+	p := pool(1)
+	first, err := p.Ask(start, prompt("a", 1, 2, 40_000))
+	require.NoError(t, err)
+	patient := prompt("b", 1, 3, 1_000)
+	patient.Patience = time.Minute
+	given, err := p.Ask(start, patient)
+	require.NoError(t, err)
+	kept, err := p.Ask(start, patient)
+	require.NoError(t, err)
+	require.NotNil(t, given.GiveUp(start))
+	require.NotNil(t, given.GiveUp(start))
+	require.Equal(t, 11_000, p.Report(start).Upstreams[turn.KeyOf(engines(1)[0].ID)].Waiting)
+	first.End(start, turn.Served)
+	require.True(t, started(kept), "what waits is still seen")
+}
