logging, forward: a request that an upstream got is explained at any flood of refusals

What users saw: streams that broke off at a flooded router without a line in the log.

Cause: all lines about single requests had one bound of 300 a second, first come, first written.

Fix: lines have a priority. Those about requests that were sent and failed may be written while 300 lines of a second are not used up, all other lines about requests only up to 150. Refusals of requests that were never sent have a line of their own up to 50 a second; beyond that they are summed by reason, account and route, once a second. "attempt failed" tells who ended the attempt; if it was the router, by which decision, how long the upstream was silent of what limit, how much time was left, and the scheduling latency of the moment.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -52,7 +53,9 @@
 	// its goroutines wait for it.
 	overload   overload.Detector
 	scheduling overload.Scheduling
-	shedder    overload.Shedder[fleet.AccountID]
+	// latency is the latest scheduling latency in nanoseconds.
+	latency atomic.Int64
+	shedder overload.Shedder[fleet.AccountID]
 	// queue is that of connections that wait to be accepted.
 	queue overload.Standing
 	// inHand returns how many requests of callers are in hand; nil when it isn't known.
@@ -254,8 +257,10 @@
 
 // notice looks whether the router has enough processor time.
 func (m *mesh) notice(now time.Time) {
+	latency := m.scheduling.Wait()
+	m.latency.Store(int64(latency))
 	// A queue may stand long and be short, so it counts for no more than a moderate wait.
-	wait := max(m.scheduling.Wait(), min(m.queue.For(now), mostQueueWait))
+	wait := max(latency, min(m.queue.For(now), mostQueueWait))
 	if m.shedder.Observe(now, wait) {
 		m.log.Warn("shedding changed", "shedding", m.shedder.IsShedding(), "wait-ms", wait.Milliseconds())
 	}
@@ -272,6 +277,9 @@
 		"mean-wait-ms", m.overload.Wait().Milliseconds())
 }
 
+// schedulingLatency returns how long one in ten goroutines waited for the processor of late.
+func (m *mesh) schedulingLatency() time.Duration { return time.Duration(m.latency.Load()) }
+
 // logAdmission notes what was admitted in the last second if some was refused.
 func (m *mesh) logAdmission() {
 	counted := m.shedder.Admission()
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -40,6 +40,8 @@
 	noProbes = -1
 	// sweepInterval is how often idle connections to upstreams are looked over.
 	sweepInterval = time.Second
+	// summaryInterval is how often refusals beyond the bound on lines are noted together.
+	summaryInterval = time.Second
 	// maxCallerHeader bounds a caller's header, in bytes.
 	maxCallerHeader = 64 << 10
 	// startCalm is how long after its start a router that can serve relies on what it
@@ -122,7 +124,8 @@
 	})
 	r.client = &upstream.Client{Echoed: options.Echoed, Opened: r.metrics.Connections.Inc}
 	r.handler = &forward.Handler{
-		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics, Log: logging.Bulk(options.Log),
+		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics,
+		Log: logging.WithPriority(options.Log, logging.Failure), Routine: logging.WithPriority(options.Log, logging.Request),
 		Crowded: r.isCrowded,
 	}
 	if err := r.connect(ctx); err != nil {
@@ -131,6 +134,7 @@
 	r.mesh.inHand = r.handler.InHand
 	r.handler.Takes = r.mesh.shedder.Takes
 	r.handler.Shed = r.mesh.homes.Shed
+	r.handler.Latency = r.mesh.schedulingLatency
 	r.handler.Quarantine = &r.mesh.crashes
 	r.follow()
 	return r, r.listen(ctx)
@@ -180,7 +184,7 @@
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
 		actor{"upstream follower", upstreams.Run},
-		actor{"connection sweep", r.sweep})
+		actor{"connection sweep", r.sweep}, actor{"refusal summaries", r.logRefusals})
 }
 
 // rest returns how long the store's tables need not be looked at.
@@ -293,6 +297,21 @@
 	}
 }
 
+// logRefusals notes each second what was refused beyond the bound on lines until ctx ends.
+func (r *Router) logRefusals(ctx context.Context) error {
+	ticker := time.NewTicker(summaryInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			r.handler.LogRefusals()
+		case <-ctx.Done():
+			r.handler.LogRefusals()
+			return ctx.Err()
+		}
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully and returns nil. It
 // returns an error when a part ended by itself.
 func (r *Router) Run(ctx context.Context) error {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -38,6 +38,12 @@
 	Route   string    `json:"route"`
 	Account string    `json:"account"`
 
+	EndedBy      string  `json:"ended-by"`
+	Decision     string  `json:"decision"`
+	Silent       float64 `json:"silent-ms"`
+	SilenceLimit float64 `json:"silence-limit-ms"`
+	Latency      float64 `json:"latency-ms"`
+
 	Upstream  string  `json:"upstream"`
 	Sent      bool    `json:"sent"`
 	NotRun    bool    `json:"not-run"`
@@ -205,8 +211,22 @@
 	case l.Sent:
 		run = "may have run"
 	}
-	return fmt.Sprintf("attempt %d failed at %s after %.1f ms: %s (%s), %d events passed, %d tokens unread there%s",
-		l.Attempt, l.Upstream, l.Age, l.Reason, run, l.Events, l.Unread, because("", l.Cause))
+	return fmt.Sprintf("attempt %d failed at %s after %.1f ms: %s (%s), %d events passed, %d tokens unread there%s%s",
+		l.Attempt, l.Upstream, l.Age, l.Reason, run, l.Events, l.Unread, l.ended(), because("", l.Cause))
+}
+
+// ended tells who ended an attempt. Logs of older routers don't say.
+func (l *line) ended() string {
+	switch {
+	case l.EndedBy == "":
+		return ""
+	case l.Decision == "":
+		return "; ended by the " + l.EndedBy
+	case l.Decision == "silence":
+		return fmt.Sprintf("; ended by the router, since the upstream was silent for %.0f of %.0f ms (scheduling latency %.0f ms)",
+			l.Silent, l.SilenceLimit, l.Latency)
+	}
+	return fmt.Sprintf("; ended by the router: %s (scheduling latency %.0f ms)", l.Decision, l.Latency)
 }
 
 func (l *line) answered() string {
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"log/slog"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,10 +11,6 @@
 	"nutmeglock.example/nutmeglock/refusal"
 )
 
-// sampleEvery is how many requests that were served in time share one log line.
-// Failures, refusals and late answers always have theirs.
-const sampleEvery = 32
-
 // usableRetryAfter is the part of its time left that a caller waits at most
 // before it comes back.
 const usableRetryAfter = 0.3
@@ -82,7 +76,7 @@
 	j.writer.WriteHeader(status)
 	_, err := j.writer.Write([]byte(string(e.Reason) + "\n"))
 	if err != nil {
-		h.Log.Info("caller took no refusal", "request", j.intake.ID, "error", err)
+		h.routine().Info("caller took no refusal", "request", j.intake.ID, "error", err)
 	}
 }
 
@@ -105,37 +99,6 @@
 	return max(min(e.RetryAfter, usable), time.Millisecond)
 }
 
-func (j *job) logRefusal(e *refusal.Error) {
-	j.handler.Log.Warn("request refused",
-		"request", j.intake.ID, "reason", e.Reason, "outcome", e.Outcome, "detail", e.Detail,
-		"route", j.routeName(), "service", j.service, "account", j.account, "configuration", j.version,
-		"sends", j.sends, "runs", j.runs, "events", j.events, "waited-ms", ms(j.waited),
-		"age-ms", ms(time.Since(j.arrived)), "retry-after-ms", ms(e.RetryAfter), "cause", causeOf(e.Cause))
-}
-
-func causeOf(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
-func (j *job) routeName() string {
-	if j.route == nil {
-		return ""
-	}
-	return j.route.Name
-}
-
-// failed notes an attempt that failed.
-func (j *job) failed(ticket home.Ticket, f *failure) {
-	to := ticket.Upstream()
-	j.handler.Log.Warn("attempt failed",
-		"request", j.intake.ID, "upstream", to.ID, "address", to.Address, "life", to.Life, "reason", f.reason,
-		"fingerprint", j.fingerprint(), "sent", f.sent, "not-run", f.notRun, "attempt", j.sends, "events", j.events, "last-event", j.last,
-		"unread-tokens", ticket.Work(), "age-ms", ms(time.Since(j.arrived)), "cause", causeOf(f.cause))
-}
-
 // answered notes a request that was answered.
 func (j *job) answered(ticket home.Ticket) {
 	j.noteServed()
@@ -148,18 +111,5 @@
 	}
 	h.Metrics.QueueSeconds.WithLabelValues(string(j.service)).Observe(j.waited.Seconds())
 	h.Metrics.FirstByteSeconds.WithLabelValues(string(j.service)).Observe(first.Seconds())
-	late := first > j.route.Target
-	if !late && j.sends == 1 && !h.isSampled() {
-		return
-	}
-	to := ticket.Upstream()
-	h.Log.LogAttrs(j.request.Context(), slog.LevelInfo, "request answered",
-		slog.String("request", string(j.intake.ID)), slog.Bool("late", late), slog.String("route", j.route.Name),
-		slog.String("account", string(j.account)), slog.String("upstream", string(to.ID)), slog.Int("sends", j.sends),
-		slog.Uint64("configuration", uint64(j.version)), slog.Int("unread-tokens", ticket.Work()),
-		slog.Float64("waited-ms", ms(j.waited)), slog.Float64("first-ms", ms(first)),
-		slog.Float64("total-ms", ms(now.Sub(j.arrived))), slog.Int("events", j.events))
+	j.logAnswer(ticket, now, first)
 }
-
-// ms returns a duration in milliseconds, to a tenth.
-func ms(d time.Duration) float64 { return math.Round(float64(d)/float64(time.Millisecond)*10) / 10 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -75,12 +75,11 @@
 func (j *job) attempt(ctx context.Context, ticket home.Ticket) *failure {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := j.silence()
 	j.sends++
 	j.sent = time.Now()
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
-	watch := newWatch(ctx, cancel, limit, j.findOther())
-	defer func() { j.next = watch.stop() }()
+	watch := newWatch(ctx, cancel, j.silenceLimit(), j.findOther())
+	defer func() { j.next, j.silence = watch.stop() }()
 
 	answer, err := j.send(ctx, ticket, &watch.probe)
 	if err != nil {
@@ -171,9 +170,9 @@
 	return turn.Failed
 }
 
-// silence returns how long the upstream may be silent before its first event;
+// silenceLimit returns how long the upstream may be silent before its first event;
 // zero when there is nothing better to do than to wait.
-func (j *job) silence() time.Duration {
+func (j *job) silenceLimit() time.Duration {
 	switch {
 	case !j.route.Idempotent() || j.runs+1 >= j.route.Attempts || j.sends+1 >= maxSends:
 		return 0
@@ -193,7 +192,7 @@
 	ticket.First(time.Now())
 	w := &whole{status: answer.Status, header: answer.Header, body: body}
 	if len(body) > maxBuffered {
-		if !watch.settle() {
+		if !watch.keep() {
 			ticket.End(time.Now(), turn.Failed)
 			return &failure{reason: retry.BrokenBefore, sent: true, cause: errSilent}
 		}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -104,13 +105,17 @@
 	Broken(request quarantine.Fingerprint, upstream registry.Upstream, began time.Time)
 }
 
-// Handler serves callers. All fields have to be set but Crowded, Takes, Shed and Quarantine.
+// Handler serves callers. All fields have to be set but Routine, Crowded, Takes, Shed,
+// Quarantine and Latency.
 type Handler struct {
 	Dialect Dialect
 	State   State
 	Client  *upstream.Client
 	Metrics *metric.Set
-	Log     *slog.Logger
+	// Log is for requests that were sent and got no whole answer.
+	Log *slog.Logger
+	// Routine is for all other requests, of which there may be many; nil means Log.
+	Routine *slog.Logger
 	// Crowded reports whether connections should close after their answer, because
 	// too many are open; nil never.
 	Crowded func() bool
@@ -122,10 +127,13 @@
 	Shed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
 	// Quarantine may be nil.
 	Quarantine Quarantine
+	// Latency returns how long goroutines waited for the processor of late; nil means zero.
+	Latency func() time.Duration
 
 	lines  admission.Lines[lineKey]
 	held   held
 	served atomic.Uint64
+	sums   refusal.Summary
 }
 
 // lineKey is whose requests wait in one line.
--- a/forward/job.go
+++ b/forward/job.go
@@ -67,6 +67,8 @@
 	tried []turn.Instance
 	// next is the turn in whose favour the last attempt has ended, if any.
 	next home.Ticket
+	// silence is what is known of the last attempt's upstream being silent.
+	silence silence
 	// begun is true once the header of an answer has gone out, events counts
 	// what followed it, and last is the id of the latest event.
 	begun  bool
@@ -114,7 +116,7 @@
 			j.answered(ticket)
 			return
 		}
-		j.failed(ticket, f)
+		j.logFailure(ctx, ticket, f)
 		if f.answer != nil {
 			j.answer = f.answer
 		}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -29,15 +29,26 @@
 	limit time.Duration
 	// progress counts what the upstream has sent.
 	progress int
+	// since is when the upstream was last heard, or the request sent.
+	since time.Time
 	// passing is true while the caller is written to, which may take long.
 	passing bool
 	settled bool
 	next    home.Ticket
+	silence silence
+}
+
+// silence is how long an upstream was silent, of what limit, when its attempt ended.
+type silence struct {
+	lasted time.Duration
+	limit  time.Duration
+	// ended is true if the attempt was ended for it.
+	ended bool
 }
 
 // newWatch returns the watch of an attempt, which is ended by cancel with errSilent.
 func newWatch(ctx context.Context, cancel context.CancelCauseFunc, limit time.Duration, find finder) *watch {
-	w := &watch{ctx: ctx, cancel: cancel, limit: limit, find: find}
+	w := &watch{ctx: ctx, cancel: cancel, limit: limit, find: find, since: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if limit > 0 {
@@ -82,7 +93,8 @@
 		return false
 	}
 	w.next = ticket
-	w.settled = true
+	w.settle()
+	w.silence.ended = true
 	w.cancel(errSilent)
 	return true
 }
@@ -92,6 +104,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.progress++
+	w.since = time.Now()
 	w.passing = true
 }
 
@@ -107,21 +120,31 @@
 	w.timer.Reset(limit)
 }
 
-// settle ends the watch. It returns false if the attempt has ended in favour of another one.
-func (w *watch) settle() bool {
+// settle notes how long the upstream has been silent when its attempt ends.
+func (w *watch) settle() {
+	if w.settled {
+		return
+	}
+	w.settled = true
+	w.silence = silence{lasted: time.Since(w.since), limit: w.limit}
+}
+
+// keep ends the watch. It returns false if the attempt has ended in favour of another one.
+func (w *watch) keep() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.settled = true
+	w.settle()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 	return w.next == nil
 }
 
-// stop ends the watch. It returns the turn in whose favour the attempt has ended, if any.
-func (w *watch) stop() home.Ticket {
-	w.settle()
-	return w.next
+// stop ends the watch. It returns the turn in whose favour the attempt has ended, if any, and
+// how long the upstream was silent.
+func (w *watch) stop() (home.Ticket, silence) {
+	w.keep()
+	return w.next, w.silence
 }
 
 // findOther returns how an attempt of this request finds another upstream.
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -21,16 +21,30 @@
 	// perSecond bounds the lines of a second. A line costs about 5 µs with its
 	// write, so the log takes at most some 0.2 % of a processor.
 	perSecond = 400
-	// bulkPerSecond is how many of these may be lines about single requests. The rest is
-	// for what a router believes of itself, of others and of upstreams, which explains
-	// those lines: under a flood it would be dropped first of all.
-	bulkPerSecond = 300
 	// gathering is how long lines are gathered before they are written together.
 	// Under load each write by itself wakes a thread and costs as much as the line.
 	// A process that is killed loses the lines of so long.
 	gathering = 10 * time.Millisecond
 )
 
+// Priority says which lines are dropped first once many are written in a second.
+type Priority int
+
+const (
+	// Router is for what a router believes of itself, of others and of upstreams, which
+	// explains all other lines. It is the priority of a logger that Log returns.
+	Router Priority = iota
+	// Failure is for requests that were sent to an upstream and got no whole answer.
+	Failure
+	// Request is for requests that ended well, and those that no upstream has seen. Under a
+	// flood they are by far the most.
+	Request
+)
+
+// bounds is how many lines may have been written in a second before one of a priority, so
+// that a higher priority always has room left.
+var bounds = map[Priority]int{Router: perSecond, Failure: 300, Request: 150}
+
 // Writer queues whole lines for another writer. Make it by New.
 type Writer struct {
 	out     io.Writer
@@ -53,17 +67,17 @@
 
 // Log returns a logger that writes lines of JSON to w.
 func (w *Writer) Log(level slog.Level) *slog.Logger {
-	return slog.New(&bounded{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w, perSecond})
+	return slog.New(&bounded{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w, bounds[Router]})
 }
 
-// Bulk returns a logger for lines about single requests, which leaves room for others.
-// A logger that isn't a Writer's is returned as it is.
-func Bulk(log *slog.Logger) *slog.Logger {
+// WithPriority returns a logger whose lines have a priority. A logger that isn't a Writer's
+// is returned as it is.
+func WithPriority(log *slog.Logger, priority Priority) *slog.Logger {
 	b, ok := log.Handler().(*bounded)
 	if !ok {
 		return log
 	}
-	return slog.New(&bounded{b.Handler, b.writer, bulkPerSecond})
+	return slog.New(&bounded{b.Handler, b.writer, bounds[priority]})
 }
 
 // bounded drops lines beyond the bound of a second before they are put together,
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -69,21 +69,26 @@
 	w.Close()
 }
 
-// A router is flooded and refuses a thousand requests a second, each with a line. The
-// few lines that say why, such as that it is overloaded, must not be among those that
-// are dropped, or nobody can tell afterwards what happened.
-func TestLinesAboutRequestsLeaveRoomForOthers(t *testing.T) {
+// Guards against a flood of lines about refusals that pushes out why requests broke off, and
+// what the router believed then.
+func TestLinesOfHigherPriorityHaveRoom(t *testing.T) {
 	t.Parallel()
 	var out bytes.Buffer
 	w := logging.New(&out)
-	log := w.Log(slog.LevelInfo)
-	requests := logging.Bulk(log.With("router", "r"))
+	log := w.Log(slog.LevelInfo).With("router", "r")
+	requests := logging.WithPriority(log, logging.Request)
+	failures := logging.WithPriority(log, logging.Failure)
 	for range 1000 {
 		requests.Warn("request refused")
 	}
+	for range 1000 {
+		failures.Warn("attempt failed")
+	}
 	log.Warn("overload changed")
 	w.Close()
 	require.Contains(t, out.String(), "overload changed")
 	require.Contains(t, out.String(), `"router":"r"`)
+	require.GreaterOrEqual(t, strings.Count(out.String(), "attempt failed"), 100)
+	require.LessOrEqual(t, strings.Count(out.String(), "\n"), 2*400+1, "the bound of all lines holds over the end of a second")
 	require.Positive(t, w.Dropped())
 }
--- /dev/null
+++ b/refusal/summary_test.go
@@ -0,0 +1,58 @@
+package refusal_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/refusal"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// add takes so many refusals, and returns how many were not summed.
+func add(s *refusal.Summary, now time.Time, kind refusal.Kind, count int) int {
+	singles := 0
+	for i := range count {
+		if !s.Add(now, kind, fleet.RequestID(fmt.Sprint(i)), time.Duration(i)) {
+			singles++
+		}
+	}
+	return singles
+}
+
+func TestRefusalsBeyondTheBoundOfASecondAreSummed(t *testing.T) {
+	t.Parallel()
+	var s refusal.Summary
+	kind := refusal.Kind{Reason: refusal.RouterOverloaded, Account: "a", Route: "r"}
+	singles := add(&s, start, kind, 2000)
+	require.Equal(t, 50, singles)
+	sums := s.Take()
+	require.Len(t, sums, 1)
+	require.Equal(t, kind, sums[0].Kind)
+	require.Equal(t, 1950, sums[0].Count)
+	require.Equal(t, []fleet.RequestID{"50", "51", "52"}, sums[0].First)
+	require.Equal(t, time.Duration(1999), sums[0].Longest)
+	require.Empty(t, s.Take())
+	require.Equal(t, 50, add(&s, start.Add(time.Second), kind, 100), "each second has its own bound")
+}
+
+// Guards against memory that grows with the accounts and routes of a flood.
+func TestKindsOfRefusalsAreBounded(t *testing.T) {
+	t.Parallel()
+	var s refusal.Summary
+	for i := range 10_000 {
+		kind := refusal.Kind{Reason: refusal.NoUpstream, Account: fleet.AccountID(fmt.Sprint(i))}
+		s.Add(start, kind, "id", 0)
+	}
+	sums := s.Take()
+	require.LessOrEqual(t, len(sums), 257)
+	total := 0
+	for _, sum := range sums {
+		total += sum.Count
+	}
+	require.Equal(t, 9_950, total)
+}
