turn: what another router tells of a turn that it has not got is ignored

A note that a prompt was read, about a turn that still waits, is enough. A router that restarts counts its asks from one again, so a late note of its former life has the id of a new ask.

Fix: First and End do nothing before the ticket has its turn.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -4,14 +4,18 @@
 	"context"
 	"encoding/json"
 
+	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/schema"
 )
 
 // What the tests of the package see besides its public parts.
 var (
 	EncodeConfiguration = encodeConfiguration
 	DecodeConfiguration = decodeConfiguration
+	Deflate             = deflate
+	Inflate             = inflate
 	NewListener         = newListener
 	NewMesh             = newMesh
 )
@@ -22,6 +26,9 @@
 // Peers returns the connections to the other routers.
 func (m *mesh) Peers() *peer.Peers { return m.peers }
 
+// Receive is receive.
+func (m *mesh) Receive(from fleet.RouterID, batch *schema.Batch) { m.receive(from, batch) }
+
 // Learned is learned.
 func (m *mesh) Learned(from string) { m.learned(from) }
 
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -45,24 +45,32 @@
 	return &upstream.Error{Address: address}
 }
 
-func newNode(t *testing.T, id fleet.RouterID) *node {
-	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	n := &node{address: listener.Addr().String()}
+// unconnected returns a router that is connected to no other and listens nowhere.
+func unconnected(id fleet.RouterID) *node { return nodeAt(id, "", nil) }
+
+func nodeAt(id fleet.RouterID, address string, listener net.Listener) *node {
+	n := &node{address: address}
 	n.state = deployment.NewState(deployment.StateOptions{
 		Log: slog.New(slog.DiscardHandler), OnChange: func(from string) { n.mesh.Learned(from) },
 	})
 	n.mesh = deployment.NewMesh(n.state, peer.Options{
-		Self: id, Incarnation: 1, Address: n.address, Key: []byte("one fleet"), Listener: listener,
+		Self: id, Incarnation: 1, Address: address, Key: []byte("one fleet"), Listener: listener,
 		Logger: slog.New(slog.DiscardHandler), Heartbeat: 10 * time.Second,
 	}, n.check)
+	return n
+}
+
+func newNode(tb testing.TB, id fleet.RouterID) *node {
+	tb.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(tb, err)
+	n := nodeAt(id, listener.Addr().String(), listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- n.mesh.Peers().Run(ctx) }()
-	t.Cleanup(func() {
+	tb.Cleanup(func() {
 		cancel()
-		require.ErrorIs(t, <-ended, context.Canceled)
+		require.ErrorIs(tb, <-ended, context.Canceled)
 	})
 	return n
 }
--- a/turn/machine_test.go
+++ b/turn/machine_test.go
@@ -110,19 +110,15 @@
 
 func (m *machine) first(t *rapid.T) {
 	m.pass(t)
-	if ticket := m.any(t); started(ticket.Ticket) {
-		ticket.First(m.now)
-	}
+	m.any(t).First(m.now)
 }
 
 func (m *machine) end(t *rapid.T) {
 	m.pass(t)
 	ticket := m.any(t)
-	if !started(ticket.Ticket) {
-		return
-	}
+	isGranted := started(ticket.Ticket)
 	ticket.End(m.now, turn.Outcome(rapid.IntRange(-1, 9).Draw(t, "outcome")))
-	ticket.over = true
+	ticket.over = ticket.over || isGranted
 }
 
 // observe takes a report of another router, of any content.
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -83,12 +83,13 @@
 	}
 }
 
-// First notes that the first event has come: the prompt was read.
+// First notes that the first event has come: the prompt was read. It does nothing before the
+// ticket has its turn, as another router may be mistaken.
 func (t *Ticket) First(now time.Time) {
 	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t.read || t.ended {
+	if !t.isGranted() || t.read || t.ended {
 		return
 	}
 	p.speed.observe(t.work, now.Sub(t.started))
@@ -123,12 +124,13 @@
 	Unreachable
 )
 
-// End notes that the request has ended at its upstream.
+// End notes that the request has ended at its upstream. It does nothing before the ticket has
+// its turn.
 func (t *Ticket) End(now time.Time, outcome Outcome) {
 	p := t.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t.ended {
+	if !t.isGranted() || t.ended {
 		return
 	}
 	t.setRead(now)
--- a/turn/turn_test.go
+++ b/turn/turn_test.go
@@ -432,3 +432,18 @@
 	first.End(start, turn.Served)
 	require.True(t, started(kept), "what waits is still seen")
 }
+
+// Guards against a process that ends because another router tells of a turn that it hasn't got.
+func TestEventsOfATurnThatHasNotComeAreIgnored(t *testing.T) {
+	t.Parallel()
+	p := pool(1)
+	fills := prompt("a", 1, 2, 40_000)
+	_, err := p.Ask(start, fills)
+	require.NoError(t, err)
+	waiting, err := p.Ask(start, prompt("b", 1, 3, 1_000))
+	require.NoError(t, err)
+	require.False(t, started(waiting))
+	waiting.First(start)
+	waiting.End(start, turn.Served)
+	require.Equal(t, 11_000, p.Report(start).Upstreams[turn.KeyOf(engines(1)[0].ID)].Waiting)
+}
