turn: a ticket keeps the entry of its upstream as of its turn

A ticket read the entry of its upstream without the lock under which a change of the list writes it. An entry is several strings: a reader may see the address of one with the length of another, which sends a request to a wrong address or ends the process.

Fix: the entry is copied when the turn is given.

--- a/turn/pump.go
+++ b/turn/pump.go
@@ -146,6 +146,7 @@
 	now := view.now
 	p.dequeue(t)
 	t.engine = e
+	t.upstream = e.upstream
 	t.started = now
 	fetches := false
 	t.uncached, fetches = view.reading(e, &t.demand)
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -20,12 +20,14 @@
 	generation int
 	// preferred is where the ticket counts as waiting.
 	preferred *engine
-	// granted is closed with the turn; engine and work are set before.
+	// granted is closed with the turn; engine, upstream and work are set before.
 	granted chan struct{}
 	// refused gets refusal when the pool refuses the ticket by itself.
-	refused  chan *RefusedError
-	refusal  *RefusedError
-	engine   *engine
+	refused chan *RefusedError
+	refusal *RefusedError
+	engine  *engine
+	// upstream is the entry as of the turn. That of the engine changes with the list.
+	upstream registry.Upstream
 	uncached int
 	// fetchFrom is the address of an upstream whose cache has more of the prompt.
 	fetchFrom string
@@ -48,7 +50,7 @@
 
 // Upstream returns where the request goes. It may be called once the ticket
 // has its turn.
-func (t *Ticket) Upstream() registry.Upstream { return t.engine.upstream }
+func (t *Ticket) Upstream() registry.Upstream { return t.upstream }
 
 // Work returns the tokens that the upstream had to read before the request's
 // first event when it was sent.
