peer: the id of a router that has answered is compared as it was told

The id was read outside the lock under which the dialling goroutine writes it. The two parts of a string may then be of different ids, and comparing them reads memory of neither.

Tests: those of peer, with -race: failed before, pass now.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -126,10 +126,11 @@
 	if err != nil {
 		return nil, err
 	}
+	router := fleet.RouterID(hello.GetRouter())
 	p.mu.Lock()
-	d.router = fleet.RouterID(hello.GetRouter())
+	d.router = router
 	p.mu.Unlock()
-	if d.router == p.options.Self {
+	if router == p.options.Self {
 		// A seed that is this router itself counts as connected to nobody.
 		_ = c.Close()
 		return nil, &SelfError{Address: address}
