recovery: a panic ends a request or a message, and a router stops in order

A part of a router that ended by itself ended all others at once.

Requests, waits at homes, messages of other routers and updates are contained in package recovery: the place at the upstream is given back and the caller gets 500 "internal", or a stream that breaks off visibly. A panic in control, or a part that ends by itself, makes the router stop as on SIGTERM before it ends with an error. Each panic is one log line with the stack, beyond the bound on lines of a second, and counts in nutmeglock_panics_total.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -9,6 +9,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/rendezvous"
 	"nutmeglock.example/nutmeglock/schema"
@@ -40,6 +41,8 @@
 	// keep keeps a verdict of this router at the platform.
 	keep func(v quarantine.Verdict)
 	log  *slog.Logger
+	// guard contains panics; nil lets them pass.
+	guard *recovery.Guard
 
 	mu sync.Mutex
 	// checked holds the requests that broke at each upstream that is being looked at.
@@ -83,7 +86,19 @@
 	}
 	c.checked[instance] = append(list, broken{request: request, began: began, ended: time.Now()})
 	if !looking {
-		go c.look(upstream)
+		go c.lookGuarded(upstream)
+	}
+}
+
+// lookGuarded drops what broke at an upstream if looking at it panics, so that it is looked at
+// the next time.
+func (c *crashes) lookGuarded(upstream registry.Upstream) {
+	err := c.guard.Do(recovery.Crash, func() error {
+		c.look(upstream)
+		return nil
+	}, "upstream", upstream.ID)
+	if err != nil {
+		c.forget(turn.InstanceOf(upstream))
 	}
 }
 
@@ -100,10 +115,7 @@
 			break
 		}
 	}
-	c.mu.Lock()
-	list := c.checked[instance]
-	delete(c.checked, instance)
-	c.mu.Unlock()
+	list := c.forget(instance)
 	if !ended {
 		return
 	}
@@ -112,6 +124,15 @@
 	}
 }
 
+// forget returns the requests that broke at an upstream, and drops them.
+func (c *crashes) forget(instance turn.Instance) []broken {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.checked[instance]
+	delete(c.checked, instance)
+	return list
+}
+
 // hasLeft reports whether an upstream was leaving, which ends connections as well.
 func (c *crashes) hasLeft(instance turn.Instance) bool {
 	known, some := c.entry(instance.ID)
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -81,17 +81,19 @@
 // newMesh returns a mesh. Check returns an error if an upstream can't be reached.
 func newMesh(state *State, options peer.Options, check func(ctx context.Context, address string) error) *mesh {
 	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
-	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger}
+	m.homes = &home.Homes{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger, Guard: options.Guard}
 	m.group = &follow.Group{Self: options.Self}
 	m.crashes = crashes{
 		self: options.Self, routers: m.peers.Routers, send: m.peers.Send, entry: state.Upstream, check: check,
-		keep: m.quarantines.keep, log: options.Logger,
+		keep: m.quarantines.keep, log: options.Logger, guard: options.Guard,
 	}
 	m.configurations = puller{
 		name: "configuration", held: m.configurationHeld, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
+		guard: options.Guard,
 	}
 	m.upstreams = puller{
 		name: "upstreams", held: m.upstreamsHeld, fetch: m.fetchUpstreams, timer: timer.System{}, log: options.Logger,
+		guard: options.Guard,
 	}
 	state.homes = m.homes
 	m.peers.Handle(knowledgeMethod, m.answer)
--- a/deployment/puller.go
+++ b/deployment/puller.go
@@ -8,6 +8,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
@@ -26,6 +27,8 @@
 	fetch func(ctx context.Context, from fleet.RouterID, held uint64) (int, error)
 	timer timer.Service
 	log   *slog.Logger
+	// guard contains panics; nil lets them pass.
+	guard *recovery.Guard
 
 	sources follow.Sources
 
@@ -83,7 +86,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	begun := p.timer.Now()
-	size, err := p.fetch(ctx, router, held)
+	size := 0
+	err := p.guard.Do(recovery.Update, func() (err error) {
+		size, err = p.fetch(ctx, router, held)
+		return err
+	}, "other", router, "update", p.name)
 	p.log.Info("asked another router", "other", router, "update", p.name, "error", err, "before", held, "now", p.held(),
 		"bytes", size, "waited-ms", p.timer.Now().Sub(begun).Milliseconds())
 	p.sources.End(router)
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +23,7 @@
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/upstream"
@@ -96,9 +98,13 @@
 	handler *forward.Handler
 	client  *upstream.Client
 	metrics *metric.Set
+	// guard contains panics, and failed gets those after which the router has to stop.
+	guard  *recovery.Guard
+	failed chan error
 	// figures serves the metrics.
 	figures  http.Handler
 	stopping atomic.Bool
+	stopOnce sync.Once
 	// started is when the router was made.
 	started time.Time
 	// registered is closed once the own entry is in the list of routers.
@@ -118,15 +124,17 @@
 	own, process := prometheus.NewRegistry(), prometheus.NewRegistry()
 	process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r := &Router{options: options, figures: metric.Handler(own, process), metrics: metric.New(own), started: time.Now(), registered: make(chan struct{})}
+	r.failed = make(chan error, 1)
+	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), Count: r.countPanic, End: r.fail}
 	r.state = NewState(StateOptions{
 		DataCenter: options.DataCenter, RetryRatio: options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
-		OnChange: r.changed,
+		Guard: r.guard, OnChange: r.changed,
 	})
 	r.client = &upstream.Client{Echoed: options.Echoed, Opened: r.metrics.Connections.Inc}
 	r.handler = &forward.Handler{
 		Dialect: options.Dialect, State: r.state, Client: r.client, Metrics: r.metrics,
 		Log: logging.WithPriority(options.Log, logging.Failure), Routine: logging.WithPriority(options.Log, logging.Request),
-		Crowded: r.isCrowded,
+		Crowded: r.isCrowded, Guard: r.guard,
 	}
 	if err := r.connect(ctx); err != nil {
 		return nil, err
@@ -140,6 +148,26 @@
 	return r, r.listen(ctx)
 }
 
+func (r *Router) countPanic(part recovery.Part) { r.metrics.Panics.WithLabelValues(string(part)).Inc() }
+
+// fail makes the router stop in order, because its state can't be relied on.
+func (r *Router) fail(err error) {
+	select {
+	case r.failed <- err:
+	default: // it stops already
+	}
+}
+
+// awaitFailure returns the first error after which the router has to stop.
+func (r *Router) awaitFailure(ctx context.Context) error {
+	select {
+	case err := <-r.failed:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // changed tells the other routers that something has taken effect here.
 func (r *Router) changed(from string) {
 	r.metrics.NoteVersion.Set(float64(r.state.Table().Version()))
@@ -155,7 +183,7 @@
 	r.mesh = newMesh(r.state, peer.Options{
 		Self: r.options.Self, DataCenter: r.options.DataCenter, Incarnation: fleet.IncarnationAt(time.Now()),
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
-		Metrics: r.metrics, Logger: r.options.Log, MaxBackoff: peerBackoff,
+		Metrics: r.metrics, Logger: r.options.Log, Guard: r.guard, MaxBackoff: peerBackoff,
 	}, r.client.Check)
 	r.mesh.quarantines.open(r.options.Quarantines, &r.mesh.crashes.watch, r.options.Log)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
@@ -322,25 +350,35 @@
 	group.Add(func() error {
 		select {
 		case <-ctx.Done():
-			r.stop()
+			r.stopOnce.Do(r.stop)
 		case <-interrupted:
 		}
 		return nil
 	}, func(error) { close(interrupted) })
-	for _, a := range r.actors {
-		group.Add(runActor(a))
+	for _, a := range append(r.actors, actor{"failure", r.awaitFailure}) {
+		group.Add(r.runActor(a))
 	}
 	err := group.Run()
 	r.options.Log.Info("stopped", "error", err)
 	return err
 }
 
-func runActor(a actor) (execute func() error, interrupt func(error)) {
+// stopAfter stops the router in order after an actor has ended by itself, and returns why.
+func (r *Router) stopAfter(a actor, err error) error {
+	err = eris.Wrapf(err, "part %s ended by itself", a.name)
+	r.options.Log.Error("stopping after a failure", "actor", a.name, "error", err)
+	r.stopOnce.Do(r.stop)
+	return err
+}
+
+// runActor returns an actor of a run group. One that ends by itself stops the router in order
+// before the others end, so that callers get their answers.
+func (r *Router) runActor(a actor) (execute func() error, interrupt func(error)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	execute = func() error {
-		err := a.run(ctx)
+		err := r.guard.Do(recovery.Control, func() error { return a.run(ctx) }, "actor", a.name)
 		if ctx.Err() == nil {
-			return eris.Wrapf(err, "part %s ended by itself", a.name)
+			return r.stopAfter(a, err)
 		}
 		return nil
 	}
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -12,6 +12,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
@@ -55,6 +56,8 @@
 	RetryRatio float64
 	RetryBurst float64
 	Log        *slog.Logger
+	// Guard contains panics; nil lets them pass.
+	Guard *recovery.Guard
 	// OnChange is called, unless it is nil, when a configuration or a change of
 	// the list has taken effect here, with its source.
 	OnChange func(from string)
@@ -209,7 +212,7 @@
 // settleWhenDue looks again when the first lapsed entry is gone.
 func (s *State) settleWhenDue() {
 	if due, some := s.directory.Due(); some {
-		time.AfterFunc(time.Until(due)+time.Millisecond, s.settle)
+		time.AfterFunc(time.Until(due)+time.Millisecond, func() { s.options.Guard.RunControl(s.settle) })
 	}
 }
 
@@ -237,7 +240,7 @@
 // notify calls OnChange without the lock: it reads the state.
 func (s *State) notify(from string) {
 	if s.options.OnChange != nil {
-		go s.options.OnChange(from)
+		go s.options.Guard.Run(recovery.Update, func() { s.options.OnChange(from) }, "from", from)
 	}
 }
 
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -38,6 +38,7 @@
 	Route   string    `json:"route"`
 	Account string    `json:"account"`
 
+	Value        string  `json:"value"`
 	EndedBy      string  `json:"ended-by"`
 	Decision     string  `json:"decision"`
 	Silent       float64 `json:"silent-ms"`
@@ -179,6 +180,8 @@
 		return l.failed()
 	case "request answered":
 		return l.answered()
+	case "panic":
+		return "a fault of the router ended it: " + l.Value + "; the log line has the stack"
 	}
 	return l.Message
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -76,9 +76,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	j.sends++
+	j.ticket = ticket
 	j.sent = time.Now()
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
-	watch := newWatch(ctx, cancel, j.silenceLimit(), j.findOther())
+	watch := newWatch(ctx, cancel, j.silenceLimit(), j.findOther(), j.handler.Guard)
 	defer func() { j.next, j.silence = watch.stop() }()
 
 	answer, err := j.send(ctx, ticket, &watch.probe)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -20,6 +20,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
@@ -106,7 +107,7 @@
 }
 
 // Handler serves callers. All fields have to be set but Routine, Crowded, Takes, Shed,
-// Quarantine and Latency.
+// Quarantine, Guard and Latency.
 type Handler struct {
 	Dialect Dialect
 	State   State
@@ -127,6 +128,8 @@
 	Shed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
 	// Quarantine may be nil.
 	Quarantine Quarantine
+	// Guard contains panics of single requests; nil lets them pass.
+	Guard *recovery.Guard
 	// Latency returns how long goroutines waited for the processor of late; nil means zero.
 	Latency func() time.Duration
 
@@ -153,9 +156,7 @@
 	if h.held.isLeaving() || (h.Crowded != nil && h.Crowded()) {
 		w.Header().Set("Connection", "close")
 	}
-	if err := j.admit(); err != nil {
-		j.refuse(err)
-		return
+	if err := h.Guard.Do(recovery.Request, j.handle, "request", requestOf{j}); err != nil {
+		j.panicked(err)
 	}
-	j.serve()
 }
--- a/forward/job.go
+++ b/forward/job.go
@@ -65,6 +65,8 @@
 	sent  time.Time
 	runs  int
 	tried []turn.Instance
+	// ticket is the turn of the latest attempt, nil before the first.
+	ticket home.Ticket
 	// next is the turn in whose favour the last attempt has ended, if any.
 	next home.Ticket
 	// silence is what is known of the last attempt's upstream being silent.
@@ -203,8 +205,10 @@
 // wait waits for a turn in the line of the account.
 func (j *job) wait(ctx context.Context, demand turn.Demand) (home.Ticket, error) {
 	j.handler.lines.Enter(time.Now(), j.line())
+	begun := false
+	defer func() { j.handler.lines.Leave(time.Now(), j.line(), begun) }()
 	ticket, err := j.handler.State.Turn(ctx, j.service, demand)
-	j.handler.lines.Leave(time.Now(), j.line(), err == nil)
+	begun = err == nil
 	return ticket, err
 }
 
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/turn"
@@ -47,12 +48,12 @@
 }
 
 // newWatch returns the watch of an attempt, which is ended by cancel with errSilent.
-func newWatch(ctx context.Context, cancel context.CancelCauseFunc, limit time.Duration, find finder) *watch {
+func newWatch(ctx context.Context, cancel context.CancelCauseFunc, limit time.Duration, find finder, guard *recovery.Guard) *watch {
 	w := &watch{ctx: ctx, cancel: cancel, limit: limit, find: find, since: time.Now()}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if limit > 0 {
-		w.timer = time.AfterFunc(limit, w.silent)
+		w.timer = time.AfterFunc(limit, func() { guard.Run(recovery.Request, w.silent) })
 	}
 	return w
 }
--- a/home/ask.go
+++ b/home/ask.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
@@ -214,7 +215,7 @@
 	}
 	h.notes[home] = append(h.notes[home], note)
 	if len(h.notes[home]) == 1 {
-		time.AfterFunc(noteDelay, func() { h.sendNotes(home) })
+		time.AfterFunc(noteDelay, func() { h.Guard.Run(recovery.Home, func() { h.sendNotes(home) }) })
 	}
 }
 
--- a/home/home.go
+++ b/home/home.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/rendezvous"
 	"nutmeglock.example/nutmeglock/schema"
@@ -50,7 +51,7 @@
 }
 
 // Homes asks the homes of upstreams for turns, and is the home of some itself. Its
-// fields have to be set. It is safe for concurrent use.
+// fields have to be set but Guard. It is safe for concurrent use.
 type Homes struct {
 	Self fleet.RouterID
 	// Send hands a batch to another router, or drops it when there is no connection.
@@ -58,6 +59,8 @@
 	// Pool returns the upstreams of a service, nil when it isn't known.
 	Pool func(service fleet.ServiceID) *turn.Pool
 	Log  *slog.Logger
+	// Guard contains panics; nil lets them pass.
+	Guard *recovery.Guard
 
 	mu sync.Mutex
 	// routers are those that are connected, and this one.
--- a/home/serve.go
+++ b/home/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
 )
@@ -48,7 +49,19 @@
 	default:
 	}
 	h.answer(from, &schema.TurnAnswer{Id: a.GetId(), Kind: &schema.TurnAnswer_PatienceMs{PatienceMs: schema.Millis(ticket.Patience())}})
-	go h.await(from, a.GetId(), t)
+	go h.awaitGuarded(from, a.GetId(), t)
+}
+
+// awaitGuarded refuses an ask if waiting for its turn panics.
+func (h *Homes) awaitGuarded(from fleet.RouterID, id uint64, t *held) {
+	err := h.Guard.Do(recovery.Home, func() error {
+		h.await(from, id, t)
+		return nil
+	}, "other", from)
+	if err != nil {
+		h.drop(from, id)
+		h.refuse(from, id, &turn.RefusedError{RetryAfter: retryAfterSilence})
+	}
 }
 
 // await answers again when the turn has come or its time is over.
--- a/home/shed.go
+++ b/home/shed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -29,7 +30,7 @@
 		h.shed = make(map[shedKey]float64)
 	}
 	if len(h.shed) == 0 {
-		time.AfterFunc(shedDelay, h.tellShed)
+		time.AfterFunc(shedDelay, func() { h.Guard.Run(recovery.Home, h.tellShed) })
 	}
 	h.shed[shedKey{service, account}] += tokens
 }
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -21,6 +21,8 @@
 	// perSecond bounds the lines of a second. A line costs about 5 µs with its
 	// write, so the log takes at most some 0.2 % of a processor.
 	perSecond = 400
+	// panicReserve is how many lines of a second may follow perSecond if they are about panics.
+	panicReserve = 50
 	// gathering is how long lines are gathered before they are written together.
 	// Under load each write by itself wakes a thread and costs as much as the line.
 	// A process that is killed loses the lines of so long.
@@ -39,11 +41,13 @@
 	// Request is for requests that ended well, and those that no upstream has seen. Under a
 	// flood they are by far the most.
 	Request
+	// Panic is for panics, which no other line may push out.
+	Panic
 )
 
 // bounds is how many lines may have been written in a second before one of a priority, so
 // that a higher priority always has room left.
-var bounds = map[Priority]int{Router: perSecond, Failure: 300, Request: 150}
+var bounds = map[Priority]int{Panic: perSecond + panicReserve, Router: perSecond, Failure: 300, Request: 150}
 
 // Writer queues whole lines for another writer. Make it by New.
 type Writer struct {
@@ -140,7 +144,7 @@
 		w.count = 0
 	}
 	w.count++
-	return w.count <= perSecond
+	return w.count <= perSecond+panicReserve
 }
 
 // Dropped returns how many lines were dropped.
--- a/peer/link.go
+++ b/peer/link.go
@@ -17,6 +17,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -220,9 +221,7 @@
 		if err := proto.Unmarshal(f.payload, batch); err != nil {
 			return 0, malformed
 		}
-		for _, fn := range l.peers.onBatch {
-			fn(fleet.RouterID(l.hello.GetRouter()), batch)
-		}
+		l.receive(batch)
 		return announced, nil
 	case callFrame:
 		select {
@@ -236,8 +235,18 @@
 	}
 }
 
+// receive hands a batch to those who wait for batches. One that makes them panic is dropped.
+func (l *link) receive(batch *schema.Batch) {
+	from := fleet.RouterID(l.hello.GetRouter())
+	l.peers.options.Guard.Run(recovery.Message, func() {
+		for _, fn := range l.peers.onBatch {
+			fn(from, batch)
+		}
+	}, "other", from)
+}
+
 // handle answers one call.
-func (l *link) handle(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+func (l *link) handle(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (answer any, err error) {
 	fn := l.peers.handlers[request.Method]
 	if fn == nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "no method " + request.Method}
@@ -246,7 +255,14 @@
 	if request.Params != nil {
 		params = *request.Params
 	}
-	return fn(ctx, params)
+	panicked := l.peers.options.Guard.Do(recovery.Message, func() error {
+		answer, err = fn(ctx, params)
+		return nil
+	}, "other", l.hello.GetRouter(), "method", request.Method)
+	if panicked != nil {
+		return nil, panicked
+	}
+	return answer, err
 }
 
 // callStream carries JSON-RPC objects as frames of a link.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -28,6 +28,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
 )
@@ -48,6 +49,8 @@
 	Timer   timer.Service
 	Metrics *metric.Set
 	Logger  *slog.Logger
+	// Guard contains panics; nil lets them pass.
+	Guard *recovery.Guard
 	// Heartbeat is the least time between two heartbeats, zero means 1 s. A
 	// router that is not heard for three times as long is lost.
 	Heartbeat time.Duration
@@ -173,8 +176,8 @@
 func (p *Peers) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p.group.Go(func() { p.accept(ctx) })
-	p.group.Go(func() { p.dial(ctx) })
+	p.group.Go(func() { p.options.Guard.RunControl(func() { p.accept(ctx) }) })
+	p.group.Go(func() { p.options.Guard.RunControl(func() { p.dial(ctx) }) })
 	<-ctx.Done()
 	p.close()
 	p.group.Wait()
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -57,6 +59,7 @@
 	n.Peers = peer.New(peer.Options{
 		Self: fleet.RouterID(s.id), Incarnation: max(1, s.life), Address: n.address, Key: []byte(s.key),
 		Listener: listener, Seeds: s.seeds, Metrics: n.metrics, Heartbeat: s.heartbeat,
+		Guard: &recovery.Guard{Log: slog.New(slog.DiscardHandler)},
 	})
 	n.OnBatch(n.batch)
 	n.OnChange(func(change peer.Change) {
