metric: histograms come after all counters on the page

A histogram of one service took 21 lines before the 29 of the refusals.

Fix: histograms last; panics are counted without a part, which the log line has.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -125,7 +125,7 @@
 	process.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	r := &Router{options: options, figures: metric.Handler(own, process), metrics: metric.New(own), started: time.Now(), registered: make(chan struct{})}
 	r.failed = make(chan error, 1)
-	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), Count: r.countPanic, End: r.fail}
+	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), Count: r.metrics.Panics.Inc, End: r.fail}
 	r.state = NewState(StateOptions{
 		DataCenter: options.DataCenter, RetryRatio: options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
 		Guard: r.guard, OnChange: r.changed,
@@ -148,8 +148,6 @@
 	return r, r.listen(ctx)
 }
 
-func (r *Router) countPanic(part recovery.Part) { r.metrics.Panics.WithLabelValues(string(part)).Inc() }
-
 // fail makes the router stop in order, because its state can't be relied on.
 func (r *Router) fail(err error) {
 	select {
--- a/metric/handler.go
+++ b/metric/handler.go
@@ -12,7 +12,7 @@
 )
 
 // Handler serves the metrics of gatherers as text, those of the first one first, and of
-// each its smallest families first.
+// each its smallest families first and its histograms last.
 //
 // Collectors may keep only the beginning of a page, of which the Go runtime's own
 // figures, sorted by name, would fill the most: an operator would find nothing there of
@@ -26,7 +26,7 @@
 				http.Error(w, err.Error(), http.StatusInternalServerError)
 				return
 			}
-			slices.SortStableFunc(families, func(a, b *dto.MetricFamily) int { return cmp.Compare(lines(a), lines(b)) })
+			slices.SortStableFunc(families, byUse)
 			for _, family := range families {
 				if _, err := expfmt.MetricFamilyToText(&page, family); err != nil {
 					http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -39,6 +39,18 @@
 	})
 }
 
+// byUse orders families by what they tell in a few lines.
+func byUse(a, b *dto.MetricFamily) int {
+	return cmp.Or(cmp.Compare(histograms(a), histograms(b)), cmp.Compare(lines(a), lines(b)))
+}
+
+func histograms(family *dto.MetricFamily) int {
+	if family.GetType() == dto.MetricType_HISTOGRAM {
+		return 1
+	}
+	return 0
+}
+
 // lines returns how many lines a family takes.
 func lines(family *dto.MetricFamily) int {
 	n := 0
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -5,7 +5,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 
-	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 )
@@ -39,8 +38,8 @@
 	ControlMessages *prometheus.CounterVec
 	// Connections counts the connections that were opened to upstreams.
 	Connections prometheus.Counter
-	// Panics counts panics by the part that was ended.
-	Panics *prometheus.CounterVec
+	// Panics counts panics that were contained.
+	Panics prometheus.Counter
 	// NoteVersion is the release note version in force here.
 	NoteVersion prometheus.Gauge
 	// Routers is the number of routers believed alive, this one included.
@@ -73,7 +72,7 @@
 		ControlBytes:     counter("control_bytes_total", "Bytes of control traffic, headers included.", "direction", "side"),
 		ControlMessages:  counter("control_messages_total", "Messages of control traffic.", "direction", "side"),
 		Connections:      count("upstream_connections_total", "Connections opened to upstreams."),
-		Panics:           counter("panics_total", "Panics by the part that was ended.", "part"),
+		Panics:           count("panics_total", "Panics contained."),
 		NoteVersion:      gauge("note_version", "The release note version in force."),
 		Routers:          gauge("routers", "Routers believed alive, this one included."),
 	}
@@ -90,9 +89,6 @@
 	for _, reason := range retry.Reasons() {
 		s.Retries.WithLabelValues(string(reason))
 	}
-	for _, part := range recovery.Parts() {
-		s.Panics.WithLabelValues(string(part))
-	}
 }
 
 // ServiceByAccount returns the weighted tokens that each account received so far.
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -27,9 +27,6 @@
 	Control Part = "control"
 )
 
-// Parts lists every part, for counters that start at zero.
-func Parts() []Part { return []Part{Request, Home, Message, Update, Crash, Control} }
-
 // Error is the error of work that panicked.
 type Error struct {
 	Part Part
@@ -46,7 +43,7 @@
 	// Log gets a line for each panic.
 	Log *slog.Logger
 	// Count is called for each panic, unless it is nil.
-	Count func(part Part)
+	Count func()
 	// End is called with a panic in Control that RunControl has contained; it is to stop the
 	// process in order, and may not be nil then.
 	End func(err error)
@@ -93,7 +90,7 @@
 
 func (g *Guard) note(e *Error, attributes []any) error {
 	if g.Count != nil {
-		g.Count(e.Part)
+		g.Count()
 	}
 	g.Log.Error("panic", append([]any{"part", e.Part, "value", fmt.Sprint(e.Value), "stack", string(e.Stack)}, attributes...)...)
 	return e
