logging: failures beyond the bound of a second wait for room, and losses are told apart

A failure of the platform can break more than 300 streams in a second; the lines beyond were dropped, with one total for all that was lost. "log lines dropped" counts by priority.

--- a/logging/logging.go
+++ b/logging/logging.go
@@ -7,11 +7,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
-	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +22,8 @@
 	perSecond = 400
 	// panicReserve is how many lines of a second may follow perSecond if they are about panics.
 	panicReserve = 50
+	// keptPerSecond bounds the lines of a second that wait for room, since each is put together.
+	keptPerSecond = 300
 	// gathering is how long lines are gathered before they are written together.
 	// Under load each write by itself wakes a thread and costs as much as the line.
 	// A process that is killed loses the lines of so long.
@@ -43,23 +44,30 @@
 	Request
 	// Panic is for panics, which no other line may push out.
 	Panic
+
+	priorities = iota
 )
 
 // bounds is how many lines may have been written in a second before one of a priority, so
 // that a higher priority always has room left.
-var bounds = map[Priority]int{Panic: perSecond + panicReserve, Router: perSecond, Failure: 300, Request: 150}
+var bounds = [priorities]int{Panic: perSecond + panicReserve, Router: perSecond, Failure: 300, Request: 150}
 
 // Writer queues whole lines for another writer. Make it by New.
 type Writer struct {
-	out     io.Writer
-	lines   chan []byte
-	done    chan struct{}
-	dropped atomic.Uint64
+	out   io.Writer
+	lines chan []byte
+	done  chan struct{}
 
 	mu     sync.Mutex
 	second int64
-	count  int
-	closed bool
+	// count is how many lines of this second were queued, kept how many went to waiting.
+	count int
+	kept  int
+	// waiting holds lines of failures that had no room, until there is some again.
+	waiting ring
+	flushes bool
+	dropped [priorities]uint64
+	closed  bool
 }
 
 // New returns a Writer in front of out.
@@ -71,7 +79,9 @@
 
 // Log returns a logger that writes lines of JSON to w.
 func (w *Writer) Log(level slog.Level) *slog.Logger {
-	return slog.New(&bounded{slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level}), w, bounds[Router]})
+	return slog.New(newBounded(w, Router, func(out io.Writer) slog.Handler {
+		return slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})
+	}))
 }
 
 // WithPriority returns a logger whose lines have a priority. A logger that isn't a Writer's
@@ -81,76 +91,138 @@
 	if !ok {
 		return log
 	}
-	return slog.New(&bounded{b.Handler, b.writer, bounds[priority]})
+	return slog.New(newBounded(b.writer, priority, b.build))
 }
 
 // bounded drops lines beyond the bound of a second before they are put together,
 // which costs more than all else that is done for them.
 type bounded struct {
 	slog.Handler
-	writer *Writer
-	// most is how many lines of a second this one may follow.
-	most int
+	writer   *Writer
+	priority Priority
+	// build returns the same handler for another output.
+	build func(out io.Writer) slog.Handler
+}
+
+func newBounded(w *Writer, priority Priority, build func(out io.Writer) slog.Handler) *bounded {
+	return &bounded{build(lane{w, priority}), w, priority, build}
 }
 
-// Enabled reports whether a line of a level would be written now.
+// Enabled reports whether a line of a level would be written now, or kept.
 func (b *bounded) Enabled(ctx context.Context, level slog.Level) bool {
-	return b.Handler.Enabled(ctx, level) && b.writer.hasRoom(b.most)
+	return b.Handler.Enabled(ctx, level) && b.writer.takes(b.priority)
 }
 
-// WithAttrs keeps the bound.
+// WithAttrs keeps the priority.
 func (b *bounded) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &bounded{b.Handler.WithAttrs(attrs), b.writer, b.most}
+	return newBounded(b.writer, b.priority, func(out io.Writer) slog.Handler { return b.build(out).WithAttrs(attrs) })
 }
 
-// WithGroup keeps the bound.
+// WithGroup keeps the priority.
 func (b *bounded) WithGroup(name string) slog.Handler {
-	return &bounded{b.Handler.WithGroup(name), b.writer, b.most}
+	return newBounded(b.writer, b.priority, func(out io.Writer) slog.Handler { return b.build(out).WithGroup(name) })
+}
+
+// lane queues lines of one priority.
+type lane struct {
+	writer   *Writer
+	priority Priority
 }
 
-// Write queues one line. It never waits, and fails never: a line that doesn't
-// fit is dropped and counted.
-func (w *Writer) Write(line []byte) (int, error) {
+// Write queues one line. It never waits, and fails never: a line that doesn't fit is kept or
+// dropped, and counted then.
+func (l lane) Write(line []byte) (int, error) {
+	l.writer.write(l.priority, append([]byte(nil), line...))
+	return len(line), nil
+}
+
+func (w *Writer) write(priority Priority, line []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.closed || !w.admits(time.Now().Unix()) {
-		w.dropped.Add(1)
-		return len(line), nil
+	w.turn()
+	switch {
+	case w.closed:
+		w.dropped[priority]++
+	case w.count < bounds[priority] && w.enqueue(line):
+	case priority == Failure && w.kept < keptPerSecond:
+		w.keep(line)
+	default:
+		w.dropped[priority]++
 	}
+}
+
+// enqueue reports whether a line has fitted into the queue.
+func (w *Writer) enqueue(line []byte) bool {
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- line:
+		w.count++
+		return true
 	default:
-		w.dropped.Add(1)
+		return false
 	}
-	return len(line), nil
 }
 
-// hasRoom reports whether fewer than so many lines were written in this second, and
-// counts a line that is dropped if not.
-func (w *Writer) hasRoom(most int) bool {
+// keep lets a line wait until there is room.
+func (w *Writer) keep(line []byte) {
+	w.kept++
+	w.dropped[Failure] += uint64(w.waiting.push(line))
+	if w.flushes {
+		return
+	}
+	w.flushes = true
+	time.AfterFunc(flushInterval, w.flush)
+}
+
+// flushInterval is how often it is looked for room for lines that wait.
+const flushInterval = 200 * time.Millisecond
+
+// flush queues lines that wait as far as there is room for their priority.
+func (w *Writer) flush() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return
+	}
+	w.turn()
+	for w.count < bounds[Failure] && len(w.lines) < capacity {
+		line := w.waiting.pop()
+		if line == nil {
+			w.flushes = false
+			return
+		}
+		w.enqueue(line) // only the goroutine that empties the queue runs beside this one
+	}
+	time.AfterFunc(flushInterval, w.flush)
+}
+
+// takes reports whether a line would be queued or kept now, and counts it as dropped if not.
+func (w *Writer) takes(priority Priority) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.second != time.Now().Unix() || w.count < most {
+	w.turn()
+	if w.count < bounds[priority] || (priority == Failure && w.kept < keptPerSecond) {
 		return true
 	}
-	w.dropped.Add(1)
+	w.dropped[priority]++
 	return false
 }
 
-// admits counts a line of a second and reports whether it is within the bound.
-func (w *Writer) admits(second int64) bool {
-	if second != w.second {
+// turn begins to count anew with each second.
+func (w *Writer) turn() {
+	if second := time.Now().Unix(); second != w.second {
 		w.second = second
-		w.count = 0
+		w.count, w.kept = 0, 0
 	}
-	w.count++
-	return w.count <= perSecond+panicReserve
 }
 
-// Dropped returns how many lines were dropped.
-func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
+// Dropped returns how many lines of a priority were dropped.
+func (w *Writer) Dropped(priority Priority) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dropped[priority]
+}
 
-// Close writes what is queued and ends.
+// Close writes what is queued and what waits for room, and ends.
 func (w *Writer) Close() {
 	w.mu.Lock()
 	if !w.closed {
@@ -163,16 +235,36 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	told := uint64(0)
+	var told [priorities]uint64
 	for line := range w.lines {
 		time.Sleep(gathering)
 		w.writeQueued(line)
-		dropped := w.Dropped()
-		if len(w.lines) == 0 && dropped > told {
-			told = dropped
-			_, _ = w.out.Write([]byte(`{"level":"WARN","msg":"log lines dropped","total":` + strconv.FormatUint(dropped, 10) + "}\n"))
+		if len(w.lines) == 0 {
+			told = w.tellDropped(told)
 		}
 	}
+	for line := w.waiting.pop(); line != nil; line = w.waiting.pop() {
+		w.writeQueued(line)
+	}
+	w.tellDropped(told)
+}
+
+// tellDropped writes how many lines were dropped so far, if that has changed.
+func (w *Writer) tellDropped(told [priorities]uint64) [priorities]uint64 {
+	w.mu.Lock()
+	dropped := w.dropped
+	w.mu.Unlock()
+	if dropped == told {
+		return told
+	}
+	total := uint64(0)
+	for _, count := range dropped {
+		total += count
+	}
+	line := fmt.Sprintf(`{"level":"WARN","msg":"log lines dropped","total":%d,"router":%d,"failures":%d,"requests":%d,"panics":%d}`+"\n",
+		total, dropped[Router], dropped[Failure], dropped[Request], dropped[Panic])
+	_, _ = io.WriteString(w.out, line) // nobody is left to tell
+	return dropped
 }
 
 // writeQueued writes a line and those that are queued behind it.
@@ -180,9 +272,7 @@
 	for line != nil {
 		var batch []byte
 		batch, line = w.gather(line)
-		if _, err := w.out.Write(batch); err != nil {
-			w.dropped.Add(1) // nobody is left to tell but the counter
-		}
+		_, _ = w.out.Write(batch) // nobody is left to tell
 	}
 }
 
