explain: a request without lines may be part of a sum of refusals

A sum that names the request is told as its story; if there is none, the largest sums are printed with router, time, reason, route and account.

Tests: explain/TestSumsOfRefusalsAreTold, explain/TestSumsThatAreKeptAreBounded.

--- a/command/explain.go
+++ b/command/explain.go
@@ -26,10 +26,13 @@
 			if err := explainAll(e, c.Args().Tail()); err != nil {
 				return err
 			}
-			if e.Found() == 0 {
-				return cli.Exit(fmt.Sprintf("explain: no line of request %s", e.Request), ExitFailed)
+			if e.Found() > 0 {
+				return nil
 			}
-			return nil
+			if err := e.Suggest(); err != nil {
+				return err
+			}
+			return cli.Exit(fmt.Sprintf("explain: no line of request %s; the sums above, if any, may include it", e.Request), ExitFailed)
 		},
 	}
 }
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -38,6 +38,10 @@
 	Route   string    `json:"route"`
 	Account string    `json:"account"`
 
+	Count    int      `json:"count"`
+	Longest  float64  `json:"longest-ms"`
+	FirstIDs []string `json:"first"`
+
 	Value        string  `json:"value"`
 	EndedBy      string  `json:"ended-by"`
 	Decision     string  `json:"decision"`
@@ -99,6 +103,7 @@
 	Out io.Writer
 
 	kept  []line
+	sums  []sum
 	found int
 }
 
@@ -131,6 +136,9 @@
 		e.keep(l)
 		return nil
 	}
+	if l.Message == "requests refused" {
+		return e.takeSum(&l)
+	}
 	if l.Request != e.Request || e.Request == "" {
 		return nil
 	}
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -77,3 +77,36 @@
 	require.Less(t, int64(after.HeapAlloc)-int64(before.HeapAlloc), int64(2<<20))
 	require.Zero(t, e.Found())
 }
+
+const sums = `{"time":"2026-12-03T14:19:40Z","msg":"requests refused","router":"edge-1","reason":"router-overloaded","account":"ada","route":"r","count":1950,"first":["a1","a2"],"longest-ms":0.4}
+{"time":"2026-12-03T14:19:41Z","msg":"requests refused","router":"edge-2","reason":"no-upstream","account":"bob","route":"q","count":7,"first":["b1"],"longest-ms":120}
+`
+
+// Guards against a refused request of which nothing is told, because its line was summed.
+func TestSumsOfRefusalsAreTold(t *testing.T) {
+	t.Parallel()
+	var named, other bytes.Buffer
+	e := explain.Explainer{Request: "a2", Out: &named}
+	require.NoError(t, e.Read(strings.NewReader(sums)))
+	require.Equal(t, 1, e.Found())
+	require.Contains(t, named.String(), "edge-1 refused, one of several without lines of their own: router-overloaded")
+	e = explain.Explainer{Request: "c3", Out: &other}
+	require.NoError(t, e.Read(strings.NewReader(sums)))
+	require.Zero(t, e.Found())
+	require.NoError(t, e.Suggest())
+	require.Contains(t, other.String(), "14:19:40.000 edge-1 refused 1950 requests without lines of their own: router-overloaded, route r, account ada")
+	require.Contains(t, other.String(), "edge-2 refused 7 requests")
+}
+
+// Guards against memory that grows with the logs that are read.
+func TestSumsThatAreKeptAreBounded(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	e := explain.Explainer{Request: "none", Out: &out}
+	for range 1000 {
+		require.NoError(t, e.Read(strings.NewReader(sums)))
+	}
+	require.NoError(t, e.Suggest())
+	require.LessOrEqual(t, strings.Count(out.String(), "\n"), 12)
+	require.Contains(t, out.String(), "1950")
+}
