--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -23,6 +23,17 @@
 // isOver reports whether an entry says nothing any more.
 func (e entry) isOver(now time.Time) bool { return now.Sub(e.until) > probation }
 
+// bounded returns an entry that ends within the longest term: what other routers and the store
+// tell may be of any length.
+func (e entry) bounded(now time.Time) entry {
+	longest := terms[len(terms)-1]
+	if latest := now.Add(longest); e.until.After(latest) {
+		e.until = latest
+	}
+	e.term = min(e.term, longest)
+	return e
+}
+
 // list holds the requests that are refused. Its zero value is empty.
 type list struct {
 	entries map[Fingerprint]entry
@@ -36,6 +47,7 @@
 
 // put keeps an entry, and returns false if one that ends as late is known.
 func (l *list) put(now time.Time, request Fingerprint, e entry) bool {
+	e = e.bounded(now)
 	if !e.until.After(l.entries[request].until.Add(clockSlack)) {
 		return false
 	}
--- /dev/null
+++ b/quarantine/machine_test.go
@@ -0,0 +1,61 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/turn"
+)
+
+// longestTerm is the longest time for which the users let a request be refused at once.
+const longestTerm = 24 * time.Hour
+
+// Guards against a process that ends, or a request that is refused for longer than a day at
+// once, because of what other routers report.
+func TestWatchOutlivesAnyReport(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		var w quarantine.Watch
+		now := epoch
+		request := func(t *rapid.T) quarantine.Fingerprint {
+			return quarantine.Fingerprint(rapid.Uint64Range(0, 3).Draw(t, "request"))
+		}
+		length := func(t *rapid.T, name string) time.Duration {
+			return rapid.SampledFrom([]time.Duration{-time.Hour, 0, time.Millisecond, time.Second, time.Hour, 1 << 62}).Draw(t, name)
+		}
+		crash := func(t *rapid.T) quarantine.Crash {
+			return quarantine.Crash{
+				Request: request(t), Upstream: turn.Instance{ID: rapid.SampledFrom([]fleet.UpstreamID{"", "a", "b", "c"}).Draw(t, "upstream"), Life: registry.Life(rapid.Int64().Draw(t, "life"))},
+				Began: length(t, "began"), Ended: length(t, "ended"), Served: length(t, "served"),
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 100_000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"served":  func(t *rapid.T) { w.Served(now, request(t)) },
+			"crashed": func(t *rapid.T) { w.Crashed(now, crash(t)) },
+			"report":  func(t *rapid.T) { w.Report(now, crash(t)) },
+			"receive": func(t *rapid.T) {
+				w.Receive(now, quarantine.Verdict{
+					Request: request(t), Standing: quarantine.Standing(rapid.IntRange(-1, 5).Draw(t, "standing")),
+					Since: length(t, "since"), Term: length(t, "term"), Left: length(t, "left"),
+				})
+			},
+			"restore": func(t *rapid.T) {
+				w.Restore(now, []quarantine.Entry{{Request: request(t), Until: now.Add(length(t, "until")), Term: length(t, "term")}})
+			},
+			"": func(t *rapid.T) {
+				for known := range quarantine.Fingerprint(4) {
+					require.LessOrEqual(t, w.Refuses(now, known), longestTerm)
+				}
+			},
+		})
+	})
+}
