--- /dev/null
+++ b/outlier/machine_test.go
@@ -0,0 +1,36 @@
+package outlier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/outlier"
+)
+
+// Guards against an upstream that is never tried again, or a process that ends, because
+// upstreams leave and return between outcomes.
+func TestDetectorOutlivesAnyChange(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		var d outlier.Detector[int]
+		now := start
+		upstream := func(t *rapid.T) int { return rapid.IntRange(0, 4).Draw(t, "upstream") }
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"success": func(t *rapid.T) { d.Success(upstream(t)) },
+			"soft":    func(t *rapid.T) { d.Failure(now, upstream(t), outlier.Soft) },
+			"hard":    func(t *rapid.T) { d.Failure(now, upstream(t), outlier.Hard) },
+			"try":     func(t *rapid.T) { d.Try(now, upstream(t)) },
+			"keep":    func(t *rapid.T) { d.Keep(map[int]bool{upstream(t): true}) },
+			"empty":   func(*rapid.T) { d.Keep(nil) },
+		})
+		for key := range 5 {
+			require.True(t, d.Usable(now.Add(10*time.Second), key), "tried again after a while")
+		}
+	})
+}
--- /dev/null
+++ b/registry/machine_test.go
@@ -0,0 +1,62 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
+)
+
+// changes draws changes of any content, none included.
+func changes(t *rapid.T) []registry.Change {
+	list := make([]registry.Change, rapid.IntRange(0, 4).Draw(t, "changes"))
+	for i := range list {
+		id := rapid.SampledFrom([]fleet.UpstreamID{"", "a", "b", "c"}).Draw(t, "id")
+		list[i] = entry(id, registry.Revision(rapid.Uint64Range(0, 40).Draw(t, "revision")))
+		list[i].Gone = rapid.Bool().Draw(t, "gone")
+		list[i].Upstream.Draining = rapid.Bool().Draw(t, "draining")
+		list[i].Upstream.Life = registry.Life(rapid.Int64Range(-1, 3).Draw(t, "life"))
+	}
+	return list
+}
+
+// Guards against a process that ends, or an upstream that is ready for ever, because the list
+// empties and returns in any order of outages, reads and what other routers say.
+func TestDirectoryOutlivesAnyChange(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		var d registry.Directory
+		now := start
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"replace": func(t *rapid.T) {
+				d.Replace(now, changes(t), registry.Revision(rapid.Uint64Range(0, 40).Draw(t, "as")))
+			},
+			"empty":    func(t *rapid.T) { d.Replace(now, nil, registry.Revision(rapid.Uint64Range(0, 40).Draw(t, "as"))) },
+			"apply":    func(t *rapid.T) { d.Apply(now, changes(t)) },
+			"receive":  func(t *rapid.T) { d.Receive(now, changes(t), registry.Revision(rapid.Uint64().Draw(t, "complete"))) },
+			"lost":     func(*rapid.T) { d.Lost() },
+			"regained": func(*rapid.T) { d.Regained(now) },
+			"settle":   func(*rapid.T) { d.Settle(now) },
+			"": func(t *rapid.T) {
+				for _, ready := range d.Ready() {
+					for _, u := range ready {
+						known, some := d.Get(u.ID)
+						require.True(t, some && !known.Gone && !known.Upstream.Draining, "%s is ready", u.ID)
+					}
+				}
+			},
+		})
+		// Once the store is back and its whole list empty, nothing is ready for longer than entries may take to return.
+		d.Regained(now)
+		d.Replace(now, nil, 1_000)
+		d.Settle(now.Add(time.Minute))
+		require.Empty(t, ids(&d))
+	})
+}
