forward, logging: sums of refusals go before lines about single requests

A sum stands for many refusals, so it has the priority of failures; there are 64 kinds a second at most for 256, which leaves room. The counts of dropped lines by priority have names of their own: "router" is the name of the router in all other lines, and explain could not read the line.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,7 +113,7 @@
 	State   State
 	Client  *upstream.Client
 	Metrics *metric.Set
-	// Log is for requests that were sent and got no whole answer.
+	// Log is for requests that were sent and got no whole answer, and for sums of refusals.
 	Log *slog.Logger
 	// Routine is for all other requests, of which there may be many; nil means Log.
 	Routine *slog.Logger
--- a/forward/job.go
+++ b/forward/job.go
@@ -205,10 +205,10 @@
 // wait waits for a turn in the line of the account.
 func (j *job) wait(ctx context.Context, demand turn.Demand) (home.Ticket, error) {
 	j.handler.lines.Enter(time.Now(), j.line())
-	begun := false
-	defer func() { j.handler.lines.Leave(time.Now(), j.line(), begun) }()
+	granted := false
+	defer func() { j.handler.lines.Leave(time.Now(), j.line(), granted) }() // also if Turn panics
 	ticket, err := j.handler.State.Turn(ctx, j.service, demand)
-	begun = err == nil
+	granted = err == nil
 	return ticket, err
 }
 
--- a/forward/log.go
+++ b/forward/log.go
@@ -92,10 +92,10 @@
 }
 
 // LogRefusals notes the refusals since the last call that had no line of their own. It is to
-// be called once a second.
+// be called once a second. Each line stands for many requests, so it goes before those of one.
 func (h *Handler) LogRefusals() {
 	for _, sum := range h.sums.Take() {
-		h.routine().Warn("requests refused", "reason", sum.Reason, "account", sum.Account, "route", sum.Route,
+		h.Log.Warn("requests refused", "reason", sum.Reason, "account", sum.Account, "route", sum.Route,
 			"count", sum.Count, "first", sum.First, "longest-ms", ms(sum.Longest))
 	}
 }
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -261,7 +261,7 @@
 	for _, count := range dropped {
 		total += count
 	}
-	line := fmt.Sprintf(`{"level":"WARN","msg":"log lines dropped","total":%d,"router":%d,"failures":%d,"requests":%d,"panics":%d}`+"\n",
+	line := fmt.Sprintf(`{"level":"WARN","msg":"log lines dropped","total":%d,"router-lines":%d,"failure-lines":%d,"request-lines":%d,"panic-lines":%d}`+"\n",
 		total, dropped[Router], dropped[Failure], dropped[Request], dropped[Panic])
 	_, _ = io.WriteString(w.out, line) // nobody is left to tell
 	return dropped
--- a/logging/logging_test.go
+++ b/logging/logging_test.go
@@ -141,6 +141,6 @@
 		require.Zero(t, w.Dropped(logging.Request))
 		require.NotContains(t, out.String(), `"number":310`, "an older one goes")
 		require.Contains(t, out.String(), `"number":599`)
-		require.Contains(t, out.String(), fmt.Sprintf(`"failures":%d,"requests":0`, w.Dropped(logging.Failure)))
+		require.Contains(t, out.String(), fmt.Sprintf(`"failure-lines":%d,"request-lines":0`, w.Dropped(logging.Failure)))
 	})
 }
--- a/refusal/summary.go
+++ b/refusal/summary.go
@@ -11,7 +11,7 @@
 	// singlesPerSecond is how many refusals of a second have a line of their own.
 	singlesPerSecond = 50
 	// maxKinds bounds the kinds that are summed apart; the rest is summed by reason alone.
-	maxKinds = 256
+	maxKinds = 64
 	// maxFirst bounds the ids that a sum names.
 	maxFirst = 3
 )
--- a/refusal/summary_test.go
+++ b/refusal/summary_test.go
@@ -49,7 +49,7 @@
 		s.Add(start, kind, "id", 0)
 	}
 	sums := s.Take()
-	require.LessOrEqual(t, len(sums), 257)
+	require.LessOrEqual(t, len(sums), 65)
 	total := 0
 	for _, sum := range sums {
 		total += sum.Count
