deployment: what the end of a stop cuts off is in the log before the process ends

It had one request in hand at the end of its grace; the handler noted the end after the log was closed.

Fix: the router waits for its handlers, 0.1 s at most, which is within the margin that a stop keeps of the grace.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -357,10 +357,20 @@
 		group.Add(r.runActor(a))
 	}
 	err := group.Run()
+	r.awaitHandlers()
 	r.options.Log.Info("stopped", "error", err)
 	return err
 }
 
+// awaitHandlers waits until the requests that the end of a stop cut off are in the log.
+func (r *Router) awaitHandlers() {
+	ctx, cancel := context.WithTimeout(context.Background(), cutOffTime)
+	defer cancel()
+	if err := r.handler.Wait(ctx); err != nil {
+		r.options.Log.Warn("requests still in hand", "in-hand", r.handler.InHand(), "error", err)
+	}
+}
+
 // stopAfter stops the router in order after an actor has ended by itself, and returns why.
 func (r *Router) stopAfter(a actor, err error) error {
 	err = eris.Wrapf(err, "part %s ended by itself", a.name)
--- a/deployment/stop.go
+++ b/deployment/stop.go
@@ -12,6 +12,9 @@
 	noticeTime = 2200 * time.Millisecond
 	// exitMargin is kept of the grace for the end of the process.
 	exitMargin = 400 * time.Millisecond
+	// cutOffTime bounds how long requests that are cut off may take to end. It is part of
+	// exitMargin.
+	cutOffTime = 100 * time.Millisecond
 	// linger lets the last answers reach their callers before connections close.
 	linger = 60 * time.Millisecond
 )
