--- a/logging/logging.go
+++ b/logging/logging.go
@@ -22,8 +22,8 @@
 	perSecond = 400
 	// panicReserve is how many lines of a second may follow perSecond if they are about panics.
 	panicReserve = 50
-	// keptPerSecond bounds the lines of a second that wait for room, since each is put together.
-	keptPerSecond = 300
+	// deferredPerSecond bounds the lines of a second that are deferred, since each is put together.
+	deferredPerSecond = 300
 	// gathering is how long lines are gathered before they are written together.
 	// Under load each write by itself wakes a thread and costs as much as the line.
 	// A process that is killed loses the lines of so long.
@@ -60,14 +60,14 @@
 
 	mu     sync.Mutex
 	second int64
-	// count is how many lines of this second were queued, kept how many went to waiting.
-	count int
-	kept  int
-	// waiting holds lines of failures that had no room, until there is some again.
-	waiting ring
-	flushes bool
-	dropped [priorities]uint64
-	closed  bool
+	// queued and deferrals count the lines of this second.
+	queued    int
+	deferrals int
+	// deferred holds lines of failures that had no room, until there is some again.
+	deferred       ring
+	flushScheduled bool
+	dropped        [priorities]uint64
+	closed         bool
 }
 
 // New returns a Writer in front of out.
@@ -105,12 +105,12 @@
 }
 
 func newBounded(w *Writer, priority Priority, build func(out io.Writer) slog.Handler) *bounded {
-	return &bounded{build(lane{w, priority}), w, priority, build}
+	return &bounded{build(prioritized{w, priority}), w, priority, build}
 }
 
-// Enabled reports whether a line of a level would be written now, or kept.
+// Enabled reports whether a line of a level would be written now, or deferred.
 func (b *bounded) Enabled(ctx context.Context, level slog.Level) bool {
-	return b.Handler.Enabled(ctx, level) && b.writer.takes(b.priority)
+	return b.Handler.Enabled(ctx, level) && b.writer.admits(b.priority)
 }
 
 // WithAttrs keeps the priority.
@@ -123,29 +123,29 @@
 	return newBounded(b.writer, b.priority, func(out io.Writer) slog.Handler { return b.build(out).WithGroup(name) })
 }
 
-// lane queues lines of one priority.
-type lane struct {
+// prioritized queues lines of one priority.
+type prioritized struct {
 	writer   *Writer
 	priority Priority
 }
 
-// Write queues one line. It never waits, and fails never: a line that doesn't fit is kept or
-// dropped, and counted then.
-func (l lane) Write(line []byte) (int, error) {
-	l.writer.write(l.priority, append([]byte(nil), line...))
+// Write queues one line. It never waits, and fails never: a line that doesn't fit is deferred
+// or dropped, and counted then.
+func (p prioritized) Write(line []byte) (int, error) {
+	p.writer.write(p.priority, append([]byte(nil), line...))
 	return len(line), nil
 }
 
 func (w *Writer) write(priority Priority, line []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.turn()
+	w.startSecond()
 	switch {
 	case w.closed:
 		w.dropped[priority]++
-	case w.count < bounds[priority] && w.enqueue(line):
-	case priority == Failure && w.kept < keptPerSecond:
-		w.keep(line)
+	case w.queued < bounds[priority] && w.enqueue(line):
+	case priority == Failure && w.deferrals < deferredPerSecond:
+		w.deferLine(line)
 	default:
 		w.dropped[priority]++
 	}
@@ -155,39 +155,39 @@
 func (w *Writer) enqueue(line []byte) bool {
 	select {
 	case w.lines <- line:
-		w.count++
+		w.queued++
 		return true
 	default:
 		return false
 	}
 }
 
-// keep lets a line wait until there is room.
-func (w *Writer) keep(line []byte) {
-	w.kept++
-	w.dropped[Failure] += uint64(w.waiting.push(line))
-	if w.flushes {
+// deferLine keeps a line until there is room.
+func (w *Writer) deferLine(line []byte) {
+	w.deferrals++
+	w.dropped[Failure] += uint64(w.deferred.push(line))
+	if w.flushScheduled {
 		return
 	}
-	w.flushes = true
+	w.flushScheduled = true
 	time.AfterFunc(flushInterval, w.flush)
 }
 
-// flushInterval is how often it is looked for room for lines that wait.
+// flushInterval is the time between two attempts to queue deferred lines.
 const flushInterval = 200 * time.Millisecond
 
-// flush queues lines that wait as far as there is room for their priority.
+// flush queues deferred lines as far as there is room for their priority.
 func (w *Writer) flush() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.closed {
 		return
 	}
-	w.turn()
-	for w.count < bounds[Failure] && len(w.lines) < capacity {
-		line := w.waiting.pop()
+	w.startSecond()
+	for w.queued < bounds[Failure] && len(w.lines) < capacity {
+		line := w.deferred.pop()
 		if line == nil {
-			w.flushes = false
+			w.flushScheduled = false
 			return
 		}
 		w.enqueue(line) // only the goroutine that empties the queue runs beside this one
@@ -195,23 +195,23 @@
 	time.AfterFunc(flushInterval, w.flush)
 }
 
-// takes reports whether a line would be queued or kept now, and counts it as dropped if not.
-func (w *Writer) takes(priority Priority) bool {
+// admits reports whether a line would be queued or deferred now, and counts it as dropped if not.
+func (w *Writer) admits(priority Priority) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.turn()
-	if w.count < bounds[priority] || (priority == Failure && w.kept < keptPerSecond) {
+	w.startSecond()
+	if w.queued < bounds[priority] || (priority == Failure && w.deferrals < deferredPerSecond) {
 		return true
 	}
 	w.dropped[priority]++
 	return false
 }
 
-// turn begins to count anew with each second.
-func (w *Writer) turn() {
+// startSecond begins to count anew with each second.
+func (w *Writer) startSecond() {
 	if second := time.Now().Unix(); second != w.second {
 		w.second = second
-		w.count, w.kept = 0, 0
+		w.queued, w.deferrals = 0, 0
 	}
 }
 
@@ -222,7 +222,7 @@
 	return w.dropped[priority]
 }
 
-// Close writes what is queued and what waits for room, and ends.
+// Close writes what is queued and deferred, and ends.
 func (w *Writer) Close() {
 	w.mu.Lock()
 	if !w.closed {
@@ -235,27 +235,27 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	var told [priorities]uint64
+	var logged [priorities]uint64
 	for line := range w.lines {
 		time.Sleep(gathering)
 		w.writeQueued(line)
 		if len(w.lines) == 0 {
-			told = w.tellDropped(told)
+			logged = w.logDropped(logged)
 		}
 	}
-	for line := w.waiting.pop(); line != nil; line = w.waiting.pop() {
+	for line := w.deferred.pop(); line != nil; line = w.deferred.pop() {
 		w.writeQueued(line)
 	}
-	w.tellDropped(told)
+	w.logDropped(logged)
 }
 
-// tellDropped writes how many lines were dropped so far, if that has changed.
-func (w *Writer) tellDropped(told [priorities]uint64) [priorities]uint64 {
+// logDropped writes how many lines were dropped so far, if that has changed.
+func (w *Writer) logDropped(logged [priorities]uint64) [priorities]uint64 {
 	w.mu.Lock()
 	dropped := w.dropped
 	w.mu.Unlock()
-	if dropped == told {
-		return told
+	if dropped == logged {
+		return logged
 	}
 	total := uint64(0)
 	for _, count := range dropped {
--- a/logging/ring.go
+++ b/logging/ring.go
@@ -1,9 +1,9 @@
 package logging
 
-// ringBytes bounds the lines that wait for room, in bytes.
+// ringBytes bounds the deferred lines, in bytes.
 const ringBytes = 256 << 10
 
-// ring keeps the newest lines that had no room. Its zero value is empty.
+// ring keeps the newest deferred lines. Its zero value is empty.
 type ring struct {
 	lines [][]byte
 	bytes int
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -27,6 +27,9 @@
 	Control Part = "control"
 )
 
+// maxStack bounds the stack in a log line, in bytes, so that a pipe takes the line whole.
+const maxStack = 3000
+
 // Error is the error of work that panicked.
 type Error struct {
 	Part Part
@@ -92,6 +95,7 @@
 	if g.Count != nil {
 		g.Count()
 	}
-	g.Log.Error("panic", append([]any{"part", e.Part, "value", fmt.Sprint(e.Value), "stack", string(e.Stack)}, attributes...)...)
+	stack := string(e.Stack[:min(len(e.Stack), maxStack)])
+	g.Log.Error("panic", append([]any{"part", e.Part, "value", fmt.Sprint(e.Value), "stack", stack}, attributes...)...)
 	return e
 }
--- a/recovery/recovery_test.go
+++ b/recovery/recovery_test.go
@@ -30,6 +30,24 @@
 	require.Contains(t, line["stack"], "recovery_test.empty")
 }
 
+// Guards against a line of which the reader of a pipe loses the end.
+func TestLineOfADeepPanicIsShort(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	g := &recovery.Guard{Log: slog.New(slog.NewJSONHandler(&out, nil))}
+	g.Run(recovery.Request, func() { deep(200) })
+	require.Less(t, out.Len(), 4096)
+	require.Contains(t, out.String(), "recovery_test.deep")
+}
+
+// deep panics after so many calls.
+func deep(calls int) {
+	if calls == 0 {
+		panic("a fault")
+	}
+	deep(calls - 1)
+}
+
 // empty divides by a number.
 func empty(by int) error {
 	_ = 1 / by
