--- a/logging/logging.go
+++ b/logging/logging.go
@@ -105,7 +105,7 @@
 }
 
 func newBounded(w *Writer, priority Priority, build func(out io.Writer) slog.Handler) *bounded {
-	return &bounded{build(prioritized{w, priority}), w, priority, build}
+	return &bounded{build(prioritised{w, priority}), w, priority, build}
 }
 
 // Enabled reports whether a line of a level would be written now, or deferred.
@@ -123,15 +123,15 @@
 	return newBounded(b.writer, b.priority, func(out io.Writer) slog.Handler { return b.build(out).WithGroup(name) })
 }
 
-// prioritized queues lines of one priority.
-type prioritized struct {
+// prioritised queues lines of one priority.
+type prioritised struct {
 	writer   *Writer
 	priority Priority
 }
 
 // Write queues one line. It never waits, and fails never: a line that doesn't fit is deferred
 // or dropped, and counted then.
-func (p prioritized) Write(line []byte) (int, error) {
+func (p prioritised) Write(line []byte) (int, error) {
 	p.writer.write(p.priority, append([]byte(nil), line...))
 	return len(line), nil
 }
