--- /dev/null
+++ b/admission/machine_test.go
@@ -0,0 +1,53 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"nutmeglock.example/nutmeglock/admission"
+)
+
+// Guards against an account that is refused for ever once its line has emptied, whatever came
+// before.
+func TestLinesOutliveAnyChange(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		var lines admission.Lines[string]
+		now := time.Unix(1_800_000_000, 0)
+		key := func(t *rapid.T) string { return rapid.SampledFrom([]string{"", "a", "b"}).Draw(t, "account") }
+		waiting := map[string]int{}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"enter": func(t *rapid.T) {
+				k := key(t)
+				lines.Enter(now, k)
+				waiting[k]++
+			},
+			"leave": func(t *rapid.T) {
+				k := key(t)
+				if waiting[k] == 0 {
+					t.Skip("nobody waits")
+				}
+				lines.Leave(now, k, rapid.Bool().Draw(t, "started"))
+				waiting[k]--
+			},
+			"full": func(t *rapid.T) {
+				patience := rapid.SampledFrom([]time.Duration{-time.Hour, 0, linePatience, 1 << 62}).Draw(t, "patience")
+				after, full := lines.IsFull(now, key(t), patience)
+				require.True(t, !full || after > 0, "asked back at once")
+			},
+		})
+		for k, count := range waiting {
+			for range count {
+				lines.Leave(now, k, false)
+			}
+			_, full := lines.IsFull(now.Add(time.Minute), k, linePatience)
+			require.False(t, full, "an empty line")
+		}
+	})
+}
