--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -93,11 +93,7 @@
 // lookGuarded drops what broke at an upstream if looking at it panics, so that it is looked at
 // the next time.
 func (c *crashes) lookGuarded(upstream registry.Upstream) {
-	err := c.guard.Do(recovery.Crash, func() error {
-		c.look(upstream)
-		return nil
-	}, "upstream", upstream.ID)
-	if err != nil {
+	if c.guard.Run(recovery.Crash, func() { c.look(upstream) }, "upstream", upstream.ID) {
 		c.forget(turn.InstanceOf(upstream))
 	}
 }
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -310,29 +310,25 @@
 
 // sweep closes idle connections whose time is over until ctx ends.
 func (r *Router) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case now := <-ticker.C:
-			r.client.Sweep(now, r.state.HasAddress)
-		case <-ctx.Done():
-			r.client.Close()
-			return ctx.Err()
-		}
-	}
+	defer r.client.Close()
+	return every(ctx, sweepInterval, func(now time.Time) { r.client.Sweep(now, r.state.HasAddress) })
 }
 
 // logRefusals notes each second what was refused beyond the bound on lines until ctx ends.
 func (r *Router) logRefusals(ctx context.Context) error {
-	ticker := time.NewTicker(summaryInterval)
+	defer r.handler.LogRefusals()
+	return every(ctx, summaryInterval, func(time.Time) { r.handler.LogRefusals() })
+}
+
+// every calls fn once in each interval until ctx ends, and returns its error.
+func every(ctx context.Context, interval time.Duration, fn func(now time.Time)) error {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
-			r.handler.LogRefusals()
+		case now := <-ticker.C:
+			fn(now)
 		case <-ctx.Done():
-			r.handler.LogRefusals()
 			return ctx.Err()
 		}
 	}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -103,7 +103,7 @@
 	Out io.Writer
 
 	kept  []line
-	sums  []sum
+	sums  []line
 	found int
 }
 
--- a/forward/log.go
+++ b/forward/log.go
@@ -41,7 +41,7 @@
 func (j *job) endOfAttempt(ctx context.Context, f *failure) (party, decision) {
 	var sink *stream.SinkError
 	switch {
-	case j.silence.ended:
+	case j.next != nil:
 		return partyRouter, decisionSilence
 	case errors.Is(context.Cause(ctx), errDeadline):
 		return partyRouter, decisionDeadline
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -43,8 +43,6 @@
 type silence struct {
 	lasted time.Duration
 	limit  time.Duration
-	// ended is true if the attempt was ended for it.
-	ended bool
 }
 
 // newWatch returns the watch of an attempt, which is ended by cancel with errSilent.
@@ -95,7 +93,6 @@
 	}
 	w.next = ticket
 	w.settle()
-	w.silence.ended = true
 	w.cancel(errSilent)
 	return true
 }
--- a/home/serve.go
+++ b/home/serve.go
@@ -54,11 +54,7 @@
 
 // awaitGuarded refuses an ask if waiting for its turn panics.
 func (h *Homes) awaitGuarded(from fleet.RouterID, id uint64, t *held) {
-	err := h.Guard.Do(recovery.Home, func() error {
-		h.await(from, id, t)
-		return nil
-	}, "other", from)
-	if err != nil {
+	if h.Guard.Run(recovery.Home, func() { h.await(from, id, t) }, "other", from) {
 		h.drop(from, id)
 		h.refuse(from, id, &turn.RefusedError{RetryAfter: retryAfterSilence})
 	}
--- a/peer/link.go
+++ b/peer/link.go
@@ -255,13 +255,10 @@
 	if request.Params != nil {
 		params = *request.Params
 	}
-	panicked := l.peers.options.Guard.Do(recovery.Message, func() error {
+	err = l.peers.options.Guard.Do(recovery.Message, func() (err error) {
 		answer, err = fn(ctx, params)
-		return nil
+		return err
 	}, "other", l.hello.GetRouter(), "method", request.Method)
-	if panicked != nil {
-		return nil, panicked
-	}
 	return answer, err
 }
 
--- a/recovery/recovery.go
+++ b/recovery/recovery.go
@@ -71,22 +71,22 @@
 	return work()
 }
 
-// Run is Do for work without an error.
-func (g *Guard) Run(part Part, work func(), attributes ...any) {
-	_ = g.Do(part, func() error { // a panic was logged
+// Run is Do for work without an error. It reports whether the work panicked.
+func (g *Guard) Run(part Part, work func(), attributes ...any) (panicked bool) {
+	return g.Do(part, plain(work), attributes...) != nil
+}
+
+func plain(work func()) func() error {
+	return func() error {
 		work()
 		return nil
-	}, attributes...)
+	}
 }
 
 // RunControl runs work on the state that all requests share. After a panic the process ends in
 // order.
 func (g *Guard) RunControl(work func(), attributes ...any) {
-	err := g.Do(Control, func() error {
-		work()
-		return nil
-	}, attributes...)
-	if err != nil {
+	if err := g.Do(Control, plain(work), attributes...); err != nil {
 		g.End(err)
 	}
 }
