peer: calls that end don't touch a connection that is still set up

Cause: jsonrpc2.NewConn watches its context, and closes the stream when it ends, also before NewConn's result has been stored. A router that stops while another one connects to it has an ended context there. close doesn't need the Conn: its reader gets io.EOF once the link is closed, and closes it.

--- a/peer/link.go
+++ b/peer/link.go
@@ -102,13 +102,11 @@
 	l.peers.options.Logger.Debug("connection to router ended", "router", l.hello.GetRouter(), "error", err)
 }
 
+// close ends the connection, and with it the calls on it, whose ReadObject fails.
 func (l *link) close() {
 	l.closeOnce.Do(func() {
 		close(l.closed)
 		_ = l.conn.Close()
-		if l.rpc != nil {
-			_ = l.rpc.Close()
-		}
 	})
 }
 
