standin/engine: the tests have an HTTP client of their own

Cause, now traced: the end of any httptest.Server closes the idle connections of http.DefaultTransport. net/http counts a connection as idle before it hands over an answer without a body (204); if it is closed just then, the call fails, and a DELETE isn't repeated.

--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"testing"
 	"time"
@@ -19,6 +20,10 @@
 
 const waitTimeout = 30 * time.Second
 
+// client has a transport of its own: when an httptest.Server closes, it closes the idle
+// connections of the default transport, which other parallel tests may be about to use.
+var client = &http.Client{Transport: &http.Transport{}}
+
 // fastOptions makes an engine run a hundred times faster.
 var fastOptions = engine.Options{TimeScale: 0.01, Retention: 1000 * time.Second}
 
@@ -52,7 +57,7 @@
 	for i := 0; i < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return reply{}, "", err
 	}
@@ -127,6 +132,25 @@
 	require.Equal(t, http.StatusNotFound, response.StatusCode)
 }
 
+// Guards against calls that fail because another test ends at that moment. A connection is
+// idle before the client has been handed an answer without a body; if the transport closes
+// its idle connections then, the call fails, and net/http doesn't repeat a DELETE.
+func TestCallsSurviveTheEndOfAnotherTestsServer(t *testing.T) {
+	t.Parallel()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	t.Cleanup(server.Close)
+	other := httptest.NewServer(http.NotFoundHandler())
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{PutIdleConn: func(error) {
+		other.Close()
+		time.Sleep(10 * time.Millisecond) // the answer comes after the end of the connection
+	}})
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, server.URL, nil)
+	require.NoError(t, err)
+	response, err := client.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+}
+
 func TestDrainingEngineRefusesRequests(t *testing.T) {
 	t.Parallel()
 	e, url := serve(t, fastOptions)
