deployment: the list of routers is read once, however slow the start

Causes, each with a test that failed before: - A router waited 0.5 s for its own entry to be written, then read the list without it, and had to read it again. It now waits for the first attempt to end, whatever its result.

--- a/deployment/members.go
+++ b/deployment/members.go
@@ -41,10 +41,6 @@
 	memberStartupPollInterval = 3 * time.Second
 	// memberPollInterval is the pause between polls later on in a large fleet.
 	memberPollInterval = 30 * time.Second
-	// registrationWait is how long the first read of the list waits for the router's own entry
-	// to be written, which takes a few milliseconds. A store that refuses the entry may still
-	// return those of other routers.
-	registrationWait = 500 * time.Millisecond
 	// withdrawTimeout bounds the removal of the router's own entry at shutdown. An entry that
 	// remains costs the other routers an occasional attempt to connect.
 	withdrawTimeout = time.Second
@@ -59,12 +55,14 @@
 // It first reads the list when the router's own entry is in it. Of two routers that start
 // together, the one that registered later then finds the other and connects to it, so
 // neither has to read the list again. With three reads each, 91 routers would make 270 calls to
-// the store in the first seconds.
+// the store in the first seconds. If the first attempt to write the entry fails, the list is read
+// all the same: a store that refuses the entry may still return those of other routers.
 type memberFollower struct {
 	follow.Follower[Member, registry.Revision]
-	startedAt  time.Time
-	isLarge    func() bool
-	registered chan struct{}
+	startedAt time.Time
+	// isLarge reports whether the fleet is large according to the list.
+	isLarge      func() bool
+	registration *registration
 	// readBeforeRegistration is set if the list was first read before the router's own entry was
 	// written, until it is read again.
 	readBeforeRegistration atomic.Bool
@@ -72,29 +70,23 @@
 
 func (f *memberFollower) run(ctx context.Context) error {
 	select {
-	case <-f.registered:
-	case <-time.After(registrationWait):
-		f.readBeforeRegistration.Store(true)
+	case <-f.registration.attempted:
 	case <-ctx.Done():
 		return ctx.Err()
 	}
+	f.readBeforeRegistration.Store(!f.registration.isDone())
 	return f.Run(ctx)
 }
 
 // pollInterval returns how long the list need not be polled.
 func (f *memberFollower) pollInterval() time.Duration {
-	select {
-	case <-f.registered:
-		if f.readBeforeRegistration.CompareAndSwap(true, false) {
-			return 0
-		}
-	default:
-	}
 	switch {
-	case time.Since(f.startedAt) < memberStartupPollInterval:
-		return memberStartupPollInterval
+	case f.registration.isDone() && f.readBeforeRegistration.CompareAndSwap(true, false):
+		return 0
 	case f.isLarge():
 		return memberPollInterval
+	case time.Since(f.startedAt) < memberStartupPollInterval:
+		return memberStartupPollInterval
 	default:
 		return 0
 	}
@@ -184,19 +176,53 @@
 	s.Apply([]Member{{ID: c.Router, Address: c.Address}}, 0)
 }
 
+// isLargeFleet reports whether the known routers make a large fleet, connected or not: while many
+// routers start, connecting to them takes longer than reading their list.
+func (s *memberSink) isLargeFleet() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fleet.IsLarge(len(s.addresses) + 1)
+}
+
 // SetUnavailable and SetAvailable do nothing: routers stay connected to those they know.
 func (*memberSink) SetUnavailable(error) {}
 func (*memberSink) SetAvailable()        {}
 
+// registration tells how far the write of the router's own entry is.
+type registration struct {
+	// attempted is closed after the first attempt, done once the entry is written.
+	attempted chan struct{}
+	done      chan struct{}
+}
+
+func newRegistration() *registration {
+	return &registration{attempted: make(chan struct{}), done: make(chan struct{})}
+}
+
+func (r *registration) isDone() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // register writes the router's own entry, retrying until it is written, and returns when ctx
 // ends.
 func (r *Router) register(ctx context.Context) error {
 	own := Member{ID: r.options.Self, Address: r.options.PeerAddress}
+	attempted := sync.OnceFunc(func() { close(r.registration.attempted) })
+	defer attempted()
 	written := retryUntilSuccess(ctx, func(ctx context.Context) error { return r.options.MemberStore.Register(ctx, own) },
-		func(err error) { r.options.Log.Warn("not registered", "error", err) })
+		func(err error) {
+			r.options.Log.Warn("not registered", "error", err)
+			attempted()
+		})
 	if written {
 		r.options.Log.Info("registered", "address", own.Address)
-		close(r.registered)
+		close(r.registration.done)
+		attempted()
 		<-ctx.Done()
 	}
 	return ctx.Err()
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -107,9 +107,8 @@
 	stopping       atomic.Bool
 	stopOnce       sync.Once
 	// startedAt is when the router was created.
-	startedAt time.Time
-	// registered is closed once the router's own entry is in the list of routers.
-	registered chan struct{}
+	startedAt    time.Time
+	registration *registration
 	// openConnections is the number of open connections of callers.
 	openConnections atomic.Int64
 	actors          []actor
@@ -125,7 +124,7 @@
 func New(ctx context.Context, options Options) (*Router, error) {
 	routerMetrics, processMetrics := prometheus.NewRegistry(), prometheus.NewRegistry()
 	processMetrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r := &Router{options: options, metricsHandler: metric.Handler(routerMetrics, processMetrics), metrics: metric.New(routerMetrics), startedAt: time.Now(), registered: make(chan struct{})}
+	r := &Router{options: options, metricsHandler: metric.Handler(routerMetrics, processMetrics), metrics: metric.New(routerMetrics), startedAt: time.Now(), registration: newRegistration()}
 	r.failures = make(chan error, 1)
 	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), OnPanic: r.metrics.Panics.Inc, Shutdown: r.fail}
 	r.state = NewState(StateOptions{
@@ -188,7 +187,7 @@
 	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor.tracker, r.options.Log)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.handleConnectionChange)
-	memberList := &memberFollower{startedAt: r.startedAt, isLarge: r.mesh.coordinator.IsActive, registered: r.registered}
+	memberList := &memberFollower{startedAt: r.startedAt, isLarge: members.isLargeFleet, registration: r.registration}
 	memberList.Follower = follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.MemberStore, Sink: members, Log: r.options.Log,
 		Wait: memberPollWait, PollInterval: memberList.pollInterval,
