turn: prompts count as read when they probably are

The model of turn's tests now copies prefixes between caches, as engines do, and its homes are told that they are homes; all its bounds are as they were.

--- a/turn/engine.go
+++ b/turn/engine.go
@@ -29,11 +29,11 @@
 	key      Key
 	// group is the index of its group.
 	group int
-	// pendingPrefill (in tokens) and inFlight count requests that this router sent;
+	// backlog holds the prompts that this router sent and inFlight counts its requests;
 	// waitingTokens counts requests queued here that prefer this upstream.
-	pendingPrefill int
-	inFlight       int
-	waitingTokens  int
+	backlog       backlog
+	inFlight      int
+	waitingTokens int
 	// lastBusy is when it was last known to have prompts to read.
 	lastBusy time.Time
 	// remote is the sum of the other routers' reports.
@@ -43,10 +43,6 @@
 	unreportedPrefixes []uint64
 }
 
-// fleetPendingPrefill returns the prompt tokens that all routers sent and that are not yet
-// read.
-func (e *engine) fleetPendingPrefill() int { return e.pendingPrefill + e.remote.PendingPrefill }
-
 // fleetInFlight returns the requests that all routers have in flight.
 func (e *engine) fleetInFlight() int { return e.inFlight + e.remote.InFlight }
 
--- a/turn/large_test.go
+++ b/turn/large_test.go
@@ -47,6 +47,21 @@
 	}
 }
 
+// Guards against callers that are refused although engines with their prompts' prefixes have
+// nothing to read. It comes about when prompts count as unread until their first event, which
+// is long after the engine has read them, and when what waits counts with its cached part.
+func TestFewAreRefusedBesideIdleEngines(t *testing.T) {
+	t.Parallel()
+	const maxIdleRefusals, maxLate = 0.1, 0.05
+	for _, overload := range []float64{8, 12, 16} {
+		config := largeFleetConfig(1, overload)
+		config.homes = 8
+		sim := simulate(config)
+		require.Less(t, float64(sim.refusedByIdleOwner), maxIdleRefusals*float64(sim.refused), "of %d refused, overload %v", sim.refused, overload)
+		require.Less(t, float64(sim.late), maxLate*float64(sim.inTime+sim.late))
+	}
+}
+
 // floodedRouterConfig overloads one small router: it gets all requests of an account and
 // has processor time for only some of them. Another account asks for as much at many
 // routers, and small ones send a few requests.
--- a/turn/load.go
+++ b/turn/load.go
@@ -85,7 +85,7 @@
 		Accounts:  make(map[Key]Usage, len(p.accounts)),
 	}
 	for _, e := range p.engines {
-		load := Load{PendingPrefill: e.pendingPrefill, InFlight: e.inFlight, WaitingTokens: e.waitingTokens, NewPrefixes: e.unreportedPrefixes}
+		load := Load{PendingPrefill: e.backlog.tokens, InFlight: e.inFlight, WaitingTokens: e.waitingTokens, NewPrefixes: e.unreportedPrefixes}
 		e.unreportedPrefixes = nil
 		if !load.isEmpty() {
 			r.Upstreams[e.key] = load
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -18,13 +18,15 @@
 // Engines read prompts in order of arrival, cache them for a limited time, and generate at
 // a fixed pace. The slowdown of generation during prefill is left out.
 type simulation struct {
-	now    time.Time
-	random *rand.Rand
-	events eventQueue
-	pools  []*turn.Pool
-	// engines by ID.
-	engines map[fleet.UpstreamID]*simEngine
-	config  simConfig
+	now       time.Time
+	random    *rand.Rand
+	events    eventQueue
+	pools     []*turn.Pool
+	upstreams []registry.Upstream
+	// engines by ID and by address.
+	engines   map[fleet.UpstreamID]*simEngine
+	byAddress map[string]*simEngine
+	config    simConfig
 	// Results of the callers, by account.
 	requested, served map[fleet.AccountID]*[maxSeconds]float64
 	unserved          map[fleet.AccountID]*[maxSeconds]bool
@@ -33,6 +35,9 @@
 	late              int
 	refused           int
 	refusedWhileIdle  int
+	// refusedByIdleOwner counts the requests that were refused while an engine that owns their
+	// prefix had nothing to read. Only homes are observed.
+	refusedByIdleOwner int
 	// maxQueueDelay is the longest time for which a prompt waited at an engine.
 	maxQueueDelay time.Duration
 	lastSeq       uint64
@@ -111,6 +116,9 @@
 	firstEventDelay = 35 * time.Millisecond
 	// generationTime is the duration of an answer after its first event.
 	generationTime = 300 * time.Millisecond
+	// simFetchCost is the time to fetch a token from another engine's cache, relative to
+	// reading it.
+	simFetchCost = 0.1
 	// simCacheTTL is how long a simulated engine caches a prefix.
 	simCacheTTL = 40 * time.Second
 )
@@ -118,15 +126,16 @@
 func simulate(config simConfig) *simulation {
 	m := &simulation{
 		now: start, random: rand.New(rand.NewPCG(config.seed, 1)), config: config,
-		engines:   make(map[fleet.UpstreamID]*simEngine),
+		engines: make(map[fleet.UpstreamID]*simEngine), byAddress: make(map[string]*simEngine),
 		requested: make(map[fleet.AccountID]*[maxSeconds]float64), served: make(map[fleet.AccountID]*[maxSeconds]float64),
 		unserved: make(map[fleet.AccountID]*[maxSeconds]bool), largestRequest: make(map[fleet.AccountID]float64),
 	}
-	upstreams := newEngines(config.engines)
-	for _, u := range upstreams {
+	m.upstreams = newEngines(config.engines)
+	for _, u := range m.upstreams {
 		m.engines[u.ID] = &simEngine{cache: make(map[uint64]time.Time)}
+		m.byAddress[u.Address] = m.engines[u.ID]
 	}
-	m.makePools(upstreams)
+	m.makePools()
 	for _, a := range config.accounts {
 		m.requested[a.id] = &[maxSeconds]float64{}
 		m.served[a.id] = &[maxSeconds]float64{}
@@ -146,19 +155,19 @@
 
 // makePools creates a pool for each router, or for each home, which then has a part of the
 // engines and receives all requests for them.
-func (m *simulation) makePools(upstreams []registry.Upstream) {
-	homes := m.config.homes
-	for home := range homes {
+func (m *simulation) makePools() {
+	for home := range m.config.homes {
 		p := &turn.Pool{}
-		p.SetUpstreams(m.now, upstreams[home*len(upstreams)/homes:(home+1)*len(upstreams)/homes], m.config.target)
+		p.SetGrouped(m.now, true)
+		p.SetUpstreams(m.now, m.upstreamsOf(home), m.config.target)
 		m.pools = append(m.pools, p)
 	}
-	if homes > 0 {
+	if m.config.homes > 0 {
 		return
 	}
 	for i := range m.config.routers {
 		p := &turn.Pool{}
-		p.SetUpstreams(m.now, upstreams, m.config.target)
+		p.SetUpstreams(m.now, m.upstreams, m.config.target)
 		m.pools = append(m.pools, p)
 		m.schedule(time.Duration(m.random.Int64N(int64(m.config.reportInterval))), func() { m.report(i) })
 	}
@@ -236,6 +245,7 @@
 func (m *simulation) submit(router int, r turn.Request, arrivedAt time.Time) {
 	t, err := m.pools[router].Submit(m.now, r)
 	if err != nil {
+		m.recordIdleOwner(router, r)
 		m.refuse(r)
 		return
 	}
@@ -252,6 +262,7 @@
 			m.schedule(networkDelay, func() { m.runOnEngine(t, r, arrivedAt) })
 			return
 		}
+		m.recordIdleOwner(router, r)
 		m.refuse(r)
 	default:
 		m.schedule(2*time.Millisecond, func() { m.pollTicket(router, t, r, arrivedAt, cancelAt) })
@@ -269,14 +280,37 @@
 	}
 }
 
+// recordIdleOwner counts a refused request if one of the engines that own its prefix at a
+// home is idle.
+func (m *simulation) recordIdleOwner(home int, r turn.Request) {
+	if m.config.homes == 0 {
+		return
+	}
+	upstreams := m.upstreamsOf(home)
+	for _, i := range (turn.CacheAffinity{}).Order(upstreams, &r)[:2] {
+		if !m.engines[upstreams[i].ID].freeAt.After(m.now) {
+			m.refusedByIdleOwner++
+			return
+		}
+	}
+}
+
+// upstreamsOf returns the upstreams that a home schedules.
+func (m *simulation) upstreamsOf(home int) []registry.Upstream {
+	n := len(m.upstreams)
+	return m.upstreams[home*n/m.config.homes : (home+1)*n/m.config.homes]
+}
+
 // runOnEngine simulates the arrival of a request at its engine.
 func (m *simulation) runOnEngine(t *turn.Ticket, r turn.Request, arrivedAt time.Time) {
 	e := m.engines[t.Upstream().ID]
-	work := r.Input
+	cached := m.cachedTokens(e, r)
+	work := r.Input - cached
+	if source := m.byAddress[t.FetchFrom()]; source != nil {
+		fetched := max(m.cachedTokens(source, r)-cached, 0)
+		work -= fetched - int(float64(fetched)*simFetchCost)
+	}
 	for _, p := range r.Prefixes {
-		if at, ok := e.cache[p.Hash]; ok && m.now.Sub(at) < simCacheTTL {
-			work = min(work, r.Input-p.Tokens)
-		}
 		e.cache[p.Hash] = m.now
 	}
 	prefillStart := m.now
@@ -289,6 +323,17 @@
 	m.schedule(e.freeAt.Sub(m.now)+firstEventDelay, func() { m.firstEvent(t, r, arrivedAt) })
 }
 
+// cachedTokens returns how many tokens of a prompt an engine has in its cache.
+func (m *simulation) cachedTokens(e *simEngine, r turn.Request) int {
+	tokens := 0
+	for _, p := range r.Prefixes {
+		if at, ok := e.cache[p.Hash]; ok && m.now.Sub(at) < simCacheTTL {
+			tokens = max(tokens, p.Tokens)
+		}
+	}
+	return tokens
+}
+
 func (m *simulation) firstEvent(t *turn.Ticket, r turn.Request, arrivedAt time.Time) {
 	m.served[r.Account][m.second()] += float64(r.Input + 2*r.Output)
 	if m.now.Sub(arrivedAt) <= m.config.target {
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -31,12 +31,14 @@
 
 // View is the state that a Placement uses besides that of the upstream.
 type View struct {
-	now   time.Time
-	speed *prefillSpeed
+	now     time.Time
+	latency *prefillLatency
 	// cacheHolder is the upstream with the most cached tokens of the prompt, and
 	// holderTokens is their number.
 	cacheHolder  *engine
 	holderTokens int
+	// grouped is true when all requests for the upstreams start here.
+	grouped bool
 	// DataCenter is this router's data centre.
 	DataCenter fleet.DataCenterID
 	// Target is the target time to the first event of the strictest route.
@@ -66,7 +68,7 @@
 // Defaults of CacheAffinity.
 const (
 	defaultOwners          = 2
-	defaultBacklogFraction = 0.35
+	defaultBacklogFraction = 0.4
 )
 
 // Order ranks the upstreams by rendezvous hashing of the request's shared prefix.
@@ -98,14 +100,14 @@
 // Score returns the tokens to be read before the request's first event, plus the penalty
 // for leaving the first owner.
 func (a CacheAffinity) Score(v *View, e *engine, r *Request, rank int) float64 {
-	penalty := float64(rank) * switchPenalty * v.speed.value() * float64(v.Target.Milliseconds())
+	penalty := float64(rank) * switchPenalty * v.latency.speed() * float64(v.Target.Milliseconds())
 	return float64(a.prefillWork(v, e, r)) + penalty
 }
 
 // prefillWork returns the tokens to be read before a request's first event.
 func (CacheAffinity) prefillWork(v *View, e *engine, r *Request) int {
 	prefill, _ := v.prefillCost(e, r)
-	return e.fleetPendingPrefill() + prefill
+	return v.unread(e) + prefill
 }
 
 // fetchCost is the cost of fetching a token from another upstream's cache, relative to
@@ -117,6 +119,30 @@
 // takes as long as reading them.
 const minFetchTokens = 1500
 
+// unread returns the prompt tokens that all routers sent to an upstream and that it has
+// probably yet to read. Where other routers send to it as well, the order of the prompts
+// isn't known, and each counts until its first event.
+func (v *View) unread(e *engine) int {
+	if !v.grouped {
+		return e.backlog.tokens + e.remote.PendingPrefill
+	}
+	return v.estimatedUnread(e)
+}
+
+// estimatedUnread is unread with an estimate of the progress of this router's prompts.
+func (v *View) estimatedUnread(e *engine) int {
+	return e.backlog.unread(v.now, v.latency) + e.remote.PendingPrefill
+}
+
+// idleFor returns for how long an upstream has had nothing to read.
+func (v *View) idleFor(e *engine) time.Duration {
+	idleSince := e.lastBusy
+	if end := e.backlog.endsAt(v.latency); v.grouped && end.After(idleSince) {
+		idleSince = end
+	}
+	return v.now.Sub(idleSince)
+}
+
 // prefillCost returns the cost of a prompt at an upstream in tokens read, and whether part
 // of it is fetched from another upstream's cache.
 func (v *View) prefillCost(e *engine, r *Request) (tokens int, fetches bool) {
@@ -145,19 +171,19 @@
 	if e.upstream.Slots > 0 && e.fleetInFlight() >= e.upstream.Slots {
 		return false
 	}
-	return a.canTakeIdle(v, e) || v.speed.duration(e.fleetPendingPrefill()) <= a.maxBacklog(v)
+	return a.canTakeIdle(v, e) || v.latency.reading(v.unread(e)) <= a.maxBacklog(v)
 }
 
 // canTakeIdle reports whether an upstream has nothing to read and the account may use it.
 func (CacheAffinity) canTakeIdle(v *View, e *engine) bool {
-	return e.fleetPendingPrefill() == 0 && (v.BacklogFactor >= evenBacklogFactor || v.now.Sub(e.lastBusy) >= idleGrace)
+	return v.unread(e) == 0 && (v.BacklogFactor >= evenBacklogFactor || v.idleFor(e) >= idleGrace)
 }
 
 // HasRoom reports whether an upstream can read its backlog and the request's prompt in
 // time. An idle upstream accepts a request of any size; otherwise the largest would never
 // start.
 func (a CacheAffinity) HasRoom(v *View, e *engine, r *Request) bool {
-	return a.canTakeIdle(v, e) || v.speed.duration(a.prefillWork(v, e, r)) <= a.maxBacklog(v)
+	return a.canTakeIdle(v, e) || v.latency.reading(a.prefillWork(v, e, r)) <= a.maxBacklog(v)
 }
 
 // maxBacklog returns the limit of an upstream's prefill backlog, as time.
@@ -166,7 +192,11 @@
 	if fraction <= 0 {
 		fraction = defaultBacklogFraction
 	}
-	return time.Duration(fraction * v.BacklogFactor * float64(v.Target))
+	limit := fraction * float64(v.Target)
+	if !v.grouped {
+		limit += float64(v.latency.overhead()) // a prompt counts until its first event
+	}
+	return time.Duration(limit * v.BacklogFactor)
 }
 
 // LeastLoaded sends a request to the upstream with the fewest requests in flight per slot,
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -20,6 +20,10 @@
 	noUpstreamRetryAfter = 700 * time.Millisecond
 )
 
+// uncachedPartMemory is the time constant over which the part of prompts that has to be read
+// is averaged.
+const uncachedPartMemory = 10 * time.Second
+
 // Pool schedules the requests of one service over its upstreams. It holds the waiting
 // requests and the state of those in flight. Its zero value has no upstreams. It is safe
 // for concurrent use.
@@ -51,10 +55,12 @@
 	remoteUsage map[Key]Usage
 	localKeys   map[Key]bool
 	// peakServed is the recent peak of the service within one serviceWindow, in tokens.
-	peakServed   rate.Peak
-	speed        prefillSpeed
-	detector     outlier.Detector[Instance]
-	waitingCount int
+	peakServed rate.Peak
+	latency    prefillLatency
+	// promptTokens and uncachedTokens are the recent sums over the prompts that were sent.
+	promptTokens, uncachedTokens rate.DecayingSum
+	detector                     outlier.Detector[Instance]
+	waitingCount                 int
 }
 
 // SetUpstreams replaces the upstreams that accept requests, and the target time to the first
@@ -101,6 +107,7 @@
 	if best == nil {
 		return nil, &RefusedError{NoUpstream: true, RetryAfter: noUpstreamRetryAfter}
 	}
+	t.tokens, _ = view.prefillCost(best, &r)
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
 	if !r.wasSent() && shares.isCapped(now, a) {
@@ -135,25 +142,37 @@
 }
 
 // expectedWait returns the time until an upstream could take a request: the time in which it
-// reads its backlog and the prompts that go first, less the target.
+// reads its backlog and the prompts that go first, less the target. That is a low estimate,
+// as it should be: prompts that go first may be sent elsewhere or be refused, and a request
+// that is refused at once has lost its chance.
 //
 // Requests of accounts with more service go later. Those that wait at other routers are
 // assumed to be spread evenly over the upstreams.
 func (p *Pool) expectedWait(now time.Time, e *engine, r *Request) time.Duration {
 	served := p.account(r.Account).served(now)
-	ahead := e.fleetPendingPrefill()
+	ahead, remote := p.view(now, 1).estimatedUnread(e), 0
 	for id, a := range p.accounts {
 		if id != r.Account && a.served(now) > served {
 			continue
 		}
-		ahead += a.remote.WaitingTokens / len(p.engines)
+		remote += a.remote.WaitingTokens
 		for _, t := range a.queue {
 			if t.preferred == e {
-				ahead += t.request.Input
+				ahead += t.tokens
 			}
 		}
 	}
-	return p.speed.duration(ahead) - p.target
+	ahead += int(float64(remote) * p.uncachedPart(now) / float64(len(p.engines)))
+	return p.latency.reading(ahead) - p.target
+}
+
+// uncachedPart returns the part of recent prompts that upstreams had to read.
+func (p *Pool) uncachedPart(now time.Time) float64 {
+	sent := p.promptTokens.At(now, uncachedPartMemory)
+	if sent < 1 {
+		return 1
+	}
+	return min(p.uncachedTokens.At(now, uncachedPartMemory)/sent, 1)
 }
 
 func (p *Pool) placement() Placement {
--- a/turn/reassign.go
+++ b/turn/reassign.go
@@ -31,6 +31,7 @@
 	}
 	t.preferred.waitingTokens -= t.request.Input
 	t.preferred = best
+	t.tokens, _ = view.prefillCost(best, &t.request)
 	best.waitingTokens += t.request.Input
 }
 
--- a/turn/service_cap.go
+++ b/turn/service_cap.go
@@ -87,7 +87,7 @@
 // Without this, a fleet in which a router sheds everything from the start would keep
 // serving almost nothing.
 func (p *Pool) refuseCapped(now time.Time, r *Request, best *engine) error {
-	if best.fleetPendingPrefill() == 0 {
+	if p.view(now, 1).unread(best) == 0 {
 		p.peakServed.Add(now, peakMemory, r.cost()*float64(serviceWindow)/float64(peakMemory))
 	}
 	return &RefusedError{Capped: true, RetryAfter: minRetryAfter}
--- a/turn/start.go
+++ b/turn/start.go
@@ -8,7 +8,7 @@
 
 // view returns the View for an account with this backlog factor.
 func (p *Pool) view(now time.Time, backlogFactor float64) *View {
-	return &View{now: now, speed: &p.speed, DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
+	return &View{now: now, latency: &p.latency, grouped: p.grouped, DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
 }
 
 // candidates returns the upstreams that a ticket may go to now: the first usable ones in
@@ -94,7 +94,7 @@
 	shares := p.fairShares(now)
 	for _, a := range p.waitingAccounts(now) {
 		capped := shares.isCapped(now, a.account)
-		view := p.view(now, backlogFactor(a.served, shares.fairShare(true), shares.pressure))
+		view := p.view(now, p.backlogFactor(a.served, shares))
 		for _, t := range a.queue {
 			if (!capped || t.request.wasSent()) && p.tryStart(view, t) {
 				return true
@@ -153,11 +153,13 @@
 	if fetches {
 		t.fetchFrom = view.cacheHolder.upstream.Address
 	}
-	t.prefillAhead = e.fleetPendingPrefill() + t.uncached
-	e.pendingPrefill += t.uncached
+	t.prefillAhead = view.unread(e) + t.uncached
+	e.backlog.add(t, t.uncached, now.Add(p.latency.reading(e.remote.PendingPrefill)))
 	e.inFlight++
 	e.lastBusy = now
 	e.recordPrompt(now, &t.request)
+	p.promptTokens.Add(now, uncachedPartMemory, float64(t.request.Input))
+	p.uncachedTokens.Add(now, uncachedPartMemory, float64(t.uncached))
 	p.detector.RecordSend(now, e.instance)
 	p.account(t.request.Account).servedHere.Add(now, serviceWindow, t.request.cost())
 	close(t.granted)
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -18,8 +18,10 @@
 	// generation of the pool's list.
 	order      []*engine
 	generation int
-	// preferred is the upstream at which the ticket is counted while it waits.
+	// preferred is the upstream at which the ticket is counted while it waits, and tokens is
+	// what that upstream would probably have to read of its prompt.
 	preferred *engine
+	tokens    int
 	// granted is closed when the turn is granted; the fields from engine to startedAt are
 	// set before.
 	granted chan struct{}
@@ -95,18 +97,29 @@
 	if !t.isGranted() || t.prefilled || t.ended {
 		return
 	}
-	p.speed.observe(t.prefillAhead, now.Sub(t.startedAt))
-	t.markPrefilled(now)
+	p.latency.observe(t.prefillAhead, now.Sub(t.startedAt))
+	t.markPrefilled(p.readAt(now))
 	p.startWaiting(now)
 }
 
-func (t *Ticket) markPrefilled(now time.Time) {
+// readAt returns when the prompt was read whose first event has arrived now.
+func (p *Pool) readAt(now time.Time) time.Time {
+	if !p.grouped {
+		return now
+	}
+	return now.Add(-p.latency.overhead())
+}
+
+// markPrefilled records that the upstream had read the prompt, or given it up, at readAt.
+func (t *Ticket) markPrefilled(readAt time.Time) {
 	if t.prefilled {
 		return
 	}
 	t.prefilled = true
-	t.engine.pendingPrefill -= t.uncached
-	t.engine.lastBusy = now
+	t.engine.backlog.remove(t, readAt)
+	if readAt.After(t.engine.lastBusy) {
+		t.engine.lastBusy = readAt
+	}
 }
 
 // Outcome is the result of a granted request.
