turn: a request that returns goes before newcomers of its account

When it returns it goes before others of its account, and isn't refused at once. The order between accounts stays.

Tried and left: return times that grow with how long the account's overload has lasted, spread by 0.5.

--- a/turn/account.go
+++ b/turn/account.go
@@ -1,6 +1,7 @@
 package turn
 
 import (
+	"slices"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
@@ -18,6 +19,8 @@
 	servedHere rate.DecayingSum
 	// refused counts the tokens of its requests that this pool refused.
 	refused rate.DecayingSum
+	// refusedRequests are those whose callers may return.
+	refusedRequests refusedRequests
 	// shed counts the tokens of its requests that a router refused before calling Submit.
 	shed rate.DecayingSum
 	// remote is the account's usage at all other routers.
@@ -45,6 +48,20 @@
 // recordRefused records that this pool refused a request of the account.
 func (a *account) recordRefused(now time.Time, r *Request) {
 	a.refused.Add(now, serviceWindow, r.cost())
+	a.refusedRequests.add(now, r)
+}
+
+// enqueue adds a ticket to the queue. A request that was refused before goes before those
+// that weren't.
+func (a *account) enqueue(t *Ticket) {
+	i := len(a.queue)
+	if t.returned {
+		i = slices.IndexFunc(a.queue, func(other *Ticket) bool { return !other.returned })
+	}
+	if i < 0 {
+		i = len(a.queue)
+	}
+	a.queue = slices.Insert(a.queue, i, t)
 }
 
 func (p *Pool) account(id fleet.AccountID) *account {
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -110,11 +110,12 @@
 	t.tokens, _ = view.prefillCost(best, &r)
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
+	t.returned = a.refusedRequests.take(now, &r)
 	if !r.wasSent() && shares.isCapped(now, a) {
 		a.recordRefused(now, &r)
 		return nil, p.refuseCapped(now, &r, best)
 	}
-	if wait := p.expectedWait(now, best, &r); wait > t.patience {
+	if wait := p.expectedWait(now, best, &r); wait > t.patience && !t.returned {
 		a.recordRefused(now, &r)
 		return nil, &RefusedError{Wait: wait, RetryAfter: max(wait, minRetryAfter)}
 	}
@@ -125,7 +126,7 @@
 
 func (p *Pool) enqueue(t *Ticket, preferred *engine) {
 	a := p.account(t.request.Account)
-	a.queue = append(a.queue, t)
+	a.enqueue(t)
 	a.waitingTokens += t.request.Input
 	t.preferred = preferred
 	preferred.waitingTokens += t.request.Input
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -14,6 +14,8 @@
 	arrivedAt time.Time
 	// patience is the longest time that it may wait.
 	patience time.Duration
+	// returned is true if the request was refused before.
+	returned bool
 	// order lists the upstreams that may serve the request in order of preference, as of
 	// generation of the pool's list.
 	order      []*engine
