overload: a router with a full link sends its callers elsewhere

So the incoming link is full: answers wait behind callers' bodies and engines' events.

The median delay of homes' answers feeds a second Detector (200 and 50 ms); a router with a full link isn't ready, and closes connections after their answers, as one without processor time.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -55,6 +55,8 @@
 	// latency is the latest measured scheduling latency in nanoseconds.
 	latency atomic.Int64
 	shedder overload.Shedder[fleet.AccountID]
+	// link detects a full link by the delay of homes' answers.
+	link *overload.Detector
 	// acceptQueue measures the queue of connections that wait to be accepted.
 	acceptQueue overload.StandingQueue
 	// requestsInFlight returns the number of callers' requests in flight; nil if unknown.
@@ -81,7 +83,7 @@
 
 // newMesh returns a mesh. checkReachable returns an error if an upstream can't be reached.
 func newMesh(state *State, options peer.Options, checkReachable func(ctx context.Context, address string) error) *mesh {
-	m := &mesh{state: state, peers: peer.New(options), log: options.Logger}
+	m := &mesh{state: state, peers: peer.New(options), link: overload.NewLinkDetector(), log: options.Logger}
 	m.coordinator = &home.Coordinator{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger, Guard: options.Guard}
 	m.group = &follow.Group{Self: options.Self}
 	m.crashMonitor = crashMonitor{
@@ -258,8 +260,8 @@
 	}
 }
 
-// checkOverload measures whether the router has enough processor time, and adapts shedding
-// and overload.
+// checkOverload measures whether the router has enough processor time and a free link, and
+// adapts shedding and overload.
 func (m *mesh) checkOverload(now time.Time) {
 	latency := m.scheduling.Wait()
 	m.latency.Store(int64(latency))
@@ -275,13 +277,25 @@
 		// balancer would move the whole flood to the next small router.
 		overloadWait = 0
 	}
-	if !m.overload.Observe(now, overloadWait) {
-		return
+	if m.overload.Observe(now, overloadWait) {
+		m.log.Warn("overload changed", "overloaded", m.overload.IsOverloaded(), "wait-ms", wait.Milliseconds(),
+			"mean-wait-ms", m.overload.MeanWait().Milliseconds())
 	}
-	m.log.Warn("overload changed", "overloaded", m.overload.IsOverloaded(), "wait-ms", wait.Milliseconds(),
-		"mean-wait-ms", m.overload.MeanWait().Milliseconds())
+	m.checkLink(now)
 }
 
+// checkLink measures whether the router's link is full.
+func (m *mesh) checkLink(now time.Time) {
+	delay := m.coordinator.AnswerDelay(now)
+	if m.link.Observe(now, delay) {
+		m.log.Warn("link load changed", "full", m.link.IsOverloaded(), "delay-ms", delay.Milliseconds(),
+			"mean-delay-ms", m.link.MeanWait().Milliseconds())
+	}
+}
+
+// isOverloaded reports whether callers should go to other routers.
+func (m *mesh) isOverloaded() bool { return m.overload.IsOverloaded() || m.link.IsOverloaded() }
+
 // schedulingLatency returns the latest wait for the processor that one goroutine in ten
 // exceeded.
 func (m *mesh) schedulingLatency() time.Duration { return time.Duration(m.latency.Load()) }
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -287,7 +287,7 @@
 // for seconds; callers give up meanwhile, and their requests are read and forwarded though
 // nobody waits for the answers any more.
 func (r *Router) shouldCloseConnections() bool {
-	return r.openConnections.Load() > int64(r.options.MaxConnections) || r.mesh.overload.IsOverloaded()
+	return r.openConnections.Load() > int64(r.options.MaxConnections) || r.mesh.isOverloaded()
 }
 
 // serve returns an actor that serves on a listener and closes the server when its context ends.
@@ -305,7 +305,7 @@
 
 // serveReadiness answers the balancer's readiness check.
 func (r *Router) serveReadiness(c echo.Context) error {
-	if r.stopping.Load() || !r.state.Ready() || r.mesh.overload.IsOverloaded() {
+	if r.stopping.Load() || !r.state.Ready() || r.mesh.isOverloaded() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
--- a/home/home.go
+++ b/home/home.go
@@ -76,7 +76,8 @@
 	lastAskID   uint64
 	pendingAsks map[uint64]*pendingAsk
 	// roundTrip tracks how long homes take to answer.
-	roundTrip roundTrip
+	roundTrip   roundTrip
+	answerDelay answerDelay
 	// pendingNotes holds notes to be sent with the next message to their home.
 	pendingNotes map[fleet.RouterID][]*schema.TurnNote
 	// pendingShed holds the refused tokens that haven't been reported to homes yet.
--- a/home/roundtrip.go
+++ b/home/roundtrip.go
@@ -58,12 +58,14 @@
 	r.overdue[id] = asked
 }
 
-// observeLate measures the round trip of an ask that was answered after its timeout.
-func (r *roundTrip) observeLate(now time.Time, id uint64) {
+// observeLate measures the round trip of an ask that was answered after its timeout. It
+// returns false if the ask is unknown.
+func (r *roundTrip) observeLate(now time.Time, id uint64) (time.Duration, bool) {
 	asked, known := r.overdue[id]
 	if !known {
-		return
+		return 0, false
 	}
 	delete(r.overdue, id)
 	r.observe(now.Sub(asked))
+	return now.Sub(asked), true
 }
--- a/overload/detector.go
+++ b/overload/detector.go
@@ -1,5 +1,5 @@
-// Package overload detects that a router lacks processor time and refuses requests
-// until it has enough again.
+// Package overload detects that a router lacks processor time, or that its link is full,
+// and refuses requests until it has enough again.
 //
 // It protects a small router to which the load balancer sends more requests than it
 // can serve or even refuse. Without it, work queues up: requests are read and events
@@ -34,9 +34,14 @@
 	waitWeight = 0.25
 )
 
-// Detector detects that the router lacks processor time. Its zero value reports no
-// overload. It is safe for concurrent use.
+// Detector detects that the router is overloaded: that something waits for too long. Its
+// zero value measures how long goroutines wait for the processor, and reports no overload.
+// It is safe for concurrent use.
 type Detector struct {
+	// High is the mean wait from which on the router is overloaded, until it is below Low;
+	// zero means overloadedWait and recoveredWait.
+	High, Low time.Duration
+
 	mu              sync.Mutex
 	filter          spikeFilter
 	meanWait        time.Duration
@@ -46,17 +51,17 @@
 	overloaded      bool
 }
 
-// Observe adds a sample of how long goroutines wait for the processor. It reports
-// whether the result of IsOverloaded changed.
+// Observe adds a sample of the wait. It reports whether the result of IsOverloaded changed.
 func (d *Detector) Observe(now time.Time, wait time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	high, low := d.thresholds()
 	d.meanWait += time.Duration(waitWeight * float64(d.filter.observe(wait)-d.meanWait))
 	switch {
-	case !d.overloaded && d.meanWait >= overloadedWait:
+	case !d.overloaded && d.meanWait >= high:
 		d.startOverload(now)
 		return true
-	case d.overloaded && d.meanWait < recoveredWait && now.Sub(d.overloadedSince) >= d.hold:
+	case d.overloaded && d.meanWait < low && now.Sub(d.overloadedSince) >= d.hold:
 		d.overloaded = false
 		d.recoveredAt = now
 		return true
@@ -64,6 +69,13 @@
 	return false
 }
 
+func (d *Detector) thresholds() (high, low time.Duration) {
+	if d.High > 0 {
+		return d.High, d.Low
+	}
+	return overloadedWait, recoveredWait
+}
+
 func (d *Detector) startOverload(now time.Time) {
 	isRelapse := d.hold > 0 && now.Sub(d.recoveredAt) < relapseWindow
 	if isRelapse {
@@ -75,14 +87,14 @@
 	d.overloadedSince = now
 }
 
-// IsOverloaded reports whether the router has too little processor time.
+// IsOverloaded reports whether the router is overloaded.
 func (d *Detector) IsOverloaded() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.overloaded
 }
 
-// MeanWait returns the mean time for which goroutines recently waited for the processor.
+// MeanWait returns the mean of the recent waits.
 func (d *Detector) MeanWait() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
