--- a/deployment/members.go
+++ b/deployment/members.go
@@ -36,9 +36,9 @@
 	// memberPollWait is how long one call waits for a change of the list of routers.
 	// Starting routers connect to the others themselves, so changes are never urgent.
 	memberPollWait = 20 * time.Second
-	// memberStartupPollInterval is how long after its start a router doesn't poll the list again:
-	// all routers of a fleet start together, and the store would send each entry to all.
-	memberStartupPollInterval = 3 * time.Second
+	// memberStartupTime is how long after its start a router doesn't poll the list again: all
+	// routers of a fleet start together, and the store would send each entry to all.
+	memberStartupTime = 3 * time.Second
 	// memberPollInterval is the pause between polls later on in a large fleet.
 	memberPollInterval = 30 * time.Second
 	// withdrawTimeout bounds the removal of the router's own entry at shutdown. An entry that
@@ -83,10 +83,8 @@
 	switch {
 	case f.registration.isDone() && f.readBeforeRegistration.CompareAndSwap(true, false):
 		return 0
-	case f.isLarge():
+	case f.isLarge() || time.Since(f.startedAt) < memberStartupTime:
 		return memberPollInterval
-	case time.Since(f.startedAt) < memberStartupPollInterval:
-		return memberStartupPollInterval
 	default:
 		return 0
 	}
