--- a/turn/account.go
+++ b/turn/account.go
@@ -94,10 +94,6 @@
 	maxBacklogFactor = 1.5
 	backlogSlope     = 3
 	minBacklogFactor = 0.1
-	// homeBacklogBonus is added where all requests for an upstream start at one router, and
-	// minHomeBacklogFactor is the least factor there.
-	homeBacklogBonus     = 0.6
-	minHomeBacklogFactor = 0.5
 	// fullPressure is the unserved fraction of the demand from which backlogAtShare applies in
 	// full. At lower pressure, for example when a large account briefly has unmet demand
 	// under low load, less room has to be kept free.
@@ -118,19 +114,6 @@
 	return min(max(atShare-backlogSlope*(ratio-1), minBacklogFactor), maxBacklogFactor)
 }
 
-// backlogFactor returns the factor for an account that was served that much.
-//
-// A home knows all requests for its upstreams, and grants turns to the account with the least
-// service first. It need not leave room for other routers, only as much as requests of
-// smaller accounts need that arrive a moment later.
-func (p *Pool) backlogFactor(served float64, shares fairShares) float64 {
-	factor := backlogFactor(served, shares.fairShare(true), shares.pressure)
-	if !p.grouped {
-		return factor
-	}
-	return min(max(factor+homeBacklogBonus, minHomeBacklogFactor), maxBacklogFactor)
-}
-
 // The patience of a request is multiplied by up to maxPatienceFactor for an account that was
 // served less than its fair share, and by as little as minPatienceFactor for one served
 // more.
--- a/turn/start.go
+++ b/turn/start.go
@@ -94,7 +94,7 @@
 	shares := p.fairShares(now)
 	for _, a := range p.waitingAccounts(now) {
 		capped := shares.isCapped(now, a.account)
-		view := p.view(now, p.backlogFactor(a.served, shares))
+		view := p.view(now, backlogFactor(a.served, shares.fairShare(true), shares.pressure))
 		for _, t := range a.queue {
 			if (!capped || t.request.wasSent()) && p.tryStart(view, t) {
 				return true
