--- a/turn/large_test.go
+++ b/turn/large_test.go
@@ -48,8 +48,7 @@
 }
 
 // Guards against callers that are refused although engines with their prompts' prefixes have
-// nothing to read. It comes about when prompts count as unread until their first event, which
-// is long after the engine has read them, and when what waits counts with its cached part.
+// had nothing to read for longer than they are left to accounts below their share.
 func TestFewAreRefusedBesideIdleEngines(t *testing.T) {
 	t.Parallel()
 	const maxIdleRefusals, maxLate = 0.1, 0.05
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -37,8 +37,8 @@
 	// holderTokens is their number.
 	cacheHolder  *engine
 	holderTokens int
-	// grouped is true when all requests for the upstreams start here.
-	grouped bool
+	// isHome is true when all requests for the upstreams start at this router.
+	isHome bool
 	// DataCenter is this router's data centre.
 	DataCenter fleet.DataCenterID
 	// Target is the target time to the first event of the strictest route.
@@ -123,7 +123,7 @@
 // probably yet to read. Where other routers send to it as well, the order of the prompts
 // isn't known, and each counts until its first event.
 func (v *View) unread(e *engine) int {
-	if !v.grouped {
+	if !v.isHome {
 		return e.backlog.tokens + e.remote.PendingPrefill
 	}
 	return v.estimatedUnread(e)
@@ -137,7 +137,7 @@
 // idleFor returns for how long an upstream has had nothing to read.
 func (v *View) idleFor(e *engine) time.Duration {
 	idleSince := e.lastBusy
-	if end := e.backlog.endsAt(v.latency); v.grouped && end.After(idleSince) {
+	if end := e.backlog.endsAt(v.latency); v.isHome && end.After(idleSince) {
 		idleSince = end
 	}
 	return v.now.Sub(idleSince)
@@ -193,7 +193,7 @@
 		fraction = defaultBacklogFraction
 	}
 	limit := fraction * float64(v.Target)
-	if !v.grouped {
+	if !v.isHome {
 		limit += float64(v.latency.overhead()) // a prompt counts until its first event
 	}
 	return time.Duration(limit * v.BacklogFactor)
