home, deployment, turn: state that could be derived, and two observers of one delay

Read again as a newcomer; behaviour as it was, no test touched. - home: a router's answer delays are recorded where its round trips are, in roundTrip, and not a second time beside it. - deployment: whether the router's entry is written is a flag, as nobody waits for it. - turn: the size of a prompt in an engine's backlog is its ticket's.

Left: dispatcher's costModel is a weighted regression like turn's prefillLatency, with other weights at the start, so one piece for both would change what either estimates; quarantine, estimate, scheduler and turn each have a container of two generations.

--- a/deployment/members.go
+++ b/deployment/members.go
@@ -74,14 +74,14 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	f.readBeforeRegistration.Store(!f.registration.isDone())
+	f.readBeforeRegistration.Store(!f.registration.done.Load())
 	return f.Run(ctx)
 }
 
 // pollInterval returns how long the list need not be polled.
 func (f *memberFollower) pollInterval() time.Duration {
 	switch {
-	case f.registration.isDone() && f.readBeforeRegistration.CompareAndSwap(true, false):
+	case f.registration.done.Load() && f.readBeforeRegistration.CompareAndSwap(true, false):
 		return 0
 	case f.isLarge() || time.Since(f.startedAt) < memberStartupTime:
 		return memberPollInterval
@@ -188,22 +188,10 @@
 
 // registration tells how far the write of the router's own entry is.
 type registration struct {
-	// attempted is closed after the first attempt, done once the entry is written.
+	// attempted is closed after the first attempt.
 	attempted chan struct{}
-	done      chan struct{}
-}
-
-func newRegistration() *registration {
-	return &registration{attempted: make(chan struct{}), done: make(chan struct{})}
-}
-
-func (r *registration) isDone() bool {
-	select {
-	case <-r.done:
-		return true
-	default:
-		return false
-	}
+	// done is set once the entry is written.
+	done atomic.Bool
 }
 
 // register writes the router's own entry, retrying until it is written, and returns when ctx
@@ -219,7 +207,7 @@
 		})
 	if written {
 		r.options.Log.Info("registered", "address", own.Address)
-		close(r.registration.done)
+		r.registration.done.Store(true)
 		attempted()
 		<-ctx.Done()
 	}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -124,7 +124,7 @@
 func New(ctx context.Context, options Options) (*Router, error) {
 	routerMetrics, processMetrics := prometheus.NewRegistry(), prometheus.NewRegistry()
 	processMetrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r := &Router{options: options, metricsHandler: metric.Handler(routerMetrics, processMetrics), metrics: metric.New(routerMetrics), startedAt: time.Now(), registration: newRegistration()}
+	r := &Router{options: options, metricsHandler: metric.Handler(routerMetrics, processMetrics), metrics: metric.New(routerMetrics), startedAt: time.Now(), registration: &registration{attempted: make(chan struct{})}}
 	r.failures = make(chan error, 1)
 	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), OnPanic: r.metrics.Panics.Inc, Shutdown: r.fail}
 	r.state = NewState(StateOptions{
--- a/home/ask.go
+++ b/home/ask.go
@@ -98,16 +98,7 @@
 func (c *Coordinator) observeRoundTrip(took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.roundTrip.observe(took)
-	c.answerDelay.observe(time.Now(), took)
-}
-
-// observeLateAnswer measures the delay of an answer that came after its timeout. mu must be
-// held.
-func (c *Coordinator) observeLateAnswer(now time.Time, id uint64) {
-	if took, known := c.roundTrip.observeLate(now, id); known {
-		c.answerDelay.observe(now, took)
-	}
+	c.roundTrip.observe(time.Now(), took)
 }
 
 func (c *Coordinator) closeAsk(id uint64) {
@@ -124,8 +115,7 @@
 func (c *Coordinator) markUnresponsive(home fleet.RouterID, id uint64, asked time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.roundTrip.recordTimeout(id, asked)
-	c.answerDelay.observe(time.Now(), time.Since(asked)) // its answer takes at least as long
+	c.roundTrip.recordTimeout(time.Now(), id, asked)
 	if c.unresponsive == nil {
 		c.unresponsive = make(map[fleet.RouterID]bool)
 	}
@@ -154,7 +144,7 @@
 	c.mu.Lock()
 	a := c.pendingAsks[answer.GetId()]
 	if a == nil {
-		c.observeLateAnswer(time.Now(), answer.GetId())
+		c.roundTrip.observeLate(time.Now(), answer.GetId())
 	}
 	c.mu.Unlock()
 	if a != nil && a.home == from {
--- a/home/delay.go
+++ b/home/delay.go
@@ -51,5 +51,5 @@
 func (c *Coordinator) AnswerDelay(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.answerDelay.median(now)
+	return c.roundTrip.recent.median(now)
 }
--- a/home/home.go
+++ b/home/home.go
@@ -76,8 +76,7 @@
 	lastAskID   uint64
 	pendingAsks map[uint64]*pendingAsk
 	// roundTrip tracks how long homes take to answer.
-	roundTrip   roundTrip
-	answerDelay answerDelay
+	roundTrip roundTrip
 	// pendingNotes holds notes to be sent with the next message to their home.
 	pendingNotes map[fleet.RouterID][]*schema.TurnNote
 	// pendingShed holds the refused tokens that haven't been reported to homes yet.
--- a/home/roundtrip.go
+++ b/home/roundtrip.go
@@ -32,11 +32,13 @@
 // which 920 timed out.
 type roundTrip struct {
 	smoothed time.Duration
+	recent   answerDelay
 	// overdue holds the asks that timed out, by ID, and when they were made.
 	overdue map[uint64]time.Time
 }
 
-func (r *roundTrip) observe(sample time.Duration) {
+func (r *roundTrip) observe(now time.Time, sample time.Duration) {
+	r.recent.observe(now, sample)
 	weight := fallWeight
 	if sample > r.smoothed {
 		weight = riseWeight
@@ -50,22 +52,21 @@
 }
 
 // recordTimeout remembers an ask that timed out, to measure its round trip if its answer
-// still comes.
-func (r *roundTrip) recordTimeout(id uint64, asked time.Time) {
+// still comes. Its delay so far counts among the recent ones.
+func (r *roundTrip) recordTimeout(now time.Time, id uint64, asked time.Time) {
+	r.recent.observe(now, now.Sub(asked))
 	if r.overdue == nil || len(r.overdue) >= maxOverdue {
 		r.overdue = make(map[uint64]time.Time)
 	}
 	r.overdue[id] = asked
 }
 
-// observeLate measures the round trip of an ask that was answered after its timeout. It
-// returns false if the ask is unknown.
-func (r *roundTrip) observeLate(now time.Time, id uint64) (time.Duration, bool) {
+// observeLate measures the round trip of an ask that was answered after its timeout.
+func (r *roundTrip) observeLate(now time.Time, id uint64) {
 	asked, known := r.overdue[id]
 	if !known {
-		return 0, false
+		return
 	}
 	delete(r.overdue, id)
-	r.observe(now.Sub(asked))
-	return now.Sub(asked), true
+	r.observe(now, now.Sub(asked))
 }
--- a/turn/account.go
+++ b/turn/account.go
@@ -54,14 +54,12 @@
 // enqueue adds a ticket to the queue. A request that was refused before goes before those
 // that weren't.
 func (a *account) enqueue(t *Ticket) {
-	i := len(a.queue)
-	if t.returned {
-		i = slices.IndexFunc(a.queue, func(other *Ticket) bool { return !other.returned })
+	newcomer := slices.IndexFunc(a.queue, func(other *Ticket) bool { return !other.returned })
+	if !t.returned || newcomer < 0 {
+		a.queue = append(a.queue, t)
+		return
 	}
-	if i < 0 {
-		i = len(a.queue)
-	}
-	a.queue = slices.Insert(a.queue, i, t)
+	a.queue = slices.Insert(a.queue, newcomer, t)
 }
 
 func (p *Pool) account(id fleet.AccountID) *account {
--- a/turn/backlog.go
+++ b/turn/backlog.go
@@ -8,15 +8,12 @@
 // backlog estimates what an upstream has yet to read of the prompts that one router sent to
 // it. Its zero value is empty.
 //
-// The first event of a request arrives well after its prompt has been read: a batch step,
-// the first token and the network take as long as a short prompt. If prompts counted as
-// unread until then, each upstream would stand idle for that time between two prompts.
-// Upstreams read prompts in the order of arrival, so their progress follows from the time
-// since the first of the prompts could be begun.
+// A first event arrives well after its prompt was read. If prompts counted as unread until
+// then, upstreams would idle between two prompts. They read in the order of arrival.
 type backlog struct {
 	// prompts are those without a first event, in the order in which they were sent.
 	prompts []prompt
-	// tokens is the sum of their tokens.
+	// tokens is how many of their tokens the upstream has to read.
 	tokens int
 	// readingSince is when the upstream began to read the first of prompts.
 	readingSince time.Time
@@ -27,8 +24,6 @@
 	ticket *Ticket
 	// earliest is when the upstream can begin to read it: prompts of other routers go first.
 	earliest time.Time
-	// tokens is the number of its tokens that the upstream has to read.
-	tokens int
 }
 
 // overdueMargin is how much later than expected a first event may be before its upstream
@@ -37,12 +32,12 @@
 
 // add adds a prompt. It is read once the prompts of other routers have been read, from
 // earliest on.
-func (b *backlog) add(t *Ticket, tokens int, earliest time.Time) {
+func (b *backlog) add(t *Ticket, earliest time.Time) {
 	if len(b.prompts) == 0 {
 		b.readingSince = earliest
 	}
-	b.prompts = append(b.prompts, prompt{ticket: t, earliest: earliest, tokens: tokens})
-	b.tokens += tokens
+	b.prompts = append(b.prompts, prompt{ticket: t, earliest: earliest})
+	b.tokens += t.uncached
 }
 
 // remove removes a prompt. readAt is when the upstream had read it, or gave it up.
@@ -51,7 +46,7 @@
 	if i < 0 {
 		return
 	}
-	b.tokens -= b.prompts[i].tokens
+	b.tokens -= t.uncached
 	b.prompts = slices.Delete(b.prompts, i, i+1)
 	if i > 0 || len(b.prompts) == 0 {
 		return
@@ -62,20 +57,19 @@
 	}
 }
 
-// unread returns the number of tokens that the upstream has yet to read. While the first
-// event that is due next hasn't come, no more can have been read than until the moment at
-// which that event was sent. If it is overdue, the estimate was wrong, and nothing counts
-// as read.
+// unread returns how many tokens the upstream has yet to read. Without the next first event
+// no more was read than within the overhead after its prompt; once it is overdue, nothing
+// counts as read.
 func (b *backlog) unread(now time.Time, latency *prefillLatency) int {
 	if len(b.prompts) == 0 {
 		return 0
 	}
-	first := b.prompts[0]
+	first := b.prompts[0].ticket.uncached
 	reading := max(now.Sub(b.readingSince), 0)
-	if reading > latency.firstEvent(first.tokens)+overdueMargin {
+	if reading > latency.firstEvent(first)+overdueMargin {
 		return b.tokens
 	}
-	read := min(latency.tokensIn(reading), first.tokens+latency.tokensIn(latency.overhead()))
+	read := min(latency.tokensIn(reading), first+latency.tokensIn(latency.overhead()))
 	return max(b.tokens-read, 0)
 }
 
--- a/turn/start.go
+++ b/turn/start.go
@@ -154,7 +154,7 @@
 		t.fetchFrom = view.cacheHolder.upstream.Address
 	}
 	t.prefillAhead = view.unread(e) + t.uncached
-	e.backlog.add(t, t.uncached, now.Add(p.latency.reading(e.remote.PendingPrefill)))
+	e.backlog.add(t, now.Add(p.latency.reading(e.remote.PendingPrefill)))
 	e.inFlight++
 	e.lastBusy = now
 	e.recordPrompt(now, &t.request)
