coldstart, turn: cold upstreams get what they tolerate, as the sum over all routers

Cause: the entry's cold time, the service's cold duration and rate were read nowhere. Now: decoded in platform/, and one router at a time may send to a cold upstream. Where homes grant turns it is the home of the group, elsewhere one by rendezvous hashing over the connected routers; it has to be connected to most of the fleet and waits 1.5 s when it is new. Its limit leaves room for a second router that takes itself for the owner. An engine that refused a connection counts as cold. Ways: a fixed share for each router (would allow 72 x one request a second, or nothing), reports of what each sent (a third of a second old at 72 routers). The owner uses the whole declared rate. Tests: the model in coldstart/fleet_test.go (1 to 300 routers that start, freeze, are killed and cut from each other) fails without the majority (24 requests in a second where 14 are allowed) and, with changes each 150 ms, without the waiting time of a new owner (18). Ruled out: entries that are old.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -173,6 +173,7 @@
 	routers := m.peers.Routers()
 	m.coordinator.SetRouters(routers)
 	m.group.SetRouters(routers)
+	m.state.setConnectedRouters(routers)
 	m.state.setGrouped(m.coordinator.IsActive())
 	if !c.Connected {
 		m.coordinator.HandleDisconnect(c.Router)
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/forward"
@@ -26,6 +27,7 @@
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/turn"
 	"nutmeglock.example/nutmeglock/upstream"
 )
 
@@ -56,7 +58,7 @@
 	maxPeerBackoff = time.Second
 )
 
-// Options configure a Router. All are required but RecoveryTime.
+// Options configure a Router. All are required but RecoveryTime and ColdTolerance.
 type Options struct {
 	Self       fleet.RouterID
 	DataCenter fleet.DataCenterID
@@ -81,6 +83,8 @@
 	// retries of the whole fleet beyond that.
 	RetryRatio float64
 	RetryBurst float64
+	// ColdTolerance is what cold upstreams tolerate beyond the rate of their service.
+	ColdTolerance coldstart.Tolerance
 	// RecoveryTime is the time after an outage of the store within which its updates have to be in
 	// force; zero means follow.DefaultRecovery.
 	RecoveryTime time.Duration
@@ -128,7 +132,9 @@
 	r.failures = make(chan error, 1)
 	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), OnPanic: r.metrics.Panics.Inc, Shutdown: r.fail}
 	r.state = NewState(StateOptions{
-		DataCenter: options.DataCenter, RetryRatio: options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
+		Self: options.Self, DataCenter: options.DataCenter, ColdTolerance: options.ColdTolerance,
+		OnColdSkipped: func(reason turn.ColdReason) { r.metrics.ColdSkipped.WithLabelValues(string(reason)).Inc() },
+		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
 	})
 	r.client = &upstream.Client{EchoedID: options.EchoedID, OnOpen: r.metrics.UpstreamConnections.Inc}
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/recovery"
@@ -40,6 +41,8 @@
 	pools         map[fleet.ServiceID]*turn.Pool
 	// coordinator requests turns from homes in a large fleet; nil until the mesh is created.
 	coordinator *home.Coordinator
+	// coldOwnership decides which cold upstreams this router may send requests to.
+	coldOwnership coldstart.Ownership
 	// grouped is set while homes grant the turns, for which upstreams are divided into groups.
 	grouped      bool
 	retryBudgets map[fleet.ServiceID]*retry.Budget
@@ -59,6 +62,13 @@
 	Log        *slog.Logger
 	// Guard recovers from panics; nil lets them propagate.
 	Guard *recovery.Guard
+	// Self is this router, and ColdTolerance is what cold upstreams tolerate beyond the rate
+	// of their service.
+	Self          fleet.RouterID
+	ColdTolerance coldstart.Tolerance
+	// OnColdSkipped is called, unless it is nil, when a request can't go to the cold upstream
+	// that it prefers.
+	OnColdSkipped func(reason turn.ColdReason)
 	// OnChange is called, unless it is nil, with the source of each configuration or change of
 	// the list of upstreams that has taken effect.
 	OnChange func(source string)
@@ -66,12 +76,14 @@
 
 // NewState returns a State without a configuration and upstreams.
 func NewState(options StateOptions) *State {
-	return &State{
+	s := &State{
 		options:      options,
 		routerCount:  defaultRouterCount,
 		pools:        make(map[fleet.ServiceID]*turn.Pool),
 		retryBudgets: make(map[fleet.ServiceID]*retry.Budget),
 	}
+	s.coldOwnership.Self = options.Self
+	return s
 }
 
 // Table returns the routing table of the configuration in force, nil if none is known.
@@ -135,6 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.routerCount = max(count, 1)
+	s.coldOwnership.SetFleetSize(s.routerCount)
 	for _, budget := range s.retryBudgets {
 		budget.SetBurst(s.options.RetryBurst / float64(s.routerCount))
 	}
@@ -181,9 +194,10 @@
 
 // ApplyUpstreamsFromPeer applies changes from another router, which are complete up to a revision.
 func (s *State) ApplyUpstreamsFromPeer(received []*schema.UpstreamChange, complete registry.Revision, source string) {
+	now := time.Now()
 	changes := make([]registry.Change, 0, len(received))
 	for _, c := range received {
-		changes = append(changes, registry.Decode(c))
+		changes = append(changes, registry.Decode(now, c))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,7 +246,7 @@
 	for _, c := range changes {
 		s.options.Log.Info("upstream changed", "upstream", c.Upstream.ID, "service", c.Upstream.Service,
 			"address", c.Upstream.Address, "life", c.Upstream.StartTime, "draining", c.Upstream.Draining,
-			"gone", c.Removed, "revision", c.Revision, "from", source)
+			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "revision", c.Revision, "from", source)
 	}
 	s.refreshPools(time.Now())
 	s.notify(source)
@@ -257,6 +271,7 @@
 			continue
 		}
 		pool := s.getOrCreatePool(service, configured)
+		pool.SetColdStart(coldstart.Policy{Duration: configured.ColdDuration, Limit: s.options.ColdTolerance.Limit(configured.ColdRate)})
 		for i := range upstreams {
 			s.readyAddresses[upstreams[i].Address] = true
 		}
@@ -275,7 +290,12 @@
 	if pool := s.pools[id]; pool != nil {
 		return pool
 	}
-	pool := &turn.Pool{DataCenter: s.options.DataCenter, OnOutlier: s.logOutlier}
+	pool := &turn.Pool{
+		DataCenter: s.options.DataCenter, OnOutlier: s.logOutlier, OnColdSkipped: s.options.OnColdSkipped,
+		OwnsCold: func(now time.Time, upstream fleet.UpstreamID, group int) bool {
+			return s.ownsCold(now, id, upstream, group)
+		},
+	}
 	if configured.CacheTokens == 0 {
 		pool.Placement = turn.LeastLoaded{}
 	}
--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -55,11 +55,12 @@
 	t.Parallel()
 	c := testConfiguration(7)
 	require.Equal(t, c, deployment.DecodeConfiguration(deployment.EncodeConfiguration(c)))
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	change := registry.Change{
-		Upstream: registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", DataCenter: "z", Slots: 8, StartTime: 1782775556021, Draining: true},
+		Upstream: registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", DataCenter: "z", Slots: 8, StartTime: 1782775556021, Draining: true, ColdUntil: now.Add(3 * time.Second)},
 		Revision: 40, Removed: true,
 	}
-	require.Equal(t, change, registry.Decode(registry.Encode(change)))
+	require.Equal(t, change, registry.Decode(now, registry.Encode(now, change)))
 }
 
 // After a start, a service's upstreams may be known before its configuration. Guards against
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -83,9 +83,10 @@
 // up to which they are complete.
 func (s *State) knowledgeAfter(after registry.Revision) *schema.Knowledge {
 	out := &schema.Knowledge{UpstreamRevision: uint64(s.directory.SettledRevision())}
+	now := time.Now()
 	for _, c := range s.directory.Changes() {
 		if c.Revision > after {
-			out.Upstreams = append(out.Upstreams, registry.Encode(c))
+			out.Upstreams = append(out.Upstreams, registry.Encode(now, c))
 		}
 	}
 	return out
--- a/home/ask.go
+++ b/home/ask.go
@@ -130,7 +130,7 @@
 // left, which the home may not know yet, it releases the turn and returns
 // *UpstreamGoneError.
 func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant) (Ticket, error) {
-	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork())}
+	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(time.Now(), grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork())}
 	if !pool.HasInstance(turn.InstanceOf(t.upstream)) {
 		t.End(time.Now(), turn.Unsent)
 		return nil, &UpstreamGoneError{Instance: turn.InstanceOf(t.upstream)}
--- a/home/codec.go
+++ b/home/codec.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"time"
+
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
@@ -37,7 +39,7 @@
 
 func encodeGrant(t *turn.Ticket) *schema.TurnGrant {
 	return &schema.TurnGrant{
-		Upstream: registry.Encode(registry.Change{Upstream: t.Upstream()}), FetchFrom: t.FetchFrom(), Work: uint32(max(t.PendingPrefill(), 0)),
+		Upstream: registry.Encode(time.Now(), registry.Change{Upstream: t.Upstream()}), FetchFrom: t.FetchFrom(), Work: uint32(max(t.PendingPrefill(), 0)),
 	}
 }
 
--- a/home/home.go
+++ b/home/home.go
@@ -91,6 +91,16 @@
 	number  int
 }
 
+// KeyOf returns the key by which the home of a group of a service's upstreams is chosen.
+func KeyOf(service fleet.ServiceID, number int) rendezvous.Key {
+	return rendezvous.KeyOf("home", string(service)+"/"+strconv.Itoa(number))
+}
+
+// KeyOfUpstream returns the key by which the owner of an upstream without a group is chosen.
+func KeyOfUpstream(upstream fleet.UpstreamID) rendezvous.Key {
+	return rendezvous.KeyOf("upstream", string(upstream))
+}
+
 // SetRouters replaces the list of other connected routers.
 func (c *Coordinator) SetRouters(others []fleet.RouterID) {
 	c.mu.Lock()
@@ -120,11 +130,10 @@
 			candidates = append(candidates, r)
 		}
 	}
-	key := rendezvous.KeyOf("home", string(g.service)+"/"+strconv.Itoa(g.number))
 	if c.homeByGroup == nil {
 		c.homeByGroup = make(map[group]fleet.RouterID)
 	}
-	c.homeByGroup[g] = rendezvous.Pick(key, candidates)
+	c.homeByGroup[g] = rendezvous.Pick(KeyOf(g.service, g.number), candidates)
 	return c.homeByGroup[g]
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -7,6 +7,7 @@
 
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
+	"nutmeglock.example/nutmeglock/turn"
 )
 
 // Set holds all metrics of one router.
@@ -40,6 +41,9 @@
 	ControlMessages *prometheus.CounterVec
 	// UpstreamConnections counts the connections opened to upstreams.
 	UpstreamConnections prometheus.Counter
+	// ColdSkipped counts requests that couldn't go to the cold upstream that they prefer, by
+	// reason.
+	ColdSkipped *prometheus.CounterVec
 	// Panics counts recovered panics.
 	Panics prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
@@ -74,12 +78,13 @@
 		ControlBytes:        newCounterVec("control_bytes_total", "Bytes of control traffic, headers included.", "direction", "side"),
 		ControlMessages:     newCounterVec("control_messages_total", "Messages of control traffic.", "direction", "side"),
 		UpstreamConnections: newCounter("upstream_connections_total", "Connections opened to upstreams."),
+		ColdSkipped:         newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
 		Panics:              newCounter("panics_total", "Panics contained."),
 		NoteVersion:         newGauge("note_version", "The release note version in force."),
 		Routers:             newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.ColdSkipped, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -91,6 +96,9 @@
 	for _, reason := range retry.Reasons() {
 		s.Retries.WithLabelValues(string(reason))
 	}
+	for _, reason := range turn.ColdReasons() {
+		s.ColdSkipped.WithLabelValues(string(reason))
+	}
 }
 
 // ServiceTokensByAccount returns the weighted tokens that each account has received so far.
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -1,22 +1,25 @@
 package registry
 
 import (
+	"time"
+
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// Encode returns the message in which routers send each other a change.
-func Encode(c Change) *schema.UpstreamChange {
+// Encode returns the message in which routers send each other a change. It is sent at now.
+func Encode(now time.Time, c Change) *schema.UpstreamChange {
 	u := c.Upstream
 	return &schema.UpstreamChange{
 		Id: string(u.ID), Service: string(u.Service), Address: u.Address, DataCenter: string(u.DataCenter),
 		Slots: uint32(u.Slots), Life: int64(u.StartTime), Draining: u.Draining, Gone: c.Removed, Revision: uint64(c.Revision),
+		ColdMs: schema.Millis(max(u.ColdUntil.Sub(now), 0)),
 	}
 }
 
-// Decode is the inverse of Encode.
-func Decode(in *schema.UpstreamChange) Change {
-	return Change{
+// Decode is the inverse of Encode, for a message that is received at now.
+func Decode(now time.Time, in *schema.UpstreamChange) Change {
+	change := Change{
 		Upstream: Upstream{
 			ID: fleet.UpstreamID(in.GetId()), Service: fleet.ServiceID(in.GetService()), Address: in.GetAddress(),
 			DataCenter: fleet.DataCenterID(in.GetDataCenter()), Slots: int(in.GetSlots()), StartTime: StartTime(in.GetLife()),
@@ -24,4 +27,8 @@
 		},
 		Removed: in.GetGone(), Revision: Revision(in.GetRevision()),
 	}
+	if in.GetColdMs() > 0 {
+		change.Upstream.ColdUntil = now.Add(schema.Duration(in.GetColdMs()))
+	}
+	return change
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -49,6 +49,9 @@
 	StartTime  StartTime
 	// Draining upstreams finish their requests and accept no new ones.
 	Draining bool
+	// ColdUntil is when the upstream has started completely. Until then it tolerates only a
+	// few requests a second.
+	ColdUntil time.Time
 }
 
 // Change is the write of an entry, or its removal if Removed is set.
--- a/route/route.go
+++ b/route/route.go
@@ -92,6 +92,10 @@
 	Slots int
 	// CacheTokens is the cache size of a model engine, in tokens; zero for other services.
 	CacheTokens int
+	// ColdDuration is how long an upstream is cold after its start, and ColdRate the number
+	// of requests per second that it tolerates then; zero means any number.
+	ColdDuration time.Duration
+	ColdRate     float64
 }
 
 // Limits bounds the requests and connections of callers.
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -36,6 +37,10 @@
 	waitingTokens int
 	// lastBusy is when it was last known to have prompts to read.
 	lastBusy time.Time
+	// sent counts the requests that were sent for as long as a limit on cold upstreams may
+	// apply to them. coldUntil is when an upstream that may have restarted is warm again.
+	sent      coldstart.Limiter
+	coldUntil time.Time
 	// remote is the sum of the other routers' reports.
 	remote   Load
 	cachedAt map[uint64]time.Time
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/outlier"
 	"nutmeglock.example/nutmeglock/rate"
@@ -33,10 +34,17 @@
 	DataCenter fleet.DataCenterID
 	// OnOutlier, if set, is called when an upstream is ejected because its requests fail.
 	OnOutlier func(upstream registry.Upstream)
+	// OwnsCold reports whether this router is the one that sends requests to a cold upstream;
+	// group is the upstream's group, negative if requests aren't grouped. Nil means that it is.
+	OwnsCold func(now time.Time, upstream fleet.UpstreamID, group int) bool
+	// OnColdSkipped, if set, is called when a request can't go to the cold upstream that it
+	// prefers.
+	OnColdSkipped func(reason ColdReason)
 
-	mu      sync.Mutex
-	target  time.Duration
-	engines []*engine
+	mu        sync.Mutex
+	target    time.Duration
+	coldStart coldstart.Policy
+	engines   []*engine
 	// upstreams are the entries of engines, in the same order. generation counts the
 	// changes of the list and of the grouping.
 	upstreams  []registry.Upstream
@@ -115,6 +123,7 @@
 		a.recordRefused(now, &r)
 		return nil, p.refuseCapped(now, &r, best)
 	}
+	p.countColdSkipped(now, t)
 	if wait := p.expectedWait(now, best, &r); wait > t.patience && !t.returned {
 		a.recordRefused(now, &r)
 		return nil, &RefusedError{Wait: wait, RetryAfter: max(wait, minRetryAfter)}
@@ -164,7 +173,7 @@
 		}
 	}
 	ahead += int(float64(remote) * p.uncachedPart(now) / float64(len(p.engines)))
-	return p.latency.reading(ahead) - p.target
+	return max(p.latency.reading(ahead)-p.target, p.coldWait(now, e))
 }
 
 // uncachedPart returns the part of recent prompts that upstreams had to read.
--- a/turn/start.go
+++ b/turn/start.go
@@ -12,14 +12,15 @@
 }
 
 // candidates returns the upstreams that a ticket may go to now: the first usable ones in
-// its order that it hasn't tried. If all of those are ejected, it returns the ejected ones.
+// its order that it hasn't tried. If there are none, it returns the cold ones that can't take
+// a request at the moment, or else the ejected ones.
 func (p *Pool) candidates(now time.Time, t *Ticket) []*engine {
 	if t.generation != p.generation {
 		t.generation = p.generation
 		t.order = p.preferenceOrder(&t.request)
 	}
 	choices := p.placement().Choices()
-	var usable, ejected []*engine
+	var usable, cold, ejected []*engine
 	for _, e := range t.order {
 		if slices.Contains(t.request.Tried, e.instance) {
 			continue
@@ -28,15 +29,23 @@
 			ejected = append(ejected, e)
 			continue
 		}
+		if !p.admitsCold(now, e) {
+			cold = append(cold, e)
+			continue
+		}
 		usable = append(usable, e)
 		if len(usable) == choices {
 			break
 		}
 	}
-	if len(usable) == 0 {
+	switch {
+	case len(usable) > 0:
+		return usable
+	case len(cold) > 0:
+		return cold
+	default:
 		return ejected
 	}
-	return usable
 }
 
 // bestCandidate returns the candidate with the lowest score, nil when there is none.
@@ -83,13 +92,18 @@
 func (p *Pool) anyOpen(now time.Time) bool {
 	view := p.view(now, maxBacklogFactor)
 	for _, e := range p.engines {
-		if p.placement().IsOpen(view, e) {
+		if p.isOpen(view, e) {
 			return true
 		}
 	}
 	return false
 }
 
+// isOpen reports whether an upstream may be sent a request now.
+func (p *Pool) isOpen(view *View, e *engine) bool {
+	return p.placement().IsOpen(view, e) && p.admitsCold(view.now, e)
+}
+
 func (p *Pool) startNext(now time.Time) bool {
 	shares := p.fairShares(now)
 	for _, a := range p.waitingAccounts(now) {
@@ -107,12 +121,12 @@
 // tryStart starts a ticket if the best of its candidates has room.
 func (p *Pool) tryStart(view *View, t *Ticket) bool {
 	candidates := p.candidates(view.now, t)
-	open := slices.ContainsFunc(candidates, func(e *engine) bool { return p.placement().IsOpen(view, e) })
+	open := slices.ContainsFunc(candidates, func(e *engine) bool { return p.isOpen(view, e) })
 	if !open {
 		return false
 	}
 	best := p.bestCandidate(view, t, candidates)
-	if p.placement().IsOpen(view, best) && p.placement().HasRoom(view, best, &t.request) {
+	if p.isOpen(view, best) && p.placement().HasRoom(view, best, &t.request) {
 		p.start(view, t, best)
 		return true
 	}
@@ -157,6 +171,7 @@
 	e.backlog.add(t, now.Add(p.latency.reading(e.remote.PendingPrefill)))
 	e.inFlight++
 	e.lastBusy = now
+	e.sent.Record(now, p.coldStart.Limit)
 	e.recordPrompt(now, &t.request)
 	p.promptTokens.Add(now, uncachedPartMemory, float64(t.request.Input))
 	p.uncachedTokens.Add(now, uncachedPartMemory, float64(t.uncached))
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -170,6 +170,7 @@
 	case Refused, Failed:
 		ejected = p.detector.RecordFailure(now, e.instance, outlier.Soft)
 	case Unreachable:
+		p.suspectRestart(now, e)
 		ejected = p.detector.RecordFailure(now, e.instance, outlier.Hard)
 	case Unsent, Abandoned:
 	}
