evacuation: upstreams of an evacuated data centre get no new requests

Cause: the rows of evacuations were read nowhere. Now: the operator's table is followed for configurations and evacuations, and routers tell each other of evacuations as they do of upstreams, by the store's revision; the newest wins, also after a dropped history and a restart. After the end the upstreams count as cold for their service's cold duration.

--- /dev/null
+++ b/deployment/evacuations.go
@@ -0,0 +1,98 @@
+package deployment
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
+
+	"nutmeglock.example/nutmeglock/evacuation"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// ReplaceEvacuations replaces the evacuations by those in force as of a revision.
+func (s *State) ReplaceEvacuations(inForce []evacuation.Change, as registry.Revision, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyEvacuations(s.evacuations.Replace(time.Now(), inForce, as), source)
+}
+
+// ApplyEvacuations applies changes of the evacuations.
+func (s *State) ApplyEvacuations(changes []evacuation.Change, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyEvacuations(s.evacuations.Apply(time.Now(), changes), source)
+}
+
+// EvacuationRevision returns the revision of the latest change of the evacuations.
+func (s *State) EvacuationRevision() registry.Revision { return s.evacuations.Revision() }
+
+// applyEvacuations logs changes that have taken effect, and updates the pools.
+func (s *State) applyEvacuations(changes []evacuation.Change, source string) {
+	if len(changes) == 0 {
+		return
+	}
+	for _, c := range changes {
+		s.options.Log.Info("evacuation changed", "data-centre", c.DataCenter, "ended", c.Ended, "revision", c.Revision, "from", source)
+	}
+	s.refreshPools(time.Now())
+	s.notify(source)
+}
+
+// withoutEvacuated returns the upstreams that aren't in an evacuated data centre. Those of a
+// data centre whose evacuation has ended count as cold for coldDuration: they may have
+// restarted meanwhile, and their load returns all at once.
+func (s *State) withoutEvacuated(upstreams []registry.Upstream, coldDuration time.Duration) []registry.Upstream {
+	kept := make([]registry.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		if s.evacuations.IsEvacuated(u.DataCenter) {
+			continue
+		}
+		if endedAt := s.evacuations.EndedAt(u.DataCenter); !endedAt.IsZero() && u.ColdUntil.Before(endedAt.Add(coldDuration)) {
+			u.ColdUntil = endedAt.Add(coldDuration)
+		}
+		kept = append(kept, u)
+	}
+	return kept
+}
+
+// fetchEvacuations fetches and applies the evacuations of another router. It returns the size
+// of the answer in bytes.
+func (m *mesh) fetchEvacuations(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
+	var response knowledgeResponse
+	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: notRequested, EvacuationRevision: heldRevision}
+	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
+		return 0, err
+	}
+	var knowledge schema.Knowledge
+	if err := proto.Unmarshal(response.Knowledge, &knowledge); err != nil {
+		return len(response.Knowledge), eris.Wrap(err, "decoding evacuations")
+	}
+	m.state.ApplyEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
+	return len(response.Knowledge), nil
+}
+
+// evacuationsAfter returns the evacuations if they have changed after a revision.
+func (s *State) evacuationsAfter(after registry.Revision) []*schema.EvacuationChange {
+	if s.EvacuationRevision() <= after {
+		return nil
+	}
+	var out []*schema.EvacuationChange
+	for _, c := range s.evacuations.Changes() {
+		out = append(out, &schema.EvacuationChange{DataCenter: string(c.DataCenter), Revision: uint64(c.Revision), Ended: c.Ended})
+	}
+	return out
+}
+
+func decodeEvacuations(in []*schema.EvacuationChange) []evacuation.Change {
+	var out []evacuation.Change
+	for _, c := range in {
+		out = append(out, evacuation.Change{
+			DataCenter: fleet.DataCenterID(c.GetDataCenter()), Revision: registry.Revision(c.GetRevision()), Ended: c.GetEnded(),
+		})
+	}
+	return out
+}
--- a/deployment/knowledge.go
+++ b/deployment/knowledge.go
@@ -24,6 +24,8 @@
 type knowledgeRequest struct {
 	ConfigurationVersion uint64 `json:"configuration-version"`
 	UpstreamRevision     uint64 `json:"upstream-revision"`
+	// EvacuationRevision is zero in requests of routers that don't know of evacuations.
+	EvacuationRevision uint64 `json:"evacuation-revision,omitempty"`
 	// ConfigurationEncoding is the encoding in which the requesting router can read a
 	// configuration; empty means as part of Knowledge.
 	ConfigurationEncoding string `json:"configuration-encoding,omitempty"`
@@ -41,7 +43,7 @@
 // than the held version. It returns the size of the answer in bytes.
 func (m *mesh) fetchConfiguration(ctx context.Context, from fleet.RouterID, heldVersion uint64) (int, error) {
 	var response knowledgeResponse
-	request := knowledgeRequest{ConfigurationVersion: heldVersion, UpstreamRevision: notRequested, ConfigurationEncoding: deflateEncoding}
+	request := knowledgeRequest{ConfigurationVersion: heldVersion, UpstreamRevision: notRequested, EvacuationRevision: notRequested, ConfigurationEncoding: deflateEncoding}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
 		return 0, err
 	}
@@ -56,7 +58,7 @@
 // revision from another router. It returns the size of the answer in bytes.
 func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
 	var response knowledgeResponse
-	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision}
+	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision, EvacuationRevision: notRequested}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
 		return 0, err
 	}
@@ -89,6 +91,7 @@
 	}
 	var response knowledgeResponse
 	knowledge := m.state.knowledgeAfter(registry.Revision(request.UpstreamRevision))
+	knowledge.Evacuations = m.state.evacuationsAfter(registry.Revision(request.EvacuationRevision))
 	current := m.state.currentConfiguration()
 	switch {
 	case uint64(current.Version) <= request.ConfigurationVersion:
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -69,9 +69,10 @@
 	encodingCache encodingCache
 	log           *slog.Logger
 
-	// configurationPuller and upstreamPuller fetch newer versions from other routers.
+	// configurationPuller, upstreamPuller and evacuationPuller fetch newer versions from other routers.
 	configurationPuller puller
 	upstreamPuller      puller
+	evacuationPuller    puller
 
 	mu             sync.Mutex
 	lastReportTime time.Time
@@ -98,6 +99,10 @@
 		name: "upstreams", heldVersion: m.upstreamRevision, fetch: m.fetchUpstreams, timer: timer.System{}, log: options.Logger,
 		guard: options.Guard,
 	}
+	m.evacuationPuller = puller{
+		name: "evacuations", heldVersion: m.evacuationRevision, fetch: m.fetchEvacuations, timer: timer.System{}, log: options.Logger,
+		guard: options.Guard,
+	}
 	state.coordinator = m.coordinator
 	m.peers.Handle(knowledgeMethod, m.answerKnowledgeRequest)
 	m.peers.OnBatch(m.receive)
@@ -110,7 +115,7 @@
 	own := m.group.OwnStatus()
 	return &schema.Announcement{
 		ConfigurationVersion: m.configurationVersion(), UpstreamRevision: m.upstreamRevision(),
-		Follows: own.Follows, StoreLost: own.StoreLost,
+		EvacuationRevision: m.evacuationRevision(), Follows: own.Follows, StoreLost: own.StoreLost,
 	}
 }
 
@@ -179,6 +184,7 @@
 		m.coordinator.HandleDisconnect(c.Router)
 		m.configurationPuller.forget(c.Router)
 		m.upstreamPuller.forget(c.Router)
+		m.evacuationPuller.forget(c.Router)
 		return
 	}
 	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement()})
@@ -208,8 +214,10 @@
 	m.updateFollowersLostStore()
 	m.configurationPuller.handleAnnouncement(from, a.GetConfigurationVersion(), m.pullDelay())
 	m.upstreamPuller.handleAnnouncement(from, a.GetUpstreamRevision(), m.pullDelay())
+	m.evacuationPuller.handleAnnouncement(from, a.GetEvacuationRevision(), m.pullDelay())
 	own := m.announcement()
-	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > a.GetUpstreamRevision() {
+	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > a.GetUpstreamRevision() ||
+		own.GetEvacuationRevision() > a.GetEvacuationRevision() {
 		m.announceIfGrouped(from, own)
 	}
 }
@@ -235,6 +243,8 @@
 
 func (m *mesh) upstreamRevision() uint64 { return uint64(m.state.SettledRevision()) }
 
+func (m *mesh) evacuationRevision() uint64 { return uint64(m.state.EvacuationRevision()) }
+
 // Run sends load reports and checks for overload until ctx ends. In a large fleet, where homes
 // grant the turns, it gossips instead of sending reports, which no router needs then.
 func (m *mesh) Run(ctx context.Context) error {
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/deployment"
+	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
@@ -165,3 +166,36 @@
 	require.NoError(t, proto.Unmarshal(body.Knowledge, &knowledge))
 	require.Equal(t, configurationWithRoutes(3), deployment.DecodeConfiguration(knowledge.GetConfiguration()))
 }
+
+// Guards against upstreams of an evacuated data centre that still get requests from routers that the
+// store doesn't answer.
+func TestEvacuationIsTakenFromAnotherRouter(t *testing.T) {
+	t.Parallel()
+	reader, source := newNode(t, "reader"), newNode(t, "source")
+	reader.connect(t, map[fleet.RouterID]string{"source": source.address})
+	for _, n := range []*node{reader, source} {
+		n.state.Configure(testConfiguration(1), "test")
+		n.state.ApplyUpstreams([]registry.Change{{
+			Upstream: registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", DataCenter: "z", Slots: 8}, Revision: 3,
+		}}, "test")
+		require.True(t, n.state.HasAddress("10.0.0.1:80"))
+	}
+	source.state.ApplyEvacuations([]evacuation.Change{{DataCenter: "z", Revision: 9}}, "store")
+	require.Eventually(t, func() bool { return !reader.state.HasAddress("10.0.0.1:80") }, maxUpdateTime, time.Millisecond)
+	source.state.ReplaceEvacuations(nil, 12, "store")
+	require.Eventually(t, func() bool { return reader.state.HasAddress("10.0.0.1:80") }, maxUpdateTime, time.Millisecond)
+	reader.state.ReplaceEvacuations([]evacuation.Change{{DataCenter: "z", Revision: 9}}, 10, "store")
+	require.True(t, reader.state.HasAddress("10.0.0.1:80"), "an old answer of the store")
+}
+
+// Guards against a router that starts during an evacuation, is refused by the store and learns of the
+// configuration only.
+func TestStartingRouterLearnsOfAnEvacuation(t *testing.T) {
+	t.Parallel()
+	reader, source := newNode(t, "reader"), newNode(t, "source")
+	source.state.Configure(testConfiguration(1), "store")
+	source.state.ApplyUpstreams(drainingChange(3), "store")
+	source.state.ApplyEvacuations([]evacuation.Change{{DataCenter: "z", Revision: 2}}, "store")
+	reader.connect(t, map[fleet.RouterID]string{"source": source.address})
+	require.Eventually(t, func() bool { return reader.state.EvacuationRevision() == 2 }, maxUpdateTime, time.Millisecond)
+}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -26,7 +26,6 @@
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
-	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/turn"
 	"nutmeglock.example/nutmeglock/upstream"
 )
@@ -70,11 +69,11 @@
 	ReadyPath string
 	Codec     forward.HeaderCodec
 	// EchoedID returns the request ID that an upstream's answer carries, empty if it has none.
-	EchoedID          func(http.Header) fleet.RequestID
-	ConfigurationFeed follow.Feed[route.Configuration, registry.Revision]
-	UpstreamFeed      follow.Feed[registry.Change, registry.Revision]
-	MemberStore       MemberStore
-	QuarantineStore   QuarantineStore
+	EchoedID        func(http.Header) fleet.RequestID
+	OperatorFeed    follow.Feed[OperatorChange, registry.Revision]
+	UpstreamFeed    follow.Feed[registry.Change, registry.Revision]
+	MemberStore     MemberStore
+	QuarantineStore QuarantineStore
 	// PeerAddress is the address that other routers connect to. FleetKey is the shared key by
 	// which routers authenticate each other as members of one fleet.
 	PeerAddress string
@@ -206,8 +205,8 @@
 
 // addFollowers adds the actors that keep the state up to date, and those that run periodically.
 func (r *Router) addFollowers() {
-	configurations := &follow.Follower[route.Configuration, registry.Revision]{
-		Name: "configuration", Feed: r.options.ConfigurationFeed, Sink: configurationSink{r.state}, Log: r.options.Log,
+	configurations := &follow.Follower[OperatorChange, registry.Revision]{
+		Name: "configuration", Feed: r.options.OperatorFeed, Sink: operatorSink{r.state}, Log: r.options.Log,
 		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval,
 	}
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
--- a/deployment/sink.go
+++ b/deployment/sink.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 )
@@ -8,22 +9,47 @@
 // storeSource is the source in log lines of an update from the platform's store.
 const storeSource = "store"
 
-// configurationSink applies the configurations that the store delivers.
-type configurationSink struct{ state *State }
+// OperatorChange is one change by the operator: a configuration, or the start or end of an
+// evacuation.
+type OperatorChange struct {
+	Configuration *route.Configuration
+	Evacuation    *evacuation.Change
+}
+
+// operatorSink applies the changes by the operator that the store delivers.
+type operatorSink struct{ state *State }
+
+func (s operatorSink) Replace(rows []OperatorChange, as registry.Revision) {
+	s.configure(rows)
+	s.state.ReplaceEvacuations(evacuationsOf(rows), as, storeSource)
+}
 
-func (s configurationSink) Replace(rows []route.Configuration, as registry.Revision) {
-	s.Apply(rows, as)
+func (s operatorSink) Apply(rows []OperatorChange, _ registry.Revision) {
+	s.configure(rows)
+	s.state.ApplyEvacuations(evacuationsOf(rows), storeSource)
+}
+
+func (s operatorSink) configure(rows []OperatorChange) {
+	for _, r := range rows {
+		if r.Configuration != nil {
+			s.state.Configure(*r.Configuration, storeSource)
+		}
+	}
 }
 
-func (s configurationSink) Apply(rows []route.Configuration, _ registry.Revision) {
-	for _, c := range rows {
-		s.state.Configure(c, storeSource)
+func evacuationsOf(rows []OperatorChange) []evacuation.Change {
+	var out []evacuation.Change
+	for _, r := range rows {
+		if r.Evacuation != nil {
+			out = append(out, *r.Evacuation)
+		}
 	}
+	return out
 }
 
-// SetUnavailable and SetAvailable do nothing: the configuration in force stays.
-func (configurationSink) SetUnavailable(error) {}
-func (configurationSink) SetAvailable()        {}
+// SetUnavailable and SetAvailable do nothing: what the operator wrote stays in force.
+func (operatorSink) SetUnavailable(error) {}
+func (operatorSink) SetAvailable()        {}
 
 // upstreamSink applies the changes of the list of upstreams that the store delivers.
 type upstreamSink struct {
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/coldstart"
+	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/recovery"
@@ -41,7 +42,9 @@
 	pools         map[fleet.ServiceID]*turn.Pool
 	// coordinator requests turns from homes in a large fleet; nil until the mesh is created.
 	coordinator *home.Coordinator
-	// coldOwnership decides which cold upstreams this router may send requests to.
+	// evacuations are the data centres whose upstreams get no new requests, and coldOwnership
+	// decides which cold upstreams this router may send requests to.
+	evacuations   evacuation.Set
 	coldOwnership coldstart.Ownership
 	// grouped is set while homes grant the turns, for which upstreams are divided into groups.
 	grouped      bool
@@ -271,6 +274,7 @@
 			continue
 		}
 		pool := s.getOrCreatePool(service, configured)
+		upstreams = s.withoutEvacuated(upstreams, configured.ColdDuration)
 		pool.SetColdStart(coldstart.Policy{Duration: configured.ColdDuration, Limit: s.options.ColdTolerance.Limit(configured.ColdRate)})
 		for i := range upstreams {
 			s.readyAddresses[upstreams[i].Address] = true
--- /dev/null
+++ b/evacuation/evacuation.go
@@ -0,0 +1,119 @@
+// Package evacuation holds which data centres are evacuated: their upstreams get no new
+// requests until the operator ends the evacuation.
+//
+// News of an evacuation come from the platform's store and from other routers, in any
+// order. Each carries the revision at which the store wrote it, and the highest revision
+// wins, so that nothing older undoes it.
+package evacuation
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
+)
+
+// Change is the start of an evacuation, or its end if Ended is set.
+type Change struct {
+	DataCenter fleet.DataCenterID
+	Revision   registry.Revision
+	Ended      bool
+}
+
+// entry is the latest change of one data centre.
+type entry struct {
+	change Change
+	// endedAt is when this router learnt of the end.
+	endedAt time.Time
+}
+
+// Set is one router's copy of the evacuations. Its zero value has none. It is safe for
+// concurrent use.
+type Set struct {
+	mu      sync.Mutex
+	entries map[fleet.DataCenterID]entry
+}
+
+// Apply applies changes and returns those that were newer and took effect.
+func (s *Set) Apply(now time.Time, changes []Change) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.apply(now, changes)
+}
+
+// Replace applies the evacuations that are in force as of a revision: all others that began
+// before have ended. It returns the changes that took effect.
+func (s *Set) Replace(now time.Time, inForce []Change, revision registry.Revision) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := slices.Clone(inForce)
+	for id, e := range s.entries {
+		listed := slices.ContainsFunc(inForce, func(c Change) bool { return c.DataCenter == id })
+		if !listed && !e.change.Ended {
+			changes = append(changes, Change{DataCenter: id, Revision: revision, Ended: true})
+		}
+	}
+	return s.apply(now, changes)
+}
+
+func (s *Set) apply(now time.Time, changes []Change) []Change {
+	if s.entries == nil {
+		s.entries = make(map[fleet.DataCenterID]entry)
+	}
+	var effective []Change
+	for _, c := range changes {
+		previous, known := s.entries[c.DataCenter]
+		if known && c.Revision <= previous.change.Revision {
+			continue
+		}
+		e := entry{change: c}
+		if c.Ended && known && !previous.change.Ended {
+			e.endedAt = now
+		}
+		s.entries[c.DataCenter] = e
+		effective = append(effective, c)
+	}
+	return effective
+}
+
+// IsEvacuated reports whether a data centre is evacuated.
+func (s *Set) IsEvacuated(id fleet.DataCenterID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, known := s.entries[id]
+	return known && !e.change.Ended
+}
+
+// EndedAt returns when the evacuation of a data centre ended here, the zero time if there
+// was none.
+func (s *Set) EndedAt(id fleet.DataCenterID) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[id].endedAt
+}
+
+// Revision returns the revision of the latest change that took effect.
+func (s *Set) Revision() registry.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var latest registry.Revision
+	for _, e := range s.entries {
+		latest = max(latest, e.change.Revision)
+	}
+	return latest
+}
+
+// Changes returns the latest change of each data centre, sorted by id.
+func (s *Set) Changes() []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]Change, 0, len(s.entries))
+	for _, e := range s.entries {
+		all = append(all, e.change)
+	}
+	slices.SortFunc(all, func(a, b Change) int { return cmp.Compare(a.DataCenter, b.DataCenter) })
+	return all
+}
