follow: polls of a large fleet don't grow with it, and none asks for a history that is over

Now: all routers together poll each table once a second at most; a poll after more than the store's history reads at once; one of the upstreams asks only for what other routers haven't passed on.

--- a/deployment/members.go
+++ b/deployment/members.go
@@ -39,8 +39,6 @@
 	// memberStartupTime is how long after its start a router doesn't poll the list again: all
 	// routers of a fleet start together, and the store would send each entry to all.
 	memberStartupTime = 3 * time.Second
-	// memberPollInterval is the pause between polls later on in a large fleet.
-	memberPollInterval = 30 * time.Second
 	// withdrawTimeout bounds the removal of the router's own entry at shutdown. An entry that
 	// remains costs the other routers an occasional attempt to connect.
 	withdrawTimeout = time.Second
@@ -60,8 +58,8 @@
 type memberFollower struct {
 	follow.Follower[Member, registry.Revision]
 	startedAt time.Time
-	// isLarge reports whether the fleet is large according to the list.
-	isLarge      func() bool
+	// knownRouters returns how many routers the fleet has according to the list.
+	knownRouters func() int
 	registration *registration
 	// readBeforeRegistration is set if the list was first read before the router's own entry was
 	// written, until it is read again.
@@ -83,8 +81,8 @@
 	switch {
 	case f.registration.done.Load() && f.readBeforeRegistration.CompareAndSwap(true, false):
 		return 0
-	case f.isLarge() || time.Since(f.startedAt) < memberStartupTime:
-		return memberPollInterval
+	case fleet.IsLarge(f.knownRouters()) || time.Since(f.startedAt) < memberStartupTime:
+		return follow.StandbyPollInterval(f.knownRouters())
 	default:
 		return 0
 	}
@@ -174,12 +172,12 @@
 	s.Apply([]Member{{ID: c.Router, Address: c.Address}}, 0)
 }
 
-// isLargeFleet reports whether the known routers make a large fleet, connected or not: while many
-// routers start, connecting to them takes longer than reading their list.
-func (s *memberSink) isLargeFleet() bool {
+// knownRouters returns the number of known routers, connected or not: while many routers start,
+// connecting to them takes longer than reading their list.
+func (s *memberSink) knownRouters() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return fleet.IsLarge(len(s.addresses) + 1)
+	return len(s.addresses) + 1
 }
 
 // SetUnavailable and SetAvailable do nothing: routers stay connected to those they know.
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -57,7 +57,7 @@
 	maxPeerBackoff = time.Second
 )
 
-// Options configure a Router. All are required but RecoveryTime and ColdTolerance.
+// Options configure a Router. All are required but RecoveryTime, History and ColdTolerance.
 type Options struct {
 	Self       fleet.RouterID
 	DataCenter fleet.DataCenterID
@@ -87,6 +87,8 @@
 	// RecoveryTime is the time after an outage of the store within which its updates have to be in
 	// force; zero means follow.DefaultRecovery.
 	RecoveryTime time.Duration
+	// History is how long the store keeps the changes of a table, zero for ever.
+	History time.Duration
 	// MaxConnections is the number of callers' connections above which each answer closes its
 	// connection.
 	MaxConnections int
@@ -192,10 +194,10 @@
 	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor.tracker, r.options.Log)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.handleConnectionChange)
-	memberList := &memberFollower{startedAt: r.startedAt, isLarge: members.isLargeFleet, registration: r.registration}
+	memberList := &memberFollower{startedAt: r.startedAt, knownRouters: members.knownRouters, registration: r.registration}
 	memberList.Follower = follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.MemberStore, Sink: members, Log: r.options.Log,
-		Wait: memberPollWait, PollInterval: memberList.pollInterval,
+		Wait: memberPollWait, PollInterval: memberList.pollInterval, History: r.options.History,
 	}
 	r.actors = append(r.actors,
 		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
@@ -207,11 +209,12 @@
 func (r *Router) addFollowers() {
 	configurations := &follow.Follower[OperatorChange, registry.Revision]{
 		Name: "configuration", Feed: r.options.OperatorFeed, Sink: operatorSink{r.state}, Log: r.options.Log,
-		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval,
+		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval, History: r.options.History,
 	}
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
 		Name: "upstreams", Feed: r.options.UpstreamFeed, Sink: upstreamSink{r.state, r.mesh}, Log: r.options.Log,
 		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval,
+		Known: func(revision registry.Revision) registry.Revision { return max(revision, r.state.SettledRevision()) },
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -89,7 +89,12 @@
 	// pass on its changes. Zero means to follow it without pauses, and so does a nil
 	// PollInterval. It is called repeatedly, and the result may change.
 	PollInterval func() time.Duration
-	Log          *slog.Logger
+	// Known returns the later of a revision and that up to which the changes of the table
+	// are known from elsewhere. Nil returns the revision.
+	Known func(V) V
+	// History is how long the store keeps the changes of a table; zero means for ever.
+	History time.Duration
+	Log     *slog.Logger
 
 	// unavailableSince is when the store was found not to answer, zero while it does, and
 	// failedCalls counts the calls without an answer since then.
@@ -108,12 +113,13 @@
 		if !f.lastCall.IsZero() {
 			f.waitForPoll(ctx)
 		}
+		readAll = readAll || f.isHistoryOver()
 		f.lastCall = time.Now()
 		var err error
 		if readAll {
 			revision, err = f.read(ctx)
 		} else {
-			revision, err = f.watch(ctx, revision)
+			revision, err = f.watch(ctx, f.known(revision))
 		}
 		var dropped *HistoryLostError
 		switch {
@@ -135,6 +141,20 @@
 	return ctx.Err()
 }
 
+// known returns the revision after which changes are asked for.
+func (f *Follower[R, V]) known(revision V) V {
+	if f.Known == nil {
+		return revision
+	}
+	return f.Known(revision)
+}
+
+// isHistoryOver reports whether the store has certainly dropped changes since the last call.
+// Asking for them would be a call in vain.
+func (f *Follower[R, V]) isHistoryOver() bool {
+	return f.History > 0 && f.Known == nil && time.Since(f.lastCall) > f.History
+}
+
 // pollCheckInterval is how often a Follower that waits for its next poll calls
 // PollInterval again.
 const pollCheckInterval = 100 * time.Millisecond
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -26,6 +26,8 @@
 	answers []answer
 	calls   []string
 	times   []time.Time
+	// after are the revisions after which changes were asked for.
+	after []int
 }
 
 func (s *scriptedFeed) next(ctx context.Context, call string) ([]string, int, error) {
@@ -46,7 +48,8 @@
 
 func (s *scriptedFeed) Read(ctx context.Context) ([]string, int, error) { return s.next(ctx, "read") }
 
-func (s *scriptedFeed) Watch(ctx context.Context, _ int, _ time.Duration) ([]string, int, error) {
+func (s *scriptedFeed) Watch(ctx context.Context, after int, _ time.Duration) ([]string, int, error) {
+	s.after = append(s.after, after)
 	return s.next(ctx, "watch")
 }
 
@@ -113,3 +116,35 @@
 		require.Equal(t, []string{"whole", "lost", "regained", "late"}, sink.events[:4])
 	})
 }
+
+// runPolling runs a follower that polls each 30 s.
+func runPolling(t *testing.T, s *scriptedFeed, f follow.Follower[string, int], duration time.Duration) {
+	t.Helper()
+	f.Feed, f.Sink, f.Log = s, &recordingSink{}, slog.New(slog.DiscardHandler)
+	f.PollInterval = func() time.Duration { return 30 * time.Second }
+	ctx, cancel := context.WithTimeout(t.Context(), duration)
+	defer cancel()
+	require.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+}
+
+// The load of a large fleet whose routers poll more seldom than the store drops its history. Guards against
+// a call in vain before each read of the whole table.
+func TestTableIsReadAtOnceAfterItsHistoryIsOver(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedFeed{answers: []answer{{revision: 1}, {revision: 2}, {revision: 3}}}
+		runPolling(t, s, follow.Follower[string, int]{History: 10 * time.Second}, 100*time.Second)
+		require.Equal(t, []string{"read", "read", "read"}, s.calls[:3])
+	})
+}
+
+// The same, where other routers have passed the changes on: only newer ones are asked for.
+func TestChangesKnownFromOthersAreNotAskedFor(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedFeed{answers: []answer{{revision: 1}, {revision: 8}}}
+		runPolling(t, s, follow.Follower[string, int]{History: 10 * time.Second, Known: func(revision int) int { return max(revision, 7) }}, 100*time.Second)
+		require.Equal(t, []string{"read", "watch"}, s.calls[:2])
+		require.Equal(t, 7, s.after[0])
+	})
+}
--- a/follow/group.go
+++ b/follow/group.go
@@ -18,10 +18,12 @@
 	maxSubstitutes = 8
 	// minKnownFollowers is how many followers a router must know before it only polls.
 	minKnownFollowers = 2
-	// standbyPollInterval is how often a router that does not follow polls the store
-	// itself: changes that the followers miss, because their feed stopped responding,
-	// are seen by another router after some 30 s divided by the size of the fleet.
-	standbyPollInterval = 30 * time.Second
+	// A router that does not follow polls the store itself once in a while, in case the
+	// followers miss changes because their feed stopped responding. All routers together
+	// poll each table about once in standbyPollSpacing, and each of them at most once in
+	// minStandbyPollInterval.
+	standbyPollSpacing     = time.Second
+	minStandbyPollInterval = 30 * time.Second
 	// storeLostPollInterval is the same while no follower can read the store, though it may
 	// answer other routers: 88 routers make 15 calls a second for each table.
 	storeLostPollInterval = 6 * time.Second
@@ -127,10 +129,16 @@
 	case able == 0:
 		return storeLostPollInterval
 	default:
-		return standbyPollInterval
+		return StandbyPollInterval(g.peerCount + 1)
 	}
 }
 
+// StandbyPollInterval returns how often a router of a fleet of this size polls a table that
+// others follow for it.
+func StandbyPollInterval(routers int) time.Duration {
+	return max(time.Duration(routers)*standbyPollSpacing, minStandbyPollInterval)
+}
+
 // FollowersLostStore reports whether this router does not follow the store and none of
 // the routers that do can read it.
 func (g *Group) FollowersLostStore() bool { return g.PollInterval() == storeLostPollInterval }
--- a/follow/group_test.go
+++ b/follow/group_test.go
@@ -132,3 +132,14 @@
 		require.Equal(t, time.Duration(0), g.PollInterval())
 	}
 }
+
+// The load of a fleet that grows. Guards against calls to the store that grow with it, and against changes
+// that no router notices for long if the feeds of the followers stop responding.
+func TestPollsOfAllRoutersTogetherDoNotGrowWithTheFleet(t *testing.T) {
+	t.Parallel()
+	for _, routers := range []int{16, 72, 300, 985} {
+		perSecond := float64(routers) / follow.StandbyPollInterval(routers).Seconds()
+		require.LessOrEqual(t, perSecond, 1.0, "%d routers", routers)
+		require.GreaterOrEqual(t, perSecond, 0.5, "%d routers", routers)
+	}
+}
