registry, deployment: heartbeats of cold upstreams aren't news, and large lists are compressed

Now: an entry that differs only in a cold time within 0.5 s takes effect nowhere; answers from 1 KB on are deflated for routers that read that. Tests: a heartbeat counted as a change before; 3,000 entries take less than a third of the bytes.

--- a/deployment/encoding.go
+++ b/deployment/encoding.go
@@ -11,14 +11,13 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/route"
-	"nutmeglock.example/nutmeglock/schema"
 )
 
-// deflateEncoding is the name of the encoding of a schema.Configuration compressed with DEFLATE.
+// deflateEncoding is the name of the encoding of a message compressed with DEFLATE.
 const deflateEncoding = "deflate"
 
-// maxConfigurationBytes bounds the decompressed size of a configuration from another router.
-const maxConfigurationBytes = 32 << 20
+// maxMessageBytes bounds the decompressed size of a message from another router.
+const maxMessageBytes = 32 << 20
 
 // encodingCache holds the latest configuration encoded for other routers. Its zero value is
 // empty. It is safe for concurrent use.
@@ -47,35 +46,31 @@
 	return data, nil
 }
 
-func deflate(c *schema.Configuration) ([]byte, error) {
-	plain, err := proto.Marshal(c)
+func deflate(message proto.Message) ([]byte, error) {
+	plain, err := proto.Marshal(message)
 	if err != nil {
-		return nil, eris.Wrap(err, "encoding a configuration")
+		return nil, eris.Wrap(err, "encoding a message")
 	}
 	var out bytes.Buffer
 	writer, err := flate.NewWriter(&out, flate.BestSpeed)
 	if err != nil {
-		return nil, eris.Wrap(err, "compressing a configuration")
+		return nil, eris.Wrap(err, "compressing a message")
 	}
 	if _, err := writer.Write(plain); err != nil {
-		return nil, eris.Wrap(err, "compressing a configuration")
+		return nil, eris.Wrap(err, "compressing a message")
 	}
 	if err := writer.Close(); err != nil {
-		return nil, eris.Wrap(err, "compressing a configuration")
+		return nil, eris.Wrap(err, "compressing a message")
 	}
 	return out.Bytes(), nil
 }
 
-// inflate is the inverse of deflate.
-func inflate(data []byte) (*schema.Configuration, error) {
+// inflate decodes what deflate has returned into a message.
+func inflate(data []byte, message proto.Message) error {
 	reader := flate.NewReader(bytes.NewReader(data))
-	plain, err := io.ReadAll(io.LimitReader(reader, maxConfigurationBytes))
+	plain, err := io.ReadAll(io.LimitReader(reader, maxMessageBytes))
 	if err != nil {
-		return nil, eris.Wrap(err, "decompressing a configuration")
+		return eris.Wrap(err, "decompressing a message")
 	}
-	c := &schema.Configuration{}
-	if err := proto.Unmarshal(plain, c); err != nil {
-		return nil, eris.Wrap(err, "decoding a configuration")
-	}
-	return c, nil
+	return eris.Wrap(proto.Unmarshal(plain, message), "decoding a message")
 }
--- a/deployment/evacuations.go
+++ b/deployment/evacuations.go
@@ -4,9 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/proto"
-
 	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
@@ -67,12 +64,12 @@
 	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
 		return 0, err
 	}
-	var knowledge schema.Knowledge
-	if err := proto.Unmarshal(response.Knowledge, &knowledge); err != nil {
-		return len(response.Knowledge), eris.Wrap(err, "decoding evacuations")
+	knowledge, err := response.decodeKnowledge()
+	if err != nil {
+		return response.size(), err
 	}
 	m.state.ApplyEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
-	return len(response.Knowledge), nil
+	return response.size(), nil
 }
 
 // evacuationsAfter returns the evacuations if they have changed after a revision.
--- a/deployment/fuzz_test.go
+++ b/deployment/fuzz_test.go
@@ -174,8 +174,8 @@
 	f.Add(compressed)
 	f.Add([]byte{0})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		message, err := deployment.Inflate(data)
-		if err != nil {
+		message := &schema.Configuration{}
+		if deployment.Inflate(data, message) != nil {
 			return
 		}
 		state := newState()
--- a/deployment/knowledge.go
+++ b/deployment/knowledge.go
@@ -29,12 +29,19 @@
 	// ConfigurationEncoding is the encoding in which the requesting router can read a
 	// configuration; empty means as part of Knowledge.
 	ConfigurationEncoding string `json:"configuration-encoding,omitempty"`
+	// KnowledgeEncoding is an encoding in which the requesting router can read all else; empty
+	// means only the plain one.
+	KnowledgeEncoding string `json:"knowledge-encoding,omitempty"`
 }
 
+// minCompressedKnowledge is the size from which on Knowledge is compressed, in bytes.
+const minCompressedKnowledge = 1 << 10
+
 // knowledgeResponse is the answer to a knowledgeRequest.
 type knowledgeResponse struct {
-	// Knowledge is an encoded schema.Knowledge.
-	Knowledge []byte `json:"knowledge"`
+	// Knowledge is an encoded schema.Knowledge, unless it is in CompressedKnowledge.
+	Knowledge           []byte `json:"knowledge"`
+	CompressedKnowledge []byte `json:"compressed-knowledge,omitempty"`
 	// Configuration is a schema.Configuration in the requested encoding.
 	Configuration []byte `json:"configuration,omitempty"`
 }
@@ -47,40 +54,67 @@
 	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
 		return 0, err
 	}
-	configuration, err := response.configurationMessage()
+	configuration, err := response.decodeConfiguration()
 	if configuration != nil {
 		m.state.Configure(decodeConfiguration(configuration), routerSource(from))
 	}
-	return len(response.Knowledge) + len(response.Configuration), err
+	return response.size(), err
 }
 
 // fetchUpstreams fetches and applies the changes of the list of upstreams after the held
 // revision from another router. It returns the size of the answer in bytes.
 func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
 	var response knowledgeResponse
-	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision, EvacuationRevision: notRequested}
+	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision, EvacuationRevision: notRequested, KnowledgeEncoding: deflateEncoding}
 	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
 		return 0, err
 	}
-	var knowledge schema.Knowledge
-	if err := proto.Unmarshal(response.Knowledge, &knowledge); err != nil {
-		return len(response.Knowledge), eris.Wrap(err, "decoding changes of the list of upstreams")
+	knowledge, err := response.decodeKnowledge()
+	if err != nil {
+		return response.size(), err
 	}
 	m.state.ApplyUpstreamsFromPeer(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), routerSource(from))
-	return len(response.Knowledge), nil
+	return response.size(), nil
 }
 
 // routerSource returns the source in log lines of an update from another router.
 func routerSource(id fleet.RouterID) string { return "router " + string(id) }
 
-// configurationMessage returns the decoded configuration of an answer, nil if it has none.
-func (r *knowledgeResponse) configurationMessage() (*schema.Configuration, error) {
+// size returns the size of the answer in bytes.
+func (r *knowledgeResponse) size() int {
+	return len(r.Knowledge) + len(r.CompressedKnowledge) + len(r.Configuration)
+}
+
+// decodeKnowledge returns all of an answer but a compressed configuration.
+func (r *knowledgeResponse) decodeKnowledge() (*schema.Knowledge, error) {
+	knowledge := &schema.Knowledge{}
+	if len(r.CompressedKnowledge) > 0 {
+		return knowledge, inflate(r.CompressedKnowledge, knowledge)
+	}
+	return knowledge, eris.Wrap(proto.Unmarshal(r.Knowledge, knowledge), "decoding another router's knowledge")
+}
+
+// decodeConfiguration returns the configuration of an answer, nil if it has none.
+func (r *knowledgeResponse) decodeConfiguration() (*schema.Configuration, error) {
 	if len(r.Configuration) > 0 {
-		return inflate(r.Configuration)
+		configuration := &schema.Configuration{}
+		if err := inflate(r.Configuration, configuration); err != nil {
+			return nil, err
+		}
+		return configuration, nil
+	}
+	knowledge, err := r.decodeKnowledge()
+	return knowledge.GetConfiguration(), err
+}
+
+// setKnowledge encodes an answer, compressed if it is large and the requesting router can read that.
+func (r *knowledgeResponse) setKnowledge(knowledge *schema.Knowledge, encoding string) (err error) {
+	if encoding == deflateEncoding && proto.Size(knowledge) >= minCompressedKnowledge {
+		r.CompressedKnowledge, err = deflate(knowledge)
+		return err
 	}
-	var knowledge schema.Knowledge
-	err := proto.Unmarshal(r.Knowledge, &knowledge)
-	return knowledge.GetConfiguration(), eris.Wrap(err, "decoding another router's knowledge")
+	r.Knowledge, err = proto.Marshal(knowledge)
+	return eris.Wrap(err, "encoding knowledge")
 }
 
 // answerKnowledgeRequest returns the updates after the versions in another router's request.
@@ -104,10 +138,8 @@
 	default:
 		knowledge.Configuration = encodeConfiguration(current)
 	}
-	data, err := proto.Marshal(knowledge)
-	if err != nil {
-		return nil, eris.Wrap(err, "encoding knowledge")
+	if err := response.setKnowledge(knowledge, request.KnowledgeEncoding); err != nil {
+		return nil, err
 	}
-	response.Knowledge = data
 	return response, nil
 }
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -199,3 +199,34 @@
 	reader.connect(t, map[fleet.RouterID]string{"source": source.address})
 	require.Eventually(t, func() bool { return reader.state.EvacuationRevision() == 2 }, maxUpdateTime, time.Millisecond)
 }
+
+// The load of a restart of many routers before thousands of upstreams: each asks for the whole list.
+// Guards against answers of several times the size that is needed.
+func TestLargeListOfUpstreamsIsCompressed(t *testing.T) {
+	t.Parallel()
+	const upstreams = 3000
+	source := newNode(t, "source")
+	var changes []registry.Change
+	for i := range upstreams {
+		changes = append(changes, registry.Change{Revision: registry.Revision(i + 1), Upstream: registry.Upstream{
+			ID: fleet.UpstreamID(fmt.Sprintf("i-%010x", i*7919)), Service: "s", DataCenter: "kuopio-dc", Slots: 64,
+			Address: fmt.Sprintf("10.2.%d.%d:8409", i/250, i%250), StartTime: registry.StartTime(1776664793149 + i),
+		}})
+	}
+	source.state.ApplyUpstreams(changes, "test")
+	size := func(request string) int {
+		answer, err := source.mesh.AnswerKnowledgeRequest(request)
+		require.NoError(t, err)
+		text, err := json.Marshal(answer)
+		require.NoError(t, err)
+		return len(text)
+	}
+	plain := size(`{"configuration-version":1,"upstream-revision":0}`)
+	compressed := size(`{"configuration-version":1,"upstream-revision":0,"knowledge-encoding":"deflate"}`)
+	require.Less(t, 3*compressed, plain)
+
+	reader := newNode(t, "reader")
+	reader.connect(t, map[fleet.RouterID]string{"source": source.address})
+	require.Eventually(t, func() bool { return reader.state.SettledRevision() == upstreams }, maxUpdateTime, time.Millisecond)
+	require.Len(t, reader.state.Upstreams(), upstreams)
+}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -134,8 +134,9 @@
 	defer d.mu.Unlock()
 	var changed []Change
 	for _, c := range changes {
+		previous, known := d.entries[c.Upstream.ID]
 		changed = append(changed, d.applyOne(now, c, confirmed)...)
-		if !confirmed {
+		if !confirmed && !(known && isRepetition(now, previous.change, c)) {
 			d.complete = max(d.complete, c.Revision)
 		}
 	}
@@ -162,6 +163,11 @@
 	if known && (c.Revision < previous.change.Revision || (c.Revision == previous.change.Revision && !previous.removalPending)) {
 		return nil
 	}
+	if known && !previous.removalPending && isRepetition(now, previous.change, c) {
+		previous.change.Revision = c.Revision
+		d.entries[c.Upstream.ID] = previous
+		return nil
+	}
 	if c.Removed && !confirmed && known && !previous.change.Removed && d.mayReturn(now, previous) {
 		previous.removalPending = true
 		previous.removeAt = d.removalTime(now)
@@ -177,6 +183,27 @@
 	return []Change{c}
 }
 
+// coldUntilTolerance is the difference between two statements of how long an upstream is
+// cold that says nothing.
+const coldUntilTolerance = 500 * time.Millisecond
+
+// isRepetition reports whether a change tells nothing new. While an upstream is cold, it
+// writes its entry again with each heartbeat, to state how much longer it is cold, and passing
+// that on to all routers would cost more than all other changes.
+func isRepetition(now time.Time, previous, c Change) bool {
+	before, after := previous.Upstream, c.Upstream
+	difference := latest(after.ColdUntil, now).Sub(latest(before.ColdUntil, now)).Abs()
+	before.ColdUntil, after.ColdUntil = time.Time{}, time.Time{}
+	return !previous.Removed && !c.Removed && before == after && difference <= coldUntilTolerance
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // mayReturn reports whether an entry that vanishes now may only have expired because
 // its upstream could not renew it. A draining upstream has left.
 func (d *Directory) mayReturn(now time.Time, e entry) bool {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -144,3 +144,30 @@
 		require.Equal(t, []fleet.UpstreamID{"a", "c"}, ids(&d))
 	})
 }
+
+// The load of a data centre whose upstreams start together: each writes its entry again with each
+// heartbeat, to state how much longer it is cold. Guards against a change that is passed on to all routers
+// for each of them, and against a restart or a new cold time that is taken for one.
+func TestHeartbeatOfAColdUpstreamIsNoChange(t *testing.T) {
+	t.Parallel()
+	var d registry.Directory
+	cold := entry("a", 1)
+	cold.Upstream.ColdUntil = start.Add(3 * time.Second)
+	require.Len(t, d.Apply(start, []registry.Change{cold}), 1)
+	for i := range 3 {
+		now := start.Add(time.Duration(i+1) * 1100 * time.Millisecond)
+		again := entry("a", registry.Revision(i+2))
+		if left := cold.Upstream.ColdUntil.Sub(now); left > 0 {
+			again.Upstream.ColdUntil = now.Add(left + 20*time.Millisecond)
+		}
+		require.Empty(t, d.Apply(now, []registry.Change{again}))
+		require.EqualValues(t, 1, d.SettledRevision())
+	}
+	require.Empty(t, d.Apply(start, []registry.Change{{Upstream: registry.Upstream{ID: "a"}, Revision: 3, Removed: true}}), "older")
+	again := entry("a", 9)
+	again.Upstream.ColdUntil = start.Add(8 * time.Second)
+	require.Len(t, d.Apply(start.Add(5*time.Second), []registry.Change{again}), 1, "cold again")
+	restarted := again
+	restarted.Revision, restarted.Upstream.StartTime = 10, again.Upstream.StartTime+1
+	require.Len(t, d.Apply(start.Add(5*time.Second), []registry.Change{restarted}), 1)
+}
