--- a/registry/registry.go
+++ b/registry/registry.go
@@ -136,7 +136,7 @@
 	for _, c := range changes {
 		previous, known := d.entries[c.Upstream.ID]
 		changed = append(changed, d.applyOne(now, c, confirmed)...)
-		if !confirmed && !(known && isRepetition(now, previous.change, c)) {
+		if !confirmed && (!known || !isRepetition(now, previous.change, c)) {
 			d.complete = max(d.complete, c.Revision)
 		}
 	}
@@ -160,7 +160,7 @@
 		d.entries = make(map[fleet.UpstreamID]entry)
 	}
 	previous, known := d.entries[c.Upstream.ID]
-	if known && (c.Revision < previous.change.Revision || (c.Revision == previous.change.Revision && !previous.removalPending)) {
+	if known && previous.supersedes(c) {
 		return nil
 	}
 	if known && !previous.removalPending && isRepetition(now, previous.change, c) {
@@ -183,6 +183,11 @@
 	return []Change{c}
 }
 
+// supersedes reports whether a change is older than the entry, or already in it.
+func (e entry) supersedes(c Change) bool {
+	return c.Revision < e.change.Revision || (c.Revision == e.change.Revision && !e.removalPending)
+}
+
 // coldUntilTolerance is the difference between two statements of how long an upstream is
 // cold that says nothing.
 const coldUntilTolerance = 500 * time.Millisecond
