turn, home: homes grant the turns of plain services with few upstreams too

Cause: three upstreams of 6 slots stand behind 72 routers of which each knows its own requests only (routers of a large fleet send no reports), and the work on them has grown from 10 to 171 requests a second. A home knows each end within milliseconds, so what waits waits there; with the old wait it was answered late. Above 24 upstreams each router goes on by itself.

--- a/forward/job.go
+++ b/forward/job.go
@@ -24,8 +24,8 @@
 	// in time.
 	streamWaitFraction = 0.25
 	// plainWaitFraction is the same for other requests, which take about a fifth of their target to
-	// run.
-	plainWaitFraction = 0.6
+	// run, and sometimes twice that.
+	plainWaitFraction = 0.35
 	// resumeMaxWait is how long a broken stream waits for another upstream. Its caller gives up
 	// about two seconds after the last event.
 	resumeMaxWait = time.Second
--- a/home/ask.go
+++ b/home/ask.go
@@ -130,7 +130,7 @@
 // left, which the home may not know yet, it releases the turn and returns
 // *UpstreamGoneError.
 func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant) (Ticket, error) {
-	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(time.Now(), grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork())}
+	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(time.Now(), grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork()), isEngine: pool.HasCaches()}
 	if !pool.HasInstance(turn.InstanceOf(t.upstream)) {
 		t.End(time.Now(), turn.Unsent)
 		return nil, &UpstreamGoneError{Instance: turn.InstanceOf(t.upstream)}
@@ -167,8 +167,11 @@
 	upstream       registry.Upstream
 	fetchFrom      string
 	pendingPrefill int
-	hasFirstEvent  bool
-	hasEnded       bool
+	// isEngine is true if the upstream reads prompts and has many slots, so that the home needs
+	// to know of first events and not at once of free slots.
+	isEngine      bool
+	hasFirstEvent bool
+	hasEnded      bool
 }
 
 func (t *remoteTicket) Upstream() registry.Upstream { return t.upstream }
@@ -177,22 +180,22 @@
 
 // RecordFirstEvent notifies the home that the upstream has read the prompt.
 func (t *remoteTicket) RecordFirstEvent(time.Time) {
-	if t.hasFirstEvent || t.hasEnded {
+	if t.hasFirstEvent || t.hasEnded || !t.isEngine {
 		return
 	}
 	t.hasFirstEvent = true
 	t.sendNote(&schema.TurnNote{Id: t.id, Read: true})
 }
 
-// End notifies the home that the request has ended. Notes of served requests may be
-// delayed; all others are sent at once, since they may show a fault of the upstream.
+// End notifies the home that the request has ended. Notes of requests that engines have served
+// may be delayed; all others are sent at once, since they may show a fault of the upstream.
 func (t *remoteTicket) End(_ time.Time, outcome turn.Outcome) {
 	if t.hasEnded {
 		return
 	}
 	t.hasEnded = true
 	note := &schema.TurnNote{Id: t.id, Outcome: uint32(outcome)}
-	if outcome == turn.Served {
+	if outcome == turn.Served && t.isEngine {
 		t.coordinator.queueNote(t.home, note)
 		return
 	}
--- a/home/codec.go
+++ b/home/codec.go
@@ -14,6 +14,9 @@
 		Id: id, Service: string(service), Account: string(r.Account), Input: uint32(max(r.Input, 0)), Output: uint32(max(r.Output, 0)),
 		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience),
 	}
+	if len(r.Prefixes) == 0 {
+		a.DataCenter = string(r.DataCenter)
+	}
 	for _, p := range r.Prefixes {
 		a.Beginnings = append(a.Beginnings, &schema.PromptBeginning{Hash: p.Hash, Tokens: uint32(max(p.Tokens, 0))})
 	}
@@ -27,6 +30,7 @@
 	r := turn.Request{
 		Account: fleet.AccountID(a.GetAccount()), Input: int(a.GetInput()), Output: int(a.GetOutput()),
 		Target: schema.Duration(a.GetTargetMs()), Patience: schema.Duration(a.GetPatienceMs()),
+		DataCenter: fleet.DataCenterID(a.GetDataCenter()),
 	}
 	for _, p := range a.GetBeginnings() {
 		r.Prefixes = append(r.Prefixes, turn.Prefix{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
--- a/turn/cold.go
+++ b/turn/cold.go
@@ -38,13 +38,17 @@
 		return true
 	}
 	group := noGroup
-	if p.grouped && p.placement().Choices() > 0 {
+	switch {
+	case !p.grouped:
+	case p.isPlainGroup():
+		group = 0
+	case p.placement().Choices() > 0:
 		group = e.group
 	}
 	return p.OwnsCold(now, e.upstream.ID, group)
 }
 
-// noGroup is the group of upstreams whose requests go to any of them.
+// noGroup is the group of upstreams for which each router schedules its own requests.
 const noGroup = -1
 
 // admitsCold reports whether an upstream is warm, or cold and can be sent another request.
--- a/turn/group.go
+++ b/turn/group.go
@@ -25,13 +25,31 @@
 	p.reassign(now)
 }
 
+// maxPlainGroup is the largest number of upstreams without an order of preference that one
+// router schedules for all. Beyond it, routers seldom meet at one upstream by chance, and one
+// router couldn't grant the turns of all.
+const maxPlainGroup = 24
+
+// isPlainGroup reports whether the upstreams make one group because requests have no order of
+// preference among them.
+func (p *Pool) isPlainGroup() bool {
+	return p.placement().Choices() == 0 && len(p.engines) <= maxPlainGroup
+}
+
+// isHome reports whether all requests for the upstreams that this pool schedules start here.
+func (p *Pool) isHome() bool { return p.grouped && (p.HasCaches() || p.isPlainGroup()) }
+
+// HasCaches reports whether the upstreams differ in the prompts that they have cached. Others
+// have few slots each, and every slot counts.
+func (p *Pool) HasCaches() bool { return p.placement().Choices() > 0 }
+
 // GroupOf returns the index of the group that a request belongs to, and false when the
-// service's requests may go to any upstream.
+// service's requests may go to any upstream and each router schedules its own.
 func (p *Pool) GroupOf(r *Request) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.placement().Choices() == 0 {
-		return 0, false
+		return 0, p.isPlainGroup() && len(p.engines) > 0
 	}
 	order := p.preferenceOrder(r)
 	if len(order) == 0 {
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -202,13 +202,18 @@
 // LeastLoaded sends a request to the upstream with the fewest requests in flight per slot,
 // and prefers this router's data centre.
 //
-// It suits plain applications with few slots and similar requests. Twice as many requests
-// as slots may be in flight: a freed slot then needn't wait for a message to a router, and
-// the queue at an upstream is no longer than the work of one request.
+// It suits plain applications with few slots and similar requests. More requests than slots
+// may be in flight, so that a freed slot needn't wait for a message to a router. A router
+// that relies on reports of others allows twice the slots, which is a queue of the work of
+// one request; a home hears of each end within a few milliseconds.
 type LeastLoaded struct{}
 
-// inFlightPerSlot is how many requests may be in flight for each slot.
-const inFlightPerSlot = 2
+// inFlightPerSlot and inFlightPerSlotAtHome are how many requests may be in flight for each
+// slot.
+const (
+	inFlightPerSlot       = 2
+	inFlightPerSlotAtHome = 1.25
+)
 
 // Order returns nil: requests have no preference.
 func (LeastLoaded) Order([]registry.Upstream, *Request) []int { return nil }
@@ -216,11 +221,11 @@
 // Choices returns zero: a request may go to any upstream.
 func (LeastLoaded) Choices() int { return 0 }
 
-// Score returns the fraction of the slots in use, less sameDataCenterBonus in this router's
-// data centre.
-func (LeastLoaded) Score(v *View, e *engine, _ *Request, _ int) float64 {
+// Score returns the fraction of the slots in use, less sameDataCenterBonus in the data centre
+// of the router that sends the request.
+func (LeastLoaded) Score(v *View, e *engine, r *Request, _ int) float64 {
 	load := float64(e.fleetInFlight()) / float64(max(e.upstream.Slots, 1))
-	if e.upstream.DataCenter == v.DataCenter {
+	if e.upstream.DataCenter == cmp.Or(r.DataCenter, v.DataCenter) {
 		return load - sameDataCenterBonus
 	}
 	return load
@@ -232,8 +237,12 @@
 const sameDataCenterBonus = 0.17
 
 // IsOpen reports whether fewer requests are in flight than allowed.
-func (LeastLoaded) IsOpen(_ *View, e *engine) bool {
-	return e.upstream.Slots <= 0 || e.fleetInFlight() < inFlightPerSlot*e.upstream.Slots
+func (LeastLoaded) IsOpen(v *View, e *engine) bool {
+	limit := float64(inFlightPerSlot * e.upstream.Slots)
+	if v.isHome {
+		limit = inFlightPerSlotAtHome * float64(e.upstream.Slots)
+	}
+	return e.upstream.Slots <= 0 || float64(e.fleetInFlight()) < limit
 }
 
 // HasRoom reports true: requests are similar, so any fits.
--- a/turn/start.go
+++ b/turn/start.go
@@ -8,7 +8,7 @@
 
 // view returns the View for an account with this backlog factor.
 func (p *Pool) view(now time.Time, backlogFactor float64) *View {
-	return &View{now: now, latency: &p.latency, isHome: p.grouped, DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
+	return &View{now: now, latency: &p.latency, isHome: p.isHome(), DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
 }
 
 // candidates returns the upstreams that a ticket may go to now: the first usable ones in
