--- a/deployment/router.go
+++ b/deployment/router.go
@@ -52,6 +52,10 @@
 	// store. Routers connect to each other within about a second and then also get updates
 	// from one another. The strictest bound of the users on the delay of an update is 2 s.
 	startupPollInterval = 1500 * time.Millisecond
+	// upstreamGatherTime is how long changes of the list of upstreams are gathered. A release
+	// changes it many times a second, and each change would cost a call to the store by each
+	// router that follows it, and a message to all others.
+	upstreamGatherTime = 200 * time.Millisecond
 	// maxPeerBackoff bounds the time between two attempts to connect to a router, and so the
 	// time to reconnect after a network partition.
 	maxPeerBackoff = time.Second
@@ -214,7 +218,8 @@
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
 		Name: "upstreams", Feed: r.options.UpstreamFeed, Sink: upstreamSink{r.state, r.mesh}, Log: r.options.Log,
 		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval,
-		Known: func(revision registry.Revision) registry.Revision { return max(revision, r.state.SettledRevision()) },
+		Gather: upstreamGatherTime,
+		Known:  func(revision registry.Revision) registry.Revision { return max(revision, r.state.SettledRevision()) },
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -89,6 +89,9 @@
 	// pass on its changes. Zero means to follow it without pauses, and so does a nil
 	// PollInterval. It is called repeatedly, and the result may change.
 	PollInterval func() time.Duration
+	// Gather is how long, on average, a Follower waits after changes before it asks for more,
+	// so that one call returns several. Zero asks at once.
+	Gather time.Duration
 	// Known returns the later of a revision and that up to which the changes of the table
 	// are known from elsewhere. Nil returns the revision.
 	Known func(V) V
@@ -187,9 +190,9 @@
 	return revision, nil
 }
 
-func (f *Follower[R, V]) watch(ctx context.Context, after V) (V, error) {
+func (f *Follower[R, V]) watch(parent context.Context, after V) (V, error) {
 	wait := f.wait()
-	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	ctx, cancel := context.WithTimeout(parent, wait+answerMargin)
 	defer cancel()
 	rows, revision, err := f.Feed.Watch(ctx, after, wait)
 	if err != nil {
@@ -198,6 +201,7 @@
 	f.setAvailable()
 	if len(rows) > 0 {
 		f.Sink.Apply(rows, revision)
+		sleep(parent, jitter(f.Gather))
 	}
 	return revision, nil
 }
@@ -240,9 +244,11 @@
 	f.Sink.SetAvailable()
 }
 
-// jitter spreads the calls of routers for which the store became unavailable at the same
-// time.
+// jitter spreads the calls of routers that pause at the same time.
 func jitter(pause time.Duration) time.Duration {
+	if pause <= 0 {
+		return 0
+	}
 	return pause/2 + rand.N(pause)
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -148,3 +148,21 @@
 		require.Equal(t, 7, s.after[0])
 	})
 }
+
+// The load of a release: the table changes many times a second. Guards against a call to the store for each
+// change.
+func TestChangesInQuickSuccessionAreGathered(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		s := &scriptedFeed{answers: []answer{{revision: 1}}}
+		for i := range 200 {
+			s.answers = append(s.answers, answer{rows: []string{"x"}, revision: i + 2})
+		}
+		f := follow.Follower[string, int]{Name: "test", Feed: s, Sink: &recordingSink{}, Log: slog.New(slog.DiscardHandler), Gather: 200 * time.Millisecond}
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		require.ErrorIs(t, f.Run(ctx), context.DeadlineExceeded)
+		require.LessOrEqual(t, len(s.calls), 30, "calls in four seconds")
+		require.GreaterOrEqual(t, len(s.calls), 15, "news are not held back")
+	})
+}
