turn: a refusal tells what the request lacked

Why: of the refusals "deadline before turn" 84 in 100 said "turn expected in 0 s", and nothing said what stood in the way. Now each says whether the preferred engines lacked slots, had too much to read, were cold, the account had more than its share, or others went first; counted in refused_turns_total{lack}.

--- a/forward/job.go
+++ b/forward/job.go
@@ -218,6 +218,9 @@
 	var refused *turn.RefusedError
 	if errors.As(err, &refused) {
 		out.RetryAfter = refused.RetryAfter
+		if refused.Lack != "" {
+			j.handler.Metrics.RefusedTurns.WithLabelValues(string(refused.Lack)).Inc()
+		}
 		switch {
 		case refused.NoUpstream:
 			out.Reason = refusal.NoUpstream
--- a/home/codec.go
+++ b/home/codec.go
@@ -50,13 +50,13 @@
 func encodeRefusal(e *turn.RefusedError) *schema.TurnRefusal {
 	return &schema.TurnRefusal{
 		WaitMs: schema.Millis(e.Wait), WaitedMs: schema.Millis(e.Waited), RetryAfterMs: schema.Millis(e.RetryAfter), NoUpstream: e.NoUpstream,
-		Held: e.Capped,
+		Held: e.Capped, Lack: string(e.Lack),
 	}
 }
 
 func decodeRefusal(r *schema.TurnRefusal) *turn.RefusedError {
 	return &turn.RefusedError{
 		Wait: schema.Duration(r.GetWaitMs()), Waited: schema.Duration(r.GetWaitedMs()), RetryAfter: schema.Duration(r.GetRetryAfterMs()),
-		NoUpstream: r.GetNoUpstream(), Capped: r.GetHeld(),
+		NoUpstream: r.GetNoUpstream(), Capped: r.GetHeld(), Lack: turn.ParseLack(r.GetLack()),
 	}
 }
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -41,6 +41,8 @@
 	ControlMessages *prometheus.CounterVec
 	// UpstreamConnections counts the connections opened to upstreams.
 	UpstreamConnections prometheus.Counter
+	// RefusedTurns counts requests that were refused their turn, by what they lacked.
+	RefusedTurns *prometheus.CounterVec
 	// ColdSkipped counts requests that couldn't go to the cold upstream that they prefer, by
 	// reason.
 	ColdSkipped *prometheus.CounterVec
@@ -78,13 +80,14 @@
 		ControlBytes:        newCounterVec("control_bytes_total", "Bytes of control traffic, headers included.", "direction", "side"),
 		ControlMessages:     newCounterVec("control_messages_total", "Messages of control traffic.", "direction", "side"),
 		UpstreamConnections: newCounter("upstream_connections_total", "Connections opened to upstreams."),
+		RefusedTurns:        newCounterVec("refused_turns_total", "Requests refused their turn, by what they lacked.", "lack"),
 		ColdSkipped:         newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
 		Panics:              newCounter("panics_total", "Panics contained."),
 		NoteVersion:         newGauge("note_version", "The release note version in force."),
 		Routers:             newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.ColdSkipped, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -96,6 +99,9 @@
 	for _, reason := range retry.Reasons() {
 		s.Retries.WithLabelValues(string(reason))
 	}
+	for _, lack := range turn.Lacks() {
+		s.RefusedTurns.WithLabelValues(string(lack))
+	}
 	for _, reason := range turn.ColdReasons() {
 		s.ColdSkipped.WithLabelValues(string(reason))
 	}
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -51,6 +51,9 @@
 // fleetInFlight returns the requests that all routers have in flight.
 func (e *engine) fleetInFlight() int { return e.inFlight + e.remote.InFlight }
 
+// hasSlot reports whether a slot is free.
+func (e *engine) hasSlot() bool { return e.upstream.Slots <= 0 || e.fleetInFlight() < e.upstream.Slots }
+
 // cachedTokens returns how many tokens of a prompt are probably cached.
 func (e *engine) cachedTokens(now time.Time, r *Request) int {
 	for i := len(r.Prefixes) - 1; i >= 0; i-- {
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -113,7 +113,7 @@
 	view := p.view(now, 1)
 	best := p.bestCandidate(view, t, p.candidates(now, t))
 	if best == nil {
-		return nil, &RefusedError{NoUpstream: true, RetryAfter: noUpstreamRetryAfter}
+		return nil, &RefusedError{NoUpstream: true, Lack: LackUpstream, RetryAfter: noUpstreamRetryAfter}
 	}
 	t.tokens, _ = view.prefillCost(best, &r)
 	a, shares := p.account(r.Account), p.fairShares(now)
@@ -126,7 +126,7 @@
 	p.countColdSkipped(now, t)
 	if wait := p.expectedWait(now, best, &r); wait > t.patience && !t.returned {
 		a.recordRefused(now, &r)
-		return nil, &RefusedError{Wait: wait, RetryAfter: max(wait, minRetryAfter)}
+		return nil, &RefusedError{Lack: p.lack(now, t), Wait: wait, RetryAfter: max(wait, minRetryAfter)}
 	}
 	p.enqueue(t, best)
 	p.startWaiting(now)
--- a/turn/reassign.go
+++ b/turn/reassign.go
@@ -39,6 +39,6 @@
 func (p *Pool) refuse(now time.Time, t *Ticket) {
 	p.dequeue(t)
 	p.account(t.request.Account).recordRefused(now, &t.request)
-	t.refusal = &RefusedError{NoUpstream: true, Waited: now.Sub(t.arrivedAt), RetryAfter: noUpstreamRetryAfter}
+	t.refusal = &RefusedError{NoUpstream: true, Lack: LackUpstream, Waited: now.Sub(t.arrivedAt), RetryAfter: noUpstreamRetryAfter}
 	t.refused <- t.refusal
 }
--- a/turn/service_cap.go
+++ b/turn/service_cap.go
@@ -90,5 +90,5 @@
 	if p.view(now, 1).unread(best) == 0 {
 		p.peakServed.Add(now, peakMemory, r.cost()*float64(serviceWindow)/float64(peakMemory))
 	}
-	return &RefusedError{Capped: true, RetryAfter: minRetryAfter}
+	return &RefusedError{Capped: true, Lack: LackShare, RetryAfter: minRetryAfter}
 }
--- a/turn/start.go
+++ b/turn/start.go
@@ -126,7 +126,7 @@
 		return false
 	}
 	best := p.bestCandidate(view, t, candidates)
-	if p.isOpen(view, best) && p.placement().HasRoom(view, best, &t.request) {
+	if p.hasRoom(view, best, &t.request) {
 		p.start(view, t, best)
 		return true
 	}
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -74,10 +74,11 @@
 	if t.isGranted() || t.refusal != nil {
 		return t.refusal
 	}
+	lack := p.lack(now, t)
 	p.dequeue(t)
 	p.account(t.request.Account).recordRefused(now, &t.request)
 	wait := max(p.expectedWait(now, t.preferred, &t.request), 0)
-	t.refusal = &RefusedError{Wait: wait, Waited: now.Sub(t.arrivedAt), RetryAfter: max(wait, minRetryAfter)}
+	t.refusal = &RefusedError{Lack: lack, Wait: wait, Waited: now.Sub(t.arrivedAt), RetryAfter: max(wait, minRetryAfter)}
 	return t.refusal
 }
 
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -87,6 +87,8 @@
 	RetryAfter time.Duration
 	// NoUpstream is true when no upstream of the service accepts requests.
 	NoUpstream bool
+	// Lack is what the request lacked.
+	Lack Lack
 	// Capped is true when the account has reached its service cap, which applies while
 	// another account is throttled by its router.
 	Capped bool
@@ -100,5 +102,5 @@
 	if e.Capped {
 		return "the account reached its service cap next to a throttled account"
 	}
-	return fmt.Sprintf("turn expected in %v after %v", e.Wait, e.Waited)
+	return fmt.Sprintf("turn expected in %v after %v, lack of %s", e.Wait, e.Waited, e.Lack)
 }
