--- a/turn/machine_test.go
+++ b/turn/machine_test.go
@@ -8,13 +8,15 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/turn"
 )
 
 // poolMachine is a state machine of a pool whose upstreams are removed, added and changed
-// (instance, data centre, slots) while tickets wait, are reassigned, cancelled and ended.
+// (instance, data centre, slots, cold or warm) while tickets wait, are reassigned, cancelled
+// and ended.
 type poolMachine struct {
 	pool         turn.Pool
 	now          time.Time
@@ -22,6 +24,8 @@
 	incarnations [6]registry.StartTime
 	tickets      []*trackedTicket
 	lastPrompt   uint64
+	// ownsCold is what the pool is told about the ownership of cold upstreams.
+	ownsCold bool
 }
 
 // trackedTicket is a ticket and its request.
@@ -56,11 +60,19 @@
 		m.upstreams = append(m.upstreams, registry.Upstream{
 			ID: fleet.UpstreamID(fmt.Sprintf("e%d", i)), Address: fmt.Sprintf("10.0.0.%d:80", i), StartTime: m.incarnations[i],
 			Slots: rapid.IntRange(0, 3).Draw(t, "slots"), DataCenter: rapid.SampledFrom([]fleet.DataCenterID{"", "a", "b"}).Draw(t, "data centre"),
+			ColdUntil: m.now.Add(rapid.SampledFrom([]time.Duration{-time.Hour, time.Second, time.Hour}).Draw(t, "cold")),
 		})
 	}
 	m.pool.SetUpstreams(m.now, m.upstreams, rapid.SampledFrom([]time.Duration{0, target, time.Hour}).Draw(t, "target"))
 }
 
+// setColdStart changes the limit on cold upstreams and which router owns them.
+func (m *poolMachine) setColdStart(t *rapid.T) {
+	rate := rapid.SampledFrom([]float64{0, 0.3, 5, 1e9}).Draw(t, "rate")
+	m.pool.SetColdStart(coldstart.Policy{Duration: time.Second, Limit: coldstart.Tolerance{}.Limit(rate)})
+	m.ownsCold = rapid.Bool().Draw(t, "owns")
+}
+
 func (m *poolMachine) setGrouped(t *rapid.T) {
 	m.pool.SetGrouped(m.now, rapid.Bool().Draw(t, "grouped"))
 }
@@ -198,10 +210,11 @@
 			rapid.Check(t, func(t *rapid.T) {
 				m := &poolMachine{now: start}
 				m.pool.Placement = placement
+				m.pool.OwnsCold = func(time.Time, fleet.UpstreamID, int) bool { return m.ownsCold }
 				// Repeat sorts the steps by name, so other names change the sequences of a seed.
 				t.Repeat(map[string]func(*rapid.T){
 					"set": m.setUpstreams, "group": m.setGrouped, "ask": m.submit, "ask more": m.submit, "give up": m.cancel, "first": m.recordFirstEvent,
-					"end": m.end, "observe": m.applyReport, "shed": m.recordShed, "": m.check,
+					"end": m.end, "cold": m.setColdStart, "observe": m.applyReport, "shed": m.recordShed, "": m.check,
 				})
 			})
 		})
