--- a/home/plain_test.go
+++ b/home/plain_test.go
@@ -72,6 +72,8 @@
 		}
 		group.Wait()
 		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		require.LessOrEqual(t, most, 8, "six run and two wait at an upstream")
 		require.GreaterOrEqual(t, answered, 54, "no slot is idle beside a waiting request")
 		require.Equal(t, 72, answered+refused)
