--- a/explain/explain.go
+++ b/explain/explain.go
@@ -66,6 +66,9 @@
 	Version     uint64  `json:"configuration"`
 	Draining    bool    `json:"draining"`
 	Gone        bool    `json:"gone"`
+	Cold        float64 `json:"cold-ms"`
+	DataCenter  string  `json:"data-centre"`
+	Ended       bool    `json:"ended"`
 	Connected   bool    `json:"connected"`
 	OtherRouter string  `json:"other"`
 	Table       string  `json:"table"`
@@ -81,6 +84,12 @@
 	"upstream changed": func(l *logLine) string {
 		return fmt.Sprintf("upstream %s %s, from %s", l.Upstream, l.upstreamState(), l.From)
 	},
+	"evacuation changed": func(l *logLine) string {
+		if l.Ended {
+			return fmt.Sprintf("evacuation of %s ended, from %s", l.DataCenter, l.From)
+		}
+		return fmt.Sprintf("%s evacuated, from %s", l.DataCenter, l.From)
+	},
 	"upstream taken out":        func(l *logLine) string { return "upstream " + l.Upstream + " taken out, its requests fail" },
 	"dependency lost":           func(l *logLine) string { return "store lost (" + l.Table + ")" },
 	"dependency regained":       func(l *logLine) string { return "store regained (" + l.Table + ")" },
@@ -95,6 +104,8 @@
 		return "is gone"
 	case l.Draining:
 		return "drains"
+	case l.Cold > 0:
+		return fmt.Sprintf("is cold for %.0f ms", l.Cold)
 	}
 	return "is ready"
 }
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -111,3 +111,18 @@
 	require.LessOrEqual(t, strings.Count(out.String(), "\n"), 12)
 	require.Contains(t, out.String(), "1950")
 }
+
+const refusalInAnEvacuation = `{"time":"2026-12-03T14:19:40Z","msg":"evacuation changed","router":"r","data-centre":"z1","ended":false,"from":"store"}
+{"time":"2026-12-03T14:19:40.1Z","msg":"upstream changed","router":"r","upstream":"u","cold-ms":2992,"from":"store"}
+{"time":"2026-12-03T14:19:40.2Z","msg":"request refused","router":"r","request":"a1","reason":"no-upstream","outcome":"not-run"}
+`
+
+// Guards against a refusal whose cause, an evacuation or engines that have just started, isn't told.
+func TestEvacuationAndColdUpstreamAreTold(t *testing.T) {
+	t.Parallel()
+	var out bytes.Buffer
+	e := explain.Explainer{Request: "a1", Out: &out}
+	require.NoError(t, e.Read(strings.NewReader(refusalInAnEvacuation)))
+	require.Contains(t, out.String(), "z1 evacuated, from store")
+	require.Contains(t, out.String(), "upstream u is cold for 2992 ms, from store")
+}
