--- a/registry/registry.go
+++ b/registry/registry.go
@@ -197,12 +197,12 @@
 // that on to all routers would cost more than all other changes.
 func isRepetition(now time.Time, previous, c Change) bool {
 	before, after := previous.Upstream, c.Upstream
-	difference := latest(after.ColdUntil, now).Sub(latest(before.ColdUntil, now)).Abs()
+	difference := later(after.ColdUntil, now).Sub(later(before.ColdUntil, now)).Abs()
 	before.ColdUntil, after.ColdUntil = time.Time{}, time.Time{}
 	return !previous.Removed && !c.Removed && before == after && difference <= coldUntilTolerance
 }
 
-func latest(a, b time.Time) time.Time {
+func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
 	}
