turn: one loop over the accounts that go first, one view of an account, one test for caches

Read again: the expected wait of plain requests had its own loop over accounts and its own search for an open upstream (anyOpen), the lack of a request its own view of an account (startNext), and four places asked Choices() == 0. Plain upstreams are one group by assignGroups, so ownsCold needs no cases. Comments shortened. Behaviour as it was.

--- a/follow/group.go
+++ b/follow/group.go
@@ -18,10 +18,9 @@
 	maxSubstitutes = 8
 	// minKnownFollowers is how many followers a router must know before it only polls.
 	minKnownFollowers = 2
-	// A router that does not follow polls the store itself once in a while, in case the
-	// followers miss changes because their feed stopped responding. All routers together
-	// poll each table about once in standbyPollSpacing, and each of them at most once in
-	// minStandbyPollInterval.
+	// A router that does not follow polls the store itself once in a while, in case the feeds
+	// of the followers stopped responding: all routers together once in standbyPollSpacing,
+	// each at most once in minStandbyPollInterval.
 	standbyPollSpacing     = time.Second
 	minStandbyPollInterval = 30 * time.Second
 	// storeLostPollInterval is the same while no follower can read the store, though it may
--- a/turn/cold.go
+++ b/turn/cold.go
@@ -38,11 +38,7 @@
 		return true
 	}
 	group := noGroup
-	switch {
-	case !p.grouped:
-	case p.isPlainGroup():
-		group = 0
-	case p.placement().Choices() > 0:
+	if p.isHome() {
 		group = e.group
 	}
 	return p.OwnsCold(now, e.upstream.ID, group)
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -37,8 +37,7 @@
 	waitingTokens int
 	// lastBusy is when it was last known to have prompts to read.
 	lastBusy time.Time
-	// sent counts the requests that were sent for as long as a limit on cold upstreams may
-	// apply to them. coldUntil is when an upstream that may have restarted is warm again.
+	// sent holds the latest requests, which count once the upstream is cold. coldUntil is when an upstream that may have restarted is warm again.
 	sent      coldstart.Limiter
 	coldUntil time.Time
 	// remote is the sum of the other routers' reports.
--- a/turn/group.go
+++ b/turn/group.go
@@ -33,7 +33,7 @@
 // isPlainGroup reports whether the upstreams make one group because requests have no order of
 // preference among them.
 func (p *Pool) isPlainGroup() bool {
-	return p.placement().Choices() == 0 && len(p.engines) <= maxPlainGroup
+	return !p.HasCaches() && len(p.engines) <= maxPlainGroup
 }
 
 // isHome reports whether all requests for the upstreams that this pool schedules start here.
@@ -48,7 +48,7 @@
 func (p *Pool) GroupOf(r *Request) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.placement().Choices() == 0 {
+	if !p.HasCaches() {
 		return 0, p.isPlainGroup() && len(p.engines) > 0
 	}
 	order := p.preferenceOrder(r)
@@ -62,7 +62,7 @@
 func (p *Pool) GroupCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.grouped || p.placement().Choices() == 0 {
+	if !p.grouped || !p.HasCaches() {
 		return 0
 	}
 	return p.groupCount
@@ -80,11 +80,11 @@
 	return false
 }
 
-// assignGroups divides the engines into groups. The number of groups is a power of two, so
+// assignGroups divides the engines into groups; plain upstreams make one. The number of groups is a power of two, so
 // that it rarely changes and each change splits or merges pairs of groups.
 func (p *Pool) assignGroups() {
 	p.groupCount = 1
-	for p.groupCount*2*minEnginesPerGroup <= len(p.engines) {
+	for p.HasCaches() && p.groupCount*2*minEnginesPerGroup <= len(p.engines) {
 		p.groupCount *= 2
 	}
 	for _, e := range p.engines {
--- a/turn/lack.go
+++ b/turn/lack.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"nutmeglock.example/nutmeglock/fleet"
 )
 
 // Lack is what a request didn't get, so that it was refused.
@@ -42,7 +40,8 @@
 // lack returns what a request lacks at the moment.
 func (p *Pool) lack(now time.Time, t *Ticket) Lack {
 	candidates := p.candidates(now, t)
-	generous, own := p.view(now, maxBacklogFactor), p.accountView(now, t.request.Account)
+	generous := p.view(now, maxBacklogFactor)
+	own := p.accountView(now, p.fairShares(now), p.account(t.request.Account).served(now))
 	best := p.bestCandidate(generous, t, candidates)
 	switch {
 	case best == nil:
@@ -59,14 +58,3 @@
 		return LackOrder
 	}
 }
-
-// accountView returns the View for the requests of an account.
-func (p *Pool) accountView(now time.Time, id fleet.AccountID) *View {
-	shares := p.fairShares(now)
-	return p.view(now, backlogFactor(p.account(id).served(now), shares.fairShare(true), shares.pressure))
-}
-
-// hasRoom reports whether an upstream takes a request now.
-func (p *Pool) hasRoom(view *View, e *engine, r *Request) bool {
-	return p.isOpen(view, e) && p.placement().HasRoom(view, e, r)
-}
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -203,9 +203,8 @@
 // and prefers this router's data centre.
 //
 // It suits plain applications with few slots and similar requests. More requests than slots
-// may be in flight, so that a freed slot needn't wait for a message to a router. A router
-// that relies on reports of others allows twice the slots, which is a queue of the work of
-// one request; a home hears of each end within a few milliseconds.
+// may be in flight, so that a freed slot needn't wait for a message to a router: as much
+// again if routers rely on reports, less at a home, which hears of each end at once.
 type LeastLoaded struct{}
 
 // inFlightPerSlot and inFlightPerSlotAtHome are how many requests may be in flight for each
--- a/turn/plain_wait.go
+++ b/turn/plain_wait.go
@@ -1,9 +1,6 @@
 package turn
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // serviceTimeWeight is the weight of the latest request in the mean service time.
 const serviceTimeWeight = 0.05
@@ -19,20 +16,15 @@
 
 // plainWait returns the expected time until a request of a service without caches gets its
 // turn: that in which the upstreams serve the requests that go first. It is zero before any
-// request was served.
-//
-// While it isn't zero, as many requests are in flight as may be, and one of them ends in the
-// service time divided by their number. Requests of accounts with more service go later.
+// request was served. As no more may be in flight, one of them ends in the service time
+// divided by their number.
 func (p *Pool) plainWait(now time.Time, r *Request) time.Duration {
-	view := p.view(now, 1)
-	if slices.ContainsFunc(p.engines, func(e *engine) bool { return p.isOpen(view, e) }) {
+	if p.anyOpen(now) {
 		return 0
 	}
-	served, ahead, inFlight := p.account(r.Account).served(now), 1, 0
-	for id, a := range p.accounts {
-		if id == r.Account || a.served(now) <= served {
-			ahead += len(a.queue) + a.remote.WaitingTokens
-		}
+	ahead, inFlight := 1, 0
+	for a := range p.accountsAhead(now, r.Account) {
+		ahead += len(a.queue) + a.remote.WaitingTokens
 	}
 	for _, e := range p.engines {
 		if p.detector.Usable(now, e.instance) {
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -1,6 +1,7 @@
 package turn
 
 import (
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -164,12 +165,8 @@
 	if !p.HasCaches() {
 		return max(p.plainWait(now, r), p.coldWait(now, e))
 	}
-	served := p.account(r.Account).served(now)
 	ahead, remote := p.view(now, 1).estimatedUnread(e), 0
-	for id, a := range p.accounts {
-		if id != r.Account && a.served(now) > served {
-			continue
-		}
+	for a := range p.accountsAhead(now, r.Account) {
 		remote += a.remote.WaitingTokens
 		for _, t := range a.queue {
 			if t.preferred == e {
@@ -181,6 +178,19 @@
 	return max(p.latency.reading(ahead)-p.target, p.coldWait(now, e))
 }
 
+// accountsAhead returns the accounts whose waiting requests go before a new one of an account,
+// that account included: those with no more service.
+func (p *Pool) accountsAhead(now time.Time, id fleet.AccountID) iter.Seq[*account] {
+	served := p.account(id).served(now)
+	return func(yield func(*account) bool) {
+		for other, a := range p.accounts {
+			if (other == id || a.served(now) <= served) && !yield(a) {
+				return
+			}
+		}
+	}
+}
+
 // uncachedPart returns the part of recent prompts that upstreams had to read.
 func (p *Pool) uncachedPart(now time.Time) float64 {
 	sent := p.promptTokens.At(now, uncachedPartMemory)
--- a/turn/service_cap.go
+++ b/turn/service_cap.go
@@ -31,7 +31,7 @@
 func (p *Pool) RecordShed(now time.Time, id fleet.AccountID, tokens float64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.placement().Choices() == 0 {
+	if !p.HasCaches() {
 		return // service is compared only where it is measured in tokens
 	}
 	p.account(id).shed.Add(now, serviceWindow, tokens)
--- a/turn/start.go
+++ b/turn/start.go
@@ -11,6 +11,11 @@
 	return &View{now: now, latency: &p.latency, isHome: p.isHome(), DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
 }
 
+// accountView returns the View for an account with waiting requests.
+func (p *Pool) accountView(now time.Time, shares fairShares, served float64) *View {
+	return p.view(now, backlogFactor(served, shares.fairShare(true), shares.pressure))
+}
+
 // candidates returns the upstreams that a ticket may go to now: the first usable ones in
 // its order that it hasn't tried. If there are none, it returns the cold ones that can't take
 // a request at the moment, or else the ejected ones.
@@ -104,11 +109,16 @@
 	return p.placement().IsOpen(view, e) && p.admitsCold(view.now, e)
 }
 
+// hasRoom reports whether an upstream takes a request now.
+func (p *Pool) hasRoom(view *View, e *engine, r *Request) bool {
+	return p.isOpen(view, e) && p.placement().HasRoom(view, e, r)
+}
+
 func (p *Pool) startNext(now time.Time) bool {
 	shares := p.fairShares(now)
 	for _, a := range p.waitingAccounts(now) {
 		capped := shares.isCapped(now, a.account)
-		view := p.view(now, backlogFactor(a.served, shares.fairShare(true), shares.pressure))
+		view := p.accountView(now, shares, a.served)
 		for _, t := range a.queue {
 			if (!capped || t.request.wasSent()) && p.tryStart(view, t) {
 				return true
