registry, deployment, home, coldstart: what was computed twice, and two copies of one call

Read again: the registry compared each change with its entry twice; evacuations and upstreams were fetched by two copies of one call; ownership repeated rendezvous.Pick; each refresh of the pools copied the whole list and took two locks an upstream, also where nothing was ever evacuated; an ask's codec decided what its sender should. Behaviour as it was.

--- a/coldstart/fleet_test.go
+++ b/coldstart/fleet_test.go
@@ -24,7 +24,6 @@
 	awakeAt time.Time
 	// learnsAt is when the router learns which others it is connected to.
 	learnsAt time.Time
-	sent     int
 }
 
 // fleetModel plays the routers of a fleet before one cold upstream. Each learns of changes at a time
@@ -39,9 +38,7 @@
 	sent   []time.Time
 }
 
-const (
-	modelStep = 5 * time.Millisecond
-)
+const modelStep = 5 * time.Millisecond
 
 func newFleetModel(seed uint64, routers int, limit coldstart.Limit, maxLag time.Duration) *fleetModel {
 	m := &fleetModel{random: rand.New(rand.NewPCG(seed, 1)), key: rendezvous.KeyOf("model", fmt.Sprint(seed)), limit: limit, maxLag: maxLag}
@@ -122,7 +119,6 @@
 			if n.ownership.Owns(now, m.key) && n.limiter.Allows(now, m.limit) {
 				n.limiter.Record(now, m.limit)
 				m.sent = append(m.sent, now)
-				n.sent++
 			}
 		}
 	}
--- a/coldstart/ownership.go
+++ b/coldstart/ownership.go
@@ -79,6 +79,5 @@
 	if o.fleetSize == 0 || 2*(len(o.connected)+1) <= o.fleetSize {
 		return false
 	}
-	own := rendezvous.Score(key, o.Self)
-	return !slices.ContainsFunc(o.connected, func(other fleet.RouterID) bool { return rendezvous.Score(key, other) > own })
+	return rendezvous.Pick(key, append(slices.Clip(o.connected), o.Self)) == o.Self
 }
--- a/deployment/evacuations.go
+++ b/deployment/evacuations.go
@@ -43,6 +43,9 @@
 // data centre whose evacuation has ended count as cold for coldDuration: they may have
 // restarted meanwhile, and their load returns all at once.
 func (s *State) withoutEvacuated(upstreams []registry.Upstream, coldDuration time.Duration) []registry.Upstream {
+	if s.evacuations.Revision() == 0 {
+		return upstreams // as on most days; lists are long and change often
+	}
 	kept := make([]registry.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
 		if s.evacuations.IsEvacuated(u.DataCenter) {
@@ -59,17 +62,12 @@
 // fetchEvacuations fetches and applies the evacuations of another router. It returns the size
 // of the answer in bytes.
 func (m *mesh) fetchEvacuations(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
-	var response knowledgeResponse
 	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: notRequested, EvacuationRevision: heldRevision}
-	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
-		return 0, err
-	}
-	knowledge, err := response.decodeKnowledge()
-	if err != nil {
-		return response.size(), err
+	knowledge, size, err := m.fetchKnowledge(ctx, from, request)
+	if err == nil {
+		m.state.ApplyEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
 	}
-	m.state.ApplyEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
-	return response.size(), nil
+	return size, err
 }
 
 // evacuationsAfter returns the evacuations if they have changed after a revision.
--- a/deployment/knowledge.go
+++ b/deployment/knowledge.go
@@ -64,17 +64,22 @@
 // fetchUpstreams fetches and applies the changes of the list of upstreams after the held
 // revision from another router. It returns the size of the answer in bytes.
 func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
-	var response knowledgeResponse
 	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision, EvacuationRevision: notRequested, KnowledgeEncoding: deflateEncoding}
+	knowledge, size, err := m.fetchKnowledge(ctx, from, request)
+	if err == nil {
+		m.state.ApplyUpstreamsFromPeer(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), routerSource(from))
+	}
+	return size, err
+}
+
+// fetchKnowledge returns another router's answer and its size in bytes.
+func (m *mesh) fetchKnowledge(ctx context.Context, from fleet.RouterID, request knowledgeRequest) (*schema.Knowledge, int, error) {
+	var response knowledgeResponse
 	if err := m.peers.Call(ctx, from, knowledgeMethod, request, &response); err != nil {
-		return 0, err
+		return nil, 0, err
 	}
 	knowledge, err := response.decodeKnowledge()
-	if err != nil {
-		return response.size(), err
-	}
-	m.state.ApplyUpstreamsFromPeer(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), routerSource(from))
-	return response.size(), nil
+	return knowledge, response.size(), err
 }
 
 // routerSource returns the source in log lines of an update from another router.
--- a/home/codec.go
+++ b/home/codec.go
@@ -12,10 +12,7 @@
 func encodeAsk(id uint64, service fleet.ServiceID, r *turn.Request) *schema.TurnAsk {
 	a := &schema.TurnAsk{
 		Id: id, Service: string(service), Account: string(r.Account), Input: uint32(max(r.Input, 0)), Output: uint32(max(r.Output, 0)),
-		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience),
-	}
-	if len(r.Prefixes) == 0 {
-		a.DataCenter = string(r.DataCenter)
+		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience), DataCenter: string(r.DataCenter),
 	}
 	for _, p := range r.Prefixes {
 		a.Beginnings = append(a.Beginnings, &schema.PromptBeginning{Hash: p.Hash, Tokens: uint32(max(p.Tokens, 0))})
--- a/home/home.go
+++ b/home/home.go
@@ -144,7 +144,9 @@
 	if !grouped || !c.IsActive() {
 		return AwaitLocal(ctx, pool, r)
 	}
-	r.DataCenter = pool.DataCenter
+	if !pool.HasCaches() {
+		r.DataCenter = pool.DataCenter
+	}
 	deadline := time.Now().Add(r.Patience)
 	for range maxHomes {
 		home := c.homeOf(group{service, number})
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -98,7 +98,8 @@
 	var changed []Change
 	for _, c := range list {
 		listed[c.Upstream.ID] = true
-		changed = append(changed, d.applyOne(now, c, false)...)
+		effective, _ := d.applyOne(now, c, false)
+		changed = append(changed, effective...)
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
 		e := d.entries[id]
@@ -106,7 +107,8 @@
 			continue
 		}
 		removal := Change{Upstream: e.change.Upstream, Revision: revision, Removed: true}
-		changed = append(changed, d.applyOne(now, removal, false)...)
+		effective, _ := d.applyOne(now, removal, false)
+		changed = append(changed, effective...)
 	}
 	d.complete = max(d.complete, d.latest)
 	return changed
@@ -134,9 +136,9 @@
 	defer d.mu.Unlock()
 	var changed []Change
 	for _, c := range changes {
-		previous, known := d.entries[c.Upstream.ID]
-		changed = append(changed, d.applyOne(now, c, confirmed)...)
-		if !confirmed && (!known || !isRepetition(now, previous.change, c)) {
+		effective, repeated := d.applyOne(now, c, confirmed)
+		changed = append(changed, effective...)
+		if !confirmed && !repeated {
 			d.complete = max(d.complete, c.Revision)
 		}
 	}
@@ -153,34 +155,35 @@
 	return d.latest
 }
 
-// applyOne applies a change and returns it if it took effect. A confirmed removal
-// has no grace period.
-func (d *Directory) applyOne(now time.Time, c Change, confirmed bool) []Change {
+// applyOne applies a change and returns it if it took effect, and whether it only repeated
+// what was known. A confirmed removal has no grace period.
+func (d *Directory) applyOne(now time.Time, c Change, confirmed bool) (effective []Change, repeated bool) {
 	if d.entries == nil {
 		d.entries = make(map[fleet.UpstreamID]entry)
 	}
 	previous, known := d.entries[c.Upstream.ID]
+	repeated = known && isRepetition(now, previous.change, c)
 	if known && previous.supersedes(c) {
-		return nil
+		return nil, repeated
 	}
-	if known && !previous.removalPending && isRepetition(now, previous.change, c) {
+	if repeated && !previous.removalPending {
 		previous.change.Revision = c.Revision
 		d.entries[c.Upstream.ID] = previous
-		return nil
+		return nil, repeated
 	}
 	if c.Removed && !confirmed && known && !previous.change.Removed && d.mayReturn(now, previous) {
 		previous.removalPending = true
 		previous.removeAt = d.removalTime(now)
 		previous.change.Revision = c.Revision
 		d.entries[c.Upstream.ID] = previous
-		return nil
+		return nil, false
 	}
 	if c.Removed && known {
 		c.Upstream = previous.change.Upstream
 	}
 	d.entries[c.Upstream.ID] = entry{change: c}
 	d.latest = max(d.latest, c.Revision)
-	return []Change{c}
+	return []Change{c}, repeated
 }
 
 // supersedes reports whether a change is older than the entry, or already in it.
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -52,7 +52,8 @@
 	Target time.Duration
 	// Patience is the longest time that the request may wait for its turn.
 	Patience time.Duration
-	// DataCenter is that of the router that sends the request; empty means that of the pool.
+	// DataCenter is that of the router that sends the request, where it matters; empty means
+	// that of the pool.
 	DataCenter fleet.DataCenterID
 	// Tried are the instances that the request must not be sent to again.
 	Tried []Instance
