registry: the return of an entry is settled

Read again: an entry that vanished in an outage and returns as it was took effect, but counted as a repetition, so the revision that this router announces stayed that of the removal (5 where 6 is due). Other routers heard of the return with the removal's revision, or with the next change.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -162,14 +162,14 @@
 		d.entries = make(map[fleet.UpstreamID]entry)
 	}
 	previous, known := d.entries[c.Upstream.ID]
-	repeated = known && isRepetition(now, previous.change, c)
+	repeated = known && !previous.removalPending && isRepetition(now, previous.change, c)
 	if known && previous.supersedes(c) {
 		return nil, repeated
 	}
-	if repeated && !previous.removalPending {
+	if repeated {
 		previous.change.Revision = c.Revision
 		d.entries[c.Upstream.ID] = previous
-		return nil, repeated
+		return nil, true
 	}
 	if c.Removed && !confirmed && known && !previous.change.Removed && d.mayReturn(now, previous) {
 		previous.removalPending = true
@@ -183,7 +183,7 @@
 	}
 	d.entries[c.Upstream.ID] = entry{change: c}
 	d.latest = max(d.latest, c.Revision)
-	return []Change{c}, repeated
+	return []Change{c}, false
 }
 
 // supersedes reports whether a change is older than the entry, or already in it.
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -171,3 +171,16 @@
 	restarted.Revision, restarted.Upstream.StartTime = 10, again.Upstream.StartTime+1
 	require.Len(t, d.Apply(start.Add(5*time.Second), []registry.Change{restarted}), 1)
 }
+
+// Guards against an upstream that returns after an outage of the store, and of which other routers hear
+// only with the next change: its return is news, though its entry is as before.
+func TestReturnOfAnEntryIsSettled(t *testing.T) {
+	t.Parallel()
+	var d registry.Directory
+	d.Apply(start, []registry.Change{entry("a", 1)})
+	d.SetUnavailable()
+	d.SetAvailable(start)
+	require.Empty(t, d.Apply(start, []registry.Change{{Upstream: registry.Upstream{ID: "a"}, Revision: 5, Removed: true}}))
+	require.Len(t, d.Apply(start, []registry.Change{entry("a", 6)}), 1)
+	require.EqualValues(t, 6, d.SettledRevision())
+}
