--- a/home/home_test.go
+++ b/home/home_test.go
@@ -38,6 +38,8 @@
 	askCount map[fleet.RouterID]int
 }
 
+func routerID(i int) fleet.RouterID { return fleet.RouterID(fmt.Sprintf("r%d", i)) }
+
 func engines(n int) []registry.Upstream {
 	list := make([]registry.Upstream, n)
 	for i := range list {
@@ -55,7 +57,7 @@
 		readDelay: make(map[fleet.RouterID]time.Duration),
 	}
 	for i := range routers {
-		id := fleet.RouterID(fmt.Sprintf("r%d", i))
+		id := routerID(i)
 		pool := &turn.Pool{}
 		pool.SetGrouped(time.Now(), true)
 		pool.SetUpstreams(time.Now(), engines(upstreams), target)
@@ -170,7 +172,7 @@
 		var group sync.WaitGroup
 		for i := range uint64(20) {
 			group.Go(func() {
-				ticket, err := n.turn(t.Context(), fleet.RouterID(fmt.Sprintf("r%d", i)), requestFor(100+i, 200+i))
+				ticket, err := n.turn(t.Context(), routerID(int(i)), requestFor(100+i, 200+i))
 				mu.Lock()
 				defer mu.Unlock()
 				var e *turn.RefusedError
--- a/home/machine_test.go
+++ b/home/machine_test.go
@@ -43,7 +43,7 @@
 }
 
 func (m *simulation) randomRouter() fleet.RouterID {
-	return fleet.RouterID(fmt.Sprintf("r%d", m.random.IntN(simulationRouters)))
+	return routerID(m.random.IntN(simulationRouters))
 }
 
 // ask requests a turn at a random router and ends the request after a while, unless its
@@ -96,7 +96,7 @@
 	all := m.random.IntN(2) == 0
 	for i := range simulationRouters {
 		if all || m.random.IntN(3) == 0 {
-			m.pools[fleet.RouterID(fmt.Sprintf("r%d", i))].SetUpstreams(time.Now(), list, target)
+			m.pools[routerID(i)].SetUpstreams(time.Now(), list, target)
 		}
 	}
 }
--- a/home/plain_test.go
+++ b/home/plain_test.go
@@ -31,8 +31,6 @@
 	return n
 }
 
-func routerID(i int) fleet.RouterID { return fleet.RouterID(fmt.Sprintf("r%d", i)) }
-
 func dataCenter(i int) fleet.DataCenterID { return fleet.DataCenterID(fmt.Sprintf("z%d", i%2)) }
 
 func plainRequest() turn.Request {
