registry, forward, explain: software versions and streams that are taken up again are logged and counted

Neither could be told from the logs of the incident: the version of an upstream was decoded and dropped, and a request that takes a stream up again looked like a new one. Now the list of upstreams has the version, routers pass it on to each other, and the lines on attempts, answers and refusals name it and the stream that is taken up. resumed_streams_total counts by caller or router and compares the versions. explain finds the requests that take a stream up by the id of the attempt that began it. No choice of an upstream changes.

--- a/deployment/state.go
+++ b/deployment/state.go
@@ -248,7 +248,7 @@
 	}
 	for _, c := range changes {
 		s.options.Log.Info("upstream changed", "upstream", c.Upstream.ID, "service", c.Upstream.Service,
-			"address", c.Upstream.Address, "life", c.Upstream.StartTime, "draining", c.Upstream.Draining,
+			"address", c.Upstream.Address, "life", c.Upstream.StartTime, "software", c.Upstream.Software, "draining", c.Upstream.Draining,
 			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "revision", c.Revision, "from", source)
 	}
 	s.refreshPools(time.Now())
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -50,6 +50,10 @@
 	Latency      float64 `json:"latency-ms"`
 
 	Upstream    string  `json:"upstream"`
+	Software    string  `json:"software"`
+	Began       string  `json:"first-software"`
+	Resumes     string  `json:"resumes"`
+	After       uint64  `json:"resumed-after"`
 	Sent        bool    `json:"sent"`
 	NotRun      bool    `json:"not-run"`
 	Attempt     int     `json:"attempt"`
@@ -82,7 +86,7 @@
 		return fmt.Sprintf("configuration %d in force, from %s", l.NewVersion, l.From)
 	},
 	"upstream changed": func(l *logLine) string {
-		return fmt.Sprintf("upstream %s %s, from %s", l.Upstream, l.upstreamState(), l.From)
+		return fmt.Sprintf("upstream %s%s %s, from %s", l.Upstream, l.softwareText(), l.upstreamState(), l.From)
 	},
 	"evacuation changed": func(l *logLine) string {
 		if l.Ended {
@@ -98,6 +102,13 @@
 	"started":                   func(*logLine) string { return "this router starts" },
 }
 
+func (l *logLine) softwareText() string {
+	if l.Software == "" {
+		return ""
+	}
+	return " (software " + l.Software + ")"
+}
+
 func (l *logLine) upstreamState() string {
 	switch {
 	case l.Gone:
@@ -122,7 +133,8 @@
 	found        int
 }
 
-// Read reads one log and prints its lines about the request. Lines that aren't a
+// Read reads one log and prints its lines about the request, and about those that take up its
+// stream again. Lines that aren't a
 // router's are skipped, and so is any text before a line's first brace.
 func (e *Explainer) Read(log io.Reader) error {
 	scanner := bufio.NewScanner(log)
@@ -154,14 +166,14 @@
 	if l.Message == "requests refused" {
 		return e.addSummary(&l)
 	}
-	if l.Request != e.Request || e.Request == "" {
+	if e.Request == "" || (l.Request != e.Request && l.Resumes != e.Request) {
 		return nil
 	}
 	if err := e.printEvents(l); err != nil {
 		return err
 	}
 	e.found++
-	return e.print(&l, l.describe())
+	return e.print(&l, l.describe()+l.describeStream())
 }
 
 func (e *Explainer) keepEvent(l logLine) {
@@ -209,6 +221,21 @@
 	return l.Message
 }
 
+// describeStream returns which stream a request takes up again, and the software versions.
+func (l *logLine) describeStream() string {
+	text := ""
+	if l.Resumes != "" {
+		text += fmt.Sprintf("; request %s takes up stream %s after event %d", l.Request, l.Resumes, l.After)
+	}
+	if l.Software != "" {
+		text += "; software " + l.Software
+	}
+	if l.Began != "" && l.Began != l.Software {
+		text += ", first event from " + l.Began
+	}
+	return text
+}
+
 func (l *logLine) describeRefusal() string {
 	text := fmt.Sprintf("refused: %s (%s) after %.1f ms, of which %.1f in the queue; %d sent, %d may have run, %d events passed",
 		l.Reason, l.Outcome, l.Age, l.Waited, l.Sends, l.Runs, l.Events)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,9 @@
 // UpstreamID identifies a back end of a service.
 type UpstreamID string
 
+// SoftwareVersion is the version of an upstream's software; empty if it isn't known.
+type SoftwareVersion string
+
 // RouterID identifies a router of the fleet.
 type RouterID string
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -35,6 +35,11 @@
 	Key string
 	// Timeout is the caller's timeout; zero when it states none.
 	Timeout time.Duration
+	// Resumes is the id of the attempt that brought the first event of the stream that the request
+	// takes up again, empty if it takes up none. LastEventID is the id of the last event that the
+	// caller has, zero if it has none.
+	Resumes     fleet.RequestID
+	LastEventID uint64
 	// Prefixes are the prefixes of the prompt, from short to long.
 	Prefixes []turn.Prefix
 	// InputTokens is the number of prompt tokens, and OutputTokens the expected number of generated
--- a/forward/job.go
+++ b/forward/job.go
@@ -76,6 +76,10 @@
 	headerSent  bool
 	eventCount  int
 	lastEventID uint64
+	// firstSoftware is the software version of the upstream that the first event was relayed from.
+	firstSoftware fleet.SoftwareVersion
+	// eventSends is the value of sends when the latest event was relayed.
+	eventSends int
 	// firstByteAt is when the header of the answer was sent.
 	firstByteAt time.Time
 	// errorAnswer is the latest error that an upstream itself answered with.
--- a/forward/log.go
+++ b/forward/log.go
@@ -57,7 +57,7 @@
 	to := ticket.Upstream()
 	by, why := j.attemptEnd(ctx, f)
 	j.handler.Log.Warn("attempt failed",
-		"request", j.info.ID, "upstream", to.ID, "address", to.Address, "life", to.StartTime, "reason", f.reason,
+		"request", j.info.ID, "upstream", to.ID, "address", to.Address, "life", to.StartTime, "software", to.Software, "resumes", j.info.Resumes, "reason", f.reason,
 		"ended-by", by, "decision", why, "fingerprint", j.fingerprint(), "sent", f.sent, "not-run", f.notRun,
 		"attempt", j.sends, "events", j.eventCount, "last-event", j.lastEventID, "unread-tokens", ticket.PendingPrefill(),
 		"age-ms", ms(time.Since(j.arrived)), "attempt-ms", ms(time.Since(j.sentAt)), "left-ms", ms(time.Until(j.deadline)),
@@ -87,7 +87,7 @@
 	log.Warn("request refused",
 		"request", j.info.ID, "reason", e.Reason, "outcome", e.Outcome, "detail", e.Detail,
 		"route", j.routeName(), "service", j.service, "account", j.account, "configuration", j.version,
-		"sends", j.sends, "runs", j.possibleRuns, "events", j.eventCount, "waited-ms", ms(j.queueTime),
+		"resumes", j.info.Resumes, "resumed-after", j.info.LastEventID, "sends", j.sends, "runs", j.possibleRuns, "events", j.eventCount, "waited-ms", ms(j.queueTime),
 		"age-ms", ms(time.Since(j.arrived)), "retry-after-ms", ms(e.RetryAfter), "cause", errorText(e.Cause))
 }
 
@@ -109,18 +109,20 @@
 	return h.RoutineLog
 }
 
-// logAnswer logs an answered request. Of those answered in time at the first attempt, only a sample
-// is logged.
+// logAnswer logs an answered request. Of new requests that were answered in time at the first
+// attempt, only a sample is logged.
 func (j *job) logAnswer(ticket home.Ticket, now time.Time, firstByte time.Duration) {
 	h := j.handler
 	late := firstByte > j.route.LatencyTarget
-	if !late && j.sends == 1 && !h.isSampled() {
+	if !late && j.sends == 1 && !j.resumes() && !h.isSampled() {
 		return
 	}
 	to := ticket.Upstream()
 	h.routineLogger().LogAttrs(j.request.Context(), slog.LevelInfo, "request answered",
 		slog.String("request", string(j.info.ID)), slog.Bool("late", late), slog.String("route", j.route.Name),
-		slog.String("account", string(j.account)), slog.String("upstream", string(to.ID)), slog.Int("sends", j.sends),
+		slog.String("account", string(j.account)), slog.String("upstream", string(to.ID)), slog.String("software", string(to.Software)),
+		slog.String("first-software", string(j.firstSoftware)), slog.String("resumes", string(j.info.Resumes)),
+		slog.Uint64("resumed-after", j.info.LastEventID), slog.Int("sends", j.sends),
 		slog.Uint64("configuration", uint64(j.version)), slog.Int("unread-tokens", ticket.PendingPrefill()),
 		slog.Float64("waited-ms", ms(j.queueTime)), slog.Float64("first-ms", ms(firstByte)),
 		slog.Float64("total-ms", ms(now.Sub(j.arrived))), slog.Int("events", j.eventCount))
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -82,6 +82,7 @@
 	if id > 0 {
 		j.lastEventID = id
 	}
+	j.countResumption(ticket)
 	j.eventCount++
 	if _, err := j.writer.Write(event.Raw); err != nil {
 		return &stream.SinkError{Cause: err}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 
+	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/turn"
@@ -46,6 +47,9 @@
 	// ColdSkipped counts requests that couldn't go to the cold upstream that they prefer, by
 	// reason.
 	ColdSkipped *prometheus.CounterVec
+	// ResumedStreams counts streams that went on at an upstream, by who resumed them and by the
+	// software version compared with that of the upstream that began them.
+	ResumedStreams *prometheus.CounterVec
 	// Panics counts recovered panics.
 	Panics prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
@@ -82,12 +86,13 @@
 		UpstreamConnections: newCounter("upstream_connections_total", "Connections opened to upstreams."),
 		RefusedTurns:        newCounterVec("refused_turns_total", "Requests refused their turn, by what they lacked.", "lack"),
 		ColdSkipped:         newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
+		ResumedStreams:      newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
 		Panics:              newCounter("panics_total", "Panics contained."),
 		NoteVersion:         newGauge("note_version", "The release note version in force."),
 		Routers:             newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -105,6 +110,11 @@
 	for _, reason := range turn.ColdReasons() {
 		s.ColdSkipped.WithLabelValues(string(reason))
 	}
+	for _, by := range origin.Resumers() {
+		for _, match := range origin.Matches() {
+			s.ResumedStreams.WithLabelValues(string(by), string(match))
+		}
+	}
 }
 
 // ServiceTokensByAccount returns the weighted tokens that each account has received so far.
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -13,7 +13,7 @@
 	return &schema.UpstreamChange{
 		Id: string(u.ID), Service: string(u.Service), Address: u.Address, DataCenter: string(u.DataCenter),
 		Slots: uint32(u.Slots), Life: int64(u.StartTime), Draining: u.Draining, Gone: c.Removed, Revision: uint64(c.Revision),
-		ColdMs: schema.Millis(max(u.ColdUntil.Sub(now), 0)),
+		ColdMs: schema.Millis(max(u.ColdUntil.Sub(now), 0)), SoftwareVersion: string(u.Software),
 	}
 }
 
@@ -23,7 +23,7 @@
 		Upstream: Upstream{
 			ID: fleet.UpstreamID(in.GetId()), Service: fleet.ServiceID(in.GetService()), Address: in.GetAddress(),
 			DataCenter: fleet.DataCenterID(in.GetDataCenter()), Slots: int(in.GetSlots()), StartTime: StartTime(in.GetLife()),
-			Draining: in.GetDraining(),
+			Draining: in.GetDraining(), Software: fleet.SoftwareVersion(in.GetSoftwareVersion()),
 		},
 		Removed: in.GetGone(), Revision: Revision(in.GetRevision()),
 	}
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -47,6 +47,7 @@
 	DataCenter fleet.DataCenterID
 	Slots      int
 	StartTime  StartTime
+	Software   fleet.SoftwareVersion
 	// Draining upstreams finish their requests and accept no new ones.
 	Draining bool
 	// ColdUntil is when the upstream has started completely. Until then it tolerates only a
