--- a/forward/log.go
+++ b/forward/log.go
@@ -57,7 +57,7 @@
 	to := ticket.Upstream()
 	by, why := j.attemptEnd(ctx, f)
 	j.handler.Log.Warn("attempt failed",
-		"request", j.info.ID, "upstream", to.ID, "address", to.Address, "life", to.StartTime, "software", to.Software, "resumes", j.info.Resumes, "reason", f.reason,
+		"request", j.info.ID, "upstream", to.ID, "address", to.Address, "life", to.StartTime, "software", to.Software, "resumes", j.info.Resumes, "resumed-after", j.info.LastEventID, "reason", f.reason,
 		"ended-by", by, "decision", why, "fingerprint", j.fingerprint(), "sent", f.sent, "not-run", f.notRun,
 		"attempt", j.sends, "events", j.eventCount, "last-event", j.lastEventID, "unread-tokens", ticket.PendingPrefill(),
 		"age-ms", ms(time.Since(j.arrived)), "attempt-ms", ms(time.Since(j.sentAt)), "left-ms", ms(time.Until(j.deadline)),
