turn, home, registry: a request may need a software version

A request that takes up a stream names the version that began it. Only upstreams of that version are candidates, also at a home, and a router gives a home's grant back if its own list has another version for the upstream (a home of an older build passes over the version). If no upstream has it, the refusal asks nobody back. While the upstreams of a service have several versions, such a request goes before new ones and may use every upstream of its version, not only the owners of its prefix; one that refused a connection or broke off a request is passed over for a moment, since it may have restarted under its id. Caches are fetched from the same version only.

Requests without a version go as before.

--- a/home/ask.go
+++ b/home/ask.go
@@ -24,7 +24,7 @@
 func (e *NoAnswerError) Error() string { return "home " + string(e.Home) + " does not answer" }
 
 // UpstreamGoneError reports that a home granted a turn at an upstream that this router
-// already knows to have left.
+// already knows to have left, or to have another software version than the request needs.
 type UpstreamGoneError struct{ Instance turn.Instance }
 
 // Error implements error.
@@ -59,7 +59,7 @@
 			}
 			switch {
 			case answer.GetGrant() != nil:
-				return c.acceptGrant(home, id, pool, answer.GetGrant())
+				return c.acceptGrant(home, id, pool, answer.GetGrant(), r.Software)
 			case answer.GetRefusal() != nil:
 				return nil, decodeRefusal(answer.GetRefusal())
 			}
@@ -127,14 +127,16 @@
 }
 
 // acceptGrant returns the ticket for a turn that a home has granted. If the upstream has
-// left, which the home may not know yet, it releases the turn and returns
-// *UpstreamGoneError.
-func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant) (Ticket, error) {
+// left, which the home may not know yet, or doesn't have the software version that the request
+// needs, it releases the turn and returns *UpstreamGoneError.
+func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant, software fleet.SoftwareVersion) (Ticket, error) {
 	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(time.Now(), grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork()), isEngine: pool.HasCaches()}
-	if !pool.HasInstance(turn.InstanceOf(t.upstream)) {
+	listed, known := pool.Upstream(turn.InstanceOf(t.upstream))
+	if !known || (software != "" && listed.Software != software) {
 		t.End(time.Now(), turn.Unsent)
 		return nil, &UpstreamGoneError{Instance: turn.InstanceOf(t.upstream)}
 	}
+	t.upstream.Software = listed.Software
 	return t, nil
 }
 
--- a/home/codec.go
+++ b/home/codec.go
@@ -13,6 +13,7 @@
 	a := &schema.TurnAsk{
 		Id: id, Service: string(service), Account: string(r.Account), Input: uint32(max(r.Input, 0)), Output: uint32(max(r.Output, 0)),
 		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience), DataCenter: string(r.DataCenter),
+		SoftwareVersion: string(r.Software),
 	}
 	for _, p := range r.Prefixes {
 		a.Beginnings = append(a.Beginnings, &schema.PromptBeginning{Hash: p.Hash, Tokens: uint32(max(p.Tokens, 0))})
@@ -27,7 +28,7 @@
 	r := turn.Request{
 		Account: fleet.AccountID(a.GetAccount()), Input: int(a.GetInput()), Output: int(a.GetOutput()),
 		Target: schema.Duration(a.GetTargetMs()), Patience: schema.Duration(a.GetPatienceMs()),
-		DataCenter: fleet.DataCenterID(a.GetDataCenter()),
+		DataCenter: fleet.DataCenterID(a.GetDataCenter()), Software: fleet.SoftwareVersion(a.GetSoftwareVersion()),
 	}
 	for _, p := range a.GetBeginnings() {
 		r.Prefixes = append(r.Prefixes, turn.Prefix{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
@@ -47,13 +48,13 @@
 func encodeRefusal(e *turn.RefusedError) *schema.TurnRefusal {
 	return &schema.TurnRefusal{
 		WaitMs: schema.Millis(e.Wait), WaitedMs: schema.Millis(e.Waited), RetryAfterMs: schema.Millis(e.RetryAfter), NoUpstream: e.NoUpstream,
-		Held: e.Capped, Lack: string(e.Lack),
+		Held: e.Capped, Lack: string(e.Lack), NoSoftware: e.NoSoftware,
 	}
 }
 
 func decodeRefusal(r *schema.TurnRefusal) *turn.RefusedError {
 	return &turn.RefusedError{
 		Wait: schema.Duration(r.GetWaitMs()), Waited: schema.Duration(r.GetWaitedMs()), RetryAfter: schema.Duration(r.GetRetryAfterMs()),
-		NoUpstream: r.GetNoUpstream(), Capped: r.GetHeld(), Lack: turn.ParseLack(r.GetLack()),
+		NoUpstream: r.GetNoUpstream(), NoSoftware: r.GetNoSoftware(), Capped: r.GetHeld(), Lack: turn.ParseLack(r.GetLack()),
 	}
 }
--- a/home/home.go
+++ b/home/home.go
@@ -156,7 +156,12 @@
 		ticket, err := c.ask(ctx, home, service, pool, r)
 		var noAnswer *NoAnswerError
 		var upstreamGone *UpstreamGoneError
+		var refused *turn.RefusedError
 		switch {
+		case errors.As(err, &refused) && refused.NoSoftware && pool.HasSoftware(r.Software):
+			// The home's list is older or newer than this router's.
+			r.Patience = max(time.Until(deadline), 0)
+			return AwaitLocal(ctx, pool, r)
 		case errors.As(err, &upstreamGone):
 			r.Tried = append(slices.Clone(r.Tried), upstreamGone.Instance)
 		case !errors.As(err, &noAnswer):
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -47,7 +47,9 @@
 	DataCenter fleet.DataCenterID
 	Slots      int
 	StartTime  StartTime
-	Software   fleet.SoftwareVersion
+	// Software is the version of the upstream's software. It is empty if the entry has none, or
+	// comes from a router that doesn't pass it on.
+	Software fleet.SoftwareVersion
 	// Draining upstreams finish their requests and accept no new ones.
 	Draining bool
 	// ColdUntil is when the upstream has started completely. Until then it tolerates only a
@@ -163,9 +165,10 @@
 		d.entries = make(map[fleet.UpstreamID]entry)
 	}
 	previous, known := d.entries[c.Upstream.ID]
+	c.Upstream.Software = previous.softwareOf(c)
 	repeated = known && !previous.removalPending && isRepetition(now, previous.change, c)
 	if known && previous.supersedes(c) {
-		return nil, repeated
+		return d.addSoftware(previous, c), repeated
 	}
 	if repeated {
 		previous.change.Revision = c.Revision
@@ -192,6 +195,27 @@
 	return c.Revision < e.change.Revision || (c.Revision == e.change.Revision && !e.removalPending)
 }
 
+// softwareOf returns the software version after a change. A router that doesn't know of versions
+// passes changes on without them.
+func (e entry) softwareOf(c Change) fleet.SoftwareVersion {
+	if c.Upstream.Software == "" && c.Upstream.StartTime == e.change.Upstream.StartTime {
+		return e.change.Upstream.Software
+	}
+	return c.Upstream.Software
+}
+
+// addSoftware adds the software version to an entry that lacks it, if an equally new change tells
+// it. It returns the change of the entry, if any.
+func (d *Directory) addSoftware(e entry, c Change) []Change {
+	known := e.change
+	if c.Revision != known.Revision || c.Removed || known.Removed || known.Upstream.Software != "" || c.Upstream.Software == "" {
+		return nil
+	}
+	e.change.Upstream.Software = c.Upstream.Software
+	d.entries[c.Upstream.ID] = e
+	return []Change{e.change}
+}
+
 // coldUntilTolerance is the difference between two statements of how long an upstream is
 // cold that says nothing.
 const coldUntilTolerance = 500 * time.Millisecond
@@ -338,6 +362,25 @@
 	return all
 }
 
+// SoftwareVersions returns the software versions of all listed upstreams by service, draining ones
+// included.
+func (d *Directory) SoftwareVersions() map[fleet.ServiceID]map[fleet.SoftwareVersion]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[fleet.ServiceID]map[fleet.SoftwareVersion]bool)
+	for _, e := range d.entries {
+		u := e.change.Upstream
+		if e.change.Removed {
+			continue
+		}
+		if listed[u.Service] == nil {
+			listed[u.Service] = make(map[fleet.SoftwareVersion]bool)
+		}
+		listed[u.Service][u.Software] = true
+	}
+	return listed
+}
+
 // Ready returns the upstreams that accept new requests, by service and sorted by id.
 func (d *Directory) Ready() map[fleet.ServiceID][]Upstream {
 	d.mu.Lock()
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -184,3 +184,33 @@
 	require.Len(t, d.Apply(start, []registry.Change{entry("a", 6)}), 1)
 	require.EqualValues(t, 6, d.SettledRevision())
 }
+
+// Guards against a version that is lost because a router of an older build passes changes on
+// without it, and against one that stays from an earlier start.
+func TestSoftwareVersionIsKeptWhereAChangeLacksIt(t *testing.T) {
+	t.Parallel()
+	var d registry.Directory
+	upstream := registry.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, StartTime: 1}
+	withVersion := upstream
+	withVersion.Software = "v1"
+	softwareOf := func() fleet.SoftwareVersion {
+		c, known := d.Get("u")
+		require.True(t, known)
+		return c.Upstream.Software
+	}
+	d.ApplyFromPeer(start, []registry.Change{{Upstream: upstream, Revision: 1}}, 1)
+	require.Empty(t, softwareOf())
+	require.Len(t, d.Apply(start, []registry.Change{{Upstream: withVersion, Revision: 1}}), 1)
+	require.Equal(t, fleet.SoftwareVersion("v1"), softwareOf())
+
+	draining := upstream
+	draining.Draining = true
+	d.ApplyFromPeer(start, []registry.Change{{Upstream: draining, Revision: 2}}, 2)
+	require.Equal(t, fleet.SoftwareVersion("v1"), softwareOf())
+	require.Equal(t, map[fleet.ServiceID]map[fleet.SoftwareVersion]bool{"s": {"v1": true}}, d.SoftwareVersions())
+
+	restarted := upstream
+	restarted.StartTime = 2
+	d.ApplyFromPeer(start, []registry.Change{{Upstream: restarted, Revision: 3}}, 3)
+	require.Empty(t, softwareOf())
+}
--- a/turn/group.go
+++ b/turn/group.go
@@ -1,6 +1,10 @@
 package turn
 
-import "time"
+import (
+	"time"
+
+	"nutmeglock.example/nutmeglock/registry"
+)
 
 // minEnginesPerGroup is the minimum mean number of engines per group. A prefix has two
 // owners in one group; with a mean of six, few groups have only one engine. Larger groups
@@ -68,16 +72,16 @@
 	return p.groupCount
 }
 
-// HasInstance reports whether the pool contains this instance of an upstream.
-func (p *Pool) HasInstance(instance Instance) bool {
+// Upstream returns the entry of an instance, and false if the pool doesn't contain it.
+func (p *Pool) Upstream(instance Instance) (registry.Upstream, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.engines {
 		if e.instance == instance {
-			return true
+			return e.upstream, true
 		}
 	}
-	return false
+	return registry.Upstream{}, false
 }
 
 // assignGroups divides the engines into groups; plain upstreams make one. The number of groups is a power of two, so
--- a/turn/lack.go
+++ b/turn/lack.go
@@ -12,6 +12,9 @@
 const (
 	// LackUpstream means that no upstream takes requests.
 	LackUpstream Lack = "upstream"
+	// LackSoftware means that no upstream of the software version that began the stream takes
+	// requests.
+	LackSoftware Lack = "software"
 	// LackCold means that the upstreams are cold and were sent what they tolerate.
 	LackCold Lack = "cold"
 	// LackSlots means that all slots of the upstreams are in use.
@@ -26,7 +29,7 @@
 
 // Lacks returns all lacks, for counters that start at zero.
 func Lacks() []Lack {
-	return []Lack{LackUpstream, LackCold, LackSlots, LackPrefill, LackShare, LackOrder}
+	return []Lack{LackUpstream, LackSoftware, LackCold, LackSlots, LackPrefill, LackShare, LackOrder}
 }
 
 // ParseLack returns the lack with this name, empty if there is none.
@@ -45,7 +48,7 @@
 	best := p.bestCandidate(generous, t, candidates)
 	switch {
 	case best == nil:
-		return LackUpstream
+		return p.noUpstream(t).Lack
 	case !slices.ContainsFunc(candidates, func(e *engine) bool { return p.admitsCold(now, e) }):
 		return LackCold
 	case !slices.ContainsFunc(candidates, (*engine).hasSlot):
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -31,10 +31,12 @@
 	requested, served map[fleet.AccountID]*[maxSeconds]float64
 	unserved          map[fleet.AccountID]*[maxSeconds]bool
 	largestRequest    map[fleet.AccountID]float64
-	inTime            int
-	late              int
-	refused           int
-	refusedWhileIdle  int
+	// asked and begun count new requests and, under true, those that take up a stream.
+	asked, begun     map[bool]int
+	inTime           int
+	late             int
+	refused          int
+	refusedWhileIdle int
 	// refusedByIdleOwner counts the requests that were refused while an engine that owns their
 	// prefix had had nothing to read for longer than reservedIdleTime. Only homes are observed.
 	refusedByIdleOwner int
@@ -59,6 +61,11 @@
 	// homes is how many home routers schedule for all; with zero, each router schedules by
 	// itself and sends reports.
 	homes int
+	// software is the version of each engine; nil means that all have the same. A request takes up
+	// a stream that software resumed began with probability resumeShare.
+	software    []fleet.SoftwareVersion
+	resumed     fleet.SoftwareVersion
+	resumeShare float64
 }
 
 // simAccount sends requests by a Poisson process to some of the routers.
@@ -131,8 +138,12 @@
 		engines: make(map[fleet.UpstreamID]*simEngine), byAddress: make(map[string]*simEngine),
 		requested: make(map[fleet.AccountID]*[maxSeconds]float64), served: make(map[fleet.AccountID]*[maxSeconds]float64),
 		unserved: make(map[fleet.AccountID]*[maxSeconds]bool), largestRequest: make(map[fleet.AccountID]float64),
+		asked: make(map[bool]int), begun: make(map[bool]int),
 	}
 	m.upstreams = newEngines(config.engines)
+	for i, software := range config.software {
+		m.upstreams[i].Software = software
+	}
 	for _, u := range m.upstreams {
 		m.engines[u.ID] = &simEngine{cache: make(map[uint64]time.Time)}
 		m.byAddress[u.Address] = m.engines[u.ID]
@@ -201,6 +212,10 @@
 		Account: a.id, Input: prefixTokens + ownTokens, Output: 100, Target: m.config.target, Patience: m.config.target / 4,
 		Prefixes: []turn.Prefix{{Hash: prefix, Tokens: prefixTokens}, {Hash: 1<<40 + m.lastSeq, Tokens: prefixTokens + ownTokens}},
 	}
+	if m.config.resumeShare > 0 && m.random.Float64() < m.config.resumeShare {
+		r.Software = m.config.resumed
+	}
+	m.asked[r.Software != ""]++
 	size := float64(r.Input + 2*r.Output)
 	m.requested[a.id][m.second()] += size
 	m.largestRequest[a.id] = max(m.largestRequest[a.id], size)
@@ -337,6 +352,7 @@
 }
 
 func (m *simulation) firstEvent(t *turn.Ticket, r turn.Request, arrivedAt time.Time) {
+	m.begun[r.Software != ""]++
 	m.served[r.Account][m.second()] += float64(r.Input + 2*r.Output)
 	if m.now.Sub(arrivedAt) <= m.config.target {
 		m.inTime++
--- a/turn/order.go
+++ b/turn/order.go
@@ -13,6 +13,9 @@
 // long as a router takes for two stream events, and both a request's router and its home
 // need it.
 func (p *Pool) preferenceOrder(r *Request) []*engine {
+	if p.grouped && p.isResumption(r) {
+		return p.computeOrder(r)
+	}
 	prefix := r.sharedPrefix()
 	if order, known := p.orderCache[prefix]; known {
 		return order
@@ -34,6 +37,10 @@
 	for i, index := range indices {
 		order[i] = p.engines[index]
 	}
+	if p.grouped && p.isResumption(r) {
+		// The group of the prefix may lack the version.
+		order = slices.DeleteFunc(order, func(e *engine) bool { return e.upstream.Software != r.Software })
+	}
 	if !p.grouped || len(order) == 0 {
 		return order
 	}
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -33,10 +33,8 @@
 type View struct {
 	now     time.Time
 	latency *prefillLatency
-	// cacheHolder is the upstream with the most cached tokens of the prompt, and
-	// holderTokens is their number.
-	cacheHolder  *engine
-	holderTokens int
+	// cached is the upstream that the rest of the prompt's cache may be fetched from.
+	cached cacheHolder
 	// isHome is true when all requests for the upstreams start at this router.
 	isHome bool
 	// DataCenter is this router's data centre.
@@ -48,6 +46,13 @@
 	BacklogFactor float64
 }
 
+// cacheHolder is the upstream with the most cached tokens of a prompt, and their number. Its zero
+// value has none.
+type cacheHolder struct {
+	engine *engine
+	tokens int
+}
+
 // CacheAffinity sends a request to one of the few upstreams that own its shared prompt
 // prefix: the one that is expected to finish reading the prompt first.
 //
@@ -147,11 +152,11 @@
 // of it is fetched from another upstream's cache.
 func (v *View) prefillCost(e *engine, r *Request) (tokens int, fetches bool) {
 	cached := e.cachedTokens(v.now, r)
-	missing := v.holderTokens - cached
-	if v.cacheHolder == nil || missing < minFetchTokens {
+	missing := v.cached.tokens - cached
+	if v.cached.engine == nil || missing < minFetchTokens {
 		return r.Input - cached, false
 	}
-	return r.Input - v.holderTokens + int(fetchCost*float64(missing)), true
+	return r.Input - v.cached.tokens + int(fetchCost*float64(missing)), true
 }
 
 // evenBacklogFactor is the backlog factor of an account with about the same service as
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -50,6 +50,8 @@
 	// changes of the list and of the grouping.
 	upstreams  []registry.Upstream
 	generation int
+	// isMixed is true when the upstreams have several software versions.
+	isMixed bool
 	// orderCache holds preference orders of the current list by shared prefix.
 	orderCache map[uint64][]*engine
 	// grouped is true when each request belongs to one of groupCount groups of engines.
@@ -99,6 +101,7 @@
 		e.upstream = u
 		p.engines = append(p.engines, e)
 	}
+	p.isMixed = hasSeveralVersions(upstreams)
 	p.assignGroups()
 	p.detector.Retain(keep)
 	p.sumReports(now)
@@ -116,13 +119,13 @@
 	view := p.view(now, 1)
 	best := p.bestCandidate(view, t, p.candidates(now, t))
 	if best == nil {
-		return nil, &RefusedError{NoUpstream: true, Lack: LackUpstream, RetryAfter: noUpstreamRetryAfter}
+		return nil, p.noUpstream(t)
 	}
 	t.tokens, _ = view.prefillCost(best, &r)
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
-	t.returned = a.refusedRequests.take(now, &r)
-	if !r.wasSent() && shares.isCapped(now, a) {
+	t.returned = a.refusedRequests.take(now, &r) || p.isResumption(&r)
+	if !r.wasSent() && !p.isResumption(&r) && shares.isCapped(now, a) {
 		a.recordRefused(now, &r)
 		return nil, p.refuseCapped(now, &r, best)
 	}
--- a/turn/reassign.go
+++ b/turn/reassign.go
@@ -39,6 +39,7 @@
 func (p *Pool) refuse(now time.Time, t *Ticket) {
 	p.dequeue(t)
 	p.account(t.request.Account).recordRefused(now, &t.request)
-	t.refusal = &RefusedError{NoUpstream: true, Lack: LackUpstream, Waited: now.Sub(t.arrivedAt), RetryAfter: noUpstreamRetryAfter}
+	t.refusal = p.noUpstream(t)
+	t.refusal.Waited = now.Sub(t.arrivedAt)
 	t.refused <- t.refusal
 }
--- a/turn/start.go
+++ b/turn/start.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
 )
 
 // view returns the View for an account with this backlog factor.
@@ -25,9 +27,12 @@
 		t.order = p.preferenceOrder(&t.request)
 	}
 	choices := p.placement().Choices()
+	if p.isResumption(&t.request) {
+		choices = 0 // fewer upstreams have the version, and the owners may not
+	}
 	var usable, cold, ejected []*engine
 	for _, e := range t.order {
-		if slices.Contains(t.request.Tried, e.instance) {
+		if slices.Contains(t.request.Tried, e.instance) || !p.mayResume(now, e, &t.request) {
 			continue
 		}
 		if !p.detector.Usable(now, e.instance) {
@@ -55,34 +60,39 @@
 
 // bestCandidate returns the candidate with the lowest score, nil when there is none.
 func (p *Pool) bestCandidate(view *View, t *Ticket, candidates []*engine) *engine {
-	view.cacheHolder, view.holderTokens = p.cacheHolder(view.now, t)
 	var best *engine
 	var lowest float64
+	var holder cacheHolder
 	for rank, e := range candidates {
+		if rank == 0 || p.isMixed {
+			view.cached = p.cacheHolder(view.now, t, e.upstream.Software)
+		}
 		score := p.placement().Score(view, e, &t.request, rank)
 		if best == nil || score < lowest {
-			best, lowest = e, score
+			best, lowest, holder = e, score, view.cached
 		}
 	}
+	view.cached = holder
 	return best
 }
 
-// cacheHolder returns the upstream in the ticket's order that probably has most of the
-// prompt in its cache, and the number of those tokens. With homes, the order contains only
-// the ticket's group.
-func (p *Pool) cacheHolder(now time.Time, t *Ticket) (*engine, int) {
+// cacheHolder returns the upstream in the ticket's order that probably has most of the prompt in a
+// cache that a software version can read. With homes, the order contains only the ticket's group.
+func (p *Pool) cacheHolder(now time.Time, t *Ticket, software fleet.SoftwareVersion) cacheHolder {
 	r := &t.request
 	if len(r.Prefixes) == 0 {
-		return nil, 0
+		return cacheHolder{}
 	}
-	var best *engine
-	most := 0
+	var best cacheHolder
 	for _, e := range t.order {
-		if cached := e.cachedTokens(now, r); cached > most && p.detector.Usable(now, e.instance) {
-			best, most = e, cached
+		if p.isMixed && e.upstream.Software != software {
+			continue
+		}
+		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) {
+			best = cacheHolder{engine: e, tokens: cached}
 		}
 	}
-	return best, most
+	return best
 }
 
 // startWaiting starts waiting requests until none has room: those of the account with the
@@ -116,11 +126,15 @@
 
 func (p *Pool) startNext(now time.Time) bool {
 	shares := p.fairShares(now)
-	for _, a := range p.waitingAccounts(now) {
+	accounts := p.waitingAccounts(now)
+	if p.isMixed && p.startResumption(now, accounts) {
+		return true
+	}
+	for _, a := range accounts {
 		capped := shares.isCapped(now, a.account)
 		view := p.accountView(now, shares, a.served)
 		for _, t := range a.queue {
-			if (!capped || t.request.wasSent()) && p.tryStart(view, t) {
+			if (!capped || t.request.wasSent() || p.isResumption(&t.request)) && p.tryStart(view, t) {
 				return true
 			}
 		}
@@ -175,7 +189,7 @@
 	fetches := false
 	t.uncached, fetches = view.prefillCost(e, &t.request)
 	if fetches {
-		t.fetchFrom = view.cacheHolder.upstream.Address
+		t.fetchFrom = view.cached.engine.upstream.Address
 	}
 	t.prefillAhead = view.unread(e) + t.uncached
 	e.backlog.add(t, now.Add(p.latency.reading(e.remote.PendingPrefill)))
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -57,6 +57,9 @@
 	DataCenter fleet.DataCenterID
 	// Tried are the instances that the request must not be sent to again.
 	Tried []Instance
+	// Software is the only software version that the request may be sent to, because it began the
+	// stream that the request takes up; empty means any.
+	Software fleet.SoftwareVersion
 }
 
 // Cost returns what a request adds to its account's service: a token read counts once and a
@@ -88,6 +91,9 @@
 	RetryAfter time.Duration
 	// NoUpstream is true when no upstream of the service accepts requests.
 	NoUpstream bool
+	// NoSoftware is true when upstreams accept requests, but none of the version that the request
+	// needs.
+	NoSoftware bool
 	// Lack is what the request lacked.
 	Lack Lack
 	// Capped is true when the account has reached its service cap, which applies while
@@ -97,6 +103,9 @@
 
 // Error implements error.
 func (e *RefusedError) Error() string {
+	if e.NoSoftware {
+		return "no upstream of the software version that began the stream takes requests"
+	}
 	if e.NoUpstream {
 		return "no upstream takes requests"
 	}
