forward, deployment: a stream goes on only at the software version that began it

Cause: the version of an upstream's entry was decoded and dropped, and so was Resumes. Nothing that chooses the upstream for the rest of a stream, in one answer or over a caller's tries, could ask for it. Class: a statement on the wire that is read by nobody.

Now an upstream's first event records its version under the id by which the caller names the stream. The rest of the stream, in the same answer or at any router, goes to that version only. Records stay at their router while a service has one version; from the moment that a router knows of a second one, they are also sent to two others, those of streams that run already included. A router that is asked for a stream that it doesn't know asks all others of a small fleet, or four of a large one. Without a record the version is known only if the service has had no other for as long as a stream can be taken up, and a list that is current, or most of the fleet, confirms it; that a service had several versions is a row in the store, for a restart of all routers. Unknown is refused at once (stream-origin-unknown), and so is a version that no upstream has any more (software-replaced), the latter without a time to return. Before an event of a new upstream goes out, its entry is looked at once more.

--- a/coldstart/ownership.go
+++ b/coldstart/ownership.go
@@ -64,6 +64,17 @@
 	return !since.IsZero() && now.Sub(since) >= handover
 }
 
+// ReachesMajority reports whether this router is connected with most of the fleet.
+func (o *Ownership) ReachesMajority() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.reachesMajority()
+}
+
+func (o *Ownership) reachesMajority() bool {
+	return o.fleetSize > 0 && 2*(len(o.connected)+1) > o.fleetSize
+}
+
 // update drops what no longer holds. An owner that stays keeps its time.
 func (o *Ownership) update() {
 	for key, since := range o.ownedSince {
@@ -76,7 +87,7 @@
 // isOwner reports whether this router is the owner as far as it knows. Of the parts of a
 // fleet that are cut from each other, at most one has most of the routers.
 func (o *Ownership) isOwner(key rendezvous.Key) bool {
-	if o.fleetSize == 0 || 2*(len(o.connected)+1) <= o.fleetSize {
+	if !o.reachesMajority() {
 		return false
 	}
 	return rendezvous.Pick(key, append(slices.Clip(o.connected), o.Self)) == o.Self
--- a/deployment/followers.go
+++ b/deployment/followers.go
@@ -27,8 +27,9 @@
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
 		Name: "upstreams", Feed: r.options.UpstreamFeed, Sink: upstreamSink{r.state, r.mesh}, Log: r.options.Log,
 		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval,
-		Gather: upstreamGatherTime,
-		Known:  func(revision registry.Revision) registry.Revision { return max(revision, r.state.SettledRevision()) },
+		Gather:    upstreamGatherTime,
+		Confirmed: func() { r.state.confirmUpstreams(time.Now()) },
+		Known:     func(revision registry.Revision) registry.Revision { return max(revision, r.state.SettledRevision()) },
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -13,6 +13,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
@@ -65,6 +66,8 @@
 	// verdicts.
 	crashMonitor        crashMonitor
 	quarantinePersister quarantinePersister
+	// origins knows which software versions began the streams.
+	origins originKeeper
 	// encodingCache holds the configuration encoded for other routers.
 	encodingCache encodingCache
 	log           *slog.Logger
@@ -91,6 +94,9 @@
 		self: options.Self, otherRouters: m.peers.Routers, send: m.peers.Send, upstreamEntry: state.Upstream, checkReachable: checkReachable,
 		saveVerdict: m.quarantinePersister.enqueue, log: options.Logger, guard: options.Guard,
 	}
+	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, log: options.Logger, guard: options.Guard}
+	m.origins.holders = origin.Holders{Self: options.Self, DataCenter: options.DataCenter}
+	m.origins.mixedServices = mixedServices{self: options.Self, history: &state.history, otherRouters: m.peers.Routers, log: options.Logger}
 	m.configurationPuller = puller{
 		name: "configuration", heldVersion: m.configurationVersion, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
 		guard: options.Guard,
@@ -105,6 +111,7 @@
 	}
 	state.coordinator = m.coordinator
 	m.peers.Handle(knowledgeMethod, m.answerKnowledgeRequest)
+	m.peers.Handle(originMethod, m.origins.answer)
 	m.peers.OnBatch(m.receive)
 	m.peers.OnChange(m.handleConnectionChange)
 	return m
@@ -113,10 +120,14 @@
 // announcement returns the versions that this router holds and its relation to the store.
 func (m *mesh) announcement() *schema.Announcement {
 	own := m.group.OwnStatus()
-	return &schema.Announcement{
+	out := &schema.Announcement{
 		ConfigurationVersion: m.configurationVersion(), UpstreamRevision: m.upstreamRevision(),
 		EvacuationRevision: m.evacuationRevision(), Follows: own.Follows, StoreLost: own.StoreLost,
 	}
+	if age, confirmed := m.state.listAge(time.Now()); confirmed {
+		out.UpstreamAgeMs = proto.Uint32(schema.Millis(age))
+	}
+	return out
 }
 
 // announce sends the announcement to all routers.
@@ -132,6 +143,7 @@
 // announceUpdate announces an update that has taken effect here. A router that doesn't follow
 // the store doesn't announce updates from other routers, which have announced them to all.
 func (m *mesh) announceUpdate(source string) {
+	m.origins.updateMixed()
 	if source == storeSource || m.group.PollInterval() == 0 {
 		m.announce()
 	}
@@ -175,6 +187,7 @@
 // handleConnectionChange handles a connection to another router that was opened or lost.
 func (m *mesh) handleConnectionChange(c peer.Change) {
 	m.log.Info("router connection changed", "other", c.Router, "address", c.Address, "incarnation", c.Incarnation, "connected", c.Connected)
+	m.origins.handleConnectionChange(c)
 	routers := m.peers.Routers()
 	m.coordinator.SetRouters(routers)
 	m.group.SetRouters(routers)
@@ -198,6 +211,7 @@
 func (m *mesh) receive(from fleet.RouterID, batch *schema.Batch) {
 	m.coordinator.HandleBatch(from, batch)
 	m.crashMonitor.receive(from, batch)
+	m.origins.receive(batch)
 	if a := batch.GetAnnouncement(); a != nil {
 		m.handleAnnouncement(from, a)
 	}
@@ -212,6 +226,9 @@
 func (m *mesh) handleAnnouncement(from fleet.RouterID, a *schema.Announcement) {
 	m.group.SetPeerStatus(from, follow.Status{Follows: a.GetFollows(), StoreLost: a.GetStoreLost()})
 	m.updateFollowersLostStore()
+	if a.UpstreamAgeMs != nil && a.GetUpstreamRevision() <= m.upstreamRevision() {
+		m.state.confirmUpstreams(time.Now().Add(-schema.Duration(a.GetUpstreamAgeMs())))
+	}
 	m.configurationPuller.handleAnnouncement(from, a.GetConfigurationVersion(), m.pullDelay())
 	m.upstreamPuller.handleAnnouncement(from, a.GetUpstreamRevision(), m.pullDelay())
 	m.evacuationPuller.handleAnnouncement(from, a.GetEvacuationRevision(), m.pullDelay())
@@ -256,6 +273,7 @@
 		select {
 		case <-gossipTicker.C:
 			m.logAdmission()
+			m.origins.updateMixed()
 			if m.coordinator.IsActive() {
 				m.gossip()
 			}
--- /dev/null
+++ b/deployment/origins.go
@@ -0,0 +1,314 @@
+package deployment
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/recovery"
+	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/schema"
+)
+
+// originMethod is the method of calls to other routers that returns what they know of the origin of
+// a stream.
+const originMethod = "deployment.stream-origin"
+
+const (
+	// originDelay is how long records wait to be sent together. It is shorter than the time in
+	// which a caller notices a broken connection and returns.
+	originDelay = 10 * time.Millisecond
+	// soleQueryTimeout bounds the query of other routers while this one knows of one version only,
+	// and mixedQueryTimeout while it knows of several.
+	soleQueryTimeout  = 60 * time.Millisecond
+	mixedQueryTimeout = 250 * time.Millisecond
+	// lateServiceTime is how long after the removal of its entry an upstream may still serve
+	// streams that are then taken up again.
+	lateServiceTime = 10 * time.Second
+	// maxCallerTimeout bounds the time for which streams are remembered, whatever callers state.
+	maxCallerTimeout = 2 * time.Minute
+)
+
+// originKeeper knows which software versions began the streams of this router and, together with
+// those of the other routers, of the whole fleet.
+//
+// While a service has one version, records stay at the router that made them. Once it has several,
+// each record is also sent to two other routers, so that a stream can be taken up again when its
+// router is gone.
+type originKeeper struct {
+	state *State
+	send  func(to fleet.RouterID, batch *schema.Batch)
+	call  func(ctx context.Context, to fleet.RouterID, method string, params, result any) error
+	log   *slog.Logger
+	guard *recovery.Guard
+	table origin.Table
+	// mixedServices persists which services have several versions.
+	mixedServices mixedServices
+	// longestTimeout is the longest time, in nanoseconds, for which callers waited for streams.
+	longestTimeout atomic.Int64
+
+	mu      sync.Mutex
+	holders origin.Holders
+	// mixed holds the services whose records are sent to other routers.
+	mixed map[fleet.ServiceID]bool
+	// pending holds the records to be sent.
+	pending map[fleet.RouterID][]*schema.StreamOrigin
+}
+
+var _ forward.Origins = (*originKeeper)(nil)
+
+// window returns how long a stream can be taken up again after it began, and how long a version
+// may matter after its last upstream has left.
+func (k *originKeeper) window() time.Duration {
+	longest := max(k.state.longestStream.Load(), k.longestTimeout.Load())
+	return time.Duration(longest) + lateServiceTime
+}
+
+// view returns what this router knows of the versions of a service.
+func (k *originKeeper) view(now time.Time, service fleet.ServiceID) origin.View {
+	view := k.state.history.View(now, service, k.window())
+	view.Current = k.state.listIsCurrent(now)
+	return view
+}
+
+// statement returns what this router knows of the origin of a stream.
+func (k *originKeeper) statement(now time.Time, service fleet.ServiceID, key origin.Key) origin.Statement {
+	record, recorded := k.table.Get(now, key)
+	return origin.Statement{View: k.view(now, service), Recorded: recorded, Software: record.Software}
+}
+
+// Certain returns the software version of an upstream that has just answered, empty if that isn't
+// certain.
+func (k *originKeeper) Certain(upstream registry.Upstream) fleet.SoftwareVersion {
+	return k.state.softwareOf(upstream)
+}
+
+// Record records which software version began a stream, and until when its caller may take it up
+// again.
+func (k *originKeeper) Record(now time.Time, stream origin.Stream, until time.Time) {
+	timeout := min(until.Sub(now), maxCallerTimeout)
+	k.observeTimeout(timeout)
+	key := origin.KeyOf(stream.ID)
+	record := origin.Record{Service: stream.Service, Software: stream.Software, Until: now.Add(timeout)}
+	k.table.Set(now, key, record)
+	if k.isMixed(stream.Service) {
+		k.queue(now, map[origin.Key]origin.Record{key: record})
+	}
+}
+
+func (k *originKeeper) isMixed(service fleet.ServiceID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.mixed[service]
+}
+
+func (k *originKeeper) observeTimeout(timeout time.Duration) {
+	if longest := k.longestTimeout.Load(); int64(timeout) > longest {
+		k.longestTimeout.CompareAndSwap(longest, int64(timeout))
+	}
+}
+
+// Find returns the software version that began a stream of a service. The error is
+// *origin.UnknownError if nothing tells it. The id is empty if the caller doesn't name the stream.
+func (k *originKeeper) Find(ctx context.Context, service fleet.ServiceID, stream fleet.RequestID) (origin.Finding, error) {
+	now := time.Now()
+	key := origin.KeyOf(stream)
+	own := k.statement(now, service, key)
+	if own.Recorded {
+		if found, ok := origin.Resolve(own, nil, false); ok {
+			return found, nil
+		}
+		return origin.Finding{}, &origin.UnknownError{Service: service, Versions: own.Versions}
+	}
+	timeout := mixedQueryTimeout
+	if !own.IsMixed() && own.Complete && own.Current {
+		timeout = soleQueryTimeout
+	}
+	holders := k.holdersOf(key)
+	others := k.query(ctx, holders, service, key, timeout)
+	found, ok := origin.Resolve(own, others, k.state.reachesMajority())
+	if ok {
+		return found, nil
+	}
+	unknown := &origin.UnknownError{Service: service, Versions: own.Versions, Asked: len(holders), Answered: len(others)}
+	for _, s := range others {
+		unknown.AddVersions(s.Versions)
+	}
+	return origin.Finding{}, unknown
+}
+
+// holdersOf returns the routers to ask for the record of a stream.
+func (k *originKeeper) holdersOf(key origin.Key) []fleet.RouterID {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.holders.ForQuery(key)
+}
+
+// query asks routers for the origin of a stream and returns the answers that arrive in time. It
+// doesn't wait for the others once one has a record.
+func (k *originKeeper) query(ctx context.Context, routers []fleet.RouterID, service fleet.ServiceID, key origin.Key, timeout time.Duration) []origin.Statement {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	answers := make(chan *originResponse, len(routers))
+	for _, router := range routers {
+		go k.guard.Run(recovery.Message, func() { answers <- k.ask(ctx, router, service, key) }, "other", router)
+	}
+	var statements []origin.Statement
+	for range routers {
+		select {
+		case answer := <-answers:
+			if answer == nil {
+				continue
+			}
+			statements = append(statements, answer.statement())
+			if answer.Recorded {
+				return statements
+			}
+		case <-ctx.Done():
+			return statements
+		}
+	}
+	return statements
+}
+
+// originRequest asks a router for the origin of a stream.
+type originRequest struct {
+	Service fleet.ServiceID `json:"service"`
+	Stream  []byte          `json:"stream"`
+}
+
+// originResponse is an origin.Statement.
+type originResponse struct {
+	Recorded bool                    `json:"recorded,omitempty"`
+	Software fleet.SoftwareVersion   `json:"software-version,omitempty"`
+	Versions []fleet.SoftwareVersion `json:"versions,omitempty"`
+	Complete bool                    `json:"complete,omitempty"`
+	Current  bool                    `json:"current,omitempty"`
+}
+
+func (r *originResponse) statement() origin.Statement {
+	return origin.Statement{
+		View:     origin.View{Versions: r.Versions, Complete: r.Complete, Current: r.Current},
+		Recorded: r.Recorded, Software: r.Software,
+	}
+}
+
+// ask asks one router and returns nil if it doesn't answer, or doesn't know the method.
+func (k *originKeeper) ask(ctx context.Context, router fleet.RouterID, service fleet.ServiceID, key origin.Key) *originResponse {
+	var response originResponse
+	if err := k.call(ctx, router, originMethod, originRequest{Service: service, Stream: key[:]}, &response); err != nil {
+		if ctx.Err() == nil {
+			k.log.Info("stream origin not answered", "other", router, "error", err)
+		}
+		return nil
+	}
+	return &response
+}
+
+// answer answers another router's request.
+func (k *originKeeper) answer(_ context.Context, params json.RawMessage) (any, error) {
+	var request originRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, eris.Wrap(err, "decoding a request for the origin of a stream")
+	}
+	var key origin.Key
+	if copy(key[:], request.Stream) != len(key) {
+		return nil, eris.New("the stream of a request for its origin is too short")
+	}
+	s := k.statement(time.Now(), request.Service, key)
+	return originResponse{Recorded: s.Recorded, Software: s.Software, Versions: s.Versions, Complete: s.Complete, Current: s.Current}, nil
+}
+
+// receive handles the records in a batch from another router.
+func (k *originKeeper) receive(batch *schema.Batch) {
+	now := time.Now()
+	for _, o := range batch.GetStreamOrigins() {
+		var key origin.Key
+		if copy(key[:], o.GetStream()) != len(key) {
+			continue
+		}
+		left := min(schema.Duration(o.GetLeftMs()), maxCallerTimeout)
+		k.table.Set(now, key, origin.Record{
+			Service: fleet.ServiceID(o.GetService()), Software: fleet.SoftwareVersion(o.GetSoftwareVersion()), Until: now.Add(left),
+		})
+	}
+}
+
+// queue queues records for the routers that hold them.
+func (k *originKeeper) queue(now time.Time, records map[origin.Key]origin.Record) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	wasEmpty := len(k.pending) == 0
+	for key, r := range records {
+		message := &schema.StreamOrigin{
+			Stream: key[:], Service: string(r.Service), SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Until.Sub(now)),
+		}
+		for _, router := range k.holders.ForRecord(key) {
+			if k.pending == nil {
+				k.pending = make(map[fleet.RouterID][]*schema.StreamOrigin)
+			}
+			k.pending[router] = append(k.pending[router], message)
+		}
+	}
+	if wasEmpty && len(k.pending) > 0 {
+		time.AfterFunc(originDelay, func() { k.guard.Run(recovery.Message, k.flush) })
+	}
+}
+
+// flush sends the queued records.
+func (k *originKeeper) flush() {
+	k.mu.Lock()
+	pending := k.pending
+	k.pending = nil
+	k.mu.Unlock()
+	for router, origins := range pending {
+		k.send(router, &schema.Batch{StreamOrigins: origins})
+	}
+}
+
+// updateMixed sends the records of each service that has come to have several versions to other
+// routers. Until then they were only here.
+func (k *originKeeper) updateMixed() {
+	now := time.Now()
+	for _, service := range k.state.history.Services() {
+		isMixed := k.view(now, service).IsMixed()
+		k.mixedServices.set(service, isMixed)
+		k.mu.Lock()
+		wasMixed := k.mixed[service]
+		if k.mixed == nil {
+			k.mixed = make(map[fleet.ServiceID]bool)
+		}
+		k.mixed[service] = isMixed
+		k.mu.Unlock()
+		if isMixed && !wasMixed {
+			k.log.Info("service has several software versions", "service", service, "versions", k.view(now, service).Versions)
+			k.queue(now, k.table.OfService(now, service))
+		}
+	}
+}
+
+// handleConnectionChange records which routers are connected.
+func (k *originKeeper) handleConnectionChange(c peer.Change) {
+	k.mu.Lock()
+	others := maps.Clone(k.holders.Others)
+	if others == nil {
+		others = make(map[fleet.RouterID]fleet.DataCenterID)
+	}
+	if c.Connected {
+		others[c.Router] = c.DataCenter
+	} else {
+		delete(others, c.Router)
+	}
+	k.holders.Others = others
+	k.mu.Unlock()
+}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -53,7 +53,8 @@
 	maxPeerBackoff = time.Second
 )
 
-// Options configure a Router. All are required but RecoveryTime, History and ColdTolerance.
+// Options configure a Router. All are required but RecoveryTime, History, ColdTolerance and
+// MixedServiceStore.
 type Options struct {
 	Self       fleet.RouterID
 	DataCenter fleet.DataCenterID
@@ -70,6 +71,8 @@
 	UpstreamFeed    follow.Feed[registry.Change, registry.Revision]
 	MemberStore     MemberStore
 	QuarantineStore QuarantineStore
+	// MixedServiceStore may be nil: then nothing is known of the versions before the router started.
+	MixedServiceStore MixedServiceStore
 	// PeerAddress is the address that other routers connect to. FleetKey is the shared key by
 	// which routers authenticate each other as members of one fleet.
 	PeerAddress string
@@ -131,7 +134,7 @@
 	r.state = NewState(StateOptions{
 		Self: options.Self, DataCenter: options.DataCenter, ColdTolerance: options.ColdTolerance,
 		OnColdSkipped: func(reason turn.ColdReason) { r.metrics.ColdSkipped.WithLabelValues(string(reason)).Inc() },
-		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, Log: options.Log,
+		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, RecoveryTime: options.RecoveryTime, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
 	})
 	r.client = &upstream.Client{EchoedID: options.EchoedID, OnOpen: r.metrics.UpstreamConnections.Inc}
@@ -148,6 +151,7 @@
 	r.handler.OnShed = r.mesh.coordinator.AddShed
 	r.handler.SchedulingLatency = r.mesh.schedulingLatency
 	r.handler.Quarantine = &r.mesh.crashMonitor
+	r.handler.Origins = &r.mesh.origins
 	r.addFollowers()
 	return r, r.listen(ctx)
 }
@@ -188,6 +192,7 @@
 		Metrics: r.metrics, Logger: r.options.Log, Guard: r.guard, MaxBackoff: maxPeerBackoff,
 	}, r.client.CheckReachable)
 	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor.tracker, r.options.Log)
+	r.mesh.origins.mixedServices.setUp(r.options.MixedServiceStore)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.handleConnectionChange)
 	memberList := &memberFollower{startedAt: r.startedAt, knownRouters: members.knownRouters, registration: r.registration}
@@ -198,6 +203,9 @@
 	r.actors = append(r.actors,
 		actor{"router connections", r.mesh.peers.Run}, actor{"reports", r.mesh.Run},
 		actor{"router list", memberList.run}, actor{"registration", r.register}, actor{"quarantine", r.mesh.quarantinePersister.run})
+	if r.options.MixedServiceStore != nil {
+		r.actors = append(r.actors, actor{"software versions", r.mesh.origins.mixedServices.run})
+	}
 	return nil
 }
 
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -14,6 +14,7 @@
 	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
@@ -51,6 +52,13 @@
 	retryBudgets map[fleet.ServiceID]*retry.Budget
 	// routerCount is the known number of routers in the fleet, or defaultRouterCount.
 	routerCount int
+	// history knows the software versions of upstreams, now and before.
+	history origin.History
+	// longestStream is the longest timeout, in nanoseconds, of a route whose streams can be taken up
+	// again.
+	longestStream atomic.Int64
+	// listConfirmedAt is when the list of upstreams was last confirmed to be current.
+	listConfirmedAt time.Time
 	// readyAddresses are the addresses of the upstreams that take requests.
 	readyAddresses map[string]bool
 }
@@ -72,6 +80,9 @@
 	// OnColdSkipped is called, unless it is nil, when a request can't go to the cold upstream
 	// that it prefers.
 	OnColdSkipped func(reason turn.ColdReason)
+	// RecoveryTime is how recently a list of upstreams has to be confirmed to be current; zero
+	// means follow.DefaultRecovery.
+	RecoveryTime time.Duration
 	// OnChange is called, unless it is nil, with the source of each configuration or change of
 	// the list of upstreams that has taken effect.
 	OnChange func(source string)
@@ -172,6 +183,7 @@
 	}
 	s.configuration = c
 	s.table.Store(route.NewTable(c))
+	s.longestStream.Store(int64(longestStreamOf(c)))
 	s.options.Log.Info("configuration in force", "version", c.Version, "before", before, "from", source,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts))
 	s.refreshPools(time.Now())
@@ -265,6 +277,7 @@
 
 // refreshPools updates the upstreams of each service's pool.
 func (s *State) refreshPools(now time.Time) {
+	s.history.Observe(now, s.directory.SoftwareVersions())
 	table := s.Table()
 	ready := s.directory.Ready()
 	s.readyAddresses = make(map[string]bool)
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -51,7 +51,7 @@
 
 	Upstream    string  `json:"upstream"`
 	Software    string  `json:"software"`
-	Began       string  `json:"first-software"`
+	Began       string  `json:"began-software"`
 	Resumes     string  `json:"resumes"`
 	After       uint64  `json:"resumed-after"`
 	Sent        bool    `json:"sent"`
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -95,6 +95,9 @@
 	// Known returns the later of a revision and that up to which the changes of the table
 	// are known from elsewhere. Nil returns the revision.
 	Known func(V) V
+	// Confirmed is called after each answer of the store, once its rows were applied; nil calls
+	// nothing.
+	Confirmed func()
 	// History is how long the store keeps the changes of a table; zero means for ever.
 	History time.Duration
 	Log     *slog.Logger
@@ -187,6 +190,7 @@
 	}
 	f.setAvailable()
 	f.Sink.Replace(rows, revision)
+	f.confirm()
 	return revision, nil
 }
 
@@ -201,11 +205,20 @@
 	f.setAvailable()
 	if len(rows) > 0 {
 		f.Sink.Apply(rows, revision)
+	}
+	f.confirm()
+	if len(rows) > 0 {
 		sleep(parent, jitter(f.Gather))
 	}
 	return revision, nil
 }
 
+func (f *Follower[R, V]) confirm() {
+	if f.Confirmed != nil {
+		f.Confirmed()
+	}
+}
+
 // wait returns how long the next call waits for a change. It is zero for polls, and while
 // the store doesn't answer: a call that is lost in an outage would delay the detection of
 // its end by the wait, while the router uses outdated rows.
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -85,7 +86,8 @@
 		return refusal.New(refusal.UnknownRoute, "no route for this host and path", 0)
 	}
 	j.route = found
-	j.service = found.ServiceOf(j.info.ID)
+	// A stream that is taken up again stays at its service.
+	j.service = found.ServiceOf(cmp.Or(j.info.Resumes, j.info.ID))
 	j.deadline = j.arrived.Add(found.Timeout)
 	if j.info.Timeout > 0 && j.info.Timeout < found.Timeout {
 		j.deadline = j.arrived.Add(j.info.Timeout)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -18,6 +18,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/refusal"
@@ -109,8 +110,23 @@
 	RecordBroken(request quarantine.Fingerprint, upstream registry.Upstream, startedAt time.Time)
 }
 
+// Origins knows which software versions began the streams of the fleet. It is safe for concurrent
+// use.
+type Origins interface {
+	// Find returns the software version that began a stream of a service. The id is that of the
+	// attempt that brought the first event, empty if the caller doesn't name it. The error is
+	// *origin.UnknownError if nothing tells the version.
+	Find(ctx context.Context, service fleet.ServiceID, stream fleet.RequestID) (origin.Finding, error)
+	// Certain returns the software version of an upstream that has just answered, empty if that
+	// isn't certain.
+	Certain(upstream registry.Upstream) fleet.SoftwareVersion
+	// Record records which software version began a stream, and until when its caller may take it
+	// up again.
+	Record(now time.Time, stream origin.Stream, until time.Time)
+}
+
 // Handler is the http.Handler for callers. All fields are required but RoutineLog,
-// TooManyConnections, HasCapacity, OnShed, Quarantine, Guard and SchedulingLatency.
+// TooManyConnections, HasCapacity, OnShed, Quarantine, Origins, Guard and SchedulingLatency.
 type Handler struct {
 	Codec   HeaderCodec
 	State   RoutingState
@@ -132,6 +148,8 @@
 	OnShed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
 	// Quarantine may be nil.
 	Quarantine Quarantine
+	// Origins may be nil: then all upstreams of a service count as of one software version.
+	Origins Origins
 	// Guard recovers from panics in single requests; nil lets them propagate.
 	Guard *recovery.Guard
 	// SchedulingLatency returns the recent scheduling latency of goroutines; nil means zero.
--- a/forward/job.go
+++ b/forward/job.go
@@ -10,6 +10,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -76,8 +77,9 @@
 	headerSent  bool
 	eventCount  int
 	lastEventID uint64
-	// firstSoftware is the software version of the upstream that the first event was relayed from.
-	firstSoftware fleet.SoftwareVersion
+	// began is the software version that began the stream, and how that is known. It is empty while
+	// any version may serve the request.
+	began origin.Finding
 	// eventSends is the value of sends when the latest event was relayed.
 	eventSends int
 	// firstByteAt is when the header of the answer was sent.
@@ -98,6 +100,10 @@
 		j.abandon(nil)
 		return
 	}
+	if refused := j.findOrigin(ctx); refused != nil {
+		j.answerOrRefuse(refused)
+		return
+	}
 	for {
 		if refused := j.checkQuarantine(); refused != nil {
 			j.answerOrRefuse(refused)
@@ -154,6 +160,7 @@
 	request := turn.Request{
 		Account: j.account, Prefixes: j.info.Prefixes, Tried: j.tried,
 		Input: max(j.info.InputTokens, 1), Output: j.info.OutputTokens, Target: j.route.LatencyTarget,
+		Software: j.began.Software,
 	}
 	request.Patience = max(min(j.maxWait(), time.Until(j.deadline)), 0)
 	return request
@@ -226,6 +233,8 @@
 			j.handler.Metrics.RefusedTurns.WithLabelValues(string(refused.Lack)).Inc()
 		}
 		switch {
+		case refused.NoSoftware:
+			out.Reason = refusal.SoftwareReplaced
 		case refused.NoUpstream:
 			out.Reason = refusal.NoUpstream
 		case refused.Capped:
@@ -261,7 +270,7 @@
 	if j.nextTicket != nil {
 		return true
 	}
-	if j.headerSent && (j.route.Kind != route.Streaming || !j.route.Resumable) {
+	if !j.mayMove() {
 		return false
 	}
 	if !f.notRun && (!j.route.Idempotent() || j.possibleRuns >= j.route.MaxAttempts) {
--- a/forward/log.go
+++ b/forward/log.go
@@ -121,7 +121,7 @@
 	h.routineLogger().LogAttrs(j.request.Context(), slog.LevelInfo, "request answered",
 		slog.String("request", string(j.info.ID)), slog.Bool("late", late), slog.String("route", j.route.Name),
 		slog.String("account", string(j.account)), slog.String("upstream", string(to.ID)), slog.String("software", string(to.Software)),
-		slog.String("first-software", string(j.firstSoftware)), slog.String("resumes", string(j.info.Resumes)),
+		slog.String("began-software", string(j.began.Software)), slog.String("began-known-by", string(j.began.Source)), slog.String("resumes", string(j.info.Resumes)),
 		slog.Uint64("resumed-after", j.info.LastEventID), slog.Int("sends", j.sends),
 		slog.Uint64("configuration", uint64(j.version)), slog.Int("unread-tokens", ticket.PendingPrefill()),
 		slog.Float64("waited-ms", ms(j.queueTime)), slog.Float64("first-ms", ms(firstByte)),
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -82,7 +82,9 @@
 	if id > 0 {
 		j.lastEventID = id
 	}
-	j.countResumption(ticket)
+	if err := j.recordOrigin(ticket); err != nil {
+		return err
+	}
 	j.eventCount++
 	if _, err := j.writer.Write(event.Raw); err != nil {
 		return &stream.SinkError{Cause: err}
--- a/forward/watch.go
+++ b/forward/watch.go
@@ -13,8 +13,9 @@
 	"nutmeglock.example/nutmeglock/upstream"
 )
 
-// ticketFinder returns a turn at another upstream, nil when there is none.
-type ticketFinder func(ctx context.Context) home.Ticket
+// ticketFinder returns a turn at another upstream, nil when there is none. hasEvents tells whether
+// the attempt has received events, which only the same software version can continue.
+type ticketFinder func(ctx context.Context, hasEvents bool) home.Ticket
 
 // silenceWatch looks for another upstream while that of an attempt is silent. It ends the attempt
 // only once another upstream has a turn for the request, because the silent one may still answer.
@@ -66,7 +67,7 @@
 	}
 	var ticket home.Ticket
 	if !w.probe.HasUnread() {
-		ticket = w.find(w.ctx)
+		ticket = w.find(w.ctx, received > 0)
 	}
 	if !w.switchTo(ticket, received) && ticket != nil {
 		ticket.End(time.Now(), turn.Unsent)
@@ -153,7 +154,14 @@
 func (j *job) otherUpstreamFinder() ticketFinder {
 	request := j.turnRequest()
 	request.Patience = resumeMaxWait
-	return func(ctx context.Context) home.Ticket {
+	software := j.ticket.Upstream().Software
+	return func(ctx context.Context, hasEvents bool) home.Ticket {
+		if hasEvents && j.handler.Origins != nil {
+			if software == "" {
+				return nil
+			}
+			request.Software = software
+		}
 		ticket, err := j.waitInQueue(ctx, request)
 		if err != nil {
 			j.logSilentKept(ctx, err)
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -40,6 +40,8 @@
 	DeadlineBeforeTurn Reason = "deadline-before-turn"
 	DeadlinePassed     Reason = "deadline-passed"
 	NoUpstream         Reason = "no-upstream"
+	SoftwareReplaced   Reason = "software-replaced"
+	OriginUnknown      Reason = "stream-origin-unknown"
 	UpstreamFailed     Reason = "upstream-failed"
 	UpstreamBusy       Reason = "upstream-busy"
 	CrashesUpstreams   Reason = "crashes-upstreams"
@@ -61,7 +63,7 @@
 	return []Reason{
 		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
 		ServiceNotAllowed, AccountQueueFull, AccountAhead, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
-		NoUpstream, UpstreamFailed, UpstreamBusy, CrashesUpstreams, RetriesExhausted, Stopping, NotReady,
+		NoUpstream, SoftwareReplaced, OriginUnknown, UpstreamFailed, UpstreamBusy, CrashesUpstreams, RetriesExhausted, Stopping, NotReady,
 		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
 		ResumeExpired, CallerGone, Internal,
 	}
@@ -112,6 +114,8 @@
 	DeadlineBeforeTurn: http.StatusServiceUnavailable,
 	DeadlinePassed:     http.StatusGatewayTimeout,
 	NoUpstream:         http.StatusServiceUnavailable,
+	SoftwareReplaced:   http.StatusServiceUnavailable,
+	OriginUnknown:      http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
 	UpstreamBusy:       http.StatusServiceUnavailable,
 	CrashesUpstreams:   http.StatusServiceUnavailable,
