--- a/origin/table.go
+++ b/origin/table.go
@@ -16,8 +16,12 @@
 // Callers choose these ids, so the hash must be collision resistant.
 type Key [16]byte
 
-// KeyOf returns the key of a stream.
+// KeyOf returns the key of a stream. That of an empty id is the zero Key, for which there is never
+// a record: callers that don't name their streams must not get each other's.
 func KeyOf(id fleet.RequestID) Key {
+	if id == "" {
+		return Key{}
+	}
 	sum := sha256.Sum256([]byte(id))
 	return Key(sum[:16])
 }
@@ -53,6 +57,9 @@
 // Set records a stream. An earlier record of the same stream is replaced, but never by one that
 // expires earlier.
 func (t *Table) Set(now time.Time, key Key, r Record) {
+	if key == (Key{}) {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if known, ok := t.find(now, key); ok && known.Until.After(r.Until) {
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -62,3 +62,12 @@
 	require.Empty(t, table.OfService(start, "other"))
 	require.Empty(t, table.OfService(start.Add(11*time.Second), "s"))
 }
+
+// Guards against a caller that doesn't name its stream and gets the version of another one.
+func TestStreamWithoutAnIDHasNoRecord(t *testing.T) {
+	t.Parallel()
+	var table origin.Table
+	table.Set(start, origin.KeyOf(""), origin.Record{Service: "s", Software: "v1", Until: start.Add(time.Second)})
+	_, known := table.Get(start, origin.KeyOf(""))
+	require.False(t, known)
+}
