--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
+	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -35,6 +38,36 @@
 // Quarantine returns the detector of requests that crash upstreams.
 func (m *mesh) Quarantine() forward.Quarantine { return &m.crashMonitor }
 
+// Origins returns what the router knows of the origins of streams.
+func (m *mesh) Origins() *originKeeper { return &m.origins }
+
+// MixedServices exports mixedServices.
+type MixedServices = mixedServices
+
+// NewMixedServices returns a MixedServices of a router that is connected with others.
+func NewMixedServices(store MixedServiceStore, self fleet.RouterID, others []fleet.RouterID, log *slog.Logger) *MixedServices {
+	m := &mixedServices{self: self, history: &origin.History{}, otherRouters: func() []fleet.RouterID { return others }, log: log}
+	m.setUp(store)
+	return m
+}
+
+// Set records whether a service has several versions.
+func (m *mixedServices) Set(service fleet.ServiceID, mixed bool) { m.set(service, mixed) }
+
+// Run stores changes until ctx ends.
+func (m *mixedServices) Run(ctx context.Context) error { return m.run(ctx) }
+
+// RecordCount returns the number of records that a router holds.
+func (k *originKeeper) RecordCount() int { return k.table.Len() }
+
+// ConfirmUpstreams records that the list of upstreams was current at a time.
+func (s *State) ConfirmUpstreams(at time.Time) { s.confirmUpstreams(at) }
+
+// RestoreMixedServices records which services had several software versions before the start.
+func (s *State) RestoreMixedServices(services []fleet.ServiceID) {
+	s.history.Restore(time.Now(), services)
+}
+
 // AnswerKnowledgeRequest answers another router's request for newer versions.
 func (m *mesh) AnswerKnowledgeRequest(request string) (any, error) {
 	return m.answerKnowledgeRequest(context.Background(), json.RawMessage(request))
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -37,6 +37,8 @@
 	mesh    *deployment.Mesh
 	// reachable holds the addresses of the upstreams that can be reached; nil means none.
 	reachable map[string]bool
+	// stop ends the connections.
+	stop context.CancelFunc
 }
 
 func (n *node) check(_ context.Context, address string) error {
@@ -67,6 +69,7 @@
 	require.NoError(tb, err)
 	n := newNodeAt(id, listener.Addr().String(), listener)
 	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
 	ended := make(chan error, 1)
 	go func() { ended <- n.mesh.Peers().Run(ctx) }()
 	tb.Cleanup(func() {
--- a/deployment/mixed_services.go
+++ b/deployment/mixed_services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,7 +80,7 @@
 }
 
 func (m *mixedServices) isResponsible(service fleet.ServiceID) bool {
-	return rendezvous.Pick(rendezvous.KeyOf("mixed-service", string(service)), append(m.otherRouters(), m.self)) == m.self
+	return rendezvous.Pick(rendezvous.KeyOf("mixed-service", string(service)), append(slices.Clip(m.otherRouters()), m.self)) == m.self
 }
 
 // run loads the stored services, then stores changes until ctx ends.
--- /dev/null
+++ b/deployment/mixed_services_test.go
@@ -0,0 +1,112 @@
+package deployment_test
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/deployment"
+	"nutmeglock.example/nutmeglock/fleet"
+)
+
+// memoryMixedServices is a store of services with several versions.
+type memoryMixedServices struct {
+	mu       sync.Mutex
+	services map[fleet.ServiceID]bool
+	writes   int
+}
+
+var _ deployment.MixedServiceStore = (*memoryMixedServices)(nil)
+
+func (m *memoryMixedServices) Load(context.Context) ([]fleet.ServiceID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.services)), nil
+}
+
+func (m *memoryMixedServices) Save(_ context.Context, service fleet.ServiceID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.services[service] = true
+	m.writes++
+	return nil
+}
+
+func (m *memoryMixedServices) Drop(_ context.Context, service fleet.ServiceID) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.services, service)
+	m.writes++
+	return nil
+}
+
+func (m *memoryMixedServices) has(service fleet.ServiceID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.services[service]
+}
+
+func (m *memoryMixedServices) writeCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
+
+// startMixedServices starts the part of a router that stores which services have several versions.
+func startMixedServices(t *testing.T, store deployment.MixedServiceStore, self fleet.RouterID, others ...fleet.RouterID) *deployment.MixedServices {
+	t.Helper()
+	m := deployment.NewMixedServices(store, self, others, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- m.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.ErrorIs(t, <-ended, context.Canceled)
+	})
+	return m
+}
+
+// Guards against a write by each router of a fleet, and against one with each call: a release costs
+// the store one write when it begins and one when it is over.
+func TestOneRouterStoresThatAServiceHasSeveralVersions(t *testing.T) {
+	t.Parallel()
+	store := &memoryMixedServices{services: make(map[fleet.ServiceID]bool)}
+	routers := []fleet.RouterID{"r0", "r1", "r2"}
+	var parts []*deployment.MixedServices
+	for i, self := range routers {
+		parts = append(parts, startMixedServices(t, store, self, append(slices.Clone(routers[:i]), routers[i+1:]...)...))
+	}
+	set := func(mixed bool) {
+		for _, m := range parts {
+			m.Set("s", mixed)
+			m.Set("other", false)
+		}
+	}
+	for range 3 {
+		set(true)
+	}
+	require.Eventually(t, func() bool { return store.has("s") }, 5*time.Second, time.Millisecond)
+	for range 3 {
+		set(false)
+	}
+	require.Eventually(t, func() bool { return !store.has("s") }, 5*time.Second, time.Millisecond)
+	time.Sleep(propagationTime)
+	require.Equal(t, 2, store.writeCount())
+}
+
+// Guards against a row that stays for ever because the router that stored it is gone.
+func TestRowOfALostRouterIsRemoved(t *testing.T) {
+	t.Parallel()
+	store := &memoryMixedServices{services: map[fleet.ServiceID]bool{"s": true}}
+	m := startMixedServices(t, store, "alone")
+	require.Eventually(t, func() bool {
+		m.Set("s", false)
+		return !store.has("s")
+	}, 5*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/deployment/origins_test.go
@@ -0,0 +1,177 @@
+package deployment_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/registry"
+)
+
+// upstreamChanges returns the entries of upstreams with these software versions.
+func upstreamChanges(first registry.Revision, software ...fleet.SoftwareVersion) []registry.Change {
+	var out []registry.Change
+	for i, version := range software {
+		revision := first + registry.Revision(i)
+		out = append(out, registry.Change{Revision: revision, Upstream: registry.Upstream{
+			ID: fleet.UpstreamID(fmt.Sprintf("u%d", revision)), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", revision), Slots: 8, Software: version,
+		}})
+	}
+	return out
+}
+
+// newOriginNodes returns connected routers that know one upstream of version v1. All but those that
+// have just started know that there was no other version before.
+func newOriginNodes(t *testing.T, count int, justStarted ...int) []*node {
+	t.Helper()
+	nodes := make([]*node, count)
+	for i := range nodes {
+		nodes[i] = newNode(t, fleet.RouterID(fmt.Sprintf("r%d", i)))
+		nodes[i].state.Configure(testConfiguration(1), "store")
+		nodes[i].state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+		nodes[i].state.ConfirmUpstreams(time.Now())
+		nodes[i].state.RestoreMixedServices(nil)
+	}
+	for _, i := range justStarted {
+		nodes[i] = newNode(t, fleet.RouterID(fmt.Sprintf("r%d", i)))
+		nodes[i].state.Configure(testConfiguration(1), "store")
+		nodes[i].state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+		nodes[i].state.ConfirmUpstreams(time.Now())
+	}
+	for i, n := range nodes {
+		others := make(map[fleet.RouterID]string)
+		for j, other := range nodes {
+			if i < j {
+				others[fleet.RouterID(fmt.Sprintf("r%d", j))] = other.address
+			}
+		}
+		n.mesh.Peers().SetTargets(others)
+	}
+	for _, n := range nodes {
+		require.Eventually(t, func() bool { return len(n.mesh.Peers().Routers()) == count-1 }, 5*time.Second, time.Millisecond)
+	}
+	return nodes
+}
+
+// began records that a stream began at a router.
+func (n *node) began(id fleet.RequestID, software fleet.SoftwareVersion) {
+	n.mesh.Origins().Record(time.Now(), origin.Stream{ID: id, Service: "s", Software: software}, time.Now().Add(5*time.Second))
+}
+
+func (n *node) find(t *testing.T, id fleet.RequestID) (origin.Finding, error) {
+	t.Helper()
+	return n.mesh.Origins().Find(t.Context(), "s", id)
+}
+
+// Guards against a stream that can't be taken up, or is taken up at the wrong version, when the
+// router that began it is gone: it began while there was one version, or while there were two.
+func TestOriginOfAStreamOfALostRouter(t *testing.T) {
+	t.Parallel()
+	nodes := newOriginNodes(t, 4)
+	nodes[0].began("early", "v1")
+	for _, n := range nodes {
+		n.state.ApplyUpstreams(upstreamChanges(2, "v2"), "store")
+	}
+	require.Eventually(t, func() bool {
+		nodes[0].began("late", "v2")
+		found, err := nodes[1].find(t, "late")
+		return err == nil && found == origin.Finding{Software: "v2", Source: origin.OwnRecord}
+	}, 5*time.Second, 5*time.Millisecond, "each router holds the records of some streams only, r1 that of this one")
+	nodes[0].stop()
+	for _, n := range nodes[1:] {
+		require.Eventually(t, func() bool { return len(n.mesh.Peers().Routers()) == 2 }, 5*time.Second, time.Millisecond)
+	}
+	for _, n := range nodes[1:] {
+		early, err := n.find(t, "early")
+		require.NoError(t, err)
+		require.Equal(t, fleet.SoftwareVersion("v1"), early.Software)
+		late, err := n.find(t, "late")
+		require.NoError(t, err)
+		require.Equal(t, fleet.SoftwareVersion("v2"), late.Software)
+		_, err = n.find(t, "never seen")
+		var unknown *origin.UnknownError
+		require.ErrorAs(t, err, &unknown)
+		require.Equal(t, []fleet.SoftwareVersion{"v1", "v2"}, unknown.Versions)
+		require.Equal(t, unknown.Asked, unknown.Answered)
+	}
+}
+
+// Guards against a cost for each stream while a service has one version, and against streams that are
+// refused then.
+func TestNoRecordIsSentWhileThereIsOneVersion(t *testing.T) {
+	t.Parallel()
+	nodes := newOriginNodes(t, 3, 2)
+	for i := range 100 {
+		nodes[0].began(fleet.RequestID(fmt.Sprintf("stream-%d", i)), "v1")
+	}
+	time.Sleep(propagationTime)
+	for _, n := range nodes[1:] {
+		require.Zero(t, n.mesh.Origins().RecordCount())
+		found, err := n.find(t, "stream-of-a-router-that-is-gone")
+		require.NoError(t, err, "also at a router that has just started")
+		require.Equal(t, origin.Finding{Software: "v1", Source: origin.OnlyVersion}, found)
+	}
+	found, err := nodes[1].find(t, "stream-7")
+	require.NoError(t, err)
+	require.Equal(t, origin.OtherRecord, found.Source)
+}
+
+// Guards against a router whose list is old and who takes the only version in it for the only one
+// there is.
+func TestRouterWithAnOldListDoesNotGuess(t *testing.T) {
+	t.Parallel()
+	nodes := newOriginNodes(t, 3)
+	nodes[0].state.ApplyUpstreams(upstreamChanges(2, "v2"), "test")
+	_, err := nodes[2].find(t, "stream-of-a-router-that-is-gone")
+	require.Error(t, err, "another router knows of a second version")
+
+	alone := newNode(t, "alone")
+	alone.state.Configure(testConfiguration(1), "store")
+	alone.state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+	alone.state.RestoreMixedServices(nil)
+	_, err = alone.find(t, "stream")
+	require.Error(t, err, "nothing has confirmed the list")
+	alone.state.ConfirmUpstreams(time.Now())
+	_, err = alone.find(t, "stream")
+	require.NoError(t, err)
+}
+
+// Guards against a restart of all routers after which a version that has just been replaced is
+// forgotten.
+func TestReplacedVersionIsRemembered(t *testing.T) {
+	t.Parallel()
+	n := newNode(t, "restarted")
+	n.state.Configure(testConfiguration(1), "store")
+	n.state.ApplyUpstreams(upstreamChanges(1, "v2"), "store")
+	n.state.ConfirmUpstreams(time.Now())
+	_, err := n.find(t, "stream")
+	require.Error(t, err, "not known yet whether there was another version")
+	n.state.RestoreMixedServices([]fleet.ServiceID{"s"})
+	_, err = n.find(t, "stream")
+	require.Error(t, err)
+	_, err = n.mesh.Origins().Find(t.Context(), "other", "stream")
+	require.Error(t, err, "a service without upstreams")
+}
+
+// Guards against an upstream that restarts with another version while it answers.
+func TestVersionOfARestartedUpstreamIsUncertain(t *testing.T) {
+	t.Parallel()
+	n := newUnconnectedNode("r")
+	change := upstreamChanges(1, "v1")
+	change[0].Upstream.StartTime = 1
+	n.state.ApplyUpstreams(change, "store")
+	before := change[0].Upstream
+	require.Equal(t, fleet.SoftwareVersion("v1"), n.mesh.Origins().Certain(before))
+	after := before
+	after.StartTime = 2
+	n.state.ApplyUpstreams([]registry.Change{{Upstream: after, Revision: 2}}, "store")
+	require.Equal(t, fleet.SoftwareVersion("v1"), n.mesh.Origins().Certain(before), "the same version again")
+	after.StartTime, after.Software = 3, "v2"
+	n.state.ApplyUpstreams([]registry.Change{{Upstream: after, Revision: 3}}, "store")
+	require.Empty(t, n.mesh.Origins().Certain(before))
+	require.Equal(t, fleet.SoftwareVersion("v2"), n.mesh.Origins().Certain(after))
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +29,8 @@
 type testCodec struct{}
 
 func (testCodec) ParseRequest(h http.Header) forward.RequestInfo {
-	info := forward.RequestInfo{ID: fleet.RequestID(h.Get("X-Id")), Key: h.Get("X-Key")}
+	info := forward.RequestInfo{ID: fleet.RequestID(h.Get("X-Id")), Key: h.Get("X-Key"), Resumes: fleet.RequestID(h.Get("X-Resumes"))}
+	info.LastEventID, _ = strconv.ParseUint(h.Get("Last-Event-Id"), 10, 64) // zero if there is none
 	if timeout, err := time.ParseDuration(h.Get("X-Left")); err == nil {
 		info.Timeout = timeout
 	}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -78,13 +78,13 @@
 			return &stream.OrderError{Expected: stream.EventID(j.lastEventID + 1), Found: event.ID}
 		}
 	}
+	if err := j.recordOrigin(ticket); err != nil {
+		return err
+	}
 	j.sendHeader(answer.Status, answer.Header, answer.Length)
 	if id > 0 {
 		j.lastEventID = id
 	}
-	if err := j.recordOrigin(ticket); err != nil {
-		return err
-	}
 	j.eventCount++
 	if _, err := j.writer.Write(event.Raw); err != nil {
 		return &stream.SinkError{Cause: err}
