upstream, forward: a stream is sent only to the process that its upstream's entry describes

The id that a request expects is right, so the engine runs it.

An upstream's report tells when it started, as its entry does. While a service has several versions, a connection is asked for it once before a stream is sent on it; a connection ends with its process, so the answer holds as long as it does. Another process gets nothing, and the request, which wasn't sent, goes elsewhere. An upstream that doesn't tell is used as before. Nothing is asked while a service has one version.

Two ways: passing over upstreams that refused a connection or broke off a request for 1 to 3 s (taken before, now gone) leaves the case above open and refuses streams for nothing; asking costs a round trip on a new connection.

--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -106,6 +106,17 @@
 	}
 }
 
+// MustIdentify reports whether a stream may only be sent to the process that an upstream's entry
+// describes. Only model engines tell when they started.
+func (k *originKeeper) MustIdentify(service fleet.ServiceID) bool {
+	if !k.isMixed(service) {
+		return false
+	}
+	configured, known := k.state.Table().Service(service)
+	return known && configured.CacheTokens > 0
+}
+
+// isMixed reports whether the upstreams of a service have, or had lately, several software versions.
 func (k *originKeeper) isMixed(service fleet.ServiceID) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -66,7 +66,9 @@
 	ReadyPath string
 	Codec     forward.HeaderCodec
 	// EchoedID returns the request ID that an upstream's answer carries, empty if it has none.
-	EchoedID        func(http.Header) fleet.RequestID
+	EchoedID func(http.Header) fleet.RequestID
+	// Identity defines how upstreams tell when they started; it may be nil.
+	Identity        *upstream.Identity
 	OperatorFeed    follow.Feed[OperatorChange, registry.Revision]
 	UpstreamFeed    follow.Feed[registry.Change, registry.Revision]
 	MemberStore     MemberStore
@@ -137,7 +139,7 @@
 		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, RecoveryTime: options.RecoveryTime, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
 	})
-	r.client = &upstream.Client{EchoedID: options.EchoedID, OnOpen: r.metrics.UpstreamConnections.Inc}
+	r.client = &upstream.Client{EchoedID: options.EchoedID, Identity: options.Identity, OnOpen: r.metrics.UpstreamConnections.Inc}
 	r.handler = &forward.Handler{
 		Codec: options.Codec, State: r.state, Client: r.client, Metrics: r.metrics,
 		Log: logging.WithPriority(options.Log, logging.Failure), RoutineLog: logging.WithPriority(options.Log, logging.Request),
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -125,7 +125,7 @@
 	j.handler.Codec.SetUpstreamHeader(j.header, info)
 	return j.handler.Client.Do(ctx, to.Address, upstream.Request{
 		ID: j.info.ID, Method: j.request.Method, URI: j.request.RequestURI,
-		Host: j.request.Host, Header: j.header, Body: j.body, Probe: probe,
+		Host: j.request.Host, Header: j.header, Body: j.body, Probe: probe, Process: j.requiredProcess(to),
 	})
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -117,6 +117,9 @@
 	// attempt that brought the first event, empty if the caller doesn't name it. The error is
 	// *origin.UnknownError if nothing tells the version.
 	Find(ctx context.Context, service fleet.ServiceID, stream fleet.RequestID) (origin.Finding, error)
+	// MustIdentify reports whether a stream may only be sent to the process that an upstream's entry
+	// describes, because another one could have another software version.
+	MustIdentify(service fleet.ServiceID) bool
 	// Certain returns the software version of an upstream that has just answered, empty if that
 	// isn't certain.
 	Certain(upstream registry.Upstream) fleet.SoftwareVersion
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -11,6 +11,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 )
 
@@ -104,3 +105,13 @@
 	isResumable := j.route.Kind == route.Streaming && j.route.Resumable
 	return isResumable && (j.handler.Origins == nil || j.began.Software != "")
 }
+
+// requiredProcess returns when the process of an upstream must have started for its answer to come
+// from the software version that its entry tells; zero if any will do. An upstream may restart with
+// another version under its id and at its address.
+func (j *job) requiredProcess(to registry.Upstream) registry.StartTime {
+	if j.handler.Origins == nil || j.route.Kind != route.Streaming || !j.handler.Origins.MustIdentify(j.service) {
+		return 0
+	}
+	return to.StartTime
+}
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -35,6 +35,8 @@
 	return origin.Finding{Software: software, Source: origin.OtherRecord}, nil
 }
 
+func (o *fixedOrigins) MustIdentify(fleet.ServiceID) bool { return true }
+
 func (o *fixedOrigins) Certain(u registry.Upstream) fleet.SoftwareVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -40,8 +40,6 @@
 	// sent holds the latest requests, which count once the upstream is cold. coldUntil is when an upstream that may have restarted is warm again.
 	sent      coldstart.Limiter
 	coldUntil time.Time
-	// suspectUntil is until when the upstream may be another process than the entry says.
-	suspectUntil time.Time
 	// remote is the sum of the other routers' reports.
 	remote   Load
 	cachedAt map[uint64]time.Time
--- a/turn/software.go
+++ b/turn/software.go
@@ -8,14 +8,6 @@
 	"nutmeglock.example/nutmeglock/registry"
 )
 
-const (
-	// unreachableSuspicion is how long an upstream that refused a connection may be another process
-	// than its entry says: it may have restarted, and its new entry may arrive later. An upstream
-	// that broke off a request may be, too, for failureSuspicion.
-	unreachableSuspicion = 3 * time.Second
-	failureSuspicion     = time.Second
-)
-
 // hasSeveralVersions reports whether upstreams have different software versions.
 func hasSeveralVersions(upstreams []registry.Upstream) bool {
 	for i := range upstreams {
@@ -31,15 +23,9 @@
 // caller has of the answer, so it goes first.
 func (p *Pool) isResumption(r *Request) bool { return r.Software != "" && p.isMixed }
 
-// mayResume reports whether an upstream has the software version that a request needs.
-func (p *Pool) mayResume(now time.Time, e *engine, r *Request) bool {
-	switch {
-	case r.Software == "":
-		return true
-	case p.isMixed && now.Before(e.suspectUntil):
-		return false
-	}
-	return e.upstream.Software == r.Software
+// hasVersion reports whether an upstream has the software version that a request needs.
+func (e *engine) hasVersion(r *Request) bool {
+	return r.Software == "" || e.upstream.Software == r.Software
 }
 
 // HasSoftware reports whether an upstream that accepts requests has a software version.
@@ -53,20 +39,13 @@
 	return slices.ContainsFunc(p.engines, func(e *engine) bool { return e.upstream.Software == software })
 }
 
-// suspectProcess records that an upstream may be another process than its entry says.
-func (e *engine) suspectProcess(until time.Time) {
-	if until.After(e.suspectUntil) {
-		e.suspectUntil = until
-	}
-}
-
 // noUpstream returns the refusal of a request for which there is no upstream. If only the version is
 // missing, the caller isn't asked to return: that version is being replaced.
 func (p *Pool) noUpstream(t *Ticket) *RefusedError {
 	if t.request.Software == "" || len(p.engines) == 0 {
 		return &RefusedError{NoUpstream: true, Lack: LackUpstream, RetryAfter: noUpstreamRetryAfter}
 	}
-	if p.hasSoftware(t.request.Software) {
+	if p.hasSoftware(t.request.Software) { // each was tried
 		return &RefusedError{NoUpstream: true, Lack: LackSoftware, RetryAfter: minRetryAfter}
 	}
 	return &RefusedError{NoUpstream: true, Lack: LackSoftware, NoSoftware: true}
--- a/turn/start.go
+++ b/turn/start.go
@@ -32,7 +32,7 @@
 	}
 	var usable, cold, ejected []*engine
 	for _, e := range t.order {
-		if slices.Contains(t.request.Tried, e.instance) || !p.mayResume(now, e, &t.request) {
+		if slices.Contains(t.request.Tried, e.instance) || !e.hasVersion(&t.request) {
 			continue
 		}
 		if !p.detector.Usable(now, e.instance) {
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -169,14 +169,10 @@
 	case Served:
 		p.detector.RecordSuccess(e.instance)
 		p.recordServiceTime(now.Sub(startedAt))
-	case Refused:
-		ejected = p.detector.RecordFailure(now, e.instance, outlier.Soft)
-	case Failed:
-		e.suspectProcess(now.Add(failureSuspicion))
+	case Refused, Failed:
 		ejected = p.detector.RecordFailure(now, e.instance, outlier.Soft)
 	case Unreachable:
 		p.suspectRestart(now, e)
-		e.suspectProcess(now.Add(unreachableSuspicion))
 		ejected = p.detector.RecordFailure(now, e.instance, outlier.Hard)
 	case Unsent, Abandoned:
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -20,6 +20,7 @@
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/socket"
 )
 
@@ -59,6 +60,8 @@
 	EchoedID func(http.Header) fleet.RequestID
 	// OnOpen is called with each new connection, unless it is nil.
 	OnOpen func()
+	// Identity is used for requests with a Process. It may be nil.
+	Identity *Identity
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -72,6 +75,8 @@
 	// idleUntil is when an idle connection is no longer used.
 	idleUntil time.Time
 	isNew     bool
+	// process is when the process at the other end started; zero if it wasn't asked.
+	process registry.StartTime
 }
 
 // Do sends a request to the upstream at address and returns its answer as soon as the header has
@@ -81,6 +86,12 @@
 	if err != nil {
 		return nil, &Error{Address: address, Cause: errorCause(ctx, err)}
 	}
+	if c.Identity != nil && request.Process != 0 {
+		if err := c.identify(connection, address, request.Process); err != nil {
+			_ = connection.Close()
+			return nil, &Error{Address: address, Cause: errorCause(ctx, err)}
+		}
+	}
 	request.Probe.watch(connection)
 	x := &exchange{client: c, conn: connection, address: address, writeDone: make(chan struct{})}
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -10,6 +10,7 @@
 
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 )
 
 const (
@@ -34,6 +35,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Process is when the upstream's process must have started; zero means any time.
+	Process registry.StartTime
 	// Probe, unless nil, is attached to the request's connection.
 	Probe *Probe
 }
