--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -36,7 +36,7 @@
 	// streams that are then taken up again.
 	lateServiceTime = 10 * time.Second
 	// maxCallerTimeout bounds the time for which streams are remembered, whatever callers state.
-	maxCallerTimeout = 2 * time.Minute
+	maxCallerTimeout = 15 * time.Minute
 )
 
 // originKeeper knows which software versions began the streams of this router and, together with
@@ -98,7 +98,7 @@
 func (k *originKeeper) Record(now time.Time, stream origin.Stream, until time.Time) {
 	timeout := min(until.Sub(now), maxCallerTimeout)
 	k.observeTimeout(timeout)
-	key := origin.KeyOf(stream.ID)
+	key := stream.ID.Key()
 	record := origin.Record{Service: stream.Service, Software: stream.Software, Until: now.Add(timeout)}
 	k.table.Set(now, key, record)
 	if k.isMixed(stream.Service) {
@@ -130,10 +130,10 @@
 }
 
 // Find returns the software version that began a stream of a service. The error is
-// *origin.UnknownError if nothing tells it. The id is empty if the caller doesn't name the stream.
-func (k *originKeeper) Find(ctx context.Context, service fleet.ServiceID, stream fleet.RequestID) (origin.Finding, error) {
+// *origin.UnknownError if nothing tells it.
+func (k *originKeeper) Find(ctx context.Context, service fleet.ServiceID, stream origin.StreamID) (origin.Finding, error) {
 	now := time.Now()
-	key := origin.KeyOf(stream)
+	key := stream.Key()
 	own := k.statement(now, service, key)
 	if own.Recorded {
 		if found, ok := origin.Resolve(own, nil, false); ok {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,10 +113,9 @@
 // Origins knows which software versions began the streams of the fleet. It is safe for concurrent
 // use.
 type Origins interface {
-	// Find returns the software version that began a stream of a service. The id is that of the
-	// attempt that brought the first event, empty if the caller doesn't name it. The error is
-	// *origin.UnknownError if nothing tells the version.
-	Find(ctx context.Context, service fleet.ServiceID, stream fleet.RequestID) (origin.Finding, error)
+	// Find returns the software version that began a stream of a service. The error is
+	// *origin.UnknownError if nothing tells it.
+	Find(ctx context.Context, service fleet.ServiceID, stream origin.StreamID) (origin.Finding, error)
 	// MustIdentify reports whether a stream may only be sent to the process that an upstream's entry
 	// describes, because another one could have another software version.
 	MustIdentify(service fleet.ServiceID) bool
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -28,11 +28,11 @@
 
 // streamID returns the id by which the caller names the stream when it takes it up again: that of
 // the attempt that brought the first event.
-func (j *job) streamID() fleet.RequestID {
-	if j.info.Resumes != "" {
-		return j.info.Resumes
+func (j *job) streamID() origin.StreamID {
+	if j.resumes() {
+		return origin.StreamID{Account: j.account, Attempt: j.info.Resumes}
 	}
-	return j.info.ID
+	return origin.StreamID{Account: j.account, Attempt: j.info.ID}
 }
 
 // callerTimeout returns the time from the request's arrival in which its caller may take up the
@@ -46,7 +46,7 @@
 	if origins == nil || j.route.Kind != route.Streaming || !j.resumes() {
 		return nil
 	}
-	began, err := origins.Find(ctx, j.service, j.info.Resumes)
+	began, err := origins.Find(ctx, j.service, j.streamID())
 	if err == nil {
 		j.began = began
 		return nil
--- a/origin/table.go
+++ b/origin/table.go
@@ -12,24 +12,31 @@
 // at most.
 const maxRecords = 32 << 10
 
-// Key identifies a stream by a hash of the id of the attempt that brought its first event.
-// Callers choose these ids, so the hash must be collision resistant.
+// StreamID identifies a stream among all accounts' streams.
+type StreamID struct {
+	Account fleet.AccountID
+	// Attempt is the id of the attempt that brought the first event, empty if the caller doesn't name
+	// it.
+	Attempt fleet.RequestID
+}
+
+// Key is a hash of a StreamID. Callers choose the ids of their attempts, so the hash must be
+// collision resistant.
 type Key [16]byte
 
-// KeyOf returns the key of a stream. That of an empty id is the zero Key, for which there is never
-// a record: callers that don't name their streams must not get each other's.
-func KeyOf(id fleet.RequestID) Key {
-	if id == "" {
+// Key returns the key of a stream. Without an attempt it is the zero Key, for which there is never a
+// record: callers that don't name their streams must not get each other's.
+func (s StreamID) Key() Key {
+	if s.Attempt == "" {
 		return Key{}
 	}
-	sum := sha256.Sum256([]byte(id))
+	sum := sha256.Sum256([]byte(string(s.Account) + "\x00" + string(s.Attempt)))
 	return Key(sum[:16])
 }
 
 // Stream is a stream and the software version that began it.
 type Stream struct {
-	// ID is the id of the attempt that brought the first event.
-	ID      fleet.RequestID
+	ID      StreamID
 	Service fleet.ServiceID
 	// Software is empty if the version can't be known.
 	Software fleet.SoftwareVersion
