--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -13,7 +13,6 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/home"
-	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
@@ -94,8 +93,7 @@
 		self: options.Self, otherRouters: m.peers.Routers, send: m.peers.Send, upstreamEntry: state.Upstream, checkReachable: checkReachable,
 		saveVerdict: m.quarantinePersister.enqueue, log: options.Logger, guard: options.Guard,
 	}
-	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, log: options.Logger, guard: options.Guard}
-	m.origins.holders = origin.Holders{Self: options.Self, DataCenter: options.DataCenter}
+	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, log: options.Logger, guard: options.Guard, dataCenter: options.DataCenter}
 	m.origins.mixedServices = mixedServices{self: options.Self, history: &state.history, otherRouters: m.peers.Routers, log: options.Logger}
 	m.configurationPuller = puller{
 		name: "configuration", heldVersion: m.configurationVersion, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"log/slog"
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,13 +50,17 @@
 	call  func(ctx context.Context, to fleet.RouterID, method string, params, result any) error
 	log   *slog.Logger
 	guard *recovery.Guard
-	table origin.Table
+	// dataCenter is that of this router.
+	dataCenter fleet.DataCenterID
+	table      origin.Table
 	// mixedServices persists which services have several versions.
 	mixedServices mixedServices
 	// longestTimeout is the longest time, in nanoseconds, for which callers waited for streams.
 	longestTimeout atomic.Int64
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// others are the connected routers, of which holders are chosen.
+	others  map[fleet.RouterID]fleet.DataCenterID
 	holders origin.Holders
 	// mixed holds the services whose records are sent to other routers.
 	mixed map[fleet.ServiceID]bool
@@ -311,15 +314,14 @@
 // handleConnectionChange records which routers are connected.
 func (k *originKeeper) handleConnectionChange(c peer.Change) {
 	k.mu.Lock()
-	others := maps.Clone(k.holders.Others)
-	if others == nil {
-		others = make(map[fleet.RouterID]fleet.DataCenterID)
+	defer k.mu.Unlock()
+	if k.others == nil {
+		k.others = make(map[fleet.RouterID]fleet.DataCenterID)
 	}
 	if c.Connected {
-		others[c.Router] = c.DataCenter
+		k.others[c.Router] = c.DataCenter
 	} else {
-		delete(others, c.Router)
+		delete(k.others, c.Router)
 	}
-	k.holders.Others = others
-	k.mu.Unlock()
+	k.holders = origin.NewHolders(k.dataCenter, k.others)
 }
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -1,8 +1,7 @@
 package origin
 
 import (
-	"cmp"
-	"encoding/hex"
+	"encoding/binary"
 	"maps"
 	"slices"
 
@@ -11,59 +10,73 @@
 )
 
 // Holders chooses the routers that hold the records of other routers' streams. All routers with the
-// same list choose the same ones, without communication.
+// same list choose the same ones, without communication. Its zero value knows no other router.
 type Holders struct {
-	Self       fleet.RouterID
-	DataCenter fleet.DataCenterID
-	// Others are the connected routers and their data centres.
-	Others map[fleet.RouterID]fleet.DataCenterID
+	dataCenters map[fleet.RouterID]fleet.DataCenterID
+	// near are the other routers of this router's data centre, and far those elsewhere, sorted.
+	near, far []fleet.RouterID
+}
+
+// NewHolders returns the Holders of a router in a data centre that is connected with others.
+func NewHolders(dataCenter fleet.DataCenterID, others map[fleet.RouterID]fleet.DataCenterID) Holders {
+	h := Holders{dataCenters: maps.Clone(others)}
+	for _, router := range slices.Sorted(maps.Keys(others)) {
+		if others[router] == dataCenter {
+			h.near = append(h.near, router)
+		} else {
+			h.far = append(h.far, router)
+		}
+	}
+	return h
 }
 
 // ForRecord returns the routers that a record is sent to: one in this router's data centre, where
-// callers usually return, and one elsewhere in case the data centre is lost.
+// callers usually return, and one elsewhere in case the data centre is lost. With one data centre
+// both are there.
 func (h Holders) ForRecord(key Key) []fleet.RouterID {
-	near, far := h.ranked(key)
-	const copies = 2
-	out := append(first(near, 1), first(far, 1)...)
-	if len(out) < copies {
-		out = first(append(near, far...), copies)
+	switch {
+	case len(h.far) == 0:
+		return firstTwo(key, h.near)
+	case len(h.near) == 0:
+		return firstTwo(key, h.far)
 	}
-	return out
+	return []fleet.RouterID{first(key, h.near), first(key, h.far)}
 }
 
 // ForQuery returns the routers that are asked for the record of a stream that began at any router:
 // all of a small fleet, and in a large one those that ForRecord returns at a router of this data
 // centre and at one of any other.
 func (h Holders) ForQuery(key Key) []fleet.RouterID {
-	if !fleet.IsLarge(len(h.Others) + 1) {
-		return slices.Sorted(maps.Keys(h.Others))
+	if !fleet.IsLarge(len(h.dataCenters) + 1) {
+		return append(slices.Clone(h.near), h.far...)
 	}
-	near, far := h.ranked(key)
-	out := append(first(near, 2), first(far, 1)...)
-	// A router in the data centre of the first one elsewhere has sent its record to the first
-	// router that isn't there.
-	next := slices.IndexFunc(far, func(r fleet.RouterID) bool { return h.Others[r] != h.Others[far[0]] })
-	if next >= 0 {
-		out = append(out, far[next])
+	out := firstTwo(key, h.near)
+	if len(h.far) == 0 {
+		return out
+	}
+	elsewhere := first(key, h.far)
+	out = append(out, elsewhere)
+	// A router in the data centre of that one has sent its record to the first router that isn't
+	// there.
+	others := slices.DeleteFunc(slices.Clone(h.far), func(r fleet.RouterID) bool { return h.dataCenters[r] == h.dataCenters[elsewhere] })
+	if len(others) > 0 {
+		out = append(out, first(key, others))
 	}
 	return out
 }
 
-// ranked returns the other routers in the order of preference for a key, those of this router's
-// data centre apart.
-func (h Holders) ranked(key Key) (near, far []fleet.RouterID) {
-	routers := slices.SortedFunc(maps.Keys(h.Others), cmp.Compare)
-	for _, r := range rendezvous.Rank(rendezvous.KeyOf("origin", hex.EncodeToString(key[:])), routers) {
-		if h.Others[r] == h.DataCenter {
-			near = append(near, r)
-		} else {
-			far = append(far, r)
-		}
-	}
-	return near, far
+// first returns the router that is preferred for a key.
+func first(key Key, routers []fleet.RouterID) fleet.RouterID {
+	return rendezvous.Pick(rendezvous.KeyOfNumber("origin", binary.BigEndian.Uint64(key[:])), routers)
 }
 
-// first returns a copy of the first routers of a list.
-func first(routers []fleet.RouterID, count int) []fleet.RouterID {
-	return slices.Clone(routers[:min(count, len(routers))])
+// firstTwo returns the two routers that are preferred for a key, or all if there are fewer.
+func firstTwo(key Key, routers []fleet.RouterID) []fleet.RouterID {
+	const count = 2
+	if len(routers) <= count {
+		return slices.Clone(routers)
+	}
+	best := first(key, routers)
+	rest := slices.DeleteFunc(slices.Clone(routers), func(r fleet.RouterID) bool { return r == best })
+	return []fleet.RouterID{best, first(key, rest)}
 }
