--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -66,6 +66,8 @@
 	software    []fleet.SoftwareVersion
 	resumed     fleet.SoftwareVersion
 	resumeShare float64
+	// resumers is the account that takes up streams, empty for all.
+	resumers fleet.AccountID
 }
 
 // simAccount sends requests by a Poisson process to some of the routers.
@@ -212,7 +214,7 @@
 		Account: a.id, Input: prefixTokens + ownTokens, Output: 100, Target: m.config.target, Patience: m.config.target / 4,
 		Prefixes: []turn.Prefix{{Hash: prefix, Tokens: prefixTokens}, {Hash: 1<<40 + m.lastSeq, Tokens: prefixTokens + ownTokens}},
 	}
-	if m.config.resumeShare > 0 && m.random.Float64() < m.config.resumeShare {
+	if m.config.resumeShare > 0 && (m.config.resumers == "" || m.config.resumers == a.id) && m.random.Float64() < m.config.resumeShare {
 		r.Software = m.config.resumed
 	}
 	m.asked[r.Software != ""]++
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -125,7 +125,7 @@
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
 	t.returned = a.refusedRequests.take(now, &r) || p.isResumption(&r)
-	if !r.wasSent() && !p.isResumption(&r) && shares.isCapped(now, a) {
+	if !r.wasSent() && shares.isCapped(now, a) {
 		a.recordRefused(now, &r)
 		return nil, p.refuseCapped(now, &r, best)
 	}
--- a/turn/software.go
+++ b/turn/software.go
@@ -42,21 +42,23 @@
 // noUpstream returns the refusal of a request for which there is no upstream. If only the version is
 // missing, the caller isn't asked to return: that version is being replaced.
 func (p *Pool) noUpstream(t *Ticket) *RefusedError {
-	if t.request.Software == "" || len(p.engines) == 0 {
+	if t.request.Software == "" || len(p.engines) == 0 || p.hasSoftware(t.request.Software) {
 		return &RefusedError{NoUpstream: true, Lack: LackUpstream, RetryAfter: noUpstreamRetryAfter}
 	}
-	if p.hasSoftware(t.request.Software) { // each was tried
-		return &RefusedError{NoUpstream: true, Lack: LackSoftware, RetryAfter: minRetryAfter}
-	}
 	return &RefusedError{NoUpstream: true, Lack: LackSoftware, NoSoftware: true}
 }
 
 // startResumption starts the first waiting request that takes up a stream and has room at an
 // upstream of its version, and reports whether there was one. Those of accounts with less service
-// go first, but all go before new requests.
-func (p *Pool) startResumption(now time.Time, accounts []waitingAccount) bool {
+// go first, but all go before new requests, except those of an account with more than its fair
+// share: by taking up streams again and again it would get the service of others.
+func (p *Pool) startResumption(now time.Time, shares fairShares, accounts []waitingAccount) bool {
 	view := p.view(now, maxBacklogFactor)
+	most := shares.fairShare(true) + serviceTolerance
 	for _, a := range accounts {
+		if a.served > most {
+			break
+		}
 		for _, t := range a.queue {
 			if p.isResumption(&t.request) && p.tryStart(view, t) {
 				return true
--- a/turn/software_test.go
+++ b/turn/software_test.go
@@ -135,3 +135,24 @@
 		}
 	}
 }
+
+// Guards against an account that takes the service of others by taking up streams again and again.
+func TestResumptionsDoNotTakeTheShareOfOthers(t *testing.T) {
+	t.Parallel()
+	routers := []int{0, 1, 2, 3, 4, 5}
+	sim := simulate(simConfig{
+		routers: 6, engines: 12, prefillSpeed: 54.6, target: 800 * time.Millisecond, duration: 12 * time.Second,
+		reportInterval: 60 * time.Millisecond, prefixes: 200, seed: 1,
+		software: []fleet.SoftwareVersion{"v1", "v1", "v1", "v1", "v1", "v1", "v1", "v1", "v1", "v1", "v1", "v2"},
+		resumed:  "v1", resumeShare: 1, resumers: "greedy",
+		accounts: []simAccount{{id: "greedy", rate: 800, routers: routers}, {id: "modest", rate: 100, routers: []int{3}}},
+	})
+	sum := func(account fleet.AccountID) (tokens float64) {
+		for _, served := range sim.served[account] {
+			tokens += served
+		}
+		return tokens
+	}
+	t.Logf("greedy %.0f tokens, modest %.0f", sum("greedy"), sum("modest"))
+	require.GreaterOrEqual(t, 2*sum("modest"), sum("greedy"))
+}
--- a/turn/start.go
+++ b/turn/start.go
@@ -127,14 +127,14 @@
 func (p *Pool) startNext(now time.Time) bool {
 	shares := p.fairShares(now)
 	accounts := p.waitingAccounts(now)
-	if p.isMixed && p.startResumption(now, accounts) {
+	if p.isMixed && p.startResumption(now, shares, accounts) {
 		return true
 	}
 	for _, a := range accounts {
 		capped := shares.isCapped(now, a.account)
 		view := p.accountView(now, shares, a.served)
 		for _, t := range a.queue {
-			if (!capped || t.request.wasSent() || p.isResumption(&t.request)) && p.tryStart(view, t) {
+			if (!capped || t.request.wasSent()) && p.tryStart(view, t) {
 				return true
 			}
 		}
