--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -38,12 +38,9 @@
 	maxCallerTimeout = 15 * time.Minute
 )
 
-// originKeeper knows which software versions began the streams of this router and, together with
-// those of the other routers, of the whole fleet.
-//
-// While a service has one version, records stay at the router that made them. Once it has several,
-// each record is also sent to two other routers, so that a stream can be taken up again when its
-// router is gone.
+// originKeeper knows which software versions began the streams of this router, and asks the other
+// routers for theirs. Once a service has several versions, it also sends each record to two of them,
+// so that a stream can be taken up again when its router is gone.
 type originKeeper struct {
 	state *State
 	send  func(to fleet.RouterID, batch *schema.Batch)
@@ -90,9 +87,9 @@
 	return origin.Statement{View: k.view(now, service), Recorded: recorded, Software: record.Software}
 }
 
-// Certain returns the software version of an upstream that has just answered, empty if that isn't
+// SoftwareOf returns the software version of an upstream that has just answered, empty if that isn't
 // certain.
-func (k *originKeeper) Certain(upstream registry.Upstream) fleet.SoftwareVersion {
+func (k *originKeeper) SoftwareOf(upstream registry.Upstream) fleet.SoftwareVersion {
 	return k.state.softwareOf(upstream)
 }
 
--- a/deployment/origins_test.go
+++ b/deployment/origins_test.go
@@ -171,13 +171,13 @@
 	change[0].Upstream.StartTime = 1
 	n.state.ApplyUpstreams(change, "store")
 	before := change[0].Upstream
-	require.Equal(t, fleet.SoftwareVersion("v1"), n.mesh.Origins().Certain(before))
+	require.Equal(t, fleet.SoftwareVersion("v1"), n.mesh.Origins().SoftwareOf(before))
 	after := before
 	after.StartTime = 2
 	n.state.ApplyUpstreams([]registry.Change{{Upstream: after, Revision: 2}}, "store")
-	require.Equal(t, fleet.SoftwareVersion("v1"), n.mesh.Origins().Certain(before), "the same version again")
+	require.Equal(t, fleet.SoftwareVersion("v1"), n.mesh.Origins().SoftwareOf(before), "the same version again")
 	after.StartTime, after.Software = 3, "v2"
 	n.state.ApplyUpstreams([]registry.Change{{Upstream: after, Revision: 3}}, "store")
-	require.Empty(t, n.mesh.Origins().Certain(before))
-	require.Equal(t, fleet.SoftwareVersion("v2"), n.mesh.Origins().Certain(after))
+	require.Empty(t, n.mesh.Origins().SoftwareOf(before))
+	require.Equal(t, fleet.SoftwareVersion("v2"), n.mesh.Origins().SoftwareOf(after))
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -119,9 +119,9 @@
 	// MustIdentify reports whether a stream may only be sent to the process that an upstream's entry
 	// describes, because another one could have another software version.
 	MustIdentify(service fleet.ServiceID) bool
-	// Certain returns the software version of an upstream that has just answered, empty if that
+	// SoftwareOf returns the software version of an upstream that has just answered, empty if that
 	// isn't certain.
-	Certain(upstream registry.Upstream) fleet.SoftwareVersion
+	SoftwareOf(upstream registry.Upstream) fleet.SoftwareVersion
 	// Record records which software version began a stream, and until when its caller may take it
 	// up again.
 	Record(now time.Time, stream origin.Stream, until time.Time)
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -71,7 +71,7 @@
 		return nil
 	}
 	isNew := j.eventCount == 0 && !j.resumes()
-	software := j.handler.Origins.Certain(ticket.Upstream())
+	software := j.handler.Origins.SoftwareOf(ticket.Upstream())
 	if !isNew && software != j.began.Software {
 		return errOtherSoftware
 	}
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -37,7 +37,7 @@
 
 func (o *fixedOrigins) MustIdentify(fleet.ServiceID) bool { return true }
 
-func (o *fixedOrigins) Certain(u registry.Upstream) fleet.SoftwareVersion {
+func (o *fixedOrigins) SoftwareOf(u registry.Upstream) fleet.SoftwareVersion {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.uncertain[u.ID] {
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -80,12 +80,8 @@
 }
 
 // Resolve finds which software version began a stream, by the statements of this router and of
-// others, and returns false if they don't tell it. reachesMajority tells whether this router is
-// connected with most of the fleet.
-//
-// A record tells the version. Without one, the version follows if the service has had no other
-// for as long as a stream can be taken up again. All statements have to agree on that, one has to
-// know the whole time, and either one list is current or no other part of the fleet can know more.
+// others, and returns false if they don't tell it. Without a record, all must agree that the service
+// has had one version. reachesMajority rules out that another part of the fleet knows more.
 func Resolve(own Statement, others []Statement, reachesMajority bool) (Finding, bool) {
 	all := append([]Statement{own}, others...)
 	if i := slices.IndexFunc(all, func(s Statement) bool { return s.Recorded }); i >= 0 {
--- a/turn/software.go
+++ b/turn/software.go
@@ -48,10 +48,9 @@
 	return &RefusedError{NoUpstream: true, Lack: LackSoftware, NoSoftware: true}
 }
 
-// startResumption starts the first waiting request that takes up a stream and has room at an
-// upstream of its version, and reports whether there was one. Those of accounts with less service
-// go first, but all go before new requests, except those of an account with more than its fair
-// share: by taking up streams again and again it would get the service of others.
+// startResumption starts the first waiting request that takes up a stream and has room, and reports
+// whether there was one. An account above its fair share waits as with new requests: by taking up
+// streams again and again it would get the service of others.
 func (p *Pool) startResumption(now time.Time, shares fairShares, accounts []waitingAccount) bool {
 	view := p.view(now, maxBacklogFactor)
 	most := shares.fairShare(true) + serviceTolerance
