--- a/registry/registry.go
+++ b/registry/registry.go
@@ -47,8 +47,8 @@
 	DataCenter fleet.DataCenterID
 	Slots      int
 	StartTime  StartTime
-	// Software is the version of the upstream's software. It is empty if the entry has none, or
-	// comes from a router that doesn't pass it on.
+	// Software is the version of the upstream's software. It is empty if the entry comes from a
+	// router that doesn't pass it on.
 	Software fleet.SoftwareVersion
 	// Draining upstreams finish their requests and accept no new ones.
 	Draining bool
