deployment: which services had several versions is read when nobody knows, not at each start

Now the first such stream reads it, once a router; others wait for the same call, and a failed one isn't repeated for 0.5 s. One router of the fleet reads it a minute after its start, to remove rows that nobody remembers. TestStoredServicesAreLoadedWhenNobodyKnows: no call before, one for 20 streams.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -54,6 +54,12 @@
 // Set records whether a service has several versions.
 func (m *mixedServices) Set(service fleet.ServiceID, mixed bool) { m.set(service, mixed) }
 
+// EnsureLoaded loads the stored services.
+func (m *mixedServices) EnsureLoaded(ctx context.Context) bool { return m.ensureLoaded(ctx) }
+
+// SetMixedServiceStore sets where the services with several versions are stored.
+func (m *mesh) SetMixedServiceStore(store MixedServiceStore) { m.origins.mixedServices.setUp(store) }
+
 // Run stores changes until ctx ends.
 func (m *mixedServices) Run(ctx context.Context) error { return m.run(ctx) }
 
--- a/deployment/mixed_services.go
+++ b/deployment/mixed_services.go
@@ -23,12 +23,21 @@
 	Drop(ctx context.Context, service fleet.ServiceID) error
 }
 
-// maxPendingServices bounds the changes that wait to be stored.
-const maxPendingServices = 64
+const (
+	// maxPendingServices bounds the changes that wait to be stored.
+	maxPendingServices = 64
+	// mixedLoadTimeout bounds a load that a request waits for, and mixedLoadPause the time until the
+	// next one if it fails.
+	mixedLoadTimeout = 300 * time.Millisecond
+	mixedLoadPause   = 500 * time.Millisecond
+	// mixedCleanUpTime is how long after its start one router of the fleet looks for services that
+	// are stored though nobody knows of several versions any more.
+	mixedCleanUpTime = time.Minute
+)
 
-// mixedServices loads the stored services when the router starts, and stores changes on behalf of
-// the fleet. For each service one of the connected routers does so; two that believe to be it write
-// the same.
+// mixedServices stores which services have several versions on behalf of the fleet, and loads it when
+// that isn't known from elsewhere. For each service one of the connected routers stores it; two that
+// believe to be it write the same.
 type mixedServices struct {
 	self    fleet.RouterID
 	store   MixedServiceStore
@@ -38,6 +47,12 @@
 	log          *slog.Logger
 	changes      chan mixedChange
 
+	// loadMu is held while a request loads the services, so that others wait for the same call.
+	// loaded is set once that has succeeded, and nextLoad is when it may be tried again.
+	loadMu   sync.Mutex
+	loaded   bool
+	nextLoad time.Time
+
 	mu sync.Mutex
 	// saved holds the services that this router has stored, and listed those that are in the store
 	// as far as it knows.
@@ -79,15 +94,45 @@
 	}
 }
 
+// ensureLoaded loads the stored services unless that was done before, and reports whether they are
+// known.
+func (m *mixedServices) ensureLoaded(ctx context.Context) bool {
+	if m.store == nil {
+		return false
+	}
+	m.loadMu.Lock()
+	defer m.loadMu.Unlock()
+	if m.loaded || time.Now().Before(m.nextLoad) {
+		return m.loaded
+	}
+	ctx, cancel := context.WithTimeout(ctx, mixedLoadTimeout)
+	defer cancel()
+	if err := m.load(ctx); err != nil {
+		m.logFailure("load", err)
+		m.nextLoad = time.Now().Add(mixedLoadPause)
+		return false
+	}
+	m.loaded = true
+	return true
+}
+
+// anyService stands for all services where one router is chosen to look after them.
+const anyService fleet.ServiceID = ""
+
 func (m *mixedServices) isResponsible(service fleet.ServiceID) bool {
 	return rendezvous.Pick(rendezvous.KeyOf("mixed-service", string(service)), append(slices.Clip(m.otherRouters()), m.self)) == m.self
 }
 
-// run loads the stored services, then stores changes until ctx ends.
+// run stores changes until ctx ends.
 func (m *mixedServices) run(ctx context.Context) error {
-	m.retryStoreCall(ctx, "load", m.load)
+	cleanUp := time.NewTimer(mixedCleanUpTime)
+	defer cleanUp.Stop()
 	for {
 		select {
+		case <-cleanUp.C:
+			if m.isResponsible(anyService) {
+				m.ensureLoaded(ctx)
+			}
 		case c := <-m.changes:
 			m.retryStoreCall(ctx, "save", func(ctx context.Context) error { return m.apply(ctx, c) })
 		case <-ctx.Done():
@@ -97,9 +142,11 @@
 }
 
 func (m *mixedServices) retryStoreCall(ctx context.Context, operation string, call func(context.Context) error) {
-	retryUntilSuccess(ctx, call, func(err error) {
-		m.log.Warn("services with several software versions not persisted", "operation", operation, "error", err)
-	})
+	retryUntilSuccess(ctx, call, func(err error) { m.logFailure(operation, err) })
+}
+
+func (m *mixedServices) logFailure(operation string, err error) {
+	m.log.Warn("services with several software versions not persisted", "operation", operation, "error", err)
 }
 
 func (m *mixedServices) load(ctx context.Context) error {
--- a/deployment/mixed_services_test.go
+++ b/deployment/mixed_services_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"maps"
 	"slices"
@@ -20,6 +21,9 @@
 	mu       sync.Mutex
 	services map[fleet.ServiceID]bool
 	writes   int
+	loads    int
+	// down makes loads fail.
+	down bool
 }
 
 var _ deployment.MixedServiceStore = (*memoryMixedServices)(nil)
@@ -27,6 +31,10 @@
 func (m *memoryMixedServices) Load(context.Context) ([]fleet.ServiceID, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.loads++
+	if m.down {
+		return nil, errors.New("the store is down")
+	}
 	return slices.Sorted(maps.Keys(m.services)), nil
 }
 
@@ -105,8 +113,41 @@
 	t.Parallel()
 	store := &memoryMixedServices{services: map[fleet.ServiceID]bool{"s": true}}
 	m := startMixedServices(t, store, "alone")
+	require.True(t, m.EnsureLoaded(t.Context()))
 	require.Eventually(t, func() bool {
 		m.Set("s", false)
 		return !store.has("s")
 	}, 5*time.Second, time.Millisecond)
 }
+
+// Guards against a call to the store at each start, by each router: the services are loaded only
+// when a stream is taken up and no router that can be asked knows the versions before.
+func TestStoredServicesAreLoadedWhenNobodyKnows(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name   string
+		stored map[fleet.ServiceID]bool
+		down   bool
+		found  bool
+	}{
+		{name: "one version", found: true},
+		{name: "several versions before", stored: map[fleet.ServiceID]bool{"s": true}},
+		{name: "the store is down", down: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			store := &memoryMixedServices{services: c.stored, down: c.down}
+			n := newNode(t, "restarted")
+			n.mesh.SetMixedServiceStore(store)
+			n.state.Configure(testConfiguration(1), "store")
+			n.state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+			n.state.ConfirmUpstreams(time.Now())
+			require.Zero(t, store.loads)
+			for range 20 {
+				_, err := n.find(t, "stream")
+				require.Equal(t, c.found, err == nil)
+			}
+			require.Equal(t, 1, store.loads)
+		})
+	}
+}
--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -148,6 +149,10 @@
 	holders := k.holdersOf(key)
 	others := k.query(ctx, holders, service, key, timeout)
 	found, ok := origin.Resolve(own, others, k.state.reachesMajority())
+	if !ok && !own.IsMixed() && !isComplete(own, others) && k.mixedServices.ensureLoaded(ctx) {
+		own = k.statement(now, service, key)
+		found, ok = origin.Resolve(own, others, k.state.reachesMajority())
+	}
 	if ok {
 		return found, nil
 	}
@@ -158,6 +163,11 @@
 	return origin.Finding{}, unknown
 }
 
+// isComplete reports whether a router knows all versions for as long as a stream can be taken up.
+func isComplete(own origin.Statement, others []origin.Statement) bool {
+	return own.Complete || slices.ContainsFunc(others, func(s origin.Statement) bool { return s.Complete })
+}
+
 // holdersOf returns the routers to ask for the record of a stream.
 func (k *originKeeper) holdersOf(key origin.Key) []fleet.RouterID {
 	k.mu.Lock()
