--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/origin"
@@ -20,18 +17,7 @@
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// originMethod is the method of calls to other routers that returns what they know of the origin of
-// a stream.
-const originMethod = "deployment.stream-origin"
-
 const (
-	// originDelay is how long records wait to be sent together. It is shorter than the time in
-	// which a caller notices a broken connection and returns.
-	originDelay = 10 * time.Millisecond
-	// soleQueryTimeout bounds the query of other routers while this one knows of one version only,
-	// and mixedQueryTimeout while it knows of several.
-	soleQueryTimeout  = 60 * time.Millisecond
-	mixedQueryTimeout = 250 * time.Millisecond
 	// lateServiceTime is how long after the removal of its entry an upstream may still serve
 	// streams that are then taken up again.
 	lateServiceTime = 10 * time.Second
@@ -175,128 +161,6 @@
 	return k.holders.ForQuery(key)
 }
 
-// query asks routers for the origin of a stream and returns the answers that arrive in time. It
-// doesn't wait for the others once one has a record.
-func (k *originKeeper) query(ctx context.Context, routers []fleet.RouterID, service fleet.ServiceID, key origin.Key, timeout time.Duration) []origin.Statement {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	answers := make(chan *originResponse, len(routers))
-	for _, router := range routers {
-		go k.guard.Run(recovery.Message, func() { answers <- k.ask(ctx, router, service, key) }, "other", router)
-	}
-	var statements []origin.Statement
-	for range routers {
-		select {
-		case answer := <-answers:
-			if answer == nil {
-				continue
-			}
-			statements = append(statements, answer.statement())
-			if answer.Recorded {
-				return statements
-			}
-		case <-ctx.Done():
-			return statements
-		}
-	}
-	return statements
-}
-
-// originRequest asks a router for the origin of a stream.
-type originRequest struct {
-	Service fleet.ServiceID `json:"service"`
-	Stream  []byte          `json:"stream"`
-}
-
-// originResponse is an origin.Statement.
-type originResponse struct {
-	Recorded bool                    `json:"recorded,omitempty"`
-	Software fleet.SoftwareVersion   `json:"software-version,omitempty"`
-	Versions []fleet.SoftwareVersion `json:"versions,omitempty"`
-	Complete bool                    `json:"complete,omitempty"`
-	Current  bool                    `json:"current,omitempty"`
-}
-
-func (r *originResponse) statement() origin.Statement {
-	return origin.Statement{
-		View:     origin.View{Versions: r.Versions, Complete: r.Complete, Current: r.Current},
-		Recorded: r.Recorded, Software: r.Software,
-	}
-}
-
-// ask asks one router and returns nil if it doesn't answer, or doesn't know the method.
-func (k *originKeeper) ask(ctx context.Context, router fleet.RouterID, service fleet.ServiceID, key origin.Key) *originResponse {
-	var response originResponse
-	if err := k.call(ctx, router, originMethod, originRequest{Service: service, Stream: key[:]}, &response); err != nil {
-		if ctx.Err() == nil {
-			k.log.Info("stream origin not answered", "other", router, "error", err)
-		}
-		return nil
-	}
-	return &response
-}
-
-// answer answers another router's request.
-func (k *originKeeper) answer(_ context.Context, params json.RawMessage) (any, error) {
-	var request originRequest
-	if err := json.Unmarshal(params, &request); err != nil {
-		return nil, eris.Wrap(err, "decoding a request for the origin of a stream")
-	}
-	var key origin.Key
-	if copy(key[:], request.Stream) != len(key) {
-		return nil, eris.New("the stream of a request for its origin is too short")
-	}
-	s := k.statement(time.Now(), request.Service, key)
-	return originResponse{Recorded: s.Recorded, Software: s.Software, Versions: s.Versions, Complete: s.Complete, Current: s.Current}, nil
-}
-
-// receive handles the records in a batch from another router.
-func (k *originKeeper) receive(batch *schema.Batch) {
-	now := time.Now()
-	for _, o := range batch.GetStreamOrigins() {
-		var key origin.Key
-		if copy(key[:], o.GetStream()) != len(key) {
-			continue
-		}
-		left := min(schema.Duration(o.GetLeftMs()), maxCallerTimeout)
-		k.table.Set(now, key, origin.Record{
-			Service: fleet.ServiceID(o.GetService()), Software: fleet.SoftwareVersion(o.GetSoftwareVersion()), Until: now.Add(left),
-		})
-	}
-}
-
-// queue queues records for the routers that hold them.
-func (k *originKeeper) queue(now time.Time, records map[origin.Key]origin.Record) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	wasEmpty := len(k.pending) == 0
-	for key, r := range records {
-		message := &schema.StreamOrigin{
-			Stream: key[:], Service: string(r.Service), SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Until.Sub(now)),
-		}
-		for _, router := range k.holders.ForRecord(key) {
-			if k.pending == nil {
-				k.pending = make(map[fleet.RouterID][]*schema.StreamOrigin)
-			}
-			k.pending[router] = append(k.pending[router], message)
-		}
-	}
-	if wasEmpty && len(k.pending) > 0 {
-		time.AfterFunc(originDelay, func() { k.guard.Run(recovery.Message, k.flush) })
-	}
-}
-
-// flush sends the queued records.
-func (k *originKeeper) flush() {
-	k.mu.Lock()
-	pending := k.pending
-	k.pending = nil
-	k.mu.Unlock()
-	for router, origins := range pending {
-		k.send(router, &schema.Batch{StreamOrigins: origins})
-	}
-}
-
 // updateMixed sends the records of each service that has come to have several versions to other
 // routers. Until then they were only here.
 func (k *originKeeper) updateMixed() {
