deployment: a caller that leaves doesn't end the load of stored services

The load ran in the context of the request that needed it first, so a caller that left made it fail, and the streams that waited for it, and those of the next 0.5 s, were refused as unknown. TestCallerThatLeavesDoesNotEndTheLoad failed before.

--- a/deployment/mixed_services.go
+++ b/deployment/mixed_services.go
@@ -105,7 +105,7 @@
 	if m.loaded || time.Now().Before(m.nextLoad) {
 		return m.loaded
 	}
-	ctx, cancel := context.WithTimeout(ctx, mixedLoadTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), mixedLoadTimeout)
 	defer cancel()
 	if err := m.load(ctx); err != nil {
 		m.logFailure("load", err)
--- a/deployment/mixed_services_test.go
+++ b/deployment/mixed_services_test.go
@@ -28,10 +28,13 @@
 
 var _ deployment.MixedServiceStore = (*memoryMixedServices)(nil)
 
-func (m *memoryMixedServices) Load(context.Context) ([]fleet.ServiceID, error) {
+func (m *memoryMixedServices) Load(ctx context.Context) ([]fleet.ServiceID, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.loads++
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	if m.down {
 		return nil, errors.New("the store is down")
 	}
@@ -151,3 +154,12 @@
 		})
 	}
 }
+
+// Guards against streams that are refused because the caller whose request loads the services leaves.
+func TestCallerThatLeavesDoesNotEndTheLoad(t *testing.T) {
+	t.Parallel()
+	m := startMixedServices(t, &memoryMixedServices{}, "alone")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.True(t, m.EnsureLoaded(ctx))
+}
