forward, deployment: failed attempts name the parts of the prompt and how far the answer had come

The logs of the incident couldn't tell whether requests that crash upstreams have anything in common. attempt failed now has the ids of the prompt's parts, the attempt's events and when its header and first event came; the end of an upstream under requests has a line of its own. No logic is changed.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -117,6 +117,7 @@
 	if !crashed {
 		return
 	}
+	c.log.Warn("upstream ended while it ran requests", "upstream", instance.ID, "life", instance.StartTime, "requests", len(requests))
 	for _, b := range requests {
 		c.reportCrash(b, instance)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -79,6 +79,7 @@
 	j.sends++
 	j.ticket = ticket
 	j.sentAt = time.Now()
+	j.progress = progress{}
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
 	watch := newSilenceWatch(ctx, cancel, j.silenceLimit(), j.otherUpstreamFinder(), j.handler.Guard)
 	defer func() { j.nextTicket, j.silence = watch.stop() }()
@@ -88,6 +89,7 @@
 		return j.failSend(ctx, ticket, err)
 	}
 	defer answer.Body.Close()
+	j.progress.headerAt = time.Now()
 	info := j.handler.Codec.ParseAnswer(answer.Status, answer.Header)
 	if info.NotRun {
 		ticket.End(time.Now(), turn.Refused)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -19,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/prompt"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/refusal"
@@ -76,6 +77,8 @@
 type HeaderCodec interface {
 	// ParseRequest parses a caller's header. A field that can't be parsed counts as absent.
 	ParseRequest(header http.Header) RequestInfo
+	// ParseParts returns the parts of the prompt that the request may share with others.
+	ParseParts(header http.Header) prompt.Parts
 	// StripReserved removes the key, and the fields that callers may not set for upstreams.
 	StripReserved(header http.Header)
 	// SetUpstreamHeader sets the fields of the request that is sent to an upstream.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/prompt"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/turn"
@@ -36,6 +37,15 @@
 	}
 	return info
 }
+func (testCodec) ParseParts(h http.Header) prompt.Parts {
+	var parts prompt.Parts
+	for text := range strings.SplitSeq(h.Get("X-Parts"), ",") {
+		if part, err := strconv.ParseUint(text, 16, 64); err == nil {
+			parts = append(parts, prompt.Part(part))
+		}
+	}
+	return parts
+}
 func (testCodec) StripReserved(h http.Header) { h.Del("X-Key") }
 
 func (testCodec) SetUpstreamHeader(h http.Header, info forward.AttemptInfo) {
--- a/forward/job.go
+++ b/forward/job.go
@@ -66,6 +66,8 @@
 	sentAt       time.Time
 	possibleRuns int
 	tried        []turn.Instance
+	// progress is how far the answer of the latest attempt has come.
+	progress progress
 	// ticket is the turn of the latest attempt, nil before the first.
 	ticket home.Ticket
 	// nextTicket is the turn at another upstream for which the last attempt was ended, if any.
@@ -90,6 +92,21 @@
 	queueTime time.Duration
 }
 
+// progress describes how much of an attempt's answer has arrived.
+type progress struct {
+	// headerAt and firstEventAt are when the header and the first event arrived, zero if they didn't.
+	headerAt, firstEventAt time.Time
+	events                 int
+}
+
+// addEvent records the arrival of an event.
+func (p *progress) addEvent() {
+	if p.events == 0 {
+		p.firstEventAt = time.Now()
+	}
+	p.events++
+}
+
 // serve sends the request, again where that is allowed, until it is answered or refused.
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadlineCause(j.request.Context(), j.deadline, errDeadline)
--- a/forward/log.go
+++ b/forward/log.go
@@ -58,8 +58,8 @@
 	by, why := j.attemptEnd(ctx, f)
 	j.handler.Log.Warn("attempt failed",
 		"request", j.info.ID, "upstream", to.ID, "address", to.Address, "life", to.StartTime, "software", to.Software, "resumes", j.info.Resumes, "resumed-after", j.info.LastEventID, "reason", f.reason,
-		"ended-by", by, "decision", why, "fingerprint", j.fingerprint(), "sent", f.sent, "not-run", f.notRun,
-		"attempt", j.sends, "events", j.eventCount, "last-event", j.lastEventID, "unread-tokens", ticket.PendingPrefill(),
+		"ended-by", by, "decision", why, "fingerprint", j.fingerprint(), "parts", j.handler.Codec.ParseParts(j.header), "sent", f.sent, "not-run", f.notRun,
+		"attempt", j.sends, "events", j.eventCount, "last-event", j.lastEventID, "attempt-events", j.progress.events, "header-ms", sinceMS(j.progress.headerAt), "first-event-ms", sinceMS(j.progress.firstEventAt), "unread-tokens", ticket.PendingPrefill(),
 		"age-ms", ms(time.Since(j.arrived)), "attempt-ms", ms(time.Since(j.sentAt)), "left-ms", ms(time.Until(j.deadline)),
 		"silent-ms", ms(j.silence.lasted), "silence-limit-ms", ms(j.silence.limit), "latency-ms", ms(j.handler.latency()),
 		"cause", errorText(f.cause))
@@ -142,5 +142,13 @@
 	return j.route.Name
 }
 
+// sinceMS returns how long ago something was in milliseconds, -1 if it never was.
+func sinceMS(at time.Time) float64 {
+	if at.IsZero() {
+		return -1
+	}
+	return ms(time.Since(at))
+}
+
 // ms returns a duration in milliseconds, rounded to a tenth.
 func ms(d time.Duration) float64 { return math.Round(float64(d)/float64(time.Millisecond)*10) / 10 }
--- a/forward/log_test.go
+++ b/forward/log_test.go
@@ -34,6 +34,10 @@
 	SilentMs       float64 `json:"silent-ms"`
 	SilenceLimitMs float64 `json:"silence-limit-ms"`
 	LatencyMs      float64 `json:"latency-ms"`
+	Parts          string  `json:"parts"`
+	AttemptEvents  int     `json:"attempt-events"`
+	HeaderMs       float64 `json:"header-ms"`
+	FirstEventMs   float64 `json:"first-event-ms"`
 	Count          int     `json:"count"`
 	Route          string  `json:"route"`
 }
@@ -163,6 +167,7 @@
 	t.Helper()
 	r := f.request(t, http.MethodPost, path, "")
 	r.Header.Set("X-Id", id)
+	r.Header.Set("X-Parts", "5c,6")
 	switch path {
 	case "/once/long":
 		r.Header.Set("X-Left", "600ms")
@@ -192,6 +197,10 @@
 		require.NotEmpty(t, l.Upstream, id)
 		require.Positive(t, l.AttemptMs, id)
 		require.InDelta(t, 7, l.LatencyMs, 0.1, id)
+		require.Equal(t, "5c,6", l.Parts, id)
+		if l.AttemptEvents > 0 {
+			require.GreaterOrEqual(t, l.HeaderMs, l.FirstEventMs, id)
+		}
 		if decision == "silence" {
 			require.GreaterOrEqual(t, l.SilentMs, l.SilenceLimitMs, id)
 			require.Positive(t, l.SilenceLimitMs, id)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -69,6 +69,7 @@
 // in the ids is an error. Output is flushed unless more is true.
 func (j *job) writeEvent(ticket home.Ticket, answer *upstream.Answer, event stream.Event, more bool) error {
 	ticket.RecordFirstEvent(time.Now())
+	j.progress.addEvent()
 	id := uint64(event.ID)
 	if id > 0 && j.lastEventID > 0 {
 		if id <= j.lastEventID {
