forward: an unframed answer that was cut off by the end of its upstream isn't whole

Cause: the end of the connection was taken for the end of the answer. Now a stream that ends before its first event is broken, and at the end of any other unframed answer the upstream has to be reachable still, unless it has said that it leaves. An answer to a request that can't be repeated is delivered all the same, but proves nothing. A new connection is opened for the question, which the next request then uses: idle ones are closed one after the other when a process ends, and looked open for a moment.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -23,6 +23,9 @@
 // checkTimeout bounds a check of whether an upstream can be reached.
 const checkTimeout = 400 * time.Millisecond
 
+// socketCloseTime is the time in which a process that ends closes all its sockets.
+const socketCloseTime = 10 * time.Millisecond
+
 // checkDelays are the pauses before each check of an upstream whose connection broke. An
 // upstream that restarts at once can be reached; its new entry shows that it crashed.
 var checkDelays = []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second}
@@ -92,6 +95,18 @@
 	}
 }
 
+// HasEnded reports whether an upstream's process has ended, other than after it had said that it would.
+func (c *crashMonitor) HasEnded(ctx context.Context, upstream registry.Upstream) bool {
+	if c.isLeaving(turn.InstanceOf(upstream)) {
+		return false
+	}
+	select {
+	case <-time.After(socketCloseTime):
+	case <-ctx.Done():
+	}
+	return c.isDownOrRestarted(ctx, upstream)
+}
+
 // checkUpstreamGuarded runs checkUpstream. After a panic it drops the upstream's pending check,
 // so that the next broken request starts a new one.
 func (c *crashMonitor) checkUpstreamGuarded(upstream registry.Upstream) {
@@ -109,7 +124,7 @@
 		if c.isLeaving(instance) {
 			break
 		}
-		if crashed = c.isDownOrRestarted(upstream); crashed {
+		if crashed = c.isDownOrRestarted(context.Background(), upstream); crashed {
 			break
 		}
 	}
@@ -140,11 +155,11 @@
 }
 
 // isDownOrRestarted reports whether an upstream can't be reached or has restarted.
-func (c *crashMonitor) isDownOrRestarted(upstream registry.Upstream) bool {
+func (c *crashMonitor) isDownOrRestarted(ctx context.Context, upstream registry.Upstream) bool {
 	if known, ok := c.upstreamEntry(upstream.ID); ok && known.Upstream.StartTime != upstream.StartTime {
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	return c.checkReachable(ctx, upstream.Address) != nil
 }
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -102,7 +102,9 @@
 
 // recordAnswer records a completed answer in quarantine, metrics and log.
 func (j *job) recordAnswer(ticket home.Ticket) {
-	j.recordServed()
+	if !j.progress.isUnproven {
+		j.recordServed()
+	}
 	h := j.handler
 	now := time.Now()
 	firstByte := j.firstByteAt.Sub(j.arrived)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -202,6 +202,12 @@
 		}
 		return j.relayUnbuffered(ctx, ticket, buffered, answer)
 	}
+	if j.isCutOff(ctx, ticket, answer) {
+		if j.route.Idempotent() {
+			return j.fail(ctx, ticket, &failure{reason: retry.BrokenBeforeAnswer, sent: true, cause: io.ErrUnexpectedEOF})
+		}
+		j.progress.isUnproven = true // a request that can't be repeated gets the answer that there is
+	}
 	if answer.Status >= http.StatusInternalServerError {
 		j.recordServed()
 		ticket.End(time.Now(), turn.Failed)
@@ -224,6 +230,9 @@
 	j.sendHeader(buffered.status, buffered.header, answer.Length)
 	_, _ = j.writer.Write(buffered.body) // if the caller has disconnected, ctx ends
 	_, err := io.Copy(j.writer, answer.Body)
+	if err == nil && j.isCutOff(ctx, ticket, answer) {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return j.fail(ctx, ticket, &failure{reason: retry.StreamBroken, sent: true, final: true, cause: err})
 	}
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -11,6 +11,7 @@
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/stream"
+	"nutmeglock.example/nutmeglock/upstream"
 )
 
 // fingerprint returns a hash that is the same for repetitions of this request.
@@ -57,6 +58,12 @@
 	}
 }
 
+// isCutOff reports whether an answer that seems to have ended was cut off by the end of its upstream. That
+// can't be seen of an answer with neither a length nor chunks.
+func (j *job) isCutOff(ctx context.Context, ticket home.Ticket, answer *upstream.Answer) bool {
+	return answer.Unframed && j.handler.Quarantine != nil && j.handler.Quarantine.HasEnded(ctx, ticket.Upstream())
+}
+
 // isUpstreamDisconnect reports whether an exchange failed because the upstream closed or reset its
 // connection, as it does in a crash.
 func isUpstreamDisconnect(ctx context.Context, cause error) bool {
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -1,8 +1,12 @@
 package forward_test
 
 import (
+	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +27,8 @@
 	refusesAfterBreak bool
 	served            int
 	broken            []fleet.UpstreamID
+	// ended makes all upstreams have ended.
+	ended bool
 }
 
 func (q *recordingQuarantine) RefusedFor(time.Time, quarantine.Fingerprint) time.Duration {
@@ -51,6 +57,8 @@
 	q.refused = q.refused || q.refusesAfterBreak
 }
 
+func (q *recordingQuarantine) HasEnded(context.Context, registry.Upstream) bool { return q.ended }
+
 // startWithQuarantine starts a router with a recording quarantine and two upstreams that run fn.
 func startWithQuarantine(t *testing.T, fn http.HandlerFunc, q *recordingQuarantine) *fixture {
 	t.Helper()
@@ -129,3 +137,129 @@
 		q.mu.Unlock()
 	}
 }
+
+// answerEnd is how an answer that an upstream sends ends.
+type answerEnd int
+
+const (
+	endsWhole answerEnd = iota
+	endsInsideAnEvent
+	endsAfterHeader
+	endsByReset
+)
+
+// framedAnswer sends two events, or a plain answer, with a length, in chunks, or with neither.
+func framedAnswer(framing string, end answerEnd, upstreamEnded bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn, buffered, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		events := []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}
+		header := "HTTP/1.1 200 OK\r\nX-Signed: yes\r\nX-Id: " + r.Header.Get("X-Id") + "\r\nContent-Type: text/event-stream\r\n"
+		write := func(text string) { _, _ = buffered.WriteString(text) }
+		chunk := func(text string) { write(text) }
+		switch framing {
+		case "length":
+			header += "Content-Length: " + strconv.Itoa(len(events[0])+len(events[1])) + "\r\n"
+		case "chunks":
+			header += "Transfer-Encoding: chunked\r\n"
+			chunk = func(text string) { write(fmt.Sprintf("%x\r\n%s\r\n", len(text), text)) }
+		}
+		write(header + "\r\n")
+		switch {
+		case end == endsAfterHeader:
+		case end == endsInsideAnEvent:
+			chunk(events[0])
+			chunk("id: 2\nda")
+		case end == endsWhole && upstreamEnded:
+			chunk(events[0]) // more would have come
+		default:
+			chunk(events[0])
+			chunk(events[1])
+			if end == endsWhole && framing == "chunks" {
+				write("0\r\n\r\n")
+			}
+		}
+		_ = buffered.Flush()
+		if end == endsByReset {
+			time.Sleep(20 * time.Millisecond) // what was sent arrives before
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+}
+
+// Guards against an answer that was cut off by the end of its upstream passing for a whole one, at the caller or as proof
+// that the request doesn't crash upstreams.
+func TestAnswerThatIsCutOffIsNotWhole(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		framing string
+		end     answerEnd
+		// ended is set if the upstream has ended, as far as can be checked.
+		ended bool
+		plain bool
+		whole bool
+	}{
+		{framing: "length", end: endsWhole, whole: true},
+		{framing: "chunks", end: endsWhole, whole: true},
+		{framing: "neither", end: endsWhole, whole: true},
+		{framing: "length", end: endsWhole, plain: true, whole: true},
+		{framing: "chunks", end: endsWhole, plain: true, whole: true},
+		{framing: "neither", end: endsWhole, plain: true, whole: true},
+		{framing: "length", end: endsInsideAnEvent},
+		{framing: "chunks", end: endsInsideAnEvent},
+		{framing: "neither", end: endsInsideAnEvent},
+		{framing: "length", end: endsInsideAnEvent, plain: true},
+		{framing: "chunks", end: endsInsideAnEvent, plain: true},
+		{framing: "neither", end: endsInsideAnEvent, plain: true, ended: true},
+		{framing: "length", end: endsAfterHeader},
+		{framing: "chunks", end: endsAfterHeader},
+		{framing: "neither", end: endsAfterHeader},
+		{framing: "neither", end: endsAfterHeader, ended: true},
+		{framing: "neither", end: endsAfterHeader, plain: true, ended: true},
+		{framing: "neither", end: endsWhole, ended: true},
+		{framing: "neither", end: endsWhole, plain: true, ended: true},
+		{framing: "chunks", end: endsByReset},
+		{framing: "neither", end: endsByReset},
+		{framing: "chunks", end: endsByReset, plain: true},
+		{framing: "neither", end: endsByReset, plain: true},
+	} {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			t.Parallel()
+			q := &recordingQuarantine{ended: c.ended}
+			f := startWithQuarantine(t, framedAnswer(c.framing, c.end, c.ended), q)
+			path := "/once/1"
+			if c.plain {
+				path = "/read/1"
+			}
+			status, _, _, err := f.post(t, path)
+			q.mu.Lock()
+			defer q.mu.Unlock()
+			if c.whole {
+				require.NoError(t, err)
+				require.Equal(t, http.StatusOK, status)
+				require.Equal(t, 1, q.served)
+				require.Empty(t, q.broken)
+				return
+			}
+			require.True(t, err != nil || status == http.StatusBadGateway, "status %d", status)
+			require.Zero(t, q.served)
+			require.NotEmpty(t, q.broken)
+		})
+	}
+}
+
+// Guards against the answer to a request that can't be repeated being thrown away because its upstream ended after it.
+func TestAnswerThatMayBeWholeIsDeliveredIfItCannotBeRepeated(t *testing.T) {
+	t.Parallel()
+	q := &recordingQuarantine{ended: true}
+	f := startWithQuarantine(t, framedAnswer("neither", endsWhole, false), q)
+	status, _, _, err := f.post(t, "/order/1")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, status)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	require.Zero(t, q.served, "it proves nothing")
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -111,6 +111,9 @@
 	// RecordBroken records that an upstream closed its connection while it ran a request that was
 	// sent at startedAt.
 	RecordBroken(request quarantine.Fingerprint, upstream registry.Upstream, startedAt time.Time)
+	// HasEnded reports whether an upstream's process has ended, other than after it had said that it
+	// would.
+	HasEnded(ctx context.Context, upstream registry.Upstream) bool
 }
 
 // Origins knows which software versions began the streams of the fleet. It is safe for concurrent
--- a/forward/job.go
+++ b/forward/job.go
@@ -97,6 +97,8 @@
 	// headerAt and firstEventAt are when the header and the first event arrived, zero if they didn't.
 	headerAt, firstEventAt time.Time
 	events                 int
+	// isUnproven is set if the answer may have been cut off, though it seems whole.
+	isUnproven bool
 }
 
 // addEvent records the arrival of an event.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -34,7 +34,10 @@
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, io.EOF):
+		case !errors.Is(err, io.EOF):
+		case j.isEmptyStart(answer) || j.isCutOff(ctx, ticket, answer):
+			err = io.ErrUnexpectedEOF
+		default:
 			j.endEmptyStream(answer)
 			ticket.End(time.Now(), turn.Served)
 			return nil
@@ -43,6 +46,11 @@
 	}
 }
 
+// isEmptyStart reports whether a stream has ended before its first event though nothing says that it is whole.
+func (j *job) isEmptyStart(answer *upstream.Answer) bool {
+	return answer.Unframed && j.progress.events == 0 && j.lastEventID == 0 && j.info.LastEventID == 0
+}
+
 // endCause returns why a stream ended. If its context has ended, that is the context's cause,
 // because the connection's error then only shows that it was closed.
 func endCause(ctx context.Context, err error) error {
@@ -68,7 +76,8 @@
 // writeEvent sends one event to the caller. Events that the caller already has are skipped; a gap
 // in the ids is an error. Output is flushed unless more is true.
 func (j *job) writeEvent(ticket home.Ticket, answer *upstream.Answer, event stream.Event, more bool) error {
-	ticket.RecordFirstEvent(time.Now())
+	now := time.Now()
+	ticket.RecordFirstEvent(now)
 	j.progress.addEvent()
 	id := uint64(event.ID)
 	if id > 0 && j.lastEventID > 0 {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -119,6 +119,11 @@
 	if idle := c.takeIdle(address); idle != nil {
 		return idle, nil
 	}
+	return c.open(ctx, address)
+}
+
+// open opens a new connection.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout: connectTimeout,
 		Control: func(_, _ string, raw syscall.RawConn) error { return socket.SetUserTimeout(raw, maxUnacknowledged) },
@@ -147,9 +152,9 @@
 }
 
 // CheckReachable returns an error if no connection to an upstream can be opened. It sends no
-// request.
+// request. Idle connections tell nothing: when an upstream ends they are closed one after the other.
 func (c *Client) CheckReachable(ctx context.Context, address string) error {
-	connection, err := c.connect(ctx, address)
+	connection, err := c.open(ctx, address)
 	if err != nil {
 		return &Error{Address: address, Cause: errorCause(ctx, err)}
 	}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -173,7 +173,9 @@
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if the header doesn't state it.
 	Length int64
-	Body   io.ReadCloser
+	// Unframed is true when the body has neither a length nor chunks, so that it ends with its connection.
+	Unframed bool
+	Body     io.ReadCloser
 	// Closing is true when the upstream closes the connection after this answer.
 	Closing bool
 }
@@ -182,11 +184,16 @@
 	idle := parseKeepAlive(response.Header.Get("Keep-Alive"))
 	return &Answer{
 		Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
-		Body:    &body{inner: response.Body, exchange: x, idleTime: idle, closesConnection: response.Close || idle <= 0},
-		Closing: response.Close,
+		Body:     &body{inner: response.Body, exchange: x, idleTime: idle, closesConnection: response.Close || idle <= 0},
+		Closing:  response.Close,
+		Unframed: isUnframed(response),
 	}
 }
 
+func isUnframed(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.Request.Method != http.MethodHead
+}
+
 // parseKeepAlive returns how long an idle connection may be kept according to a Keep-Alive field.
 func parseKeepAlive(field string) time.Duration {
 	for parameter := range strings.SplitSeq(field, ",") {
