deployment, forward: requests that hold a part which crashes upstreams are refused

What callers saw: requests with one part in their prompts were sent to upstreams 21 to 28 times more after five had ended under it, 40 to 48 ended, and sound requests of the same account and route broke off.

Cause: the quarantine counts crashes by a hash of the whole request. Requests that share only a part are each a first one, run twice, and end two upstreams. The class of fault is a bound that holds for one identity while the cause has another.

Ruled out: lost verdicts (the ones that were there reached all routers and outlived restarts), upstreams that end by themselves (each end has one stream whose header had arrived without an event).

Routers report a crash with the parts of what ran there to three routers that are chosen by the service. These ask the others which parts proved sound, and broadcast verdicts; the store keeps them. While no upstream has ended for five minutes and nothing is refused, a request costs one atomic load: the digest that each request had is gone.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/quarantine"
@@ -48,6 +49,13 @@
 	// guard recovers from panics; nil lets them propagate.
 	guard *recovery.Guard
 
+	// parts detects parts of prompts that crash upstreams.
+	parts partMonitor
+	// trials grants the trials of what was refused.
+	trials trialGranter
+	// saveCause stores a verdict on parts of prompts at the platform.
+	saveCause func(v diagnosis.Verdict)
+
 	mu sync.Mutex
 	// pendingChecks holds the broken requests of each upstream that is being checked.
 	pendingChecks map[turn.Instance][]brokenRequest
@@ -55,43 +63,70 @@
 
 // brokenRequest is a request whose upstream closed the connection while it ran the request.
 type brokenRequest struct {
-	request             quarantine.Fingerprint
-	startedAt, brokenAt time.Time
+	subject          quarantine.Subject
+	sentAt, brokenAt time.Time
+	stage            diagnosis.Stage
 }
 
 var _ forward.Quarantine = (*crashMonitor)(nil)
 
-// RefusedFor returns how long a request will still be refused, zero if it isn't refused.
-func (c *crashMonitor) RefusedFor(now time.Time, request quarantine.Fingerprint) time.Duration {
-	return c.tracker.RefusedFor(now, request)
+// IsActive reports whether an upstream has crashed lately, or anything is refused.
+func (c *crashMonitor) IsActive(now time.Time) bool { return c.parts.tracker.IsActive(now) }
+
+// RefusedFor returns how long a request will still be refused, zero if it isn't refused or may be
+// sent as a trial.
+func (c *crashMonitor) RefusedFor(now time.Time, s quarantine.Subject) time.Duration {
+	cause, _ := c.parts.tracker.Check(now, s.Parts)
+	return max(cause.Wait, c.tracker.Check(now, s.Request).Wait)
+}
+
+// Admit is RefusedFor for a request that is sent if the result is zero.
+func (c *crashMonitor) Admit(ctx context.Context, now time.Time, s quarantine.Subject) time.Duration {
+	request := c.tracker.Check(now, s.Request)
+	cause, id := c.parts.tracker.Check(now, s.Parts)
+	if wait := max(request.Wait, cause.Wait); wait > 0 {
+		return wait
+	}
+	if request.Trial > 0 && !c.trials.ask(ctx, uint64(s.Request), request.Trial) {
+		return c.tracker.NextTrial(now, s.Request)
+	}
+	if cause.Trial > 0 && !c.trials.ask(ctx, uint64(id), cause.Trial) {
+		return c.parts.tracker.NextTrial(now, id)
+	}
+	return 0
 }
 
-// IsOnProbation reports whether a request was refused recently.
-func (c *crashMonitor) IsOnProbation(now time.Time, request quarantine.Fingerprint) bool {
-	return c.tracker.IsOnProbation(now, request)
+// IsSuspected reports whether a request isn't sent again after a broken connection.
+func (c *crashMonitor) IsSuspected(now time.Time, s quarantine.Subject) bool {
+	return c.tracker.IsOnProbation(now, s.Request) || c.parts.tracker.IsSuspected(now, s.Parts)
 }
 
 // RecordServed records that an upstream has answered a request.
-func (c *crashMonitor) RecordServed(now time.Time, request quarantine.Fingerprint) {
-	if v, ok := c.tracker.RecordServed(now, request); ok {
+func (c *crashMonitor) RecordServed(now time.Time, s quarantine.Subject) {
+	if v, ok := c.tracker.RecordServed(now, s.Request); ok {
 		c.broadcast(v)
 	}
 }
 
+// RecordSound records that an answer to a request has come far, or is whole.
+func (c *crashMonitor) RecordSound(now time.Time, s quarantine.Subject, isWhole bool) {
+	c.parts.recordSound(now, s, isWhole)
+}
+
 // RecordBroken records that an upstream closed its connection while it ran a request. That is a
 // crash only if the upstream's process has ended: a faulty upstream may reset connections and
 // keep running.
-func (c *crashMonitor) RecordBroken(request quarantine.Fingerprint, upstream registry.Upstream, startedAt time.Time) {
-	instance := turn.InstanceOf(upstream)
+func (c *crashMonitor) RecordBroken(b forward.BrokenRequest) {
+	instance := turn.InstanceOf(b.Upstream)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	requests, checking := c.pendingChecks[instance]
 	if c.pendingChecks == nil {
 		c.pendingChecks = make(map[turn.Instance][]brokenRequest)
 	}
-	c.pendingChecks[instance] = append(requests, brokenRequest{request: request, startedAt: startedAt, brokenAt: time.Now()})
+	c.pendingChecks[instance] = append(requests, brokenRequest{subject: b.Subject, sentAt: b.SentAt, brokenAt: time.Now(), stage: b.Stage})
 	if !checking {
-		go c.checkUpstreamGuarded(upstream)
+		go c.checkUpstreamGuarded(b.Upstream)
 	}
 }
 
@@ -133,6 +168,8 @@
 		return
 	}
 	c.log.Warn("upstream ended while it ran requests", "upstream", instance.ID, "life", instance.StartTime, "requests", len(requests))
+	c.parts.tracker.Activate(time.Now())
+	c.parts.report(upstream.Service, instance, requests)
 	for _, b := range requests {
 		c.reportCrash(b, instance)
 	}
@@ -168,14 +205,14 @@
 func (c *crashMonitor) reportCrash(b brokenRequest, upstream turn.Instance) {
 	now := time.Now()
 	report, verdict := c.tracker.RecordCrash(now, quarantine.Crash{
-		Request: b.request, Upstream: upstream, StartedAgo: now.Sub(b.startedAt), CrashedAgo: now.Sub(b.brokenAt),
+		Request: b.subject.Request, Upstream: upstream, StartedAgo: now.Sub(b.sentAt), CrashedAgo: now.Sub(b.brokenAt),
 	})
 	if verdict.Status == quarantine.Refused {
 		c.broadcast(verdict)
 		return
 	}
 	batch := &schema.Batch{CrashReports: []*schema.CrashReport{encodeCrash(report)}}
-	for _, router := range c.countingRouters(b.request) {
+	for _, router := range c.countingRouters(b.subject.Request) {
 		if router == c.self {
 			c.countCrash(now, report)
 			continue
@@ -204,20 +241,41 @@
 func (c *crashMonitor) broadcast(v quarantine.Verdict) {
 	c.logVerdict(v, c.self)
 	c.saveVerdict(v)
+	c.activate(time.Now(), v)
 	batch := &schema.Batch{RequestVerdicts: []*schema.RequestVerdict{encodeVerdict(v)}}
 	for _, router := range c.otherRouters() {
 		c.send(router, batch)
 	}
 }
 
+// activate makes this router record which requests are served, as long as a verdict counts.
+func (c *crashMonitor) activate(now time.Time, v quarantine.Verdict) {
+	c.parts.tracker.Activate(now)
+	if v.Status == quarantine.Refused {
+		c.parts.tracker.ActivateUntil(quarantine.Term{Until: now.Add(v.Remaining)}.ProbationEnd())
+	}
+}
+
+// restore loads stored entries, and tells the other routers what an operator has lifted.
+func (c *crashMonitor) restore(now time.Time, requests []quarantine.Entry, causes []diagnosis.Entry) {
+	c.tracker.Restore(now, requests)
+	for _, e := range requests {
+		c.parts.tracker.ActivateUntil(quarantine.Term{Until: e.Until}.ProbationEnd())
+	}
+	c.parts.broadcastCauses(now, c.parts.tracker.Restore(now, causes))
+}
+
 // receive handles the crash reports and verdicts of another router.
 func (c *crashMonitor) receive(from fleet.RouterID, batch *schema.Batch) {
 	now := time.Now()
+	c.parts.receive(from, batch)
 	for _, report := range batch.GetCrashReports() {
+		c.parts.tracker.Activate(now)
 		c.countCrash(now, decodeCrash(report))
 	}
 	for _, received := range batch.GetRequestVerdicts() {
 		v := decodeVerdict(received)
+		c.activate(now, v)
 		objection, objects, changed := c.tracker.ApplyVerdict(now, v)
 		switch {
 		case objects:
@@ -231,6 +289,7 @@
 // sendRefusedRequests sends the verdicts on all refused requests to a router that has just
 // connected.
 func (c *crashMonitor) sendRefusedRequests(router fleet.RouterID) {
+	c.parts.sendRefused(router)
 	batch := &schema.Batch{}
 	for _, v := range c.tracker.ActiveVerdicts(time.Now()) {
 		batch.RequestVerdicts = append(batch.RequestVerdicts, encodeVerdict(v))
--- a/deployment/crashes_test.go
+++ b/deployment/crashes_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/registry"
 )
@@ -20,7 +21,7 @@
 )
 
 func (n *node) refusesCrashingRequest() bool {
-	return n.mesh.Quarantine().RefusedFor(time.Now(), crashingRequest) > 0
+	return n.mesh.Quarantine().RefusedFor(time.Now(), quarantine.Subject{Service: "s", Request: crashingRequest}) > 0
 }
 
 // breakConnections reports broken connections of count upstreams during crashingRequest, one after
@@ -33,9 +34,11 @@
 }
 
 func (n *node) breakConnection(i int) {
-	startedAt := time.Now()
+	sentAt := time.Now()
 	time.Sleep(time.Millisecond)
-	n.mesh.Quarantine().RecordBroken(crashingRequest, testUpstream(i), startedAt)
+	n.mesh.Quarantine().RecordBroken(forward.BrokenRequest{
+		Subject: quarantine.Subject{Service: "s", Request: crashingRequest}, Upstream: testUpstream(i), SentAt: sentAt,
+	})
 }
 
 func testUpstream(i int) registry.Upstream {
--- a/deployment/members.go
+++ b/deployment/members.go
@@ -180,6 +180,13 @@
 	return len(s.addresses) + 1
 }
 
+// otherRouters returns all other known routers, connected or not.
+func (s *memberSink) otherRouters() []fleet.RouterID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.addresses))
+}
+
 // SetUnavailable and SetAvailable do nothing: routers stay connected to those they know.
 func (*memberSink) SetUnavailable(error) {}
 func (*memberSink) SetAvailable()        {}
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -91,7 +91,12 @@
 	m.group = &follow.Group{Self: options.Self}
 	m.crashMonitor = crashMonitor{
 		self: options.Self, otherRouters: m.peers.Routers, send: m.peers.Send, upstreamEntry: state.Upstream, checkReachable: checkReachable,
-		saveVerdict: m.quarantinePersister.enqueue, log: options.Logger, guard: options.Guard,
+		saveVerdict: m.quarantinePersister.enqueue, saveCause: m.quarantinePersister.enqueueCause, log: options.Logger, guard: options.Guard,
+	}
+	m.crashMonitor.parts.crashMonitor = &m.crashMonitor
+	m.crashMonitor.parts.timer = timer.System{}
+	m.crashMonitor.trials = trialGranter{
+		self: options.Self, otherRouters: m.peers.Routers, knownRouters: m.peers.Routers, call: m.peers.Call,
 	}
 	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, log: options.Logger, guard: options.Guard, dataCenter: options.DataCenter}
 	m.origins.mixedServices = mixedServices{self: options.Self, history: &state.history, otherRouters: m.peers.Routers, log: options.Logger}
@@ -110,6 +115,7 @@
 	state.coordinator = m.coordinator
 	m.peers.Handle(knowledgeMethod, m.answerKnowledgeRequest)
 	m.peers.Handle(originMethod, m.origins.answer)
+	m.peers.Handle(trialMethod, m.crashMonitor.trials.answer)
 	m.peers.OnBatch(m.receive)
 	m.peers.OnChange(m.handleConnectionChange)
 	return m
--- a/deployment/quarantines.go
+++ b/deployment/quarantines.go
@@ -5,59 +5,106 @@
 	"log/slog"
 	"time"
 
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/rendezvous"
 )
 
-// QuarantineStore persists the requests that are refused because they crash upstreams, so that they
-// are still refused after all routers have restarted.
+// QuarantineStore persists what is refused because it crashes upstreams, so that it is still refused after
+// all routers have restarted.
 type QuarantineStore interface {
-	// Load returns the stored entries.
-	Load(ctx context.Context) ([]quarantine.Entry, error)
+	// Load returns the stored requests and causes.
+	Load(ctx context.Context) ([]quarantine.Entry, []diagnosis.Entry, error)
 	// Save stores an entry and replaces an earlier one for the same request.
 	Save(ctx context.Context, e quarantine.Entry) error
 	// Drop removes the entry for a request.
 	Drop(ctx context.Context, request quarantine.Fingerprint) error
+	// SaveCause stores an entry and replaces an earlier one for the same cause.
+	SaveCause(ctx context.Context, e diagnosis.Entry) error
+	// DropCause removes the entry for a cause.
+	DropCause(ctx context.Context, id diagnosis.CauseID) error
 }
 
-// maxPendingVerdicts bounds the verdicts that wait to be stored.
-const maxPendingVerdicts = 64
+const (
+	// maxPendingVerdicts bounds the verdicts that wait to be stored.
+	maxPendingVerdicts = 64
+	// quarantineReloadInterval is how often the stored entries are read again while a cause is refused, by
+	// one of the routers that are connected. An operator may have lifted it, and a router that is cut
+	// off from the others learns from there what is refused.
+	quarantineReloadInterval = 5 * time.Second
+)
+
+// storedVerdict is a change of the store. It has a name for the log.
+type storedVerdict struct {
+	name string
+	id   string
+	save func(ctx context.Context) error
+}
 
 // quarantinePersister loads the stored quarantine entries when the router starts, and stores the
 // verdicts of this router.
 type quarantinePersister struct {
 	store    QuarantineStore
-	tracker  *quarantine.Tracker
+	monitor  *crashMonitor
 	log      *slog.Logger
-	verdicts chan quarantine.Verdict
+	verdicts chan storedVerdict
 }
 
-func (p *quarantinePersister) setUp(store QuarantineStore, tracker *quarantine.Tracker, log *slog.Logger) {
+func (p *quarantinePersister) setUp(store QuarantineStore, monitor *crashMonitor, log *slog.Logger) {
 	p.store = store
-	p.tracker = tracker
+	p.monitor = monitor
 	p.log = log
-	p.verdicts = make(chan quarantine.Verdict, maxPendingVerdicts)
+	p.verdicts = make(chan storedVerdict, maxPendingVerdicts)
 }
 
 // enqueue queues a verdict of this router to be stored. It doesn't block: if the queue is full,
 // the verdict isn't stored.
 func (p *quarantinePersister) enqueue(v quarantine.Verdict) {
-	if p.verdicts == nil || v.Status == quarantine.Suspected {
+	switch v.Status {
+	case quarantine.NotSuspected:
+		p.add(storedVerdict{"drop", v.Request.String(), func(ctx context.Context) error { return p.store.Drop(ctx, v.Request) }})
+	case quarantine.Refused:
+		entry := quarantine.Entry{Request: v.Request, Until: time.Now().Add(v.Remaining), Term: v.Term}
+		p.add(storedVerdict{"save", v.Request.String(), func(ctx context.Context) error { return p.store.Save(ctx, entry) }})
+	case quarantine.Suspected:
+	}
+}
+
+// enqueueCause is enqueue for a verdict on parts of prompts.
+func (p *quarantinePersister) enqueueCause(v diagnosis.Verdict) {
+	id := v.Cause.ID()
+	switch v.Status {
+	case quarantine.NotSuspected:
+		p.add(storedVerdict{"drop", id.String(), func(ctx context.Context) error { return p.store.DropCause(ctx, id) }})
+	case quarantine.Refused:
+		entry := diagnosis.Entry{Cause: v.Cause, Term: v.Term}
+		p.add(storedVerdict{"save", id.String(), func(ctx context.Context) error { return p.store.SaveCause(ctx, entry) }})
+	case quarantine.Suspected:
+	}
+}
+
+func (p *quarantinePersister) add(v storedVerdict) {
+	if p.verdicts == nil {
 		return
 	}
 	select {
 	case p.verdicts <- v:
 	default:
-		p.log.Warn("verdict not stored, queue full", "fingerprint", v.Request)
+		p.log.Warn("verdict not stored, queue full", "id", v.id)
 	}
 }
 
 // run loads the stored entries, then stores verdicts until ctx ends.
 func (p *quarantinePersister) run(ctx context.Context) error {
 	p.retryStoreCall(ctx, "load", p.load)
+	reload := time.NewTicker(quarantineReloadInterval)
+	defer reload.Stop()
 	for {
 		select {
 		case v := <-p.verdicts:
-			p.retryStoreCall(ctx, "save", func(ctx context.Context) error { return p.save(ctx, v) })
+			p.retryStoreCall(ctx, v.name, v.save)
+		case <-reload.C:
+			p.reload(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -71,23 +118,31 @@
 	})
 }
 
+// reload loads the stored entries again if this router is to do so.
+func (p *quarantinePersister) reload(ctx context.Context) {
+	m := p.monitor
+	if !m.parts.tracker.HasRefusals() && !m.trials.isCutOff() {
+		return
+	}
+	if rendezvous.Pick(rendezvous.KeyOf("quarantine", "reload"), append(m.otherRouters(), m.self)) != m.self {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, retryCallTimeout)
+	defer cancel()
+	if err := p.load(ctx); err != nil {
+		p.log.Warn("quarantine not persisted", "operation", "reload", "error", err)
+	}
+}
+
 func (p *quarantinePersister) load(ctx context.Context) error {
-	entries, err := p.store.Load(ctx)
+	requests, causes, err := p.store.Load(ctx)
 	if err != nil {
 		return err
 	}
 	now := time.Now()
-	p.tracker.Restore(now, entries)
-	if len(entries) == 0 {
-		return nil
+	p.monitor.restore(now, requests, causes)
+	if len(requests)+len(causes) > 0 {
+		p.log.Info("quarantine loaded", "requests", len(requests), "causes", len(causes))
 	}
-	p.log.Info("quarantine loaded", "requests", len(entries))
 	return nil
 }
-
-func (p *quarantinePersister) save(ctx context.Context, v quarantine.Verdict) error {
-	if v.Status == quarantine.NotSuspected {
-		return p.store.Drop(ctx, v.Request)
-	}
-	return p.store.Save(ctx, quarantine.Entry{Request: v.Request, Until: time.Now().Add(v.Remaining), Term: v.Term})
-}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -193,10 +193,11 @@
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
 		Metrics: r.metrics, Logger: r.options.Log, Guard: r.guard, MaxBackoff: maxPeerBackoff,
 	}, r.client.CheckReachable)
-	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor.tracker, r.options.Log)
+	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor, r.options.Log)
 	r.mesh.origins.mixedServices.setUp(r.options.MixedServiceStore)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.handleConnectionChange)
+	r.mesh.crashMonitor.trials.knownRouters = members.otherRouters
 	memberList := &memberFollower{startedAt: r.startedAt, knownRouters: members.knownRouters, registration: r.registration}
 	memberList.Follower = follow.Follower[Member, registry.Revision]{
 		Name: "routers", Feed: r.options.MemberStore, Sink: members, Log: r.options.Log,
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -104,6 +104,7 @@
 func (j *job) recordAnswer(ticket home.Ticket) {
 	if !j.progress.isUnproven {
 		j.recordServed()
+		j.recordWhole()
 	}
 	h := j.handler
 	now := time.Now()
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
@@ -14,22 +15,55 @@
 	"nutmeglock.example/nutmeglock/upstream"
 )
 
+// soundInterval is the time between two records of how far an answer has come.
+const soundInterval = 250 * time.Millisecond
+
 // fingerprint returns a hash that is the same for repetitions of this request.
-func (j *job) fingerprint() quarantine.Fingerprint {
-	if j.cachedFingerprint == 0 {
-		j.cachedFingerprint = quarantine.FingerprintOf(quarantine.Request{
-			Account: j.account, Method: j.request.Method, Host: j.request.Host, URI: j.request.RequestURI, Body: j.body,
-		})
+func (j *job) fingerprint() quarantine.Fingerprint { return j.subject().Request }
+
+// subject returns what the quarantine recognises this request by.
+func (j *job) subject() quarantine.Subject {
+	if j.cachedSubject.Request == 0 {
+		j.cachedSubject = quarantine.Subject{
+			Service: j.service,
+			Request: quarantine.FingerprintOf(quarantine.Request{
+				Account: j.account, Method: j.request.Method, Host: j.request.Host, URI: j.request.RequestURI, Body: j.body,
+			}),
+			Parts: j.handler.Codec.ParseParts(j.header),
+		}
+	}
+	return j.cachedSubject
+}
+
+// activeQuarantine returns the quarantine, nil if there is none or there is nothing to do.
+func (j *job) activeQuarantine(now time.Time) Quarantine {
+	if q := j.handler.Quarantine; q != nil && q.IsActive(now) {
+		return q
 	}
-	return j.cachedFingerprint
+	return nil
 }
 
 // checkQuarantine refuses a request that is quarantined for crashing upstreams.
 func (j *job) checkQuarantine() *refusal.Error {
-	if j.handler.Quarantine == nil {
+	now := time.Now()
+	q := j.activeQuarantine(now)
+	if q == nil {
+		return nil
+	}
+	return j.quarantineRefusal(q.RefusedFor(now, j.subject()))
+}
+
+// admitToUpstream is checkQuarantine for a request that is sent if it isn't refused.
+func (j *job) admitToUpstream(ctx context.Context) *refusal.Error {
+	now := time.Now()
+	q := j.activeQuarantine(now)
+	if q == nil {
 		return nil
 	}
-	left := j.handler.Quarantine.RefusedFor(time.Now(), j.fingerprint())
+	return j.quarantineRefusal(q.Admit(ctx, now, j.subject()))
+}
+
+func (j *job) quarantineRefusal(left time.Duration) *refusal.Error {
 	if left <= 0 {
 		return nil
 	}
@@ -38,24 +72,50 @@
 	return refused
 }
 
-// isOnProbation reports whether the request was recently quarantined.
-func (j *job) isOnProbation() bool {
-	return j.handler.Quarantine != nil && j.handler.Quarantine.IsOnProbation(time.Now(), j.fingerprint())
+// isSuspected reports whether the request may crash upstreams, so that it isn't retried.
+func (j *job) isSuspected() bool {
+	now := time.Now()
+	q := j.activeQuarantine(now)
+	return q != nil && q.IsSuspected(now, j.subject())
 }
 
 // recordServed reports to the quarantine that an upstream has answered the request.
 func (j *job) recordServed() {
-	if j.handler.Quarantine != nil {
-		j.handler.Quarantine.RecordServed(time.Now(), j.fingerprint())
+	now := time.Now()
+	if q := j.activeQuarantine(now); q != nil {
+		q.RecordServed(now, j.subject())
+	}
+}
+
+// recordWhole reports to the quarantine that the answer is whole.
+func (j *job) recordWhole() {
+	now := time.Now()
+	if q := j.activeQuarantine(now); q != nil {
+		q.RecordSound(now, j.subject(), true)
+	}
+}
+
+// recordProgress reports to the quarantine, at intervals, that events have been arriving for a while.
+func (j *job) recordProgress(now time.Time) {
+	if now.Before(j.progress.recordAt) {
+		return
+	}
+	if q := j.activeQuarantine(now); q != nil {
+		j.progress.recordAt = now.Add(soundInterval)
+		q.RecordSound(now, j.subject(), false)
 	}
 }
 
 // recordBroken reports to the quarantine that the upstream closed its connection while it ran the
 // request.
 func (j *job) recordBroken(ticket home.Ticket) {
-	if j.handler.Quarantine != nil {
-		j.handler.Quarantine.RecordBroken(j.fingerprint(), ticket.Upstream(), j.sentAt)
+	if j.handler.Quarantine == nil {
+		return
 	}
+	j.handler.Quarantine.RecordBroken(BrokenRequest{
+		Subject: j.subject(), Upstream: ticket.Upstream(), SentAt: j.sentAt,
+		Stage: diagnosis.StageOf(j.progress.sinceHeader(), j.progress.sinceFirstEvent()),
+	})
 }
 
 // isCutOff reports whether an answer that seems to have ended was cut off by the end of its upstream. That
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/registry"
 )
@@ -26,12 +28,17 @@
 	// refusesAfterBreak sets refused once a request has broken off.
 	refusesAfterBreak bool
 	served            int
-	broken            []fleet.UpstreamID
 	// ended makes all upstreams have ended.
 	ended bool
+	// whole and far count answers that were recorded as whole, and as having come far.
+	whole, far int
+	broken     []fleet.UpstreamID
+	stages     []diagnosis.Stage
 }
 
-func (q *recordingQuarantine) RefusedFor(time.Time, quarantine.Fingerprint) time.Duration {
+func (*recordingQuarantine) IsActive(time.Time) bool { return true }
+
+func (q *recordingQuarantine) RefusedFor(time.Time, quarantine.Subject) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.refused {
@@ -40,20 +47,35 @@
 	return 0
 }
 
-func (q *recordingQuarantine) IsOnProbation(time.Time, quarantine.Fingerprint) bool {
+func (q *recordingQuarantine) Admit(_ context.Context, now time.Time, s quarantine.Subject) time.Duration {
+	return q.RefusedFor(now, s)
+}
+
+func (q *recordingQuarantine) IsSuspected(time.Time, quarantine.Subject) bool {
 	return q.onProbation
 }
 
-func (q *recordingQuarantine) RecordServed(time.Time, quarantine.Fingerprint) {
+func (q *recordingQuarantine) RecordServed(time.Time, quarantine.Subject) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.served++
 }
 
-func (q *recordingQuarantine) RecordBroken(_ quarantine.Fingerprint, u registry.Upstream, _ time.Time) {
+func (q *recordingQuarantine) RecordSound(_ time.Time, _ quarantine.Subject, isWhole bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if isWhole {
+		q.whole++
+		return
+	}
+	q.far++
+}
+
+func (q *recordingQuarantine) RecordBroken(b forward.BrokenRequest) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.broken = append(q.broken, u.ID)
+	q.broken = append(q.broken, b.Upstream.ID)
+	q.stages = append(q.stages, b.Stage)
 	q.refused = q.refused || q.refusesAfterBreak
 }
 
@@ -241,11 +263,13 @@
 				require.NoError(t, err)
 				require.Equal(t, http.StatusOK, status)
 				require.Equal(t, 1, q.served)
+				require.Equal(t, 1, q.whole)
 				require.Empty(t, q.broken)
 				return
 			}
 			require.True(t, err != nil || status == http.StatusBadGateway, "status %d", status)
 			require.Zero(t, q.served)
+			require.Zero(t, q.whole)
 			require.NotEmpty(t, q.broken)
 		})
 	}
@@ -262,4 +286,5 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	require.Zero(t, q.served, "it proves nothing")
+	require.Zero(t, q.whole)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
@@ -101,21 +102,35 @@
 
 // Quarantine tracks requests that crash the upstreams that run them. It is safe for concurrent use.
 type Quarantine interface {
+	// IsActive reports whether an upstream has crashed lately, or anything is refused. While it isn't
+	// active, nothing but broken requests need be recorded.
+	IsActive(now time.Time) bool
 	// RefusedFor returns how long a request will still be refused, zero if it isn't refused.
-	RefusedFor(now time.Time, request quarantine.Fingerprint) time.Duration
-	// IsOnProbation reports whether a request was refused recently, so that it isn't retried after
-	// a broken connection.
-	IsOnProbation(now time.Time, request quarantine.Fingerprint) bool
+	RefusedFor(now time.Time, s quarantine.Subject) time.Duration
+	// Admit is RefusedFor for a request that is sent if the result is zero.
+	Admit(ctx context.Context, now time.Time, s quarantine.Subject) time.Duration
+	// IsSuspected reports whether a request isn't retried after a broken connection.
+	IsSuspected(now time.Time, s quarantine.Subject) bool
 	// RecordServed records that an upstream has answered a request.
-	RecordServed(now time.Time, request quarantine.Fingerprint)
-	// RecordBroken records that an upstream closed its connection while it ran a request that was
-	// sent at startedAt.
-	RecordBroken(request quarantine.Fingerprint, upstream registry.Upstream, startedAt time.Time)
+	RecordServed(now time.Time, s quarantine.Subject)
+	// RecordSound records that an answer to a request has come far, or is whole.
+	RecordSound(now time.Time, s quarantine.Subject, isWhole bool)
+	// RecordBroken records that an upstream closed its connection while it ran a request.
+	RecordBroken(b BrokenRequest)
 	// HasEnded reports whether an upstream's process has ended, other than after it had said that it
 	// would.
 	HasEnded(ctx context.Context, upstream registry.Upstream) bool
 }
 
+// BrokenRequest is a request whose upstream closed the connection while it ran the request.
+type BrokenRequest struct {
+	Subject  quarantine.Subject
+	Upstream registry.Upstream
+	SentAt   time.Time
+	// Stage is how far the answer had come.
+	Stage diagnosis.Stage
+}
+
 // Origins knows which software versions began the streams of the fleet. It is safe for concurrent
 // use.
 type Origins interface {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -37,6 +37,7 @@
 	}
 	return info
 }
+
 func (testCodec) ParseParts(h http.Header) prompt.Parts {
 	var parts prompt.Parts
 	for text := range strings.SplitSeq(h.Get("X-Parts"), ",") {
--- a/forward/job.go
+++ b/forward/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/origin"
@@ -57,8 +58,8 @@
 	deadline time.Time
 	header   http.Header
 	body     []byte
-	// cachedFingerprint is zero until fingerprint has computed it.
-	cachedFingerprint quarantine.Fingerprint
+	// cachedSubject is zero until subject has computed it.
+	cachedSubject quarantine.Subject
 
 	// sends counts how often the request was sent, sentAt is when it was last sent, and
 	// possibleRuns counts the attempts that may have run it.
@@ -97,18 +98,32 @@
 	// headerAt and firstEventAt are when the header and the first event arrived, zero if they didn't.
 	headerAt, firstEventAt time.Time
 	events                 int
+	// recordAt is when the quarantine is next told that events have been arriving.
+	recordAt time.Time
 	// isUnproven is set if the answer may have been cut off, though it seems whole.
 	isUnproven bool
 }
 
 // addEvent records the arrival of an event.
-func (p *progress) addEvent() {
+func (p *progress) addEvent(now time.Time) {
 	if p.events == 0 {
-		p.firstEventAt = time.Now()
+		p.firstEventAt = now
+		p.recordAt = now.Add(diagnosis.SoundAfter)
 	}
 	p.events++
 }
 
+// sinceHeader and sinceFirstEvent return how long ago these arrived, a negative time if they didn't.
+func (p *progress) sinceHeader() time.Duration     { return sinceOrNever(p.headerAt) }
+func (p *progress) sinceFirstEvent() time.Duration { return sinceOrNever(p.firstEventAt) }
+
+func sinceOrNever(at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return time.Since(at)
+}
+
 // serve sends the request, again where that is allowed, until it is answered or refused.
 func (j *job) serve() {
 	ctx, cancel := context.WithDeadlineCause(j.request.Context(), j.deadline, errDeadline)
@@ -137,7 +152,7 @@
 			j.abandon(ticket)
 			return
 		}
-		if refused := j.checkQuarantine(); refused != nil {
+		if refused := j.admitToUpstream(ctx); refused != nil {
 			ticket.End(time.Now(), turn.Unsent)
 			j.answerOrRefuse(refused)
 			return
@@ -283,7 +298,7 @@
 // mayRetry reports whether the request may be sent again after a failure, and charges a retry to
 // the budget where one is needed.
 func (j *job) mayRetry(f *failure) bool {
-	if f.final || j.sends >= maxSends || (f.sent && !f.notRun && j.isOnProbation()) {
+	if f.final || j.sends >= maxSends || (f.sent && !f.notRun && j.isSuspected()) {
 		return false
 	}
 	if j.nextTicket != nil {
--- a/forward/log.go
+++ b/forward/log.go
@@ -144,10 +144,7 @@
 
 // sinceMS returns how long ago something was in milliseconds, -1 if it never was.
 func sinceMS(at time.Time) float64 {
-	if at.IsZero() {
-		return -1
-	}
-	return ms(time.Since(at))
+	return max(ms(sinceOrNever(at)), -1)
 }
 
 // ms returns a duration in milliseconds, rounded to a tenth.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -78,7 +78,8 @@
 func (j *job) writeEvent(ticket home.Ticket, answer *upstream.Answer, event stream.Event, more bool) error {
 	now := time.Now()
 	ticket.RecordFirstEvent(now)
-	j.progress.addEvent()
+	j.progress.addEvent(now)
+	j.recordProgress(now)
 	id := uint64(event.ID)
 	if id > 0 && j.lastEventID > 0 {
 		if id <= j.lastEventID {
