diagnosis, deployment: what an operator lifts doesn't come back; tests of verdicts, trials and messages between routers

A refusal that was lifted, or withdrawn since a request was answered, came back with the next crash under any requests, as the earlier crashes still counted at the counting routers (TestLiftedRefusalDoesNotComeBack failed before). They count no longer.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/origin"
@@ -78,3 +79,31 @@
 func (m *mesh) AnswerKnowledgeRequest(request string) (any, error) {
 	return m.answerKnowledgeRequest(context.Background(), json.RawMessage(request))
 }
+
+// RestoreQuarantine loads stored entries about parts of prompts.
+func (m *mesh) RestoreQuarantine(causes []diagnosis.Entry) {
+	m.crashMonitor.restore(time.Now(), nil, causes)
+}
+
+// SetKnownRouters sets which other routers the fleet has, connected or not.
+func (m *mesh) SetKnownRouters(routers []fleet.RouterID) {
+	m.crashMonitor.trials.knownRouters = func() []fleet.RouterID { return routers }
+}
+
+// OnBatch also passes the batches of other routers to fn.
+func (m *mesh) OnBatch(fn func(batch *schema.Batch)) {
+	m.peers.OnBatch(func(from fleet.RouterID, batch *schema.Batch) {
+		fn(batch)
+		m.receive(from, batch)
+	})
+}
+
+// RoundTripCrash encodes and decodes a report.
+func RoundTripCrash(now time.Time, c diagnosis.Crash) diagnosis.Crash {
+	return decodeUpstreamCrash(now, encodeUpstreamCrash(now, c))
+}
+
+// RoundTripVerdict encodes and decodes a verdict.
+func RoundTripVerdict(now time.Time, v diagnosis.Verdict) diagnosis.Verdict {
+	return decodeCauseVerdict(now, encodeCauseVerdict(now, v))
+}
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -208,6 +208,9 @@
 func (t *Tracker) apply(now time.Time, v Verdict) bool {
 	switch v.Status {
 	case quarantine.NotSuspected:
+		if v.Reason != ReasonNarrowed {
+			t.forgive(now, v.Cause)
+		}
 		return t.refusals.release(v.Cause.ID())
 	case quarantine.Suspected:
 		t.Activate(now)
@@ -222,6 +225,15 @@
 	}
 }
 
+// forgive makes earlier crashes tell nothing against the parts of a cause.
+func (t *Tracker) forgive(now time.Time, cause Cause) {
+	if r := t.records[cause.Service]; r != nil {
+		for _, part := range cause.Parts {
+			r.sound.add(Sound{Part: part, AnsweredAt: now, CompletedAt: now})
+		}
+	}
+}
+
 // extendRefused keeps the Tracker active as long as something is refused or on probation.
 func (t *Tracker) extendRefused(now time.Time) {
 	for id := range t.refusals.causes {
@@ -255,8 +267,8 @@
 			t.apply(now, Verdict{Cause: e.Cause, Status: quarantine.Refused, Term: e.Term})
 			continue
 		}
-		if t.refusals.release(e.Cause.ID()) {
-			lifted = append(lifted, Verdict{Cause: e.Cause, Reason: ReasonLifted})
+		if v := (Verdict{Cause: e.Cause, Reason: ReasonLifted}); t.apply(now, v) {
+			lifted = append(lifted, v)
 		}
 	}
 	return lifted
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -285,3 +285,18 @@
 		})
 	})
 }
+
+// Guards against a refusal that an operator has lifted coming back with the next crash under other requests.
+func TestLiftedRefusalDoesNotComeBack(t *testing.T) {
+	t.Parallel()
+	s := newScene()
+	for i := range prompt.Part(4) {
+		s.crash(fatal, 100+i)
+	}
+	verdict := s.tracker.Refused(s.now)[0]
+	lifted := s.tracker.Restore(s.now, []diagnosis.Entry{{Cause: verdict.Cause, Term: verdict.Term, IsLifted: true}})
+	require.Len(t, lifted, 1)
+	s.crash(other)
+	s.crash(account)
+	require.False(t, s.refuses(fatal))
+}
