diagnosis: a verdict on parts is tried once with a request that is unlike those under which upstreams ended

A sound part was refused for a whole term where several parts crashed upstreams at once and all requests that held them shared it: it explained all crashes, and as it was refused, no answer could acquit it. Within two seconds of a verdict one request of the fleet may now be sent that holds the parts, but none of those that were beside them and aren't known to be sound.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -76,8 +76,16 @@
 // RefusedFor returns how long a request will still be refused, zero if it isn't refused or may be
 // sent as a trial.
 func (c *crashMonitor) RefusedFor(now time.Time, s quarantine.Subject) time.Duration {
-	cause, _ := c.parts.tracker.Check(now, s.Parts)
-	return max(cause.Wait, c.tracker.Check(now, s.Request).Wait)
+	request := c.tracker.Check(now, s.Request)
+	cause, id := c.parts.tracker.Check(now, s.Parts)
+	wait := max(request.Wait, cause.Wait)
+	if request.Trial > 0 && c.trials.isDenied(uint64(s.Request), request.Trial) {
+		wait = max(wait, c.tracker.NextTrial(now, s.Request))
+	}
+	if cause.Trial > 0 && c.trials.isDenied(uint64(id), cause.Trial) {
+		wait = max(wait, c.parts.tracker.NextTrial(now, id))
+	}
+	return wait
 }
 
 // Admit is RefusedFor for a request that is sent if the result is zero.
--- a/deployment/part_codec.go
+++ b/deployment/part_codec.go
@@ -72,14 +72,17 @@
 	return &schema.CauseVerdict{
 		Service: string(v.Cause.Service), Parts: encodeParts(v.Cause.Parts), Late: v.Cause.Late, Standing: uint32(v.Status),
 		TermMs: schema.Millis(v.Term.Length), LeftMs: v.Term.Until.Sub(now).Milliseconds(), Reason: string(v.Reason),
+		Beside: encodeParts(v.Cause.Beside),
 	}
 }
 
 func decodeCauseVerdict(now time.Time, in *schema.CauseVerdict) diagnosis.Verdict {
 	const longest = int64(24 * time.Hour / time.Millisecond)
 	left := time.Duration(min(max(in.GetLeftMs(), -longest), longest)) * time.Millisecond
+	cause := diagnosis.NewCause(fleet.ServiceID(in.GetService()), decodeParts(in.GetParts()), in.GetLate())
+	cause.Beside = decodeParts(in.GetBeside())
 	return diagnosis.Verdict{
-		Cause:  diagnosis.NewCause(fleet.ServiceID(in.GetService()), decodeParts(in.GetParts()), in.GetLate()),
+		Cause:  cause,
 		Status: quarantine.Status(in.GetStanding()),
 		Term:   quarantine.Term{Until: now.Add(left), Length: schema.Duration(in.GetTermMs())},
 		Reason: diagnosis.Reason(in.GetReason()),
@@ -95,6 +98,9 @@
 }
 
 func decodeParts(in []uint64) prompt.Parts {
+	if len(in) == 0 {
+		return nil
+	}
 	out := make(prompt.Parts, len(in))
 	for i, part := range in {
 		out[i] = prompt.Part(part)
--- a/deployment/trials.go
+++ b/deployment/trials.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,8 +29,15 @@
 	knownRouters func() []fleet.RouterID
 	call         func(ctx context.Context, to fleet.RouterID, method string, params, result any) error
 	trials       quarantine.Trials
+
+	mu sync.Mutex
+	// denied holds the latest window of each trial that this router hasn't got.
+	denied map[uint64]int
 }
 
+// maxDenied bounds the trials that are remembered as denied.
+const maxDenied = 1024
+
 // trialRequest asks for the trial of a window.
 type trialRequest struct {
 	ID     uint64 `json:"id"`
@@ -40,8 +48,33 @@
 	Granted bool `json:"granted"`
 }
 
-// ask returns whether this router may send a request as a trial.
+// isDenied reports whether this router has asked for a trial in vain.
+func (g *trialGranter) isDenied(id uint64, window int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return window <= g.denied[id]
+}
+
+func (g *trialGranter) deny(id uint64, window int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.denied == nil || len(g.denied) >= maxDenied {
+		g.denied = make(map[uint64]int)
+	}
+	g.denied[id] = max(g.denied[id], window)
+}
+
+// ask returns whether this router may send a request as a trial. It asks once for each trial.
 func (g *trialGranter) ask(ctx context.Context, id uint64, window int) bool {
+	if g.isDenied(id, window) {
+		return false
+	}
+	granted := g.askOwner(ctx, id, window)
+	g.deny(id, window) // this request has the trial, or another one of the fleet
+	return granted
+}
+
+func (g *trialGranter) askOwner(ctx context.Context, id uint64, window int) bool {
 	request := trialRequest{ID: id, Window: window}
 	owner := rendezvous.Pick(rendezvous.KeyOfNumber("trial", id+uint64(window)), append(g.knownRouters(), g.self))
 	if owner == g.self {
--- a/diagnosis/cause.go
+++ b/diagnosis/cause.go
@@ -27,6 +27,9 @@
 	Parts prompt.Parts
 	// Late is set if upstreams don't end when they begin to answer, but some time later.
 	Late bool
+	// Beside are other parts of the requests under which upstreams ended, as far as they aren't known to
+	// be sound. They don't belong to what identifies the cause.
+	Beside prompt.Parts
 }
 
 // NewCause returns a Cause.
@@ -54,6 +57,11 @@
 	return len(c.Parts) > 0
 }
 
+// isBeside reports whether a request with some parts holds any that was beside the cause and isn't sound.
+func (c Cause) isBeside(parts prompt.Parts, isSound func(prompt.Part) bool) bool {
+	return slices.ContainsFunc(parts, func(p prompt.Part) bool { return slices.Contains(c.Beside, p) && !isSound(p) })
+}
+
 // covers reports whether the requests of another cause are a part of those of this one.
 func (c Cause) covers(other Cause) bool { return c.IsHeldBy(other.Parts) }
 
--- a/diagnosis/counting.go
+++ b/diagnosis/counting.go
@@ -83,7 +83,7 @@
 	out := Decision{Verdicts: t.renew(now, r)}
 	var asked prompt.Parts
 	for _, f := range r.findings(service) {
-		asked = append(asked, f.Parts...)
+		asked = append(append(asked, f.Parts...), f.Beside...)
 		if f.isCertain && !r.wasAsked(now, f.Parts) {
 			f.isCertain = false
 			out.IsPending = true
--- a/diagnosis/finder.go
+++ b/diagnosis/finder.go
@@ -1,6 +1,7 @@
 package diagnosis
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -18,6 +19,8 @@
 	// minRequests is the number of different requests that have to hold a part. A single one that is
 	// repeated is refused by itself.
 	minRequests = 2
+	// maxBeside bounds the parts beside a cause that are told to other routers.
+	maxBeside = 64
 	// maxFindings bounds the causes, and the suspected ones, that are found at once.
 	maxFindings = 8
 )
@@ -158,8 +161,23 @@
 	for _, run := range runs[1:] {
 		common = intersect(common, run.Parts)
 	}
-	common = slices.DeleteFunc(common, func(p prompt.Part) bool {
-		return p != c.part && s.sound.find(p).since(s.late).After(c.first().at)
-	})
-	return finding{Cause: NewCause(s.service, common, s.late)}
+	isSound := func(p prompt.Part) bool { return p != c.part && s.sound.find(p).since(s.late).After(c.first().at) }
+	out := finding{Cause: NewCause(s.service, slices.DeleteFunc(common, isSound), s.late)}
+	out.Beside = beside(out.Cause, runs, isSound)
+	return out
+}
+
+// beside returns the parts that runs hold beside a cause, those first that most hold.
+func beside(cause Cause, runs []Run, isSound func(prompt.Part) bool) prompt.Parts {
+	held := make(map[prompt.Part]int)
+	for _, run := range runs {
+		for _, part := range run.Parts {
+			if !slices.Contains(cause.Parts, part) && !isSound(part) {
+				held[part]++
+			}
+		}
+	}
+	out := slices.Collect(maps.Keys(held))
+	slices.SortFunc(out, func(a, b prompt.Part) int { return cmp.Or(cmp.Compare(held[b], held[a]), cmp.Compare(a, b)) })
+	return out[:min(len(out), maxBeside)]
 }
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -20,6 +20,11 @@
 	// long it is answered when something new is known.
 	questionInterval = time.Second
 	questionTTL      = 30 * time.Second
+	// probeTime is the time after a verdict in which one request of the fleet that is unlike those under
+	// which upstreams ended may be sent. If it is answered, another part was the cause.
+	probeTime = 2 * time.Second
+	// probeTrial is the number of this trial; those after the term follow.
+	probeTrial = 1
 	// maxQuestions bounds the parts that are asked about at once.
 	maxQuestions = 64
 	// maxServices bounds the services whose crashes are remembered.
@@ -77,6 +82,12 @@
 	var by CauseID
 	for _, id := range t.refusals.held(parts) {
 		d := t.refusals.terms.Check(now, id)
+		if d.Trial > 0 {
+			d.Trial += probeTrial
+		}
+		if d.Wait > 0 && t.mayProbe(now, id, parts) {
+			d = quarantine.Decision{Trial: probeTrial}
+		}
 		if d.Wait > out.Wait || (out == quarantine.Decision{}) {
 			out, by = d, id
 		}
@@ -84,6 +95,21 @@
 	return out, by
 }
 
+// mayProbe reports whether a request may be the probe of a cause: it is unlike those under which upstreams
+// ended, but for the parts of the cause.
+func (t *Tracker) mayProbe(now time.Time, id CauseID, parts prompt.Parts) bool {
+	cause := t.refusals.causes[id]
+	term, known := t.refusals.terms.Find(now, id)
+	began := term.Until.Add(-term.Length)
+	if !known || !term.IsFirst() || now.Sub(began) > probeTime {
+		return false
+	}
+	sound := t.sound[cause.Service]
+	return !cause.isBeside(parts, func(p prompt.Part) bool {
+		return sound != nil && sound.find(p).since(cause.Late).After(began.Add(-probeTime))
+	})
+}
+
 // NextTrial returns how long it takes until the next trial window of a cause.
 func (t *Tracker) NextTrial(now time.Time, id CauseID) time.Duration {
 	t.mu.Lock()
--- a/quarantine/terms.go
+++ b/quarantine/terms.go
@@ -121,5 +121,8 @@
 	}
 }
 
+// IsFirst reports whether this is the first term.
+func (t Term) IsFirst() bool { return t.Length <= termLengths[0] }
+
 // ProbationEnd returns when the probation after the term ends.
 func (t Term) ProbationEnd() time.Time { return t.Until.Add(probation) }
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -42,6 +42,9 @@
 
 // NextTrial returns how long it takes until the next trial window.
 func (l *Terms[K]) NextTrial(now time.Time, key K) time.Duration {
+	if left := l.Remaining(now, key); left > 0 {
+		return left
+	}
 	return trialWindow - max(now.Sub(l.terms[key].Until), 0)%trialWindow
 }
 
