--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -24,6 +24,9 @@
 // checkTimeout bounds a check of whether an upstream can be reached.
 const checkTimeout = 400 * time.Millisecond
 
+// stallMemory is how long after a stall of this process answers may be read late.
+const stallMemory = 5 * time.Second
+
 // socketCloseTime is the time in which a process that ends closes all its sockets.
 const socketCloseTime = 10 * time.Millisecond
 
@@ -43,6 +46,10 @@
 	upstreamEntry func(id fleet.UpstreamID) (registry.Change, bool)
 	// checkReachable returns an error if an upstream can't be reached.
 	checkReachable func(ctx context.Context, address string) error
+	// checkProcess also returns an error if the process at the address started at another time.
+	checkProcess func(ctx context.Context, address string, startTime registry.StartTime) error
+	// stalledAt returns when this process last went on after it had not run for some time.
+	stalledAt func() time.Time
 	// saveVerdict stores a verdict of this router at the platform.
 	saveVerdict func(v quarantine.Verdict)
 	log         *slog.Logger
@@ -147,6 +154,10 @@
 	case <-time.After(socketCloseTime):
 	case <-ctx.Done():
 	}
+	if time.Since(c.stalledAt()) < stallMemory {
+		// Another process may have its address by now.
+		return c.checkProcess(ctx, upstream.Address, upstream.StartTime) != nil
+	}
 	return c.isDownOrRestarted(ctx, upstream)
 }
 
--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -11,6 +11,7 @@
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 )
 
@@ -107,3 +108,9 @@
 func RoundTripVerdict(now time.Time, v diagnosis.Verdict) diagnosis.Verdict {
 	return decodeCauseVerdict(now, encodeCauseVerdict(now, v))
 }
+
+// Stall makes the router have stalled just now. process returns an error if another process has an upstream's address.
+func (m *mesh) Stall(process func() error) {
+	m.stalledAt.Store(time.Now().UnixNano())
+	m.crashMonitor.checkProcess = func(context.Context, string, registry.StartTime) error { return process() }
+}
--- a/deployment/part_crashes_test.go
+++ b/deployment/part_crashes_test.go
@@ -17,6 +17,7 @@
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
+	"nutmeglock.example/nutmeglock/upstream"
 )
 
 const (
@@ -173,3 +174,16 @@
 		require.Equal(t, v, deployment.RoundTripVerdict(now, v))
 	}
 }
+
+// Guards against a router that goes on after a stall taking the process that has a crashed upstream's address by then for
+// that upstream.
+func TestRouterThatStalledAsksWhichProcessHasTheAddress(t *testing.T) {
+	t.Parallel()
+	n := newNode(t, "one")
+	n.reachable = map[string]bool{testUpstream(1).Address: true}
+	require.False(t, n.mesh.Quarantine().HasEnded(t.Context(), testUpstream(1)))
+	n.mesh.Stall(func() error { return &upstream.OtherProcessError{Expected: 1, Found: 2} })
+	require.True(t, n.mesh.Quarantine().HasEnded(t.Context(), testUpstream(1)))
+	n.mesh.Stall(func() error { return nil })
+	require.False(t, n.mesh.Quarantine().HasEnded(t.Context(), testUpstream(1)))
+}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -193,6 +193,7 @@
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
 		Metrics: r.metrics, Logger: r.options.Log, Guard: r.guard, MaxBackoff: maxPeerBackoff,
 	}, r.client.CheckReachable)
+	r.mesh.crashMonitor.checkProcess = r.client.CheckProcess
 	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor, r.options.Log)
 	r.mesh.origins.mixedServices.setUp(r.options.MixedServiceStore)
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -54,6 +55,23 @@
 	return nil
 }
 
+// CheckProcess returns an error if no connection to an upstream can be opened, or if its process started at
+// another time than expected.
+func (c *Client) CheckProcess(ctx context.Context, address string, expected registry.StartTime) error {
+	connection, err := c.open(ctx, address)
+	if err == nil && c.Identity != nil {
+		err = c.identify(connection, address, expected)
+	}
+	if err != nil {
+		if connection != nil {
+			_ = connection.Close()
+		}
+		return &Error{Address: address, Cause: errorCause(ctx, err)}
+	}
+	c.putIdle(address, connection, checkIdleTime)
+	return nil
+}
+
 func (c *Client) askIdentity(connection *conn, address string) (registry.StartTime, error) {
 	if err := connection.SetDeadline(time.Now().Add(identityTimeout)); err != nil {
 		return 0, err
