forward, deployment: whether an answer was read late is seen by its events; probes may come for four seconds; samples of whole answers

The router noticed 50 ms late that it had been stopped, and took the expired entry of a crashed upstream for one that had left.

A sample of one in eight whole answers now tells which parts are sound before any upstream crashes, and parts that never proved sound are considered first; all upstreams were down in the two seconds in which a probe was allowed, which are four now.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -24,9 +24,6 @@
 // checkTimeout bounds a check of whether an upstream can be reached.
 const checkTimeout = 400 * time.Millisecond
 
-// stallMemory is how long after a stall of this process answers may be read late.
-const stallMemory = 5 * time.Second
-
 // socketCloseTime is the time in which a process that ends closes all its sockets.
 const socketCloseTime = 10 * time.Millisecond
 
@@ -48,8 +45,6 @@
 	checkReachable func(ctx context.Context, address string) error
 	// checkProcess also returns an error if the process at the address started at another time.
 	checkProcess func(ctx context.Context, address string, startTime registry.StartTime) error
-	// stalledAt returns when this process last went on after it had not run for some time.
-	stalledAt func() time.Time
 	// saveVerdict stores a verdict of this router at the platform.
 	saveVerdict func(v quarantine.Verdict)
 	log         *slog.Logger
@@ -145,17 +140,17 @@
 	}
 }
 
-// HasEnded reports whether an upstream's process has ended, other than after it had said that it would.
-func (c *crashMonitor) HasEnded(ctx context.Context, upstream registry.Upstream) bool {
-	if c.isLeaving(turn.InstanceOf(upstream)) {
+// HasEnded reports whether an upstream's process has ended, other than after it had said that it would. An entry that
+// was removed says nothing: it may have expired because the process has ended.
+func (c *crashMonitor) HasEnded(ctx context.Context, upstream registry.Upstream, isLate bool) bool {
+	if known, ok := c.upstreamEntry(upstream.ID); ok && known.Upstream.StartTime == upstream.StartTime && known.Upstream.Draining {
 		return false
 	}
 	select {
 	case <-time.After(socketCloseTime):
 	case <-ctx.Done():
 	}
-	if time.Since(c.stalledAt()) < stallMemory {
-		// Another process may have its address by now.
+	if isLate {
 		return c.checkProcess(ctx, upstream.Address, upstream.StartTime) != nil
 	}
 	return c.isDownOrRestarted(ctx, upstream)
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -42,9 +42,6 @@
 	reportRefreshInterval = 500 * time.Millisecond
 )
 
-// stallTime is how late a check has to be for the process to have stalled.
-const stallTime = 500 * time.Millisecond
-
 // mesh synchronises a router's state with the other routers, so that an update reaches
 // all of them even if the store serves only some.
 type mesh struct {
@@ -56,9 +53,6 @@
 	// overload detects a shortage of processor time by how long goroutines wait to run.
 	overload   overload.Detector
 	scheduling overload.SchedulingLatency
-	// checkedAt is when the overload was last checked, and stalledAt when this was last late by
-	// stallTime, as Unix times in nanoseconds.
-	checkedAt, stalledAt atomic.Int64
 	// latency is the latest measured scheduling latency in nanoseconds.
 	latency atomic.Int64
 	shedder overload.Shedder[fleet.AccountID]
@@ -103,7 +97,6 @@
 	m.crashMonitor.checkProcess = func(ctx context.Context, address string, _ registry.StartTime) error {
 		return checkReachable(ctx, address)
 	}
-	m.crashMonitor.stalledAt = func() time.Time { return time.Unix(0, m.stalledAt.Load()) }
 	m.crashMonitor.parts.crashMonitor = &m.crashMonitor
 	m.crashMonitor.parts.timer = timer.System{}
 	m.crashMonitor.trials = trialGranter{
@@ -307,9 +300,6 @@
 // checkOverload measures whether the router has enough processor time and a free link, and
 // adapts shedding and overload.
 func (m *mesh) checkOverload(now time.Time) {
-	if last := m.checkedAt.Swap(now.UnixNano()); last > 0 && now.UnixNano()-last > int64(stallTime) {
-		m.stalledAt.Store(now.UnixNano())
-	}
 	latency := m.scheduling.Wait()
 	m.latency.Store(int64(latency))
 	// A queue that is non-empty for long may still be short, so it counts as a moderate wait
--- a/deployment/trials.go
+++ b/deployment/trials.go
@@ -76,7 +76,7 @@
 
 func (g *trialGranter) askOwner(ctx context.Context, id uint64, window int) bool {
 	request := trialRequest{ID: id, Window: window}
-	owner := rendezvous.Pick(rendezvous.KeyOfNumber("trial", id+uint64(window)), append(g.knownRouters(), g.self))
+	owner := rendezvous.Pick(rendezvous.KeyOfNumber("trial", id+uint64(window)), append(g.otherRouters(), g.self))
 	if owner == g.self {
 		return g.grant(request)
 	}
--- a/diagnosis/candidate.go
+++ b/diagnosis/candidate.go
@@ -79,6 +79,8 @@
 	presences []presence
 	// crashes and runs are the sums over the presences.
 	crashes, runs int
+	// wasSound is set if an answer with the part came far at any time.
+	wasSound bool
 }
 
 func (c *candidate) add(group int, p presence) {
@@ -88,9 +90,15 @@
 	c.runs += p.runs
 }
 
-// compareCandidates orders candidates: first the one that is at most crashes, then the one that the
-// fewest requests hold.
+// compareCandidates orders candidates: those first that never proved sound, then the one that is at most
+// crashes, then the one that the fewest requests hold.
 func compareCandidates(a, b *candidate) int {
+	switch {
+	case a.wasSound && !b.wasSound:
+		return 1
+	case b.wasSound && !a.wasSound:
+		return -1
+	}
 	return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(a.runs, b.runs), cmp.Compare(a.part, b.part))
 }
 
@@ -127,7 +135,7 @@
 // by chance.
 func (s *search) logChance(c *candidate, groups []crashGroup) float64 {
 	chance := logBinomial(len(groups)-c.presences[0].group, len(c.presences))
-	if !s.sound.find(c.part).since(s.late).IsZero() {
+	if c.wasSound {
 		chance -= math.Log(soundBefore)
 	}
 	seen := make(map[quarantine.Fingerprint]bool)
--- a/diagnosis/finder.go
+++ b/diagnosis/finder.go
@@ -132,7 +132,7 @@
 		for part, present := range groups[number].presences(s) {
 			c := byPart[part]
 			if c == nil {
-				c = &candidate{part: part}
+				c = &candidate{part: part, wasSound: !s.sound.find(part).since(s.late).IsZero()}
 				byPart[part] = c
 			}
 			c.add(number, present)
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -22,7 +22,7 @@
 	questionTTL      = 30 * time.Second
 	// probeTime is the time after a verdict in which one request of the fleet that is unlike those under
 	// which upstreams ended may be sent. If it is answered, another part was the cause.
-	probeTime = 2 * time.Second
+	probeTime = 4 * time.Second
 	// probeTrial is the number of this trial; those after the term follow.
 	probeTrial = 1
 	// maxQuestions bounds the parts that are asked about at once.
--- a/forward/crash.go
+++ b/forward/crash.go
@@ -18,6 +18,9 @@
 // soundInterval is the time between two records of how far an answer has come.
 const soundInterval = 250 * time.Millisecond
 
+// wholeSampleInterval is the number of whole answers of which one is recorded while no upstream crashes.
+const wholeSampleInterval = 8
+
 // fingerprint returns a hash that is the same for repetitions of this request.
 func (j *job) fingerprint() quarantine.Fingerprint { return j.subject().Request }
 
@@ -87,10 +90,15 @@
 	}
 }
 
-// recordWhole reports to the quarantine that the answer is whole.
+// recordWhole reports to the quarantine that the answer is whole. While it isn't active, that is done of a
+// sample, so that the parts of most requests are known to be sound when an upstream crashes.
 func (j *job) recordWhole() {
+	q := j.handler.Quarantine
+	if q == nil {
+		return
+	}
 	now := time.Now()
-	if q := j.activeQuarantine(now); q != nil {
+	if q.IsActive(now) || j.handler.whole.Add(1)%wholeSampleInterval == 0 {
 		q.RecordSound(now, j.subject(), true)
 	}
 }
@@ -121,7 +129,7 @@
 // isCutOff reports whether an answer that seems to have ended was cut off by the end of its upstream. That
 // can't be seen of an answer with neither a length nor chunks.
 func (j *job) isCutOff(ctx context.Context, ticket home.Ticket, answer *upstream.Answer) bool {
-	return answer.Unframed && j.handler.Quarantine != nil && j.handler.Quarantine.HasEnded(ctx, ticket.Upstream())
+	return answer.Unframed && j.handler.Quarantine != nil && j.handler.Quarantine.HasEnded(ctx, ticket.Upstream(), j.progress.isLateAt(time.Now(), j.sentAt))
 }
 
 // isUpstreamDisconnect reports whether an exchange failed because the upstream closed or reset its
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,8 +118,8 @@
 	// RecordBroken records that an upstream closed its connection while it ran a request.
 	RecordBroken(b BrokenRequest)
 	// HasEnded reports whether an upstream's process has ended, other than after it had said that it
-	// would.
-	HasEnded(ctx context.Context, upstream registry.Upstream) bool
+	// would. If this is asked late, another process may have its address.
+	HasEnded(ctx context.Context, upstream registry.Upstream, isLate bool) bool
 }
 
 // BrokenRequest is a request whose upstream closed the connection while it ran the request.
@@ -181,6 +181,8 @@
 	queues   admission.QueueLimiter[queueKey]
 	shutdown shutdownState
 	answered atomic.Uint64
+	// whole counts whole answers, of which a sample is recorded.
+	whole    atomic.Uint64
 	refusals refusal.Summary
 }
 
--- a/forward/job.go
+++ b/forward/job.go
@@ -31,6 +31,10 @@
 	// resumeMaxWait is how long a broken stream waits for another upstream. Its caller gives up
 	// about two seconds after the last event.
 	resumeMaxWait = time.Second
+	// maxReadPause and maxFirstWait are the pauses between events, and before the first one, after which
+	// an answer may have been read late.
+	maxReadPause = 500 * time.Millisecond
+	maxFirstWait = 2 * time.Second
 	// maxSends bounds how often one request is sent, whatever the outcomes.
 	maxSends = 4
 )
@@ -98,6 +102,9 @@
 	// headerAt and firstEventAt are when the header and the first event arrived, zero if they didn't.
 	headerAt, firstEventAt time.Time
 	events                 int
+	// lastEventAt is when the latest event arrived, and longestPause the longest time between two.
+	lastEventAt  time.Time
+	longestPause time.Duration
 	// recordAt is when the quarantine is next told that events have been arriving.
 	recordAt time.Time
 	// isUnproven is set if the answer may have been cut off, though it seems whole.
@@ -110,9 +117,22 @@
 		p.firstEventAt = now
 		p.recordAt = now.Add(diagnosis.SoundAfter)
 	}
+	if p.events > 0 {
+		p.longestPause = max(p.longestPause, now.Sub(p.lastEventAt))
+	}
+	p.lastEventAt = now
 	p.events++
 }
 
+// isLateAt reports whether what has arrived may have been sent long before it was read, as when this process was
+// stopped for a while.
+func (p *progress) isLateAt(now, sentAt time.Time) bool {
+	if p.events == 0 {
+		return now.Sub(sentAt) > maxFirstWait
+	}
+	return max(p.longestPause, now.Sub(p.lastEventAt)) > maxReadPause || p.firstEventAt.Sub(sentAt) > maxFirstWait
+}
+
 // sinceHeader and sinceFirstEvent return how long ago these arrived, a negative time if they didn't.
 func (p *progress) sinceHeader() time.Duration     { return sinceOrNever(p.headerAt) }
 func (p *progress) sinceFirstEvent() time.Duration { return sinceOrNever(p.firstEventAt) }
