diagnosis: one verdict and one trial for what several counting routers find, and a probe only where there is doubt

The play wrote out no logs, so the cause is only suspected: three routers decide at the same moment, and verdicts on sets of parts that differ had a probe and a trial each; a set that shrinks had them anew.

Now a verdict that another covers is dropped everywhere, also from the store; a request needs the trials of all verdicts that it meets; and a probe is sent only if other parts that aren't known to be sound were in several of the crashed requests, too. TestOneTrialForAllVerdictsThatARequestMeets and TestRestoreRemovesWhatIsCovered failed before.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -79,13 +79,15 @@
 // sent as a trial.
 func (c *crashMonitor) RefusedFor(now time.Time, s quarantine.Subject) time.Duration {
 	request := c.tracker.Check(now, s.Request)
-	cause, id := c.parts.tracker.Check(now, s.Parts)
-	wait := max(request.Wait, cause.Wait)
+	causes := c.parts.tracker.Check(now, s.Parts)
+	wait := max(request.Wait, causes.Wait)
 	if request.Trial > 0 && c.trials.isDenied(uint64(s.Request), request.Trial) {
 		wait = max(wait, c.tracker.NextTrial(now, s.Request))
 	}
-	if cause.Trial > 0 && c.trials.isDenied(uint64(id), cause.Trial) {
-		wait = max(wait, c.parts.tracker.NextTrial(now, id))
+	for _, trial := range causes.Trials {
+		if c.trials.isDenied(uint64(trial.Cause), trial.Window) {
+			wait = max(wait, c.parts.tracker.NextTrial(now, trial.Cause))
+		}
 	}
 	return wait
 }
@@ -93,15 +95,17 @@
 // Admit is RefusedFor for a request that is sent if the result is zero.
 func (c *crashMonitor) Admit(ctx context.Context, now time.Time, s quarantine.Subject) time.Duration {
 	request := c.tracker.Check(now, s.Request)
-	cause, id := c.parts.tracker.Check(now, s.Parts)
-	if wait := max(request.Wait, cause.Wait); wait > 0 {
+	causes := c.parts.tracker.Check(now, s.Parts)
+	if wait := max(request.Wait, causes.Wait); wait > 0 {
 		return wait
 	}
 	if request.Trial > 0 && !c.trials.ask(ctx, uint64(s.Request), request.Trial) {
 		return c.tracker.NextTrial(now, s.Request)
 	}
-	if cause.Trial > 0 && !c.trials.ask(ctx, uint64(id), cause.Trial) {
-		return c.parts.tracker.NextTrial(now, id)
+	for _, trial := range causes.Trials {
+		if !c.trials.ask(ctx, uint64(trial.Cause), trial.Window) {
+			return c.parts.tracker.NextTrial(now, trial.Cause)
+		}
 	}
 	return 0
 }
--- a/diagnosis/cause.go
+++ b/diagnosis/cause.go
@@ -27,8 +27,8 @@
 	Parts prompt.Parts
 	// Late is set if upstreams don't end when they begin to answer, but some time later.
 	Late bool
-	// Beside are other parts of the requests under which upstreams ended, as far as they aren't known to
-	// be sound. They don't belong to what identifies the cause.
+	// Beside are other parts that several of the requests hold under which upstreams ended, and that
+	// aren't known to be sound. They don't belong to what identifies the cause.
 	Beside prompt.Parts
 }
 
--- a/diagnosis/counting.go
+++ b/diagnosis/counting.go
@@ -133,20 +133,16 @@
 		return t.suspect(now, f.Cause)
 	}
 	id := f.ID()
-	for other, cause := range t.refusals.causes {
-		if _, known := t.refusals.terms.Find(now, other); known && cause.covers(f.Cause) {
-			return nil
-		}
+	if _, known := t.refusals.terms.Find(now, id); known || t.refusals.isCovered(now, f.Cause) {
+		return nil
 	}
-	out := []Verdict{{Cause: f.Cause, Status: quarantine.Refused, Term: t.refusals.start(now, f.Cause)}}
+	var out []Verdict
 	for other, cause := range t.refusals.causes {
 		if other != id && f.covers(cause) {
 			out = append(out, Verdict{Cause: cause, Reason: ReasonNarrowed})
 		}
 	}
-	for _, v := range out[1:] {
-		t.apply(now, v)
-	}
+	out = append(out, Verdict{Cause: f.Cause, Status: quarantine.Refused, Term: t.refusals.start(now, f.Cause)})
 	t.extendRefused(now)
 	return out
 }
--- a/diagnosis/finder.go
+++ b/diagnosis/finder.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/prompt"
+	"nutmeglock.example/nutmeglock/quarantine"
 )
 
 const (
@@ -167,17 +168,24 @@
 	return out
 }
 
-// beside returns the parts that runs hold beside a cause, those first that most hold.
+// beside returns the parts that several different requests hold beside a cause, those first that most hold.
 func beside(cause Cause, runs []Run, isSound func(prompt.Part) bool) prompt.Parts {
-	held := make(map[prompt.Part]int)
+	requests := make(map[prompt.Part]map[quarantine.Fingerprint]bool)
 	for _, run := range runs {
 		for _, part := range run.Parts {
-			if !slices.Contains(cause.Parts, part) && !isSound(part) {
-				held[part]++
+			if slices.Contains(cause.Parts, part) || isSound(part) {
+				continue
 			}
+			if requests[part] == nil {
+				requests[part] = make(map[quarantine.Fingerprint]bool)
+			}
+			requests[part][run.Request] = true
 		}
 	}
-	out := slices.Collect(maps.Keys(held))
-	slices.SortFunc(out, func(a, b prompt.Part) int { return cmp.Or(cmp.Compare(held[b], held[a]), cmp.Compare(a, b)) })
+	maps.DeleteFunc(requests, func(_ prompt.Part, holders map[quarantine.Fingerprint]bool) bool { return len(holders) < minRequests })
+	out := slices.Collect(maps.Keys(requests))
+	slices.SortFunc(out, func(a, b prompt.Part) int {
+		return cmp.Or(cmp.Compare(len(requests[b]), len(requests[a])), cmp.Compare(a, b))
+	})
 	return out[:min(len(out), maxBeside)]
 }
--- a/diagnosis/model_test.go
+++ b/diagnosis/model_test.go
@@ -338,8 +338,13 @@
 
 // isAdmitted reports whether a request may be sent, as a trial if need be.
 func (m *model) isAdmitted(tracker *diagnosis.Tracker, parts prompt.Parts) bool {
-	d, id := tracker.Check(m.now, parts)
-	return d.Wait == 0 && (d.Trial == 0 || m.trials.Grant(uint64(id), d.Trial))
+	check := tracker.Check(m.now, parts)
+	for _, trial := range check.Trials {
+		if check.Wait > 0 || !m.trials.Grant(uint64(trial.Cause), trial.Window) {
+			return false
+		}
+	}
+	return check.Wait == 0
 }
 
 func (m *model) restart(i int) {
--- a/diagnosis/refusals.go
+++ b/diagnosis/refusals.go
@@ -30,13 +30,19 @@
 	maxSuspects = 256
 )
 
-// put refuses a cause for a term. It returns false if it already is for as long.
+// put refuses a cause for a term. It returns false if it already is for as long, or if another cause
+// covers it. Causes that it covers are refused no longer by themselves, so that they have no trials of their own.
 func (r *refusals) put(now time.Time, cause Cause, term quarantine.Term) bool {
 	id := cause.ID()
-	if len(cause.Parts) == 0 || !r.terms.Put(now, id, term) {
+	if len(cause.Parts) == 0 || r.isCovered(now, cause) || !r.terms.Put(now, id, term) {
 		return false
 	}
 	r.sweep(now)
+	for other, covered := range r.causes {
+		if other != id && cause.covers(covered) {
+			r.release(other)
+		}
+	}
 	if _, known := r.causes[id]; known {
 		r.causes[id] = cause
 		return true
@@ -50,6 +56,17 @@
 	return true
 }
 
+// isCovered reports whether another cause that is refused or on probation covers a cause.
+func (r *refusals) isCovered(now time.Time, cause Cause) bool {
+	id := cause.ID()
+	for other, refused := range r.causes {
+		if _, known := r.terms.Find(now, other); known && other != id && refused.covers(cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // start refuses a cause for its next term.
 func (r *refusals) start(now time.Time, cause Cause) quarantine.Term {
 	id := cause.ID()
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -1,6 +1,7 @@
 package diagnosis
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -73,35 +74,47 @@
 	}
 }
 
-// Check returns whether a request with some parts may be sent, and the cause that decides: the one that
-// is refused for longest, or of which the request would be the trial.
-func (t *Tracker) Check(now time.Time, parts prompt.Parts) (quarantine.Decision, CauseID) {
+// Check tells whether a request may be sent.
+type Check struct {
+	// Wait is how long the request is refused, zero if it may be sent.
+	Wait time.Duration
+	// Trials are all the trials that the request needs to be sent.
+	Trials []Trial
+}
+
+// Trial is a trial of a cause.
+type Trial struct {
+	Cause  CauseID
+	Window int
+}
+
+// Check returns whether a request with some parts may be sent.
+func (t *Tracker) Check(now time.Time, parts prompt.Parts) Check {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out quarantine.Decision
-	var by CauseID
+	var out Check
 	for _, id := range t.refusals.held(parts) {
 		d := t.refusals.terms.Check(now, id)
-		if d.Trial > 0 {
-			d.Trial += probeTrial
-		}
-		if d.Wait > 0 && t.mayProbe(now, id, parts) {
-			d = quarantine.Decision{Trial: probeTrial}
-		}
-		if d.Wait > out.Wait || (out == quarantine.Decision{}) {
-			out, by = d, id
+		switch {
+		case d.Trial > 0:
+			out.Trials = append(out.Trials, Trial{Cause: id, Window: d.Trial + probeTrial})
+		case d.Wait > 0 && t.mayProbe(now, id, parts):
+			out.Trials = append(out.Trials, Trial{Cause: id, Window: probeTrial})
+		default:
+			out.Wait = max(out.Wait, d.Wait)
 		}
 	}
-	return out, by
+	slices.SortFunc(out.Trials, func(a, b Trial) int { return cmp.Compare(a.Cause, b.Cause) })
+	return out
 }
 
 // mayProbe reports whether a request may be the probe of a cause: it is unlike those under which upstreams
-// ended, but for the parts of the cause.
+// ended, but for the parts of the cause. Without other parts that several of those hold there is no doubt.
 func (t *Tracker) mayProbe(now time.Time, id CauseID, parts prompt.Parts) bool {
 	cause := t.refusals.causes[id]
 	term, known := t.refusals.terms.Find(now, id)
 	began := term.Until.Add(-term.Length)
-	if !known || !term.IsFirst() || now.Sub(began) > probeTime {
+	if !known || len(cause.Beside) == 0 || !term.IsFirst() || now.Sub(began) > probeTime {
 		return false
 	}
 	sound := t.sound[cause.Service]
@@ -283,21 +296,27 @@
 	return out
 }
 
-// Restore loads persisted entries. It returns the verdicts that operators have lifted.
+// Restore loads persisted entries. It returns the verdicts that operators have lifted, and those that are covered by
+// others, to be removed.
 func (t *Tracker) Restore(now time.Time, entries []Entry) []Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var lifted []Verdict
+	var withdrawn []Verdict
 	for _, e := range entries {
 		if !e.IsLifted {
 			t.apply(now, Verdict{Cause: e.Cause, Status: quarantine.Refused, Term: e.Term})
 			continue
 		}
 		if v := (Verdict{Cause: e.Cause, Reason: ReasonLifted}); t.apply(now, v) {
-			lifted = append(lifted, v)
+			withdrawn = append(withdrawn, v)
+		}
+	}
+	for _, e := range entries {
+		if !e.IsLifted && t.refusals.isCovered(now, e.Cause) {
+			withdrawn = append(withdrawn, Verdict{Cause: e.Cause, Reason: ReasonNarrowed})
 		}
 	}
-	return lifted
+	return withdrawn
 }
 
 // HasRefusals reports whether any cause is refused or on probation.
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -64,8 +64,7 @@
 
 // refuses reports whether requests with some parts are refused once the time for a probe is over.
 func (s *scene) refuses(parts ...prompt.Part) bool {
-	d, _ := s.tracker.Check(s.now.Add(probeTime), parts)
-	return d.Wait > 0
+	return s.tracker.Check(s.now.Add(probeTime), parts).Wait > 0
 }
 
 // probeTime is the time after a verdict in which a request may be sent as its probe.
@@ -171,8 +170,8 @@
 	sent := 0
 	for s.now.Before(day) {
 		s.now = s.now.Add(100 * time.Millisecond)
-		d, id := s.tracker.Check(s.now, prompt.Parts{fatal})
-		if d.Wait > 0 || d.Trial == 0 || !trials.Grant(uint64(id), d.Trial) {
+		d := s.tracker.Check(s.now, prompt.Parts{fatal})
+		if d.Wait > 0 || len(d.Trials) == 0 || !trials.Grant(uint64(d.Trials[0].Cause), d.Trials[0].Window) {
 			if d.Wait > time.Minute {
 				s.now = s.now.Add(d.Wait - time.Second)
 			}
@@ -201,16 +200,14 @@
 	}
 	require.Empty(t, restarted.Restore(s.now, entries))
 	for _, tracker := range []*diagnosis.Tracker{&late, &restarted} {
-		d, _ := tracker.Check(s.now.Add(probeTime), prompt.Parts{other, fatal})
-		require.Positive(t, d.Wait)
+		require.Positive(t, tracker.Check(s.now.Add(probeTime), prompt.Parts{other, fatal}).Wait)
 		require.True(t, tracker.IsActive(s.now))
 	}
 	entries[0].IsLifted = true
 	lifted := restarted.Restore(s.now, entries)
 	require.Len(t, lifted, 1)
 	require.Equal(t, diagnosis.ReasonLifted, lifted[0].Reason)
-	d, _ := restarted.Check(s.now, prompt.Parts{other, fatal})
-	require.Zero(t, d.Wait)
+	require.Zero(t, restarted.Check(s.now, prompt.Parts{other, fatal}).Wait)
 }
 
 // Guards against memory that grows with the number of crashes, parts or services.
@@ -282,8 +279,7 @@
 			},
 			"": func(t *rapid.T) {
 				for part := range prompt.Part(5) {
-					d, _ := s.tracker.Check(s.now, prompt.Parts{part})
-					require.LessOrEqual(t, d.Wait, 24*time.Hour)
+					require.LessOrEqual(t, s.tracker.Check(s.now, prompt.Parts{part}).Wait, 24*time.Hour)
 				}
 				require.False(t, s.refuses(), "a request without parts")
 			},
@@ -316,13 +312,13 @@
 		s.crash(account, fatal+(second-fatal)*(i%2), 200+i)
 	}
 	require.True(t, s.refuses(account, other), "it was at all crashes")
-	d, _ := s.tracker.Check(s.now, prompt.Parts{account, fatal})
-	require.Positive(t, d.Wait, "it is like them")
-	d, id := s.tracker.Check(s.now, prompt.Parts{account, other})
+	require.Positive(t, s.tracker.Check(s.now, prompt.Parts{account, fatal}).Wait, "it is like them")
+	d := s.tracker.Check(s.now, prompt.Parts{account, other})
 	require.Zero(t, d.Wait)
+	require.Len(t, d.Trials, 1)
 	var trials quarantine.Trials
-	require.True(t, trials.Grant(uint64(id), d.Trial))
-	require.False(t, trials.Grant(uint64(id), d.Trial), "there is one probe")
+	require.True(t, trials.Grant(uint64(d.Trials[0].Cause), d.Trials[0].Window))
+	require.False(t, trials.Grant(uint64(d.Trials[0].Cause), d.Trials[0].Window), "there is one probe")
 	s.now = s.now.Add(time.Second)
 	s.sound(account, other)
 	require.False(t, s.refuses(account, other))
@@ -334,3 +330,34 @@
 	require.True(t, s.refuses(account, fatal))
 	require.False(t, s.refuses(account, other))
 }
+
+// Guards against a trial for each of several verdicts on one part that counting routers reached at the same time.
+func TestOneTrialForAllVerdictsThatARequestMeets(t *testing.T) {
+	t.Parallel()
+	s := newScene()
+	term := quarantine.Term{Until: s.now.Add(time.Second), Length: time.Minute}
+	for _, parts := range []prompt.Parts{{fatal, account}, {fatal}, {fatal, other}} {
+		s.tracker.Apply(s.now, diagnosis.Verdict{Cause: diagnosis.NewCause(modelService, parts, false), Status: quarantine.Refused, Term: term})
+	}
+	require.Len(t, s.tracker.Refused(s.now), 1, "one verdict covers the others")
+	s.now = term.Until
+	require.Len(t, s.tracker.Check(s.now, prompt.Parts{fatal, account, other}).Trials, 1)
+
+	var overlapping diagnosis.Tracker
+	for _, parts := range []prompt.Parts{{fatal, account}, {fatal, other}} {
+		overlapping.Apply(s.now, diagnosis.Verdict{Cause: diagnosis.NewCause(modelService, parts, false), Status: quarantine.Refused, Term: quarantine.Term{Until: s.now, Length: time.Minute}})
+	}
+	require.Len(t, overlapping.Check(s.now, prompt.Parts{fatal, account, other}).Trials, 2, "it needs both")
+}
+
+// Guards against rows of the store that bring back what a wider verdict covers once that is lifted.
+func TestRestoreRemovesWhatIsCovered(t *testing.T) {
+	t.Parallel()
+	s := newScene()
+	term := quarantine.Term{Until: s.now.Add(time.Minute), Length: time.Minute}
+	narrow := diagnosis.NewCause(modelService, prompt.Parts{fatal, account}, false)
+	wide := diagnosis.NewCause(modelService, prompt.Parts{fatal}, false)
+	removed := s.tracker.Restore(s.now, []diagnosis.Entry{{Cause: narrow, Term: term}, {Cause: wide, Term: term}})
+	require.Len(t, removed, 1)
+	require.Equal(t, narrow.ID(), removed[0].Cause.ID())
+}
