--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -81,11 +81,11 @@
 	request := c.tracker.Check(now, s.Request)
 	causes := c.parts.tracker.Check(now, s.Parts)
 	wait := max(request.Wait, causes.Wait)
-	if request.Trial > 0 && c.trials.isDenied(uint64(s.Request), request.Trial) {
+	if request.Trial > 0 && c.trials.wasAsked(now, uint64(s.Request), request.Trial) {
 		wait = max(wait, c.tracker.NextTrial(now, s.Request))
 	}
 	for _, trial := range causes.Trials {
-		if c.trials.isDenied(uint64(trial.Cause), trial.Window) {
+		if c.trials.wasAsked(now, uint64(trial.Cause), trial.Window) {
 			wait = max(wait, c.parts.tracker.NextTrial(now, trial.Cause))
 		}
 	}
@@ -99,11 +99,11 @@
 	if wait := max(request.Wait, causes.Wait); wait > 0 {
 		return wait
 	}
-	if request.Trial > 0 && !c.trials.ask(ctx, uint64(s.Request), request.Trial) {
+	if request.Trial > 0 && !c.trials.ask(ctx, now, uint64(s.Request), request.Trial) {
 		return c.tracker.NextTrial(now, s.Request)
 	}
 	for _, trial := range causes.Trials {
-		if !c.trials.ask(ctx, uint64(trial.Cause), trial.Window) {
+		if !c.trials.ask(ctx, now, uint64(trial.Cause), trial.Window) {
 			return c.parts.tracker.NextTrial(now, trial.Cause)
 		}
 	}
--- a/deployment/trials.go
+++ b/deployment/trials.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,16 +27,10 @@
 	otherRouters func() []fleet.RouterID
 	knownRouters func() []fleet.RouterID
 	call         func(ctx context.Context, to fleet.RouterID, method string, params, result any) error
-	trials       quarantine.Trials
-
-	mu sync.Mutex
-	// denied holds the latest window of each trial that this router hasn't got.
-	denied map[uint64]int
+	// granted are the trials that this router has granted, and asked those that it has asked for.
+	granted, asked quarantine.Trials
 }
 
-// maxDenied bounds the trials that are remembered as denied.
-const maxDenied = 1024
-
 // trialRequest asks for the trial of a window.
 type trialRequest struct {
 	ID     uint64 `json:"id"`
@@ -48,30 +41,15 @@
 	Granted bool `json:"granted"`
 }
 
-// isDenied reports whether this router has asked for a trial in vain.
-func (g *trialGranter) isDenied(id uint64, window int) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return window <= g.denied[id]
-}
-
-func (g *trialGranter) deny(id uint64, window int) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.denied == nil || len(g.denied) >= maxDenied {
-		g.denied = make(map[uint64]int)
-	}
-	g.denied[id] = max(g.denied[id], window)
+// wasAsked reports whether this router has asked for a trial. One of its requests has it, or another one of
+// the fleet.
+func (g *trialGranter) wasAsked(now time.Time, id uint64, window int) bool {
+	return g.asked.IsGranted(now, id, window)
 }
 
 // ask returns whether this router may send a request as a trial. It asks once for each trial.
-func (g *trialGranter) ask(ctx context.Context, id uint64, window int) bool {
-	if g.isDenied(id, window) {
-		return false
-	}
-	granted := g.askOwner(ctx, id, window)
-	g.deny(id, window) // this request has the trial, or another one of the fleet
-	return granted
+func (g *trialGranter) ask(ctx context.Context, now time.Time, id uint64, window int) bool {
+	return g.asked.Grant(now, id, window) && g.askOwner(ctx, id, window)
 }
 
 func (g *trialGranter) askOwner(ctx context.Context, id uint64, window int) bool {
@@ -88,7 +66,7 @@
 
 // grant grants a trial once. A router that is cut off from most others grants none: they may, too.
 func (g *trialGranter) grant(r trialRequest) bool {
-	return !g.isCutOff() && g.trials.Grant(r.ID, r.Window)
+	return !g.isCutOff() && g.granted.Grant(time.Now(), r.ID, r.Window)
 }
 
 // isCutOff reports whether this router isn't connected with most of the fleet.
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -171,7 +171,7 @@
 	for s.now.Before(day) {
 		s.now = s.now.Add(100 * time.Millisecond)
 		d := s.tracker.Check(s.now, prompt.Parts{fatal})
-		if d.Wait > 0 || len(d.Trials) == 0 || !trials.Grant(uint64(d.Trials[0].Cause), d.Trials[0].Window) {
+		if d.Wait > 0 || len(d.Trials) == 0 || !trials.Grant(s.now, uint64(d.Trials[0].Cause), d.Trials[0].Window) {
 			if d.Wait > time.Minute {
 				s.now = s.now.Add(d.Wait - time.Second)
 			}
@@ -179,7 +179,6 @@
 		}
 		sent++
 		s.crash(fatal, other)
-		trials = quarantine.Trials{}
 	}
 	require.LessOrEqual(t, sent, maxLate)
 	require.GreaterOrEqual(t, sent, 2)
@@ -317,8 +316,8 @@
 	require.Zero(t, d.Wait)
 	require.Len(t, d.Trials, 1)
 	var trials quarantine.Trials
-	require.True(t, trials.Grant(uint64(d.Trials[0].Cause), d.Trials[0].Window))
-	require.False(t, trials.Grant(uint64(d.Trials[0].Cause), d.Trials[0].Window), "there is one probe")
+	require.True(t, trials.Grant(s.now, uint64(d.Trials[0].Cause), d.Trials[0].Window))
+	require.False(t, trials.Grant(s.now, uint64(d.Trials[0].Cause), d.Trials[0].Window), "there is one probe")
 	s.now = s.now.Add(time.Second)
 	s.sound(account, other)
 	require.False(t, s.refuses(account, other))
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -52,19 +52,41 @@
 // use. It is safe for concurrent use.
 type Trials struct {
 	mu      sync.Mutex
-	granted map[uint64]int
+	granted map[uint64]grantedTrial
+}
+
+// grantedTrial is the latest trial that was granted. Windows are counted anew in each term, and
+// terms are longer than trialMemory apart.
+type grantedTrial struct {
+	window int
+	at     time.Time
+}
+
+// trialMemory is how long a granted trial counts.
+const trialMemory = 20 * time.Second
+
+// IsGranted reports whether the trial of a window, or of a later one, was granted.
+func (t *Trials) IsGranted(now time.Time, id uint64, window int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isGranted(now, id, window)
+}
+
+func (t *Trials) isGranted(now time.Time, id uint64, window int) bool {
+	last, known := t.granted[id]
+	return known && window <= last.window && now.Sub(last.at) < trialMemory
 }
 
 // Grant grants the trial of a window, once.
-func (t *Trials) Grant(id uint64, window int) bool {
+func (t *Trials) Grant(now time.Time, id uint64, window int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if window <= t.granted[id] {
+	if t.isGranted(now, id, window) {
 		return false
 	}
 	if t.granted == nil || len(t.granted) >= maxTrials {
-		t.granted = make(map[uint64]int)
+		t.granted = make(map[uint64]grantedTrial)
 	}
-	t.granted[id] = window
+	t.granted[id] = grantedTrial{window: window, at: now}
 	return true
 }
