--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -360,3 +360,24 @@
 	require.Len(t, removed, 1)
 	require.Equal(t, narrow.ID(), removed[0].Cause.ID())
 }
+
+// Guards against waiting for answers of other requests while all upstreams have ended within a second.
+func TestPartIsRefusedThoughAllUpstreamsEndedAtOnce(t *testing.T) {
+	t.Parallel()
+	s := newScene()
+	s.tracker.Count(s.now, diagnosis.Crash{Service: modelService, At: s.now.Add(-10 * time.Minute), Upstream: turn.Instance{ID: "long-ago"}})
+	for i := range prompt.Part(8) {
+		s.sound(1000 + i)
+	}
+	for i := range 5 {
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.tracker.Count(s.now, diagnosis.Crash{
+			Service: modelService, At: s.now, Upstream: turn.Instance{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i))},
+			Runs: []diagnosis.Run{{Request: quarantine.Fingerprint(1 + i), Parts: prompt.Parts{fatal, prompt.Part(300 + i)}, SentAt: s.now, Stage: diagnosis.Beginning}},
+		})
+		s.decide()
+	}
+	s.now = s.now.Add(diagnosis.AnswerTime)
+	s.decide()
+	require.True(t, s.refuses(fatal))
+}
