Observability of leaving upstreams: deferred removals, the age of a change, and what is announced

Now 'upstream changed' has the time since a router first read the change from the store, which routers pass on, and the revision up to which this router says that it has all changes; a removal that is deferred has a line; 'dependency regained' tells a pause between two calls of a router that only polls from an outage; a request sent to an upstream that is known to be leaving has a line and a histogram.

No logic is changed. The literal of TestFullReadRemovesMissingEntries now has the time at which the removal was read.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -138,12 +138,13 @@
 		OnColdSkipped: func(reason turn.ColdReason) { r.metrics.ColdSkipped.WithLabelValues(string(reason)).Inc() },
 		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, RecoveryTime: options.RecoveryTime, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
+		OnLeaving: func(age time.Duration) { r.metrics.LeavingSeconds.Observe(age.Seconds()) },
 	})
 	r.client = &upstream.Client{EchoedID: options.EchoedID, Identity: options.Identity, OnOpen: r.metrics.UpstreamConnections.Inc}
 	r.handler = &forward.Handler{
 		Codec: options.Codec, State: r.state, Client: r.client, Metrics: r.metrics,
 		Log: logging.WithPriority(options.Log, logging.Failure), RoutineLog: logging.WithPriority(options.Log, logging.Request),
-		TooManyConnections: r.shouldCloseConnections, Guard: r.guard,
+		TooManyConnections: r.shouldCloseConnections, LeavingSince: r.state.LeavingSince, Guard: r.guard,
 	}
 	if err := r.connectPeers(ctx); err != nil {
 		return nil, err
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -83,6 +83,9 @@
 	// RecoveryTime is how recently a list of upstreams has to be confirmed to be current; zero
 	// means follow.DefaultRecovery.
 	RecoveryTime time.Duration
+	// OnLeaving is called, unless it is nil, with the age of each change by which an upstream drains
+	// or is gone, since the first router read it from the store.
+	OnLeaving func(age time.Duration)
 	// OnChange is called, unless it is nil, with the source of each configuration or change of
 	// the list of upstreams that has taken effect.
 	OnChange func(source string)
@@ -196,6 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyChanges(s.directory.Replace(time.Now(), list, as), source)
+	s.logDeferrals()
 	s.scheduleRemoval()
 }
 
@@ -204,6 +208,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyChanges(s.directory.Apply(time.Now(), changes), source)
+	s.logDeferrals()
 	s.scheduleRemoval()
 }
 
@@ -261,12 +266,36 @@
 	for _, c := range changes {
 		s.options.Log.Info("upstream changed", "upstream", c.Upstream.ID, "service", c.Upstream.Service,
 			"address", c.Upstream.Address, "life", c.Upstream.StartTime, "software", c.Upstream.Software, "draining", c.Upstream.Draining,
-			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "revision", c.Revision, "from", source)
+			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "revision", c.Revision, "from", source,
+			"age-ms", ageMillis(c.ReadAt), "complete-up-to", s.directory.SettledRevision())
+		if s.options.OnLeaving != nil && (c.Removed || c.Upstream.Draining) && !c.ReadAt.IsZero() {
+			s.options.OnLeaving(time.Since(c.ReadAt))
+		}
 	}
 	s.refreshPools(time.Now())
 	s.notify(source)
 }
 
+// logDeferrals logs the removals that don't take effect yet.
+func (s *State) logDeferrals() {
+	for _, d := range s.directory.TakeDeferrals() {
+		until := int64(-1)
+		if !d.Until.IsZero() {
+			until = time.Until(d.Until).Milliseconds()
+		}
+		s.options.Log.Info("upstream removal deferred", "upstream", d.Upstream, "revision", d.Revision, "until-ms", until,
+			"complete-up-to", s.directory.SettledRevision())
+	}
+}
+
+// ageMillis returns how long ago something was read in milliseconds, and -1 if that is unknown.
+func ageMillis(readAt time.Time) int64 {
+	if readAt.IsZero() {
+		return -1
+	}
+	return time.Since(readAt).Milliseconds()
+}
+
 // notify calls OnChange in a goroutine of its own, since OnChange reads the state and the
 // caller holds the lock.
 func (s *State) notify(source string) {
@@ -335,6 +364,14 @@
 // Upstream returns the latest change of an upstream's entry, and whether there is one.
 func (s *State) Upstream(id fleet.UpstreamID) (registry.Change, bool) { return s.directory.Get(id) }
 
+// LeavingSince returns when the first router read that an upstream drains or is gone, zero if that
+// is unknown, and whether it does.
+func (s *State) LeavingSince(u registry.Upstream) (time.Time, bool) {
+	latest, known := s.directory.Get(u.ID)
+	leaving := known && latest.Upstream.StartTime == u.StartTime && (latest.Removed || latest.Upstream.Draining)
+	return latest.ReadAt, leaving
+}
+
 // Upstreams returns the latest change of each entry, removals included, except for entries whose
 // removal is pending.
 func (s *State) Upstreams() []registry.Change { return s.directory.Changes() }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -106,8 +106,10 @@
 	// failedCalls counts the calls without an answer since then.
 	unavailableSince time.Time
 	failedCalls      int
-	// lastCall is when the latest call to the store began.
-	lastCall time.Time
+	// lastCall is when the latest call to the store began, and pauseBefore how long after the call
+	// before it.
+	lastCall    time.Time
+	pauseBefore time.Duration
 }
 
 // Run follows the table until ctx ends, and returns the error of ctx.
@@ -120,7 +122,7 @@
 			f.waitForPoll(ctx)
 		}
 		readAll = readAll || f.isHistoryOver()
-		f.lastCall = time.Now()
+		f.beginCall()
 		var err error
 		if readAll {
 			revision, err = f.read(ctx)
@@ -147,6 +149,15 @@
 	return ctx.Err()
 }
 
+func (f *Follower[R, V]) beginCall() {
+	now := time.Now()
+	f.pauseBefore = 0
+	if !f.lastCall.IsZero() {
+		f.pauseBefore = now.Sub(f.lastCall)
+	}
+	f.lastCall = now
+}
+
 // known returns the revision after which changes are asked for.
 func (f *Follower[R, V]) known(revision V) V {
 	if f.Known == nil {
@@ -244,14 +255,15 @@
 }
 
 // setAvailable records an answer of the store. The log line has the duration of the
-// outage, the number of failed calls and the duration of the successful one, so that a
-// call that timed out late can be distinguished from a long outage.
+// outage, the number of failed calls, the duration of the successful one and the time since the call
+// before it, so that a call that timed out late, and a long time without calls, can be distinguished
+// from a long outage.
 func (f *Follower[R, V]) setAvailable() {
 	if f.unavailableSince.IsZero() {
 		return
 	}
 	f.Log.Info("dependency regained", "dependency", "store", "table", f.Name, "lost-ms", time.Since(f.unavailableSince).Milliseconds(),
-		"failed-calls", f.failedCalls, "waited-ms", time.Since(f.lastCall).Milliseconds())
+		"failed-calls", f.failedCalls, "waited-ms", time.Since(f.lastCall).Milliseconds(), "pause-ms", f.pauseBefore.Milliseconds())
 	f.unavailableSince = time.Time{}
 	f.failedCalls = 0
 	f.Sink.SetAvailable()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -81,6 +81,7 @@
 	j.sentAt = time.Now()
 	j.progress = progress{}
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
+	j.recordLeaving(ticket.Upstream())
 	watch := newSilenceWatch(ctx, cancel, j.silenceLimit(), j.otherUpstreamFinder(), j.handler.Guard)
 	defer func() { j.nextTicket, j.silence = watch.stop() }()
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -149,7 +149,7 @@
 }
 
 // Handler is the http.Handler for callers. All fields are required but RoutineLog,
-// TooManyConnections, HasCapacity, OnShed, Quarantine, Origins, Guard and SchedulingLatency.
+// TooManyConnections, HasCapacity, OnShed, LeavingSince, Quarantine, Origins, Guard and SchedulingLatency.
 type Handler struct {
 	Codec   HeaderCodec
 	State   RoutingState
@@ -169,6 +169,9 @@
 	// OnShed is called for each request refused for lack of capacity, with the request's cost in
 	// tokens; it may be nil.
 	OnShed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
+	// LeavingSince returns when the fleet learned that an upstream is leaving, zero if that is
+	// unknown, and whether it is; nil means that none is.
+	LeavingSince func(upstream registry.Upstream) (time.Time, bool)
 	// Quarantine may be nil.
 	Quarantine Quarantine
 	// Origins may be nil: then all upstreams of a service count as of one software version.
--- a/forward/log.go
+++ b/forward/log.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/stream"
 )
 
@@ -149,3 +150,17 @@
 
 // ms returns a duration in milliseconds, rounded to a tenth.
 func ms(d time.Duration) float64 { return math.Round(float64(d)/float64(time.Millisecond)*10) / 10 }
+
+// recordLeaving counts and logs a request that is sent to an upstream that is leaving.
+func (j *job) recordLeaving(to registry.Upstream) {
+	if j.handler.LeavingSince == nil {
+		return
+	}
+	since, leaving := j.handler.LeavingSince(to)
+	if !leaving {
+		return
+	}
+	j.handler.Metrics.SentToLeavingSeconds.Observe(max(sinceOrNever(since), 0).Seconds())
+	j.handler.Log.Warn("request sent to a leaving upstream", "request", j.info.ID, "upstream", to.ID, "life", to.StartTime,
+		"known-ms", ms(sinceOrNever(since)), "attempt", j.sends, "age-ms", ms(time.Since(j.arrived)))
+}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -47,6 +47,12 @@
 	// ColdSkipped counts requests that couldn't go to the cold upstream that they prefer, by
 	// reason.
 	ColdSkipped *prometheus.CounterVec
+	// LeavingSeconds is the age of the changes by which upstreams drain or are gone when they take
+	// effect, since the first router read them from the store.
+	LeavingSeconds prometheus.Histogram
+	// SentToLeavingSeconds is how long the fleet had known that an upstream is leaving when a request
+	// was sent there.
+	SentToLeavingSeconds prometheus.Histogram
 	// ResumedStreams counts streams that went on at an upstream, by who resumed them and by the
 	// software version compared with that of the upstream that began them.
 	ResumedStreams *prometheus.CounterVec
@@ -72,27 +78,29 @@
 // retry reasons start at zero, so that their rates work from the first scrape.
 func New(registry prometheus.Registerer) *Set {
 	s := &Set{
-		Requests:            newCounterVec("requests_total", "Answers by service and status class.", "service", "status"),
-		Refusals:            newCounterVec("refusals_total", "The router's own answers by reason.", "reason"),
-		Retries:             newCounterVec("retries_total", "Further attempts by reason.", "reason"),
-		ServiceTokens:       newCounterVec("service_tokens_total", "Weighted tokens received, by account.", "account"),
-		RefusedTokens:       newCounterVec("refused_tokens_total", "Weighted tokens refused, by account and reason.", "account", "reason"),
-		InFlight:            newGaugeVec("in_flight", "Requests at upstreams, by service."),
-		Waiting:             newGaugeVec("waiting", "Requests that wait for a turn, by service."),
-		QueueSeconds:        newSecondsHistogram("queue_seconds", "Time from arrival to a slot."),
-		FirstByteSeconds:    newSecondsHistogram("first_byte_seconds", "Time from arrival to the first byte of the answer."),
-		ControlBytes:        newCounterVec("control_bytes_total", "Bytes of control traffic, headers included.", "direction", "side"),
-		ControlMessages:     newCounterVec("control_messages_total", "Messages of control traffic.", "direction", "side"),
-		UpstreamConnections: newCounter("upstream_connections_total", "Connections opened to upstreams."),
-		RefusedTurns:        newCounterVec("refused_turns_total", "Requests refused their turn, by what they lacked.", "lack"),
-		ColdSkipped:         newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
-		ResumedStreams:      newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
-		Panics:              newCounter("panics_total", "Panics contained."),
-		NoteVersion:         newGauge("note_version", "The release note version in force."),
-		Routers:             newGauge("routers", "Routers believed alive, this one included."),
+		Requests:             newCounterVec("requests_total", "Answers by service and status class.", "service", "status"),
+		Refusals:             newCounterVec("refusals_total", "The router's own answers by reason.", "reason"),
+		Retries:              newCounterVec("retries_total", "Further attempts by reason.", "reason"),
+		ServiceTokens:        newCounterVec("service_tokens_total", "Weighted tokens received, by account.", "account"),
+		RefusedTokens:        newCounterVec("refused_tokens_total", "Weighted tokens refused, by account and reason.", "account", "reason"),
+		InFlight:             newGaugeVec("in_flight", "Requests at upstreams, by service."),
+		Waiting:              newGaugeVec("waiting", "Requests that wait for a turn, by service."),
+		QueueSeconds:         newSecondsHistogram("queue_seconds", "Time from arrival to a slot."),
+		FirstByteSeconds:     newSecondsHistogram("first_byte_seconds", "Time from arrival to the first byte of the answer."),
+		ControlBytes:         newCounterVec("control_bytes_total", "Bytes of control traffic, headers included.", "direction", "side"),
+		ControlMessages:      newCounterVec("control_messages_total", "Messages of control traffic.", "direction", "side"),
+		UpstreamConnections:  newCounter("upstream_connections_total", "Connections opened to upstreams."),
+		RefusedTurns:         newCounterVec("refused_turns_total", "Requests refused their turn, by what they lacked.", "lack"),
+		ColdSkipped:          newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
+		LeavingSeconds:       newLeavingHistogram("upstream_leaving_seconds", "Age of the changes by which upstreams leave when they take effect."),
+		SentToLeavingSeconds: newLeavingHistogram("sent_to_leaving_upstream_seconds", "Age of the changes by which upstreams leave when requests are sent to them."),
+		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
+		Panics:               newCounter("panics_total", "Panics contained."),
+		NoteVersion:          newGauge("note_version", "The release note version in force."),
+		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -158,6 +166,13 @@
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{"service"})
 }
 
+// newLeavingHistogram returns a histogram whose buckets separate the bounds of deployments, 2 s to 5 s.
+func newLeavingHistogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help, Buckets: []float64{0.05, 0.2, 0.5, 1, 2, 3, 5, 10, 60},
+	})
+}
+
 func newSecondsHistogram(name, help string) *prometheus.HistogramVec {
 	return prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: namespace, Name: name, Help: help,
--- a/registry/codec.go
+++ b/registry/codec.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -10,11 +12,15 @@
 // Encode returns the message in which routers send each other a change. It is sent at now.
 func Encode(now time.Time, c Change) *schema.UpstreamChange {
 	u := c.Upstream
-	return &schema.UpstreamChange{
+	out := &schema.UpstreamChange{
 		Id: string(u.ID), Service: string(u.Service), Address: u.Address, DataCenter: string(u.DataCenter),
 		Slots: uint32(u.Slots), Life: int64(u.StartTime), Draining: u.Draining, Gone: c.Removed, Revision: uint64(c.Revision),
 		ColdMs: schema.Millis(max(u.ColdUntil.Sub(now), 0)), SoftwareVersion: string(u.Software),
 	}
+	if !c.ReadAt.IsZero() {
+		out.AgeMs = proto.Uint32(schema.Millis(now.Sub(c.ReadAt)))
+	}
+	return out
 }
 
 // Decode is the inverse of Encode, for a message that is received at now.
@@ -30,5 +36,8 @@
 	if in.GetColdMs() > 0 {
 		change.Upstream.ColdUntil = now.Add(schema.Duration(in.GetColdMs()))
 	}
+	if in.AgeMs != nil {
+		change.ReadAt = now.Add(-schema.Duration(in.GetAgeMs()))
+	}
 	return change
 }
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -62,6 +62,16 @@
 	Upstream Upstream
 	Revision Revision
 	Removed  bool
+	// ReadAt is when the first router read the change from the store; zero if unknown.
+	ReadAt time.Time
+}
+
+// Deferral is a removal that does not take effect yet, because the entry may return.
+type Deferral struct {
+	Upstream fleet.UpstreamID
+	Revision Revision
+	// Until is when the removal takes effect; zero while the list can't be read.
+	Until time.Time
 }
 
 // entry is the state of one upstream id.
@@ -89,6 +99,8 @@
 	// the revision up to which all changes have been received.
 	latest   Revision
 	complete Revision
+	// deferrals are the removals that were deferred since TakeDeferrals was last called.
+	deferrals []Deferral
 }
 
 // Replace applies a full read of the list as of a revision: entries that it lacks
@@ -109,7 +121,7 @@
 		if listed[id] || e.change.Removed || e.change.Revision > revision {
 			continue
 		}
-		removal := Change{Upstream: e.change.Upstream, Revision: revision, Removed: true}
+		removal := Change{Upstream: e.change.Upstream, Revision: revision, Removed: true, ReadAt: now}
 		effective, _ := d.applyOne(now, removal, false)
 		changed = append(changed, effective...)
 	}
@@ -180,6 +192,7 @@
 		previous.removeAt = d.removalTime(now)
 		previous.change.Revision = c.Revision
 		d.entries[c.Upstream.ID] = previous
+		d.deferrals = append(d.deferrals, Deferral{Upstream: c.Upstream.ID, Revision: c.Revision, Until: previous.removeAt})
 		return nil, false
 	}
 	if c.Removed && known {
@@ -288,6 +301,15 @@
 	return settled
 }
 
+// TakeDeferrals returns the removals that were deferred since the last call.
+func (d *Directory) TakeDeferrals() []Deferral {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	deferrals := d.deferrals
+	d.deferrals = nil
+	return deferrals
+}
+
 // SetUnavailable records that the list can't be read. The known entries stay in effect.
 func (d *Directory) SetUnavailable() {
 	d.mu.Lock()
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -56,7 +56,9 @@
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("a", 1), entry("b", 2)}, 2)
 	changed := d.Replace(start, []registry.Change{entry("b", 2)}, 9)
-	require.Equal(t, []registry.Change{removal("a", 9)}, changed)
+	gone := removal("a", 9)
+	gone.ReadAt = start
+	require.Equal(t, []registry.Change{gone}, changed)
 	require.Equal(t, []fleet.UpstreamID{"b"}, ids(&d))
 }
 
