registry, deployment: what a router says of its list of upstreams is true; whole lists between routers

A router that believed it had all changes up to a revision asked neither the store nor another router for one below it, and passed the belief on.

Cause: one number, the revision of the latest change, stood for 'all changes up to here', in four cases wrongly. A whole read raised it to a change that another router had told, past changes between the two. A removal that a whole read shows got the revision of the read, and others were told past its own one while it was deferred. Once such a removal took effect, the number did not rise, so nobody heard of it. And a router that had just read the whole list answered for what it had never heard of: an upstream that left before that read. This last one needs no outage: a router that starts, while others are some hundred milliseconds behind, suffices.

Now a directory knows up to which revision it has received all changes (frontier), which of them is the latest, and from which revision on it can tell removals (base). A removal is deferred beside its entry and not in it, with the revisions between which it happened. What is older than the latest whole read and isn't in it no longer restores an upstream.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -113,3 +113,6 @@
 func (m *mesh) SetProcess(err error) {
 	m.crashMonitor.checkProcess = func(context.Context, string, registry.StartTime) error { return err }
 }
+
+// IsReadRequested reports whether a whole read of the list of upstreams is requested from the store.
+func (m *mesh) IsReadRequested() bool { return m.lists.readRequested.Load() }
--- a/deployment/followers.go
+++ b/deployment/followers.go
@@ -27,9 +27,12 @@
 	upstreams := &follow.Follower[registry.Change, registry.Revision]{
 		Name: "upstreams", Feed: r.options.UpstreamFeed, Sink: upstreamSink{r.state, r.mesh}, Log: r.options.Log,
 		Wait: follow.MaxWait(r.options.RecoveryTime), PollInterval: r.pollInterval,
-		Gather:    upstreamGatherTime,
-		Confirmed: func() { r.state.confirmUpstreams(time.Now()) },
-		Known:     func(revision registry.Revision) registry.Revision { return max(revision, r.state.SettledRevision()) },
+		Gather:        upstreamGatherTime,
+		ReadRequested: func() bool { return r.mesh.lists.readRequested.Swap(false) },
+		Confirmed:     r.state.advanceUpstreams,
+		Known: func(revision registry.Revision) registry.Revision {
+			return max(revision, r.state.upstreamPosition().Known)
+		},
 	}
 	r.actors = append(r.actors,
 		actor{"configuration follower", configurations.Run},
--- a/deployment/freshness.go
+++ b/deployment/freshness.go
@@ -19,6 +19,13 @@
 	}
 }
 
+// advanceUpstreams records that the store has told all changes of the list of upstreams up to a
+// revision.
+func (s *State) advanceUpstreams(revision registry.Revision) {
+	s.directory.Advance(revision)
+	s.confirmUpstreams(time.Now())
+}
+
 // listAge returns how long ago the list of upstreams was confirmed to be current, and false if it
 // never was.
 func (s *State) listAge(now time.Time) (time.Duration, bool) {
--- a/deployment/fuzz_test.go
+++ b/deployment/fuzz_test.go
@@ -123,7 +123,7 @@
 		for range rapid.IntRange(1, 6).Draw(t, "steps") {
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
-				n.state.ApplyUpstreamsFromPeer(arbitrary(t, &schema.Knowledge{}).GetUpstreams(), registry.Revision(rapid.Uint64().Draw(t, "complete")), "test")
+				n.state.ApplyUpstreamsFromPeer(arbitrary(t, &schema.Knowledge{}), "test")
 			case 1:
 				n.state.Configure(deployment.DecodeConfiguration(arbitrary(t, &schema.Configuration{})), "test")
 			case 2:
--- a/deployment/knowledge.go
+++ b/deployment/knowledge.go
@@ -63,11 +63,12 @@
 
 // fetchUpstreams fetches and applies the changes of the list of upstreams after the held
 // revision from another router. It returns the size of the answer in bytes.
-func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
+func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, _ uint64) (int, error) {
+	heldRevision := uint64(m.state.upstreamPosition().Known)
 	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision, EvacuationRevision: notRequested, KnowledgeEncoding: deflateEncoding}
 	knowledge, size, err := m.fetchKnowledge(ctx, from, request)
 	if err == nil {
-		m.state.ApplyUpstreamsFromPeer(knowledge.GetUpstreams(), registry.Revision(knowledge.GetUpstreamRevision()), routerSource(from))
+		m.state.ApplyUpstreamsFromPeer(knowledge, routerSource(from))
 	}
 	return size, err
 }
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -15,6 +15,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/peer"
+	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/timer"
@@ -76,6 +77,8 @@
 	configurationPuller puller
 	upstreamPuller      puller
 	evacuationPuller    puller
+	lists               listChecker
+	guard               *recovery.Guard
 
 	mu             sync.Mutex
 	lastReportTime time.Time
@@ -87,7 +90,7 @@
 
 // newMesh returns a mesh. checkReachable returns an error if an upstream can't be reached.
 func newMesh(state *State, options peer.Options, checkReachable func(ctx context.Context, address string) error) *mesh {
-	m := &mesh{state: state, peers: peer.New(options), link: overload.NewLinkDetector(), log: options.Logger}
+	m := &mesh{state: state, peers: peer.New(options), link: overload.NewLinkDetector(), log: options.Logger, guard: options.Guard}
 	m.coordinator = &home.Coordinator{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger, Guard: options.Guard}
 	m.group = &follow.Group{Self: options.Self}
 	m.crashMonitor = crashMonitor{
@@ -127,9 +130,10 @@
 
 // announcement returns the versions that this router holds and its relation to the store.
 func (m *mesh) announcement() *schema.Announcement {
-	own := m.group.OwnStatus()
+	own, position := m.group.OwnStatus(), m.state.upstreamPosition()
 	out := &schema.Announcement{
-		ConfigurationVersion: m.configurationVersion(), UpstreamRevision: m.upstreamRevision(),
+		ConfigurationVersion: m.configurationVersion(), UpstreamRevision: uint64(position.Version), UpstreamKnown: uint64(position.Known),
+		UpstreamBase: uint64(position.Base), UpstreamLatest: uint64(position.Latest), UpstreamDigest: uint64(position.Digest),
 		EvacuationRevision: m.evacuationRevision(), Follows: own.Follows, StoreLost: own.StoreLost,
 	}
 	if age, confirmed := m.state.listAge(time.Now()); confirmed {
@@ -238,10 +242,10 @@
 		m.state.confirmUpstreams(time.Now().Add(-schema.Duration(a.GetUpstreamAgeMs())))
 	}
 	m.configurationPuller.handleAnnouncement(from, a.GetConfigurationVersion(), m.pullDelay())
-	m.upstreamPuller.handleAnnouncement(from, a.GetUpstreamRevision(), m.pullDelay())
+	m.handleUpstreamPosition(from, positionOf(a))
 	m.evacuationPuller.handleAnnouncement(from, a.GetEvacuationRevision(), m.pullDelay())
 	own := m.announcement()
-	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > a.GetUpstreamRevision() ||
+	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > uint64(positionOf(a).Known) ||
 		own.GetEvacuationRevision() > a.GetEvacuationRevision() {
 		m.announceIfGrouped(from, own)
 	}
@@ -266,7 +270,7 @@
 
 func (m *mesh) configurationVersion() uint64 { return uint64(m.state.Table().Version()) }
 
-func (m *mesh) upstreamRevision() uint64 { return uint64(m.state.SettledRevision()) }
+func (m *mesh) upstreamRevision() uint64 { return uint64(m.state.upstreamPosition().Known) }
 
 func (m *mesh) evacuationRevision() uint64 { return uint64(m.state.EvacuationRevision()) }
 
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -212,18 +212,23 @@
 	s.scheduleRemoval()
 }
 
-// ApplyUpstreamsFromPeer applies changes from another router, which are complete up to a revision.
-func (s *State) ApplyUpstreamsFromPeer(received []*schema.UpstreamChange, complete registry.Revision, source string) {
+// ApplyUpstreamsFromPeer applies what another router has told of the list of upstreams.
+func (s *State) ApplyUpstreamsFromPeer(told *schema.Knowledge, source string) {
 	now := time.Now()
-	changes := make([]registry.Change, 0, len(received))
-	for _, c := range received {
-		changes = append(changes, registry.Decode(now, c))
+	answer := registry.Answer{
+		Version: registry.Revision(told.GetUpstreamRevision()), Known: registry.Revision(told.GetUpstreamKnown()), Whole: told.GetWholeList(),
+	}
+	for _, c := range told.GetUpstreams() {
+		answer.Changes = append(answer.Changes, registry.Decode(now, c))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.applyChanges(s.directory.ApplyFromPeer(time.Now(), changes, complete), source)
+	s.applyChanges(s.directory.ApplyFromPeer(now, answer), source)
 }
 
+// upstreamPosition returns what the list of upstreams is up to date with.
+func (s *State) upstreamPosition() registry.Position { return s.directory.Position() }
+
 // SettledRevision returns the revision up to which all changes have taken effect here.
 func (s *State) SettledRevision() registry.Revision { return s.directory.SettledRevision() }
 
@@ -231,7 +236,7 @@
 func (s *State) SetUpstreamsUnavailable() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.directory.SetUnavailable()
+	s.directory.SetUnavailable(time.Now())
 }
 
 // SetUpstreamsAvailable records that the list of upstreams can be read again. Entries that
--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -69,7 +69,7 @@
 	t.Parallel()
 	s := newState()
 	list := []*schema.UpstreamChange{{Id: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Revision: 3}}
-	s.ApplyUpstreamsFromPeer(list, 0, "test")
+	s.ApplyUpstreamsFromPeer(&schema.Knowledge{Upstreams: list}, "test")
 	require.False(t, s.Ready())
 	require.Nil(t, s.Pool("s"))
 	s.Configure(testConfiguration(1), "test")
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -79,15 +79,15 @@
 	return r
 }
 
-// knowledgeAfter returns the changes of the list of upstreams after a revision, and the revision
-// up to which they are complete.
+// knowledgeAfter returns the changes of the list of upstreams after a revision, or the whole list.
 func (s *State) knowledgeAfter(after registry.Revision) *schema.Knowledge {
-	out := &schema.Knowledge{UpstreamRevision: uint64(s.directory.SettledRevision())}
+	answer := s.directory.After(after)
+	out := &schema.Knowledge{
+		UpstreamRevision: uint64(answer.Version), UpstreamKnown: uint64(answer.Known), WholeList: answer.Whole,
+	}
 	now := time.Now()
-	for _, c := range s.directory.Changes() {
-		if c.Revision > after {
-			out.Upstreams = append(out.Upstreams, registry.Encode(now, c))
-		}
+	for _, c := range answer.Changes {
+		out.Upstreams = append(out.Upstreams, registry.Encode(now, c))
 	}
 	return out
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -95,9 +95,12 @@
 	// Known returns the later of a revision and that up to which the changes of the table
 	// are known from elsewhere. Nil returns the revision.
 	Known func(V) V
-	// Confirmed is called after each answer of the store, once its rows were applied; nil calls
-	// nothing.
-	Confirmed func()
+	// ReadRequested reports whether the whole table has to be read with the next call, which is made
+	// soon even if the table is only polled. It is called repeatedly; nil means never.
+	ReadRequested func() bool
+	// Confirmed is called after each answer of the store, once its rows were applied, with the
+	// revision up to which it told all changes; nil calls nothing.
+	Confirmed func(V)
 	// History is how long the store keeps the changes of a table; zero means for ever.
 	History time.Duration
 	Log     *slog.Logger
@@ -119,7 +122,7 @@
 	pause := initialBackoff
 	for ctx.Err() == nil {
 		if !f.lastCall.IsZero() {
-			f.waitForPoll(ctx)
+			readAll = f.waitForPoll(ctx) || readAll
 		}
 		readAll = readAll || f.isHistoryOver()
 		f.beginCall()
@@ -176,22 +179,25 @@
 // PollInterval again.
 const pollCheckInterval = 100 * time.Millisecond
 
-// waitForPoll waits until the table has to be polled. It spreads the calls of Followers
-// with the same interval.
-func (f *Follower[R, V]) waitForPoll(ctx context.Context) {
+// waitForPoll waits until the table has to be polled, and reports whether it has to be read whole. It
+// spreads the calls of Followers with the same interval.
+func (f *Follower[R, V]) waitForPoll(ctx context.Context) (readAll bool) {
 	if f.PollInterval == nil {
-		return
+		return f.isReadRequested()
 	}
 	spread := 0.5 + rand.Float64()
 	for ctx.Err() == nil {
 		interval := time.Duration(spread * float64(f.PollInterval()))
-		if time.Since(f.lastCall) >= interval {
-			return
+		if readAll = f.isReadRequested(); readAll || time.Since(f.lastCall) >= interval {
+			return readAll
 		}
 		sleep(ctx, min(pollCheckInterval, interval))
 	}
+	return false
 }
 
+func (f *Follower[R, V]) isReadRequested() bool { return f.ReadRequested != nil && f.ReadRequested() }
+
 func (f *Follower[R, V]) read(ctx context.Context) (V, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
@@ -201,7 +207,7 @@
 	}
 	f.setAvailable()
 	f.Sink.Replace(rows, revision)
-	f.confirm()
+	f.confirm(revision)
 	return revision, nil
 }
 
@@ -217,16 +223,16 @@
 	if len(rows) > 0 {
 		f.Sink.Apply(rows, revision)
 	}
-	f.confirm()
+	f.confirm(revision)
 	if len(rows) > 0 {
 		sleep(parent, jitter(f.Gather))
 	}
 	return revision, nil
 }
 
-func (f *Follower[R, V]) confirm() {
+func (f *Follower[R, V]) confirm(revision V) {
 	if f.Confirmed != nil {
-		f.Confirmed()
+		f.Confirmed(revision)
 	}
 }
 
--- a/registry/frontier_model_test.go
+++ b/registry/frontier_model_test.go
@@ -84,10 +84,9 @@
 
 // modelAnswer is the answer of one router to another one that has not arrived yet.
 type modelAnswer struct {
-	to       *modelRouter
-	held     registry.Revision
-	changes  []registry.Change
-	complete registry.Revision
+	to     *modelRouter
+	held   registry.Revision
+	answer registry.Answer
 }
 
 // model plays a store and several routers that read it and ask each other.
@@ -129,7 +128,7 @@
 	case event < 11 && r.call != nil:
 		m.note("router %d loses its call", i)
 		r.call = nil
-		r.directory.SetUnavailable()
+		r.directory.SetUnavailable(m.now)
 	case event < 12:
 		r.readAll = true // its history is gone
 	case event < 15:
@@ -159,7 +158,7 @@
 }
 
 func (m *model) newCall(r *modelRouter) *modelCall {
-	return &modelCall{whole: r.readAll, after: max(r.cursor, r.directory.SettledRevision()), upTo: m.store.revision}
+	return &modelCall{whole: r.readAll, after: max(r.cursor, r.directory.Position().Known), upTo: m.store.revision}
 }
 
 // deliver applies the answer to a router's call.
@@ -174,37 +173,40 @@
 		r.directory.Apply(m.now, changes)
 	}
 	r.cursor = max(r.cursor, call.upTo)
-	m.note("router %d gets %+v, complete up to %d", i, *call, r.directory.SettledRevision())
+	r.directory.Advance(call.upTo)
+	m.note("router %d gets %+v, now at %+v", i, *call, r.directory.Position())
 }
 
 // ask makes a router ask another one for what it lacks.
 func (m *model) ask(i int, other *modelRouter) {
 	r := m.routers[i]
-	a := modelAnswer{to: r, held: r.directory.SettledRevision(), complete: other.directory.SettledRevision()}
-	if a.complete <= a.held {
+	own := r.directory.Position()
+	if own.NeedFrom(other.directory.Position()) == registry.NeedNothing {
 		return
 	}
-	for _, c := range other.directory.Changes() {
-		if c.Revision > a.held {
-			a.changes = append(a.changes, c)
-		}
-	}
-	m.note("router %d asks router %d after %d: complete up to %d", i, slices.Index(m.routers, other), a.held, a.complete)
+	a := modelAnswer{to: r, held: own.Known, answer: other.directory.After(own.Known)}
+	m.note("router %d asks router %d after %d: %+v", i, slices.Index(m.routers, other), a.held, a.answer)
 	m.answers = append(m.answers, a)
 }
 
 func (m *model) deliverAnswer(number int) {
 	a := m.answers[number]
 	m.answers = slices.Delete(m.answers, number, number+1)
-	a.to.directory.ApplyFromPeer(m.now, a.changes, a.complete)
-	m.note("router %d gets the answer after %d, complete up to %d", slices.Index(m.routers, a.to), a.held, a.to.directory.SettledRevision())
+	a.to.directory.ApplyFromPeer(m.now, a.answer)
+	m.note("router %d gets the answer after %d, now at %+v", slices.Index(m.routers, a.to), a.held, a.to.directory.Position())
 }
 
-// check fails if a router says that it is complete beyond the leaving of an upstream that is ready there.
+// check fails if a router says that it is complete beyond the leaving of an upstream that is ready there, or if two
+// routers contradict each other.
 func (m *model) check(t *testing.T) {
 	t.Helper()
 	for i, r := range m.routers {
-		truth := m.store.latest(r.directory.SettledRevision())
+		for j, other := range m.routers {
+			if own, theirs := r.directory.Position(), other.directory.Position(); own.NeedFrom(theirs) == registry.NeedRead {
+				m.fail(t, "routers %d and %d contradict each other: %+v, %+v", i, j, own, theirs)
+			}
+		}
+		truth := m.store.latest(r.directory.Position().Known)
 		for _, u := range r.directory.Ready()["model"] {
 			known, _ := r.directory.Get(u.ID)
 			left := truth[u.ID]
@@ -212,7 +214,7 @@
 				continue
 			}
 			m.fail(t, "router %d is complete up to %d, and %s is ready of %d, which left at %d",
-				i, r.directory.SettledRevision(), u.ID, known.Revision, left.Revision)
+				i, r.directory.Position().Known, u.ID, known.Revision, left.Revision)
 		}
 	}
 }
@@ -301,7 +303,7 @@
 	t.Parallel()
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("x", 90), entry("y", 91)}, 100)
-	d.ApplyFromPeer(start, []registry.Change{entry("z", 110)}, 106)
+	d.ApplyFromPeer(start, told([]registry.Change{entry("z", 110)}, 106))
 	d.Replace(start, []registry.Change{entry("x", 90), entry("y", 91)}, 105)
 	require.Less(t, d.SettledRevision(), registry.Revision(107), "y left at 107, between the read and the change of z")
 }
@@ -312,7 +314,7 @@
 	t.Parallel()
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("x", 90), entry("y", 91)}, 100)
-	d.SetUnavailable()
+	d.SetUnavailable(start)
 	d.SetAvailable(start)
 	d.Replace(start, []registry.Change{entry("x", 90), entry("z", 110)}, 120)
 	require.Equal(t, []fleet.UpstreamID{"x", "y", "z"}, ids(&d))
@@ -325,7 +327,7 @@
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("x", 90), entry("y", 91)}, 100)
 	before := d.SettledRevision()
-	d.SetUnavailable()
+	d.SetUnavailable(start)
 	d.SetAvailable(start)
 	d.Replace(start, []registry.Change{entry("x", 90)}, 120)
 	due, _ := d.NextRemoval()
--- a/registry/machine_test.go
+++ b/registry/machine_test.go
@@ -43,9 +43,11 @@
 			},
 			"apply": func(t *rapid.T) { d.Apply(now, changes(t)) },
 			"apply from peer": func(t *rapid.T) {
-				d.ApplyFromPeer(now, changes(t), registry.Revision(rapid.Uint64().Draw(t, "complete")))
+				a := told(changes(t), registry.Revision(rapid.Uint64().Draw(t, "complete")))
+				a.Whole = rapid.Bool().Draw(t, "whole")
+				d.ApplyFromPeer(now, a)
 			},
-			"lost":       func(*rapid.T) { d.SetUnavailable() },
+			"lost":       func(*rapid.T) { d.SetUnavailable(now) },
 			"regained":   func(*rapid.T) { d.SetAvailable(now) },
 			"remove due": func(*rapid.T) { d.RemoveDue(now) },
 			"": func(t *rapid.T) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -29,6 +29,11 @@
 	return c
 }
 
+// told returns the answer of a router that has all changes up to a revision.
+func told(changes []registry.Change, complete registry.Revision) registry.Answer {
+	return registry.Answer{Changes: changes, Version: complete, Known: complete}
+}
+
 func ids(d *registry.Directory) []fleet.UpstreamID {
 	var out []fleet.UpstreamID
 	for _, u := range d.Ready()["model"] {
@@ -70,7 +75,7 @@
 	t.Parallel()
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("a", 1), entry("b", 2), draining("c", 3)}, 3)
-	d.SetUnavailable()
+	d.SetUnavailable(start)
 	back := start.Add(5 * time.Second)
 	d.SetAvailable(back)
 	d.Replace(back, nil, 20)
@@ -93,7 +98,7 @@
 	t.Parallel()
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("a", 1)}, 1)
-	d.SetUnavailable()
+	d.SetUnavailable(start)
 	d.SetAvailable(start)
 	vanished := start.Add(700 * time.Millisecond)
 	d.Apply(vanished, []registry.Change{removal("a", 9)})
@@ -112,12 +117,12 @@
 	t.Parallel()
 	var d registry.Directory
 	d.Replace(start, []registry.Change{entry("a", 1), entry("b", 2)}, 2)
-	d.SetUnavailable()
+	d.SetUnavailable(start)
 	d.SetAvailable(start)
 	d.Apply(start, []registry.Change{removal("a", 7), draining("b", 9)})
 	require.EqualValues(t, 9, d.Latest())
 	require.EqualValues(t, 6, d.SettledRevision())
-	require.Len(t, d.ApplyFromPeer(start, []registry.Change{removal("a", 7), draining("b", 9)}, 9), 1)
+	require.Len(t, d.ApplyFromPeer(start, told([]registry.Change{removal("a", 7), draining("b", 9)}, 9)), 1)
 	require.Empty(t, ids(&d))
 	require.EqualValues(t, 9, d.SettledRevision())
 }
@@ -180,7 +185,7 @@
 	t.Parallel()
 	var d registry.Directory
 	d.Apply(start, []registry.Change{entry("a", 1)})
-	d.SetUnavailable()
+	d.SetUnavailable(start)
 	d.SetAvailable(start)
 	require.Empty(t, d.Apply(start, []registry.Change{{Upstream: registry.Upstream{ID: "a"}, Revision: 5, Removed: true}}))
 	require.Len(t, d.Apply(start, []registry.Change{entry("a", 6)}), 1)
@@ -200,19 +205,19 @@
 		require.True(t, known)
 		return c.Upstream.Software
 	}
-	d.ApplyFromPeer(start, []registry.Change{{Upstream: upstream, Revision: 1}}, 1)
+	d.ApplyFromPeer(start, told([]registry.Change{{Upstream: upstream, Revision: 1}}, 1))
 	require.Empty(t, softwareOf())
 	require.Len(t, d.Apply(start, []registry.Change{{Upstream: withVersion, Revision: 1}}), 1)
 	require.Equal(t, fleet.SoftwareVersion("v1"), softwareOf())
 
 	draining := upstream
 	draining.Draining = true
-	d.ApplyFromPeer(start, []registry.Change{{Upstream: draining, Revision: 2}}, 2)
+	d.ApplyFromPeer(start, told([]registry.Change{{Upstream: draining, Revision: 2}}, 2))
 	require.Equal(t, fleet.SoftwareVersion("v1"), softwareOf())
 	require.Equal(t, map[fleet.ServiceID]map[fleet.SoftwareVersion]bool{"s": {"v1": true}}, d.SoftwareVersions())
 
 	restarted := upstream
 	restarted.StartTime = 2
-	d.ApplyFromPeer(start, []registry.Change{{Upstream: restarted, Revision: 3}}, 3)
+	d.ApplyFromPeer(start, told([]registry.Change{{Upstream: restarted, Revision: 3}}, 3))
 	require.Empty(t, softwareOf())
 }
