registry, deployment: a deferred removal no longer holds back later changes

Callers' requests went to an upstream that drains for as long as an earlier removal, of another upstream, was deferred: routers announce the revision up to which all changes have taken effect, and a deferred removal holds it down, so other routers asked for nothing. Now the revision of the latest change that took effect is announced beside it and fetched on its own; what a router says of completeness stays as it is.

--- a/deployment/consistency.go
+++ b/deployment/consistency.go
@@ -57,6 +57,7 @@
 	switch own.NeedFrom(theirs) {
 	case registry.NeedChanges:
 		m.upstreamPuller.handleAnnouncement(from, uint64(theirs.Version), m.pullDelay())
+		m.latestPuller.handleAnnouncement(from, uint64(theirs.Latest), m.pullDelay())
 	case registry.NeedList, registry.NeedRead:
 		delay := listCheckDelay + rand.N(listCheckDelay)
 		time.AfterFunc(delay, func() { m.guard.Run(recovery.Update, func() { m.checkList(from, theirs) }, "other", from) })
--- a/deployment/consistency_test.go
+++ b/deployment/consistency_test.go
@@ -46,3 +46,26 @@
 	require.Eventually(t, reader.mesh.IsReadRequested, maxListCheckTime, time.Millisecond)
 	require.Eventually(t, other.mesh.IsReadRequested, maxListCheckTime, time.Millisecond)
 }
+
+// Guards against the drain of an upstream that other routers learn of only once an earlier removal, which may be an
+// outage, takes effect.
+func TestDrainingIsNotHeldBackByADeferredRemoval(t *testing.T) {
+	t.Parallel()
+	reader, source := newNode(t, "reader"), newNode(t, "source")
+	reader.connect(t, map[fleet.RouterID]string{"source": source.address})
+	for _, n := range []*node{reader, source} {
+		n.state.Configure(testConfiguration(1), "test")
+		n.state.ReplaceUpstreams([]registry.Change{readyChange("1", 90), readyChange("2", 91)}, 100, "test")
+	}
+	source.state.SetUpstreamsUnavailable()
+	source.state.SetUpstreamsAvailable()
+	drains := readyChange("2", 109)
+	drains.Upstream.Draining = true
+	gone := readyChange("1", 107)
+	gone.Removed = true
+	source.state.ApplyUpstreams([]registry.Change{gone}, "store")
+	require.Eventually(t, func() bool { return reader.state.SettledRevision() == 106 }, maxUpdateTime, time.Millisecond)
+	source.state.ApplyUpstreams([]registry.Change{drains}, "store")
+	require.Eventually(t, func() bool { return !reader.state.HasAddress("10.0.0.2:80") }, maxUpdateTime, time.Millisecond)
+	require.True(t, reader.state.HasAddress("10.0.0.1:80"))
+}
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -77,8 +77,10 @@
 	configurationPuller puller
 	upstreamPuller      puller
 	evacuationPuller    puller
-	lists               listChecker
-	guard               *recovery.Guard
+	// latestPuller fetches changes of the list of upstreams that lie beyond one which another router defers.
+	latestPuller puller
+	lists        listChecker
+	guard        *recovery.Guard
 
 	mu             sync.Mutex
 	lastReportTime time.Time
@@ -115,6 +117,10 @@
 		name: "upstreams", heldVersion: m.upstreamRevision, fetch: m.fetchUpstreams, timer: timer.System{}, log: options.Logger,
 		guard: options.Guard,
 	}
+	m.latestPuller = puller{
+		name: "latest upstreams", heldVersion: m.latestUpstreamRevision, fetch: m.fetchUpstreams, timer: timer.System{}, log: options.Logger,
+		guard: options.Guard,
+	}
 	m.evacuationPuller = puller{
 		name: "evacuations", heldVersion: m.evacuationRevision, fetch: m.fetchEvacuations, timer: timer.System{}, log: options.Logger,
 		guard: options.Guard,
@@ -209,6 +215,7 @@
 		m.coordinator.HandleDisconnect(c.Router)
 		m.configurationPuller.forget(c.Router)
 		m.upstreamPuller.forget(c.Router)
+		m.latestPuller.forget(c.Router)
 		m.evacuationPuller.forget(c.Router)
 		return
 	}
@@ -272,6 +279,11 @@
 
 func (m *mesh) upstreamRevision() uint64 { return uint64(m.state.upstreamPosition().Known) }
 
+func (m *mesh) latestUpstreamRevision() uint64 {
+	position := m.state.upstreamPosition()
+	return uint64(max(position.Known, position.Latest))
+}
+
 func (m *mesh) evacuationRevision() uint64 { return uint64(m.state.EvacuationRevision()) }
 
 // Run sends load reports and checks for overload until ctx ends. In a large fleet, where homes
--- a/registry/deferral_test.go
+++ b/registry/deferral_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -26,3 +27,25 @@
 	require.True(t, ok)
 	require.Greater(t, due, start.Add(time.Minute))
 }
+
+// Guards against the drain of an upstream being hidden by an earlier removal that is deferred: other routers would
+// ask for neither.
+func TestChangeBehindADeferredRemovalIsAnnounced(t *testing.T) {
+	t.Parallel()
+	var source, reader registry.Directory
+	list := []registry.Change{entry("a", 1), entry("b", 2)}
+	source.Replace(start, list, 2)
+	reader.Replace(start, list, 2)
+	source.SetUnavailable(start)
+	source.SetAvailable(start)
+	source.Apply(start, []registry.Change{removal("a", 5)})
+	reader.ApplyFromPeer(start, source.After(reader.Position().Known))
+	source.Apply(start, []registry.Change{draining("b", 9)})
+	require.Equal(t, []fleet.UpstreamID{"a"}, ids(&source))
+	position := reader.Position()
+	require.Equal(t, registry.NeedChanges, position.NeedFrom(source.Position()))
+	reader.ApplyFromPeer(start, source.After(position.Known))
+	require.Equal(t, []fleet.UpstreamID{"a"}, ids(&reader))
+	require.Less(t, reader.Position().Known, registry.Revision(5), "the removal of a is still to be asked for")
+	require.Equal(t, registry.NeedNothing, reader.Position().NeedFrom(source.Position()))
+}
--- a/registry/position.go
+++ b/registry/position.go
@@ -35,7 +35,7 @@
 // NeedFrom returns what a directory at position p lacks of what one at another position has.
 func (p Position) NeedFrom(other Position) Need {
 	differs := p.Digest != 0 && other.Digest != 0 && p.Digest != other.Digest
-	isNewer := other.Version > p.Known
+	isNewer := other.Version > p.Known || other.Latest > max(p.Known, p.Latest)
 	switch {
 	case isNewer && other.Base <= p.Known:
 		return NeedChanges
