registry: a removal is not deferred anew by each outage

An entry that vanishes around an outage is kept for 1.4 s or 2.2 s, in which its upstream can register again; each return of the store began that time anew, so with calls that fail again and again it did not end. Now the time in which the list can be read adds up, and stops in an outage.

TestRemovalIsNotDeferredAnewByEachOutage and TestDeferredRemovalWaitsForTheEndOfAnOutage failed before.

--- a/registry/deferral.go
+++ b/registry/deferral.go
@@ -35,17 +35,17 @@
 	first, last Revision
 	readAt      time.Time
 	// due is when the removal takes effect; zero while the list can't be read. left is how
-	// long the list has to be readable until then.
+	// long the list has still to be readable until then.
 	due  time.Time
 	left time.Duration
 }
 
 // pause stops the time until a removal takes effect: an upstream can't register again in an outage.
-func (r *deferredRemoval) pause() {
+func (r *deferredRemoval) pause(now time.Time) {
 	if r.due.IsZero() {
 		return
 	}
-	r.left = outageGrace
+	r.left = max(r.due.Sub(now), 0)
 	r.due = time.Time{}
 }
 
--- a/registry/deferral_test.go
+++ b/registry/deferral_test.go
@@ -10,6 +10,27 @@
 	"nutmeglock.example/nutmeglock/registry"
 )
 
+// Guards against an upstream that has left and gets requests for as long as calls to the store fail now and then:
+// each return of the store deferred its removal anew.
+func TestRemovalIsNotDeferredAnewByEachOutage(t *testing.T) {
+	t.Parallel()
+	var d registry.Directory
+	d.Replace(start, []registry.Change{entry("a", 1)}, 1)
+	now := start
+	d.SetUnavailable(now)
+	d.SetAvailable(now)
+	d.Apply(now, []registry.Change{removal("a", 2)})
+	for range 8 {
+		now = now.Add(500 * time.Millisecond)
+		d.SetUnavailable(now)
+		now = now.Add(40 * time.Millisecond)
+		d.SetAvailable(now)
+		d.RemoveDue(now)
+	}
+	require.Less(t, now.Sub(start), 5*time.Second)
+	require.Empty(t, ids(&d))
+}
+
 // Guards against a removal that takes effect in an outage, in which the upstream can't register again.
 func TestDeferredRemovalWaitsForTheEndOfAnOutage(t *testing.T) {
 	t.Parallel()
@@ -26,6 +47,7 @@
 	due, ok := d.NextRemoval()
 	require.True(t, ok)
 	require.Greater(t, due, start.Add(time.Minute))
+	require.Less(t, due, start.Add(time.Minute+2*time.Second))
 }
 
 // Guards against the drain of an upstream being hidden by an earlier removal that is deferred: other routers would
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -280,13 +280,13 @@
 }
 
 // SetUnavailable records that the list can't be read. The known entries stay in effect.
-func (d *Directory) SetUnavailable(time.Time) {
+func (d *Directory) SetUnavailable(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.outage.begin()
 	for _, e := range d.entries {
 		if e.deferred != nil {
-			e.deferred.pause()
+			e.deferred.pause(now)
 		}
 	}
 }
