diagnosis: answers count as such, not the parts that they share

A verdict asks whether requests are answered at all, and counted that by parts that had proved sound (minSoundParts, 4). A service with one system prompt, or without shared parts, never has four.

Now a router reports the times of its last four whole answers of a service with each crash, whatever their parts; four of the fleet's since 30 s before the first crash are asked for. soundness.latestAt, Crash.LatestAt and latest_ms, which no decision read, are gone.

Ruled out: that a smaller number of parts would do; requests may have none. TestPartIsRefusedThoughAllUpstreamsEndedAtOnce and the scene of the other tests report answers where they reported sound parts.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -101,7 +101,7 @@
 
 // RoundTripCrash encodes and decodes a report.
 func RoundTripCrash(now time.Time, c diagnosis.Crash) diagnosis.Crash {
-	return decodeUpstreamCrash(now, encodeUpstreamCrash(now, c))
+	return decodeUpstreamCrash(now, c.Reporter, encodeUpstreamCrash(now, c))
 }
 
 // RoundTripVerdict encodes and decodes a verdict.
--- a/deployment/part_codec.go
+++ b/deployment/part_codec.go
@@ -16,7 +16,10 @@
 func encodeUpstreamCrash(now time.Time, c diagnosis.Crash) *schema.UpstreamCrash {
 	out := &schema.UpstreamCrash{
 		Service: string(c.Service), Upstream: turn.EncodeInstance(c.Upstream), EndedMs: schema.Millis(now.Sub(c.At)),
-		Sound: encodeSound(now, c.Sound), LatestMs: encodeAgo(now, c.LatestAt),
+		Sound: encodeSound(now, c.Sound),
+	}
+	for _, at := range c.AnsweredAt {
+		out.AnsweredMs = append(out.AnsweredMs, schema.Millis(now.Sub(at)))
 	}
 	for _, run := range c.Runs {
 		out.Runs = append(out.Runs, &schema.CrashedRun{
@@ -26,10 +29,13 @@
 	return out
 }
 
-func decodeUpstreamCrash(now time.Time, in *schema.UpstreamCrash) diagnosis.Crash {
+func decodeUpstreamCrash(now time.Time, from fleet.RouterID, in *schema.UpstreamCrash) diagnosis.Crash {
 	out := diagnosis.Crash{
 		Service: fleet.ServiceID(in.GetService()), Upstream: turn.DecodeInstance(in.GetUpstream()), At: now.Add(-schema.Duration(in.GetEndedMs())),
-		Sound: decodeSoundParts(now, in.GetSound()), LatestAt: decodeAgo(now, in.LatestMs),
+		Sound: decodeSoundParts(now, in.GetSound()), Reporter: from,
+	}
+	for _, ms := range in.GetAnsweredMs() {
+		out.AnsweredAt = append(out.AnsweredAt, now.Add(-schema.Duration(ms)))
 	}
 	for _, run := range in.GetRuns() {
 		out.Runs = append(out.Runs, diagnosis.Run{
--- a/deployment/part_crashes.go
+++ b/deployment/part_crashes.go
@@ -43,7 +43,7 @@
 		p.log.Warn("crash not reported, too many at once", "upstream", upstream.ID)
 		return
 	}
-	crash := diagnosis.Crash{Service: service, Upstream: upstream, At: broken[0].brokenAt}
+	crash := diagnosis.Crash{Service: service, Upstream: upstream, At: broken[0].brokenAt, Reporter: p.self}
 	for _, b := range broken {
 		crash.Runs = append(crash.Runs, diagnosis.Run{Request: b.subject.Request, Parts: b.subject.Parts, SentAt: b.sentAt, Stage: b.stage})
 	}
@@ -141,9 +141,7 @@
 // recordSound records that an answer has come far, or is whole, and tells the counting routers if they want
 // to know.
 func (p *partMonitor) recordSound(now time.Time, s quarantine.Subject, isWhole bool) {
-	if len(s.Parts) > 0 {
-		p.tellSound(now, s.Service, p.tracker.RecordSound(now, s.Service, s.Parts, isWhole))
-	}
+	p.tellSound(now, s.Service, p.tracker.RecordSound(now, s.Service, s.Parts, isWhole))
 }
 
 // tellSound tells the counting routers of a service which parts are sound.
@@ -169,7 +167,7 @@
 func (p *partMonitor) receive(from fleet.RouterID, batch *schema.Batch) {
 	now := time.Now()
 	for _, report := range batch.GetUpstreamCrashes() {
-		p.count(now, decodeUpstreamCrash(now, report))
+		p.count(now, decodeUpstreamCrash(now, from, report))
 	}
 	for _, sound := range batch.GetSoundParts() {
 		p.countSound(now, fleet.ServiceID(sound.GetService()), decodeSoundParts(now, sound.GetParts()))
--- a/diagnosis/candidate.go
+++ b/diagnosis/candidate.go
@@ -14,11 +14,6 @@
 	// minCrashes that after which it may be a cause.
 	suspectCrashes = 2
 	minCrashes     = 3
-	// minSoundParts is the number of other parts that have to prove sound after soundHistory before the
-	// first crash, since otherwise no request is answered, whatever its parts are. The time before counts,
-	// as all upstreams may end within a second.
-	minSoundParts = 4
-	soundHistory  = 30 * time.Second
 	// maxCoincidence is the probability up to which a part counts as a cause though it may have been
 	// there by chance.
 	maxCoincidence = 2e-3
@@ -127,10 +122,10 @@
 	return runs
 }
 
-// mayBeCertain reports whether a candidate may be a cause. If nothing has been answered since the first
-// crash, requests are no reason why upstreams end.
+// mayBeCertain reports whether a candidate may be a cause. If hardly anything is answered, requests are no reason
+// why upstreams end.
 func (s *search) mayBeCertain(c *candidate) bool {
-	return len(c.presences) >= minCrashes && s.sound.countSince(c.first().at.Add(-soundHistory)) >= minSoundParts && (!s.late || c.wasSentAgain())
+	return len(c.presences) >= minCrashes && s.answers.countSince(c.first().at.Add(-soundHistory)) >= minAnswers && (!s.late || c.wasSentAgain())
 }
 
 // logChance returns the logarithm of the probability that a candidate is at so many of the crashes since its first
--- a/diagnosis/crash.go
+++ b/diagnosis/crash.go
@@ -16,10 +16,11 @@
 	At       time.Time
 	// Runs are the router's requests that the upstream ran.
 	Runs []Run
-	// Sound is what the router knows of their parts, and LatestAt when it last saw any answer of the service
-	// come far.
-	Sound    []Sound
-	LatestAt time.Time
+	// Sound is what the router knows of their parts.
+	Sound []Sound
+	// Reporter is the router, and AnsweredAt has when its latest whole answers of the service ended.
+	Reporter   fleet.RouterID
+	AnsweredAt []time.Time
 }
 
 // Run is a request that an upstream ran when it ended.
--- a/diagnosis/model_cases_test.go
+++ b/diagnosis/model_cases_test.go
@@ -37,6 +37,10 @@
 		{name: "power cuts beside them", change: crashing(3, func(l *modelLoad) { l.cutEvery, l.cutShare = 2*time.Second, 0.3 })},
 		{name: "few requests", change: crashing(3, func(l *modelLoad) { l.perSecond = 10 })},
 		{name: "many rare parts", change: crashing(3, func(l *modelLoad) { l.rare = 2000 })},
+		{name: "no other parts", change: crashing(3, func(l *modelLoad) { l.sharedParts = 0 })},
+		{name: "one shared part", change: crashing(3, func(l *modelLoad) { l.sharedParts = 1 })},
+		{name: "two shared parts", change: crashing(3, func(l *modelLoad) { l.sharedParts = 2 })},
+		{name: "three shared parts, few requests", change: crashing(3, func(l *modelLoad) { l.sharedParts, l.perSecond = 3, 10 })},
 	}
 }
 
@@ -46,6 +50,10 @@
 		{name: "power cuts that spread", change: func(l *modelLoad) { l.cutEvery, l.cutShare, l.cutSpread = 3*time.Second, 1, 800*time.Millisecond }},
 		{name: "single crashes", change: func(l *modelLoad) { l.crashEvery = 500 * time.Millisecond }},
 		{name: "all requests crash upstreams", change: func(l *modelLoad) { l.everythingCrashes = true }},
+		{name: "all requests crash upstreams and share a part", change: func(l *modelLoad) { l.everythingCrashes, l.sharedParts = true, 1 }},
+		{name: "power cuts, one shared part", change: func(l *modelLoad) { l.cutEvery, l.cutShare, l.sharedParts = time.Second, 0.33, 1 }},
+		{name: "power cuts, two shared parts", change: func(l *modelLoad) { l.cutEvery, l.cutShare, l.sharedParts = time.Second, 0.33, 2 }},
+		{name: "single crashes, one shared part", change: func(l *modelLoad) { l.crashEvery, l.sharedParts = 500*time.Millisecond, 1 }},
 	}
 }
 
--- a/diagnosis/model_test.go
+++ b/diagnosis/model_test.go
@@ -45,6 +45,9 @@
 	popular, accounts, rare int
 	// onceShare is the share of requests with a part that is never seen again.
 	onceShare float64
+	// sharedParts, unless it is negative, is the number of parts that all requests share; they have no others but the
+	// last one and a crashing one.
+	sharedParts int
 	// sameParts makes all requests with crashing parts share the other parts as well, but for the last.
 	sameParts bool
 	// prefill is the longest time before the first event, and answer the longest after it.
@@ -69,7 +72,7 @@
 // standardLoad is six routers before nine upstreams.
 func standardLoad() modelLoad {
 	return modelLoad{
-		routers: 6, upstreams: 9, perSecond: 100, popular: 3, accounts: 16, rare: 200, onceShare: 0.3,
+		routers: 6, upstreams: 9, perSecond: 100, popular: 3, accounts: 16, rare: 200, onceShare: 0.3, sharedParts: -1,
 		prefill: 500 * time.Millisecond, answer: 3 * time.Second, crashDelay: 90 * time.Millisecond, duration: 20 * time.Second,
 	}
 }
@@ -205,8 +208,29 @@
 	return time.Duration(m.random.Int64N(max(int64(d), 1)))
 }
 
-// newParts returns a prompt's parts, with a crashing one at any position.
+// newParts returns a prompt's parts but the last one.
 func (m *model) newParts(crashing prompt.Part) prompt.Parts {
+	if m.load.sharedParts < 0 {
+		return m.insert(m.newSoundParts(crashing), crashing)
+	}
+	var parts prompt.Parts
+	for i := range m.load.sharedParts {
+		parts = append(parts, popularBase+prompt.Part(i))
+	}
+	return m.insert(parts, crashing)
+}
+
+// insert adds a crashing part, unless it is zero, at any position.
+func (m *model) insert(parts prompt.Parts, crashing prompt.Part) prompt.Parts {
+	if crashing == 0 {
+		return parts
+	}
+	at := m.random.IntN(len(parts) + 1)
+	return append(parts[:at:at], append(prompt.Parts{crashing}, parts[at:]...)...)
+}
+
+// newSoundParts returns the parts of a prompt that has many kinds of them.
+func (m *model) newSoundParts(crashing prompt.Part) prompt.Parts {
 	l := m.load
 	popular, account := m.random.IntN(l.popular), m.random.IntN(l.accounts)
 	if crashing != 0 && l.sameParts {
@@ -222,10 +246,6 @@
 		m.requests++
 		parts = append(parts, onceBase+prompt.Part(m.requests))
 	}
-	if crashing != 0 {
-		at := m.random.IntN(len(parts) + 1)
-		parts = append(parts[:at:at], append(prompt.Parts{crashing}, parts[at:]...)...)
-	}
 	return parts
 }
 
@@ -395,7 +415,7 @@
 }
 
 func (m *model) report(router int, instance turn.Instance, runs []*modelRun) {
-	crash := diagnosis.Crash{Service: modelService, Upstream: instance, At: m.now}
+	crash := diagnosis.Crash{Service: modelService, Upstream: instance, At: m.now, Reporter: fleet.RouterID(fmt.Sprintf("r%d", router))}
 	for _, run := range runs {
 		run.over = true
 		run.Stage = m.stageOf(run)
--- a/diagnosis/record.go
+++ b/diagnosis/record.go
@@ -78,6 +78,7 @@
 type record struct {
 	crashes []*upstreamCrash
 	sound   soundness
+	answers fleetAnswers
 	// askedAt holds when the other routers were last asked about a part, and firstAskedAt since when
 	// they have been.
 	askedAt, firstAskedAt map[prompt.Part]time.Time
@@ -88,7 +89,10 @@
 	for _, sound := range crash.Sound {
 		r.sound.add(sound)
 	}
-	r.sound.addLatest(crash.LatestAt)
+	if r.answers == nil {
+		r.answers = make(fleetAnswers)
+	}
+	r.answers[crash.Reporter] = crash.AnsweredAt
 	r.expire(now)
 	known := r.find(crash.Upstream)
 	if known == nil {
--- a/diagnosis/soundness.go
+++ b/diagnosis/soundness.go
@@ -1,10 +1,6 @@
 package diagnosis
 
-import (
-	"time"
-
-	"nutmeglock.example/nutmeglock/prompt"
-)
+import "nutmeglock.example/nutmeglock/prompt"
 
 // soundGeneration is the number of parts in each of two generations, of which the older one is
 // dropped when the newer one is full.
@@ -13,8 +9,6 @@
 // soundness holds when answers with each part came far. Its zero value is empty.
 type soundness struct {
 	current, previous map[prompt.Part]Sound
-	// latestAt is when any answer came far.
-	latestAt time.Time
 }
 
 // add merges what is known of a part.
@@ -25,14 +19,6 @@
 		s.current = make(map[prompt.Part]Sound)
 	}
 	s.current[sound.Part] = merged
-	s.addLatest(merged.since(false))
-}
-
-// addLatest records that some answer came far.
-func (s *soundness) addLatest(at time.Time) {
-	if at.After(s.latestAt) {
-		s.latestAt = at
-	}
 }
 
 func (s *soundness) isCurrent(part prompt.Part) bool {
@@ -49,14 +35,3 @@
 	sound.Part = part
 	return sound
 }
-
-// countSince returns how many parts have proved sound after a time.
-func (s *soundness) countSince(at time.Time) int {
-	count := 0
-	for _, sound := range s.current {
-		if sound.since(false).After(at) {
-			count++
-		}
-	}
-	return count
-}
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -47,6 +47,7 @@
 	// sound is what this router knows of each service's parts, and questions until when each is asked
 	// about.
 	sound     map[fleet.ServiceID]*soundness
+	answers   map[fleet.ServiceID]*answers
 	questions map[servicePart]time.Time
 	// toldAt is when the counting routers were last told of a part.
 	toldAt map[servicePart]time.Time
@@ -144,7 +145,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.soundOf(service)
-	known.addLatest(now)
+	if isWhole {
+		t.answersOf(service).add(now)
+	}
 	var told []Sound
 	for _, part := range parts {
 		sound := Sound{Part: part, AnsweredAt: now}
@@ -198,13 +201,26 @@
 	return known
 }
 
+func (t *Tracker) answersOf(service fleet.ServiceID) *answers {
+	known := t.answers[service]
+	if known != nil {
+		return known
+	}
+	if t.answers == nil || len(t.answers) >= maxServices {
+		t.answers = make(map[fleet.ServiceID]*answers)
+	}
+	known = &answers{}
+	t.answers[service] = known
+	return known
+}
+
 // Describe completes the report of a crash with what this router knows of the parts.
 func (t *Tracker) Describe(now time.Time, crash Crash) Crash {
 	t.Activate(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.soundOf(crash.Service)
-	crash.LatestAt = known.latestAt
+	crash.AnsweredAt = t.answersOf(crash.Service).clone()
 	seen := make(map[prompt.Part]bool)
 	for _, run := range crash.Runs {
 		for _, part := range run.Parts {
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -41,13 +41,14 @@
 }
 
 // crash reports the crash of an upstream that has just begun to answer a new request with some parts, beside one
-// of others, and decides. Other parts prove sound all the while.
+// of others, and decides. Other parts prove sound all the while, and other requests are answered.
 func (s *scene) crash(parts ...prompt.Part) {
 	s.now = s.now.Add(600 * time.Millisecond)
 	s.requests++
 	crash := diagnosis.Crash{
 		Service: modelService, At: s.now, Upstream: turn.Instance{ID: fleet.UpstreamID(fmt.Sprintf("u%d", s.requests)), StartTime: 1},
-		Runs: []diagnosis.Run{{Request: quarantine.Fingerprint(s.requests), Parts: parts, SentAt: s.now.Add(-100 * time.Millisecond), Stage: diagnosis.Beginning}},
+		Runs:     []diagnosis.Run{{Request: quarantine.Fingerprint(s.requests), Parts: parts, SentAt: s.now.Add(-100 * time.Millisecond), Stage: diagnosis.Beginning}},
+		Reporter: "r", AnsweredAt: []time.Time{s.now, s.now, s.now, s.now},
 	}
 	s.tracker.Count(s.now, crash)
 	s.decide()
@@ -253,7 +254,7 @@
 				s.now = s.now.Add(time.Duration(rapid.IntRange(0, 100_000).Draw(t, "ms")) * time.Millisecond)
 			},
 			"count": func(t *rapid.T) {
-				crash := diagnosis.Crash{Service: "s", At: at(t), Upstream: turn.Instance{ID: rapid.SampledFrom([]fleet.UpstreamID{"", "a", "b", "c"}).Draw(t, "upstream")}, Sound: sound(t), LatestAt: at(t)}
+				crash := diagnosis.Crash{Service: "s", At: at(t), Upstream: turn.Instance{ID: rapid.SampledFrom([]fleet.UpstreamID{"", "a", "b", "c"}).Draw(t, "upstream")}, Sound: sound(t), Reporter: "r", AnsweredAt: []time.Time{at(t), at(t), at(t), at(t)}}
 				for range rapid.IntRange(0, 3).Draw(t, "runs") {
 					crash.Runs = append(crash.Runs, diagnosis.Run{
 						Request: quarantine.Fingerprint(rapid.Uint64Range(0, 3).Draw(t, "request")), Parts: parts.Draw(t, "parts"), SentAt: at(t),
@@ -365,7 +366,10 @@
 func TestPartIsRefusedThoughAllUpstreamsEndedAtOnce(t *testing.T) {
 	t.Parallel()
 	s := newScene()
-	s.tracker.Count(s.now, diagnosis.Crash{Service: modelService, At: s.now.Add(-10 * time.Minute), Upstream: turn.Instance{ID: "long-ago"}})
+	s.tracker.Count(s.now, diagnosis.Crash{
+		Service: modelService, At: s.now.Add(-10 * time.Minute), Upstream: turn.Instance{ID: "long-ago"},
+		Reporter: "r", AnsweredAt: []time.Time{s.now, s.now, s.now, s.now},
+	})
 	for i := range prompt.Part(8) {
 		s.sound(1000 + i)
 	}
