--- a/forward/crash.go
+++ b/forward/crash.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/prompt"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/stream"
@@ -32,12 +33,27 @@
 			Request: quarantine.FingerprintOf(quarantine.Request{
 				Account: j.account, Method: j.request.Method, Host: j.request.Host, URI: j.request.RequestURI, Body: j.body,
 			}),
-			Parts: j.handler.Codec.ParseParts(j.header),
+			Parts: j.parts(),
 		}
 	}
 	return j.cachedSubject
 }
 
+// parts returns the parts of the prompt that the request may share with others.
+func (j *job) parts() prompt.Parts {
+	if !j.hasParts {
+		j.hasParts = true
+		j.cachedParts = j.handler.Codec.ParseParts(j.header)
+	}
+	return j.cachedParts
+}
+
+// soundSubject returns the subject of an answer without the fingerprint of the request, which takes a hash of the
+// body.
+func (j *job) soundSubject() quarantine.Subject {
+	return quarantine.Subject{Service: j.service, Parts: j.parts()}
+}
+
 // activeQuarantine returns the quarantine, nil if there is none or there is nothing to do.
 func (j *job) activeQuarantine(now time.Time) Quarantine {
 	if q := j.handler.Quarantine; q != nil && q.IsActive(now) {
@@ -99,7 +115,7 @@
 	}
 	now := time.Now()
 	if q.IsActive(now) || j.handler.whole.Add(1)%wholeSampleInterval == 0 {
-		q.RecordSound(now, j.subject(), true)
+		q.RecordSound(now, j.soundSubject(), true)
 	}
 }
 
@@ -110,7 +126,7 @@
 	}
 	if q := j.activeQuarantine(now); q != nil {
 		j.progress.recordAt = now.Add(soundInterval)
-		q.RecordSound(now, j.subject(), false)
+		q.RecordSound(now, j.soundSubject(), false)
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -113,7 +113,8 @@
 	IsSuspected(now time.Time, s quarantine.Subject) bool
 	// RecordServed records that an upstream has answered a request.
 	RecordServed(now time.Time, s quarantine.Subject)
-	// RecordSound records that an answer to a request has come far, or is whole.
+	// RecordSound records that an answer to a request has come far, or is whole. The subject has no
+	// fingerprint.
 	RecordSound(now time.Time, s quarantine.Subject, isWhole bool)
 	// RecordBroken records that an upstream closed its connection while it ran a request.
 	RecordBroken(b BrokenRequest)
--- a/forward/job.go
+++ b/forward/job.go
@@ -12,6 +12,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/prompt"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -64,6 +65,9 @@
 	body     []byte
 	// cachedSubject is zero until subject has computed it.
 	cachedSubject quarantine.Subject
+	// cachedParts are the parts of the prompt once hasParts is set.
+	cachedParts prompt.Parts
+	hasParts    bool
 
 	// sends counts how often the request was sent, sentAt is when it was last sent, and
 	// possibleRuns counts the attempts that may have run it.
