evacuation: the end of an evacuation is learnt from a router that has started since

Routers send each other all they know of evacuations, so one in force that the answer lacks, and that is older than its latest, has ended.

Both tests failed before (TestEndOfAnEvacuationIsLearntFromARouterThatHasStartedSince within 1.5 s, TestEvacuationThatAnotherRouterNeverHeardOfHasEnded didn't exist), and pass now.

--- a/deployment/consistency_test.go
+++ b/deployment/consistency_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 )
@@ -69,3 +70,20 @@
 	require.Eventually(t, func() bool { return !reader.state.HasAddress("10.0.0.2:80") }, maxUpdateTime, time.Millisecond)
 	require.True(t, reader.state.HasAddress("10.0.0.1:80"))
 }
+
+// Guards against an evacuation that stays in force at a router whose only source has started since it ended.
+func TestEndOfAnEvacuationIsLearntFromARouterThatHasStartedSince(t *testing.T) {
+	t.Parallel()
+	reader, newcomer := newNode(t, "reader"), newNode(t, "newcomer")
+	for _, n := range []*node{reader, newcomer} {
+		n.state.Configure(testConfiguration(1), "test")
+		u := readyChange("1", 2)
+		u.Upstream.DataCenter = "z"
+		n.state.ReplaceUpstreams([]registry.Change{u}, 2, "test")
+	}
+	reader.state.ApplyEvacuations([]evacuation.Change{{DataCenter: "z", Revision: 3}}, "test")
+	require.False(t, reader.state.HasAddress("10.0.0.1:80"))
+	newcomer.state.ReplaceEvacuations([]evacuation.Change{{DataCenter: "y", Revision: 9}}, 9, "test")
+	reader.connect(t, map[fleet.RouterID]string{"newcomer": newcomer.address})
+	require.Eventually(t, func() bool { return reader.state.HasAddress("10.0.0.1:80") }, maxListCheckTime, time.Millisecond)
+}
--- a/deployment/evacuations.go
+++ b/deployment/evacuations.go
@@ -24,6 +24,13 @@
 	s.applyEvacuations(s.evacuations.Apply(time.Now(), changes), source)
 }
 
+// applyAllEvacuations applies all changes of the evacuations that another router knows.
+func (s *State) applyAllEvacuations(all []evacuation.Change, source string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyEvacuations(s.evacuations.ApplyAll(time.Now(), all), source)
+}
+
 // EvacuationRevision returns the revision of the latest change of the evacuations.
 func (s *State) EvacuationRevision() registry.Revision { return s.evacuations.Revision() }
 
@@ -65,7 +72,7 @@
 	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: notRequested, EvacuationRevision: heldRevision}
 	knowledge, size, err := m.fetchKnowledge(ctx, from, request)
 	if err == nil {
-		m.state.ApplyEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
+		m.state.applyAllEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
 	}
 	return size, err
 }
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -59,6 +59,25 @@
 	return s.apply(now, changes)
 }
 
+// ApplyAll applies all changes that another router knows. An evacuation that is in force here and that it has
+// never heard of ended before that router read the list.
+func (s *Set) ApplyAll(now time.Time, all []Change) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := slices.Clone(all)
+	var latest registry.Revision
+	for _, c := range all {
+		latest = max(latest, c.Revision)
+	}
+	for id, e := range s.entries {
+		known := slices.ContainsFunc(all, func(c Change) bool { return c.DataCenter == id })
+		if !known && !e.change.Ended && e.change.Revision < latest {
+			changes = append(changes, Change{DataCenter: id, Revision: latest, Ended: true})
+		}
+	}
+	return s.apply(now, changes)
+}
+
 func (s *Set) apply(now time.Time, changes []Change) []Change {
 	if s.entries == nil {
 		s.entries = make(map[fleet.DataCenterID]entry)
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -77,3 +77,16 @@
 		require.Equal(t, inOrder.Changes(), shuffled.Changes())
 	})
 }
+
+// Guards against a data centre that stays out of use because its evacuation ended before the only source had started.
+func TestEvacuationThatAnotherRouterNeverHeardOfHasEnded(t *testing.T) {
+	t.Parallel()
+	var s evacuation.Set
+	s.Apply(now, []evacuation.Change{began("a", 3)})
+	require.Equal(t, []evacuation.Change{began("b", 9), endedA(9)}, s.ApplyAll(now, []evacuation.Change{began("b", 9)}))
+	require.False(t, s.IsEvacuated("a"))
+	require.Empty(t, s.ApplyAll(now, []evacuation.Change{began("b", 9)}))
+	s.Apply(now, []evacuation.Change{began("c", 12)})
+	require.Empty(t, s.ApplyAll(now, []evacuation.Change{began("b", 9)}), "the other router is behind")
+	require.True(t, s.IsEvacuated("c"))
+}
