origin: a record that is sent twice counts once

A record is sent again when its service comes to have a second version just as the stream begins; the table then kept it in both of its generations, which takes room twice and was counted twice.

TestRecordThatIsSentAgainCountsOnce failed before (3) and passes now (2).

--- a/origin/table.go
+++ b/origin/table.go
@@ -79,6 +79,7 @@
 		t.current = make(map[Key]Record)
 	}
 	t.current[key] = r
+	delete(t.previous, key)
 	if r.Until.After(t.currentEnd) {
 		t.currentEnd = r.Until
 	}
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -80,3 +80,14 @@
 	require.NotEqual(t, origin.StreamID{Account: "ada", Attempt: "1"}.Key(), origin.StreamID{Account: "bob", Attempt: "1"}.Key())
 	require.NotEqual(t, origin.StreamID{Account: "ada", Attempt: "1"}.Key(), origin.StreamID{Account: "ad", Attempt: "a1"}.Key())
 }
+
+// Guards against a record that takes room twice because it was sent again.
+func TestRecordThatIsSentAgainCountsOnce(t *testing.T) {
+	t.Parallel()
+	var table origin.Table
+	record := origin.Record{Service: "s", Software: "v1", Until: start.Add(time.Minute)}
+	for _, key := range []int{1, 2, 1} {
+		table.Set(start, keyOf(key), record)
+	}
+	require.Equal(t, 2, table.Len())
+}
