diagnosis: a verdict from before a withdrawal does not bring the refusal back

Trace, with the routers' logs on stderr in a copy, four of four failures alike: both routers count, and refuse the cause within a millisecond of each other; one lifts it, and then the other's verdict, sent before, arrives and refuses it there again. A router now remembers when a verdict was withdrawn, and ignores one whose term began before that. Requests would have been refused for up to 30 s after an operator's lift.

TestVerdictFromBeforeALiftDoesNotComeBack failed before.

--- a/diagnosis/refusals.go
+++ b/diagnosis/refusals.go
@@ -15,6 +15,8 @@
 	byPart map[prompt.Part][]CauseID
 	// suspects are not refused, but neither repeated after a crash.
 	suspects map[CauseID]suspect
+	// withdrawnAt holds when the verdicts on causes were withdrawn.
+	withdrawnAt map[CauseID]time.Time
 }
 
 // suspect is a cause that is suspected until a time.
@@ -28,6 +30,11 @@
 	suspectTTL = 10 * time.Second
 	// maxSuspects is the maximum number of suspected causes.
 	maxSuspects = 256
+	// maxWithdrawals is the maximum number of withdrawals that are remembered.
+	maxWithdrawals = 1024
+	// withdrawalSlack is the time after a withdrawal in which a term may seem to begin that began before it:
+	// messages take a while, and a new verdict needs new crashes.
+	withdrawalSlack = AnswerTime
 )
 
 // put refuses a cause for a term. It returns false if it already is for as long, or if another cause
@@ -98,6 +105,20 @@
 	return r.terms.Release(id)
 }
 
+// recordWithdrawal records that the verdict on a cause was withdrawn.
+func (r *refusals) recordWithdrawal(now time.Time, id CauseID) {
+	if r.withdrawnAt == nil || len(r.withdrawnAt) >= maxWithdrawals {
+		r.withdrawnAt = make(map[CauseID]time.Time)
+	}
+	r.withdrawnAt[id] = now
+}
+
+// wasWithdrawnAfter reports whether the verdict on a cause was withdrawn after its term began.
+func (r *refusals) wasWithdrawnAfter(id CauseID, began time.Time) bool {
+	at, known := r.withdrawnAt[id]
+	return known && began.Before(at.Add(withdrawalSlack))
+}
+
 // sweep removes the causes whose terms were dropped.
 func (r *refusals) sweep(now time.Time) {
 	for id := range r.causes {
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -253,7 +253,8 @@
 	return out
 }
 
-// Apply applies the verdict of another router, or of an operator. It returns whether that changed what is refused.
+// Apply applies the verdict of another router, or of an operator. It returns whether that changed what is refused. A
+// verdict from before the cause was withdrawn, by which two routers' messages crossed, changes nothing.
 func (t *Tracker) Apply(now time.Time, v Verdict) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -265,6 +266,7 @@
 	case quarantine.NotSuspected:
 		if v.Reason != ReasonNarrowed {
 			t.forgive(now, v.Cause)
+			t.refusals.recordWithdrawal(now, v.Cause.ID())
 		}
 		return t.refusals.release(v.Cause.ID())
 	case quarantine.Suspected:
@@ -272,6 +274,9 @@
 		t.refusals.suspect(now, v.Cause)
 		return false
 	case quarantine.Refused:
+		if t.refusals.wasWithdrawnAfter(v.Cause.ID(), v.Term.Until.Add(-v.Term.Length)) {
+			return false
+		}
 		changed := t.refusals.put(now, v.Cause, v.Term)
 		t.extendRefused(now)
 		return changed
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -385,3 +385,22 @@
 	s.decide()
 	require.True(t, s.refuses(fatal))
 }
+
+// Guards against a refusal that comes back after an operator has lifted it, because two routers refused the cause at the
+// same time and the verdict of one was still under way.
+func TestVerdictFromBeforeALiftDoesNotComeBack(t *testing.T) {
+	t.Parallel()
+	s := newScene()
+	cause := diagnosis.NewCause(modelService, prompt.Parts{fatal}, false)
+	refused := func(began time.Time) diagnosis.Verdict {
+		return diagnosis.Verdict{Cause: cause, Status: quarantine.Refused, Term: quarantine.Term{Until: began.Add(30 * time.Second), Length: 30 * time.Second}}
+	}
+	require.True(t, s.tracker.Apply(s.now, refused(s.now)))
+	require.True(t, s.tracker.Apply(s.now, diagnosis.Verdict{Cause: cause, Reason: diagnosis.ReasonLifted}))
+	s.now = s.now.Add(5 * time.Millisecond)
+	require.False(t, s.tracker.Apply(s.now, refused(s.now)))
+	require.False(t, s.refuses(fatal))
+	s.now = s.now.Add(time.Second)
+	require.True(t, s.tracker.Apply(s.now, refused(s.now)), "a later verdict")
+	require.True(t, s.refuses(fatal))
+}
