diagnosis: a lift is told to all routers, also by one that has not heard of the refusal

The router that reads an operator's lift in the store told the others only if it refused the cause itself. If the verdict had not arrived there yet, the others went on refusing. TestLiftOfAnUnknownRefusalIsTold failed before.

--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -328,9 +328,9 @@
 			t.apply(now, Verdict{Cause: e.Cause, Status: quarantine.Refused, Term: e.Term})
 			continue
 		}
-		if v := (Verdict{Cause: e.Cause, Reason: ReasonLifted}); t.apply(now, v) {
-			withdrawn = append(withdrawn, v)
-		}
+		v := Verdict{Cause: e.Cause, Reason: ReasonLifted}
+		t.apply(now, v)
+		withdrawn = append(withdrawn, v) // other routers may refuse what this one has not heard of yet
 	}
 	for _, e := range entries {
 		if !e.IsLifted && t.refusals.isCovered(now, e.Cause) {
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -404,3 +404,13 @@
 	require.True(t, s.tracker.Apply(s.now, refused(s.now)), "a later verdict")
 	require.True(t, s.refuses(fatal))
 }
+
+// Guards against a lift that ends with the router that read it, because that router had not heard of the refusal yet.
+func TestLiftOfAnUnknownRefusalIsTold(t *testing.T) {
+	t.Parallel()
+	s := newScene()
+	lifted := diagnosis.Entry{Cause: diagnosis.NewCause(modelService, prompt.Parts{fatal}, false), IsLifted: true}
+	withdrawn := s.tracker.Restore(s.now, []diagnosis.Entry{lifted})
+	require.Len(t, withdrawn, 1)
+	require.Equal(t, diagnosis.ReasonLifted, withdrawn[0].Reason)
+}
