--- a/deployment/consistency.go
+++ b/deployment/consistency.go
@@ -56,7 +56,10 @@
 	own := m.state.upstreamPosition()
 	switch own.NeedFrom(theirs) {
 	case registry.NeedChanges:
-		m.upstreamPuller.handleAnnouncement(from, uint64(theirs.Version), m.pullDelay())
+		if theirs.Version > own.Known {
+			m.upstreamPuller.handleAnnouncement(from, uint64(theirs.Version), m.pullDelay())
+			return // the answer also has what is beyond the version
+		}
 		m.latestPuller.handleAnnouncement(from, uint64(theirs.Latest), m.pullDelay())
 	case registry.NeedList, registry.NeedRead:
 		delay := listCheckDelay + rand.N(listCheckDelay)
