registry: the position of a list costs nothing per entry while no removal is deferred

Routers compute it with each announcement they send or receive, and it went through all entries, of which large fleets have 3,000 and their removed ones.

--- a/registry/directory.go
+++ b/registry/directory.go
@@ -32,6 +32,8 @@
 	// which writes that change nothing raise. digest is that of all entries.
 	latest, highest Revision
 	digest          Digest
+	// deferredCount is the number of entries whose removal is deferred.
+	deferredCount int
 	// deferrals are the removals that were deferred since TakeDeferrals was last called.
 	deferrals []Deferral
 }
@@ -148,10 +150,8 @@
 // narrowDeferrals records that the entries whose removal is deferred were still listed at a revision, since
 // another router that knows all changes up to it did not tell their removal.
 func (d *Directory) narrowDeferrals(known Revision) {
-	for _, e := range d.entries {
-		if e.deferred != nil {
-			e.deferred.first = min(max(e.deferred.first, known+1), e.deferred.last)
-		}
+	for _, e := range d.deferred() {
+		e.deferred.first = min(max(e.deferred.first, known+1), e.deferred.last)
 	}
 }
 
@@ -217,25 +217,44 @@
 	id := e.change.Upstream.ID
 	if previous, known := d.entries[id]; known {
 		d.digest ^= digestOf(previous.change)
+		if previous.deferred != nil {
+			d.deferredCount--
+		}
+	}
+	if e.deferred != nil {
+		d.deferredCount++
 	}
 	d.digest ^= digestOf(e.change)
 	d.highest = max(d.highest, e.change.Revision)
 	d.entries[id] = e
 }
 
+// deferred returns the entries whose removal is deferred, in the order of their ids.
+func (d *Directory) deferred() []entry {
+	if d.deferredCount == 0 {
+		return nil // as mostly; routers ask for the position often
+	}
+	var out []entry
+	for _, e := range d.entries {
+		if e.deferred != nil {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b entry) int {
+		return strings.Compare(string(a.change.Upstream.ID), string(b.change.Upstream.ID))
+	})
+	return out
+}
+
 // position returns what the list is up to date with. Deferred removals limit it, because other routers may
 // already have confirmed them.
 func (d *Directory) position() Position {
 	p := Position{Version: d.frontier.newest, Known: d.frontier.known, Base: d.frontier.base, Latest: d.latest}
-	hasDeferred := false
-	for _, e := range d.entries {
-		if e.deferred != nil {
-			hasDeferred = true
-			p.Known = min(p.Known, e.deferred.first-1)
-		}
+	for _, e := range d.deferred() {
+		p.Known = min(p.Known, e.deferred.first-1)
 	}
 	p.Version = min(p.Version, p.Known)
-	if !hasDeferred && d.latest <= p.Version && d.highest <= p.Known {
+	if d.deferredCount == 0 && d.latest <= p.Version && d.highest <= p.Known {
 		p.Digest = ^d.digest // so that it isn't zero for an empty list
 	}
 	return p
@@ -259,8 +278,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var first time.Time
-	for _, e := range d.entries {
-		if e.deferred == nil || e.deferred.due.IsZero() {
+	for _, e := range d.deferred() {
+		if e.deferred.due.IsZero() {
 			continue
 		}
 		if first.IsZero() || e.deferred.due.Before(first) {
@@ -284,10 +303,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.outage.begin()
-	for _, e := range d.entries {
-		if e.deferred != nil {
-			e.deferred.pause(now)
-		}
+	for _, e := range d.deferred() {
+		e.deferred.pause(now)
 	}
 }
 
@@ -299,10 +316,8 @@
 		return
 	}
 	d.outage.end(now)
-	for _, e := range d.entries {
-		if e.deferred != nil {
-			e.deferred.resume(now)
-		}
+	for _, e := range d.deferred() {
+		e.deferred.resume(now)
 	}
 }
 
@@ -311,9 +326,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var removals []Change
-	for _, id := range slices.Sorted(maps.Keys(d.entries)) {
-		e := d.entries[id]
-		if e.deferred == nil || !e.deferred.isDue(now) {
+	for _, e := range d.deferred() {
+		if !e.deferred.isDue(now) {
 			continue
 		}
 		removal := Change{Upstream: e.change.Upstream, Revision: e.deferred.last, Removed: true, ReadAt: e.deferred.readAt}
