deployment, registry: a router that has no list takes another's at once, and asks again if that fails

A router that starts while the store refuses it waited 0.4 s to 0.8 s for the whole list, as one does that only lacks changes which others may tell; nobody can tell it changes alone. And a whole list whose transfer failed was asked for again only with the next announcement, which small fleets send with a change. Found by reading; TestContradictingListsAreNoticed has the case of a start, which failed before.

--- a/deployment/consistency.go
+++ b/deployment/consistency.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
@@ -33,12 +35,14 @@
 	lastRead atomic.Int64
 }
 
-// requestRead requests a whole read of the list from the store.
-func (l *listChecker) requestRead(now time.Time) {
+// requestRead requests a whole read of the list from the store. It returns false if that was done lately.
+func (l *listChecker) requestRead(now time.Time) bool {
 	last := l.lastRead.Load()
-	if now.Sub(time.Unix(0, last)) >= minReadInterval && l.lastRead.CompareAndSwap(last, now.UnixNano()) {
-		l.readRequested.Store(true)
+	if now.Sub(time.Unix(0, last)) < minReadInterval || !l.lastRead.CompareAndSwap(last, now.UnixNano()) {
+		return false
 	}
+	l.readRequested.Store(true)
+	return true
 }
 
 // positionOf returns the position that another router announced. One of an older build announces only its
@@ -62,12 +66,17 @@
 		}
 		m.latestPuller.handleAnnouncement(from, uint64(theirs.Latest), m.pullDelay())
 	case registry.NeedList, registry.NeedRead:
-		delay := listCheckDelay + rand.N(listCheckDelay)
-		time.AfterFunc(delay, func() { m.guard.Run(recovery.Update, func() { m.checkList(from, theirs) }, "other", from) })
+		m.scheduleListCheck(from, theirs)
 	case registry.NeedNothing:
 	}
 }
 
+func (m *mesh) scheduleListCheck(from fleet.RouterID, theirs registry.Position) {
+	time.AfterFunc(listCheckDelay+rand.N(listCheckDelay), func() {
+		m.guard.Run(recovery.Update, func() { m.checkList(from, theirs) }, "other", from)
+	})
+}
+
 // checkList acts on a difference between this router's list and another one's that has not been resolved
 // meanwhile.
 func (m *mesh) checkList(from fleet.RouterID, theirs registry.Position) {
@@ -76,14 +85,16 @@
 	case registry.NeedList:
 		m.fetchList(from, own, theirs)
 	case registry.NeedRead:
-		m.log.Warn("lists of upstreams contradict each other", "other", from, "revision", own.Version, "known", own.Known,
-			"other-known", theirs.Known)
-		m.lists.requestRead(time.Now())
+		if m.lists.requestRead(time.Now()) {
+			m.log.Warn("lists of upstreams contradict each other", "other", from, "revision", own.Version, "known", own.Known,
+				"other-known", theirs.Known)
+		}
 	case registry.NeedNothing, registry.NeedChanges:
 	}
 }
 
-// fetchList fetches the whole list of upstreams from another router, one at a time.
+// fetchList fetches the whole list of upstreams from another router, one at a time, and checks it again if
+// that fails while the router is connected.
 func (m *mesh) fetchList(from fleet.RouterID, own, theirs registry.Position) {
 	if !m.lists.isFetching.CompareAndSwap(false, true) {
 		return
@@ -94,4 +105,8 @@
 	size, err := m.fetchUpstreams(ctx, from, uint64(own.Known))
 	m.log.Info("asked another router", "other", from, "update", "whole list of upstreams", "error", err, "before", own.Known,
 		"now", m.state.upstreamPosition().Known, "other-base", theirs.Base, "bytes", size)
+	var gone *peer.NotConnectedError
+	if err != nil && !errors.As(err, &gone) {
+		m.scheduleListCheck(from, theirs)
+	}
 }
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -100,67 +100,15 @@
 	d.frontier.extend(revision, 0)
 }
 
-// Answer is what a directory tells another router.
-type Answer struct {
-	Changes []Change
-	// Version and Known are those of the directory's Position. All changes up to Known after
-	// the revision that was asked for are among Changes.
-	Version, Known Revision
-	// Whole is set if Changes are the whole list: an entry that isn't among them has been removed.
-	// It has removals, too, as far as the directory knows them.
-	Whole bool
-}
-
-// After returns what has changed after a revision.
-func (d *Directory) After(revision Revision) Answer {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	p := d.position()
-	a := Answer{Version: p.Version, Known: p.Known, Whole: revision < p.Base}
-	for _, e := range d.entries {
-		if e.change.Revision > revision || (a.Whole && !e.change.Removed) {
-			a.Changes = append(a.Changes, e.change)
-		}
-	}
-	return a
-}
-
-// ApplyFromPeer applies the answer of another router, which has already waited for entries
-// to return. It returns the changes that took effect.
-func (d *Directory) ApplyFromPeer(now time.Time, a Answer) []Change {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a.Known = max(a.Known, a.Version) // an older build tells only its version
-	if a.Whole {
-		changed := d.replace(now, a.Changes, a.Known, true)
-		d.narrowDeferrals(a.Known)
-		return changed
-	}
-	var changed []Change
-	for _, c := range a.Changes {
-		effective, _ := d.applyOne(now, c, c.Revision, true)
-		changed = append(changed, effective...)
-	}
-	d.loaded = d.loaded || len(a.Changes) > 0
-	d.frontier.extend(a.Known, a.Version)
-	d.narrowDeferrals(a.Known)
-	return changed
-}
-
-// narrowDeferrals records that the entries whose removal is deferred were still listed at a revision, since
-// another router that knows all changes up to it did not tell their removal.
-func (d *Directory) narrowDeferrals(known Revision) {
-	for _, e := range d.deferred() {
-		e.deferred.first = min(max(e.deferred.first, known+1), e.deferred.last)
-	}
-}
-
 // applyOne applies a change and returns it if it took effect, and whether it only repeated
 // what was known. A removal happened between first and the revision of the change; a confirmed one has
 // no grace period.
 func (d *Directory) applyOne(now time.Time, c Change, first Revision, confirmed bool) (effective []Change, repeated bool) {
 	previous, known := d.entries[c.Upstream.ID]
-	if isGone := !known || previous.change.Removed; isGone && c.Revision <= d.frontier.base {
+	if !known {
+		previous.change.Removed = true
+	}
+	if previous.change.Removed && c.Revision <= d.frontier.base {
 		return nil, false // removed since, or it would have been in the whole list
 	}
 	c.Upstream.Software = previous.softwareOf(c)
@@ -183,7 +131,7 @@
 
 // remove applies the removal of an entry.
 func (d *Directory) remove(now time.Time, previous entry, c Change, first Revision, confirmed bool) []Change {
-	isListed := previous.change.Upstream.ID != "" && !previous.change.Removed
+	isListed := !previous.change.Removed
 	switch {
 	case previous.deferred != nil && !confirmed:
 		previous.deferred.last = max(previous.deferred.last, c.Revision)
@@ -196,8 +144,8 @@
 	case previous.deferred != nil:
 		c.Revision = max(c.Revision, previous.deferred.last)
 	}
-	if previous.change.Upstream.ID != "" {
-		c.Upstream = previous.change.Upstream
+	if previous.change.Upstream.ID == c.Upstream.ID {
+		c.Upstream = previous.change.Upstream // the removal itself names only the id
 	}
 	return d.takeEffect(entry{change: c})
 }
--- a/registry/position.go
+++ b/registry/position.go
@@ -24,7 +24,8 @@
 const (
 	// NeedNothing means that the other directory has no more changes.
 	NeedNothing Need = iota
-	// NeedChanges means that the other directory can tell the changes that are lacking.
+	// NeedChanges means that the other directory can tell the changes that are lacking, which is the whole list if
+	// this one has none yet.
 	NeedChanges
 	// NeedList means that the other directory knows more, but can tell it only as a whole list.
 	NeedList
@@ -37,7 +38,7 @@
 	differs := p.Digest != 0 && other.Digest != 0 && p.Digest != other.Digest
 	isNewer := other.Version > p.Known || other.Latest > max(p.Known, p.Latest)
 	switch {
-	case isNewer && other.Base <= p.Known:
+	case isNewer && (other.Base <= p.Known || p.Known == 0):
 		return NeedChanges
 	case isNewer, differs && other.Base > p.Known:
 		return NeedList
--- a/registry/position_test.go
+++ b/registry/position_test.go
@@ -50,6 +50,7 @@
 		{"this one has read the list later", registry.Position{Version: 9, Known: 12, Base: 12, Latest: 9, Digest: 7}, registry.Position{Version: 9, Known: 9, Latest: 9, Digest: 8}, registry.NeedNothing},
 		{"the other one is behind", registry.Position{Version: 9, Known: 9, Latest: 9, Digest: 7}, registry.Position{Version: 8, Known: 8, Latest: 8, Digest: 8}, registry.NeedNothing},
 		{"the other one is ahead", registry.Position{Version: 8, Known: 8, Latest: 8, Digest: 8}, registry.Position{Version: 9, Known: 9, Latest: 9, Digest: 7}, registry.NeedChanges},
+		{"this one has just started", registry.Position{}, registry.Position{Version: 9, Known: 12, Base: 12, Latest: 9, Digest: 7}, registry.NeedChanges},
 		{"a change beyond a deferred removal", registry.Position{Version: 9, Known: 9, Latest: 12}, registry.Position{Version: 9, Known: 9, Latest: 12}, registry.NeedNothing},
 		{"an older build tells no digest", registry.Position{Version: 9, Known: 9, Latest: 9, Digest: 7}, registry.Position{Version: 9, Known: 9, Latest: 9}, registry.NeedNothing},
 	}
