--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -64,10 +64,17 @@
 }
 
 func newNode(tb testing.TB, id fleet.RouterID) *node {
+	tb.Helper()
+	return newNodeThat(tb, id, func(*node) {})
+}
+
+// newNodeThat returns a node that is prepared before its connections are opened.
+func newNodeThat(tb testing.TB, id fleet.RouterID, prepare func(n *node)) *node {
 	tb.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(tb, err)
 	n := newNodeAt(id, listener.Addr().String(), listener)
+	prepare(n)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.stop = cancel
 	ended := make(chan error, 1)
--- a/deployment/part_crashes_test.go
+++ b/deployment/part_crashes_test.go
@@ -125,10 +125,12 @@
 // Guards against a flood of reports when a data centre is lost.
 func TestCrashesOfADataCentreAreNotAllReported(t *testing.T) {
 	t.Parallel()
-	one, two := newNode(t, "one"), newNode(t, "two")
-	one.connect(t, map[fleet.RouterID]string{"two": two.address})
 	reports := make(chan int, 1000)
-	two.mesh.OnBatch(func(batch *schema.Batch) { reports <- len(batch.GetUpstreamCrashes()) })
+	one := newNode(t, "one")
+	two := newNodeThat(t, "two", func(n *node) {
+		n.mesh.OnBatch(func(batch *schema.Batch) { reports <- len(batch.GetUpstreamCrashes()) })
+	})
+	one.connect(t, map[fleet.RouterID]string{"two": two.address})
 	for i := range 200 {
 		one.mesh.Quarantine().RecordBroken(forward.BrokenRequest{Subject: subject(1+i, soundPart), Upstream: testUpstream(i), SentAt: time.Now()})
 	}
