--- a/diagnosis/answers.go
+++ b/diagnosis/answers.go
@@ -7,12 +7,11 @@
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
-// minAnswers is the number of whole answers that a service has to give after soundHistory before the
-// first crash, since otherwise no request is answered, whatever its parts are. Answers of any requests
-// count: they may all have the same parts, or none. The time before counts, as all upstreams may end within
-// a second.
 const (
-	minAnswers   = 4
+	// minAnswers is the number of whole answers that a service has to give, since otherwise no request is
+	// answered, whatever its parts are. Answers to any requests count, which may all have the same parts, or none.
+	minAnswers = 4
+	// soundHistory is how long before the first crash answers count: all upstreams may end within a second.
 	soundHistory = 30 * time.Second
 )
 
--- a/registry/deferral.go
+++ b/registry/deferral.go
@@ -11,13 +11,11 @@
 // rest allows for the transfer to this router.
 const outageGrace = 2200 * time.Millisecond
 
-// An entry that vanishes later than catchUpWindow after the end of an outage was
-// removed while the list could be read. It may still have expired, if its upstream
-// was slow to register again, but has more probably left, and an upstream must get
-// no new requests two seconds after it left. So the entry is kept for
-// lateRemovalGrace only.
 const (
-	catchUpWindow    = 300 * time.Millisecond
+	// catchUpWindow is the time after an outage within which changes that were made in it are read.
+	catchUpWindow = 300 * time.Millisecond
+	// lateRemovalGrace is how long an entry is kept that vanishes later. It has probably left, and must get no
+	// requests two seconds after that.
 	lateRemovalGrace = 1400 * time.Millisecond
 )
 
