follow, peer: routers that may be frozen are replaced as followers of the store

A router now counts another one as unable to follow if nothing has arrived from it for one and a half heartbeats. The connection stays. Heartbeats bound the silence of a router that runs to one, so nothing changes in calm, and no call or message is added.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -94,7 +94,7 @@
 func newMesh(state *State, options peer.Options, checkReachable func(ctx context.Context, address string) error) *mesh {
 	m := &mesh{state: state, peers: peer.New(options), link: overload.NewLinkDetector(), log: options.Logger, guard: options.Guard}
 	m.coordinator = &home.Coordinator{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger, Guard: options.Guard}
-	m.group = &follow.Group{Self: options.Self}
+	m.group = &follow.Group{Self: options.Self, IsSilent: m.peers.IsSilent}
 	m.crashMonitor = crashMonitor{
 		self: options.Self, otherRouters: m.peers.Routers, send: m.peers.Send, upstreamEntry: state.Upstream, checkReachable: checkReachable,
 		saveVerdict: m.quarantinePersister.enqueue, saveCause: m.quarantinePersister.enqueueCause, log: options.Logger, guard: options.Guard,
--- a/follow/group.go
+++ b/follow/group.go
@@ -38,6 +38,8 @@
 // milliseconds. A router that is cut off from the others follows the store itself.
 type Group struct {
 	Self fleet.RouterID
+	// IsSilent reports whether a connected router may be frozen; nil means that none is.
+	IsSilent func(router fleet.RouterID) bool
 
 	mu sync.Mutex
 	// peerCount is how many other routers are connected, and rankedAhead holds those of
@@ -102,14 +104,17 @@
 
 // isFollower reports whether this router is among those that follow for all. In a large
 // fleet these are the first ones in an order that all routers agree on, and one more for
-// each of them that can't read the store, up to maxSubstitutes.
+// each of them that can't read the store or may be frozen, up to maxSubstitutes.
 func (g *Group) isFollower() bool {
 	if !fleet.IsLarge(g.peerCount + 1) {
 		return true
 	}
+	if len(g.rankedAhead)-maxSubstitutes >= followerCount {
+		return false // as of most routers, which need not ask who is silent
+	}
 	unable := 0
 	for _, id := range g.rankedAhead {
-		if g.statuses[id].StoreLost {
+		if g.statuses[id].StoreLost || (g.IsSilent != nil && g.IsSilent(id)) {
 			unable++
 		}
 	}
--- a/follow/group_test.go
+++ b/follow/group_test.go
@@ -143,3 +143,24 @@
 		require.GreaterOrEqual(t, perSecond, 0.5, "%d routers", routers)
 	}
 }
+
+// Guards against changes that no router notices for seconds because all that follow the store are frozen, and their
+// connections are not lost yet.
+func TestOthersFollowForThoseThatAreFrozen(t *testing.T) {
+	t.Parallel()
+	all := groups(88)
+	exchangeStatuses(all, false)
+	frozen := make(map[fleet.RouterID]bool)
+	for id, g := range all {
+		frozen[id] = g.OwnStatus().Follows
+	}
+	able := 0
+	for id, g := range all {
+		g.IsSilent = func(router fleet.RouterID) bool { return frozen[router] }
+		if !frozen[id] && g.PollInterval() == 0 {
+			able++
+		}
+		require.False(t, g.FollowersLostStore(), "the store answers")
+	}
+	require.Equal(t, 4, able)
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -31,6 +32,9 @@
 	// maxMissedHeartbeats is the number of heartbeat intervals without a frame
 	// after which the connection is closed.
 	maxMissedHeartbeats = 3
+	// silentHeartbeats is the number of half heartbeat intervals without a frame after which a router counts as
+	// silent.
+	silentHeartbeats = 3
 	// maxAnnouncedInterval bounds the heartbeat interval that a router can announce.
 	maxAnnouncedInterval = time.Minute
 	// maxQueuedFrames and maxQueuedBytes bound the send queue to one router. A
@@ -49,6 +53,8 @@
 	hello    *schema.Hello
 	outgoing bool
 	rpc      *jsonrpc2.Conn
+	// silentAt is when the router counts as silent unless a frame arrives before, in nanoseconds since 1970.
+	silentAt atomic.Int64
 
 	mu           sync.Mutex
 	queue        []frame
@@ -188,7 +194,9 @@
 	peerInterval := time.Duration(0)
 	lastReceived := l.peers.options.Timer.Now()
 	for {
-		timeout := maxMissedHeartbeats * max(l.peers.heartbeatInterval(), peerInterval)
+		interval := max(l.peers.heartbeatInterval(), peerInterval)
+		l.silentAt.Store(lastReceived.Add(silentHeartbeats * interval / 2).UnixNano())
+		timeout := maxMissedHeartbeats * interval
 		if err := l.conn.SetReadDeadline(lastReceived.Add(timeout)); err != nil {
 			return eris.Wrap(err, "set read deadline")
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -138,6 +138,19 @@
 	return slices.Sorted(maps.Keys(p.links))
 }
 
+// IsSilent reports whether nothing has arrived from a connected router for longer than a heartbeat takes, so that it
+// may be frozen. Its connection is closed only later.
+func (p *Peers) IsSilent(router fleet.RouterID) bool {
+	p.mu.Lock()
+	l := p.links[router]
+	p.mu.Unlock()
+	if l == nil {
+		return false
+	}
+	silentAt := l.silentAt.Load()
+	return silentAt != 0 && p.options.Timer.Now().UnixNano() > silentAt
+}
+
 // NotConnectedError reports a call to a router that is not connected. Nothing
 // was sent.
 type NotConnectedError struct{ Router fleet.RouterID }
