avoidance: what upstreams state in their answers is read, kept and logged

An answer's Server-Leaving and, with 503, Retry-After are decoded once, by the platform's header codec, into fields of AnswerInfo; a pure package keeps the terms by the upstream's process.

'attempt failed' has backoff-ms and leaving.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -144,7 +144,7 @@
 	r.handler = &forward.Handler{
 		Codec: options.Codec, State: r.state, Client: r.client, Metrics: r.metrics,
 		Log: logging.WithPriority(options.Log, logging.Failure), RoutineLog: logging.WithPriority(options.Log, logging.Request),
-		TooManyConnections: r.shouldCloseConnections, LeavingSince: r.state.LeavingSince, Guard: r.guard,
+		TooManyConnections: r.shouldCloseConnections, LeavingSince: r.state.LeavingSince, Avoidance: r.state, Guard: r.guard,
 	}
 	if err := r.connectPeers(ctx); err != nil {
 		return nil, err
@@ -302,7 +302,10 @@
 // sweepConnections closes expired idle connections to upstreams until ctx ends.
 func (r *Router) sweepConnections(ctx context.Context) error {
 	defer r.client.Close()
-	return callEvery(ctx, sweepInterval, func(now time.Time) { r.client.Sweep(now, r.state.HasAddress) })
+	return callEvery(ctx, sweepInterval, func(now time.Time) {
+		r.state.expireAvoided(now)
+		r.client.Sweep(now, r.state.HasAddress)
+	})
 }
 
 // logRefusals logs a summary of the refusals without a line of their own each second until ctx
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
@@ -61,6 +62,8 @@
 	listConfirmedAt time.Time
 	// readyAddresses are the addresses of the upstreams that take requests.
 	readyAddresses map[string]bool
+	// avoided are the upstreams that have stated that they want no requests.
+	avoided avoidance.Set[turn.Instance]
 }
 
 // StateOptions configure a State.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -51,6 +51,9 @@
 	// final is true when the request can't be retried.
 	final      bool
 	retryAfter time.Duration
+	// backoff and leaving are what the upstream stated in its answer.
+	backoff time.Duration
+	leaving bool
 	// errorAnswer is the error that the upstream answered with. It is relayed if the request isn't
 	// sent again.
 	errorAnswer *bufferedAnswer
@@ -82,6 +85,7 @@
 	j.progress = progress{}
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
 	j.recordLeaving(ticket.Upstream())
+	j.recordAvoided(ticket.Upstream())
 	watch := newSilenceWatch(ctx, cancel, j.silenceLimit(), j.otherUpstreamFinder(), j.handler.Guard)
 	defer func() { j.nextTicket, j.silence = watch.stop() }()
 
@@ -92,10 +96,13 @@
 	defer answer.Body.Close()
 	j.progress.headerAt = time.Now()
 	info := j.handler.Codec.ParseAnswer(answer.Status, answer.Header)
+	j.recordStatements(ticket.Upstream(), answer.Status, info)
 	if info.NotRun {
 		ticket.End(time.Now(), turn.Refused)
 		_, _ = io.CopyN(io.Discard, answer.Body, maxBuffered) // read so that the connection can be used again
-		return &failure{reason: retry.UpstreamRefused, sent: true, notRun: true, retryAfter: retryAfter(answer.Header)}
+		return &failure{
+			reason: retry.UpstreamRefused, sent: true, notRun: true, retryAfter: retryAfter(answer.Header), backoff: info.Backoff, leaving: info.Leaving,
+		}
 	}
 	j.possibleRuns++
 	if isNotFromUpstream(answer.Status, info) {
@@ -112,9 +119,11 @@
 // isNotFromUpstream reports whether an answer can't come from the upstream itself: a success
 // without its signature, or a status that implies "not run" though the upstream didn't state it.
 func isNotFromUpstream(status int, info AnswerInfo) bool {
-	return impliesNotRun(status) || (status >= 200 && status < 300 && !info.Signed)
+	return impliesNotRun(status) || (isSuccess(status) && !info.Signed)
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 func (j *job) isStream(answer *upstream.Answer) bool {
 	return j.route.Kind == route.Streaming && answer.Status == http.StatusOK
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/admission"
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
@@ -72,6 +73,11 @@
 	NotRun bool
 	// Signed is true when the answer carries an upstream's signature.
 	Signed bool
+	// Leaving is true when the upstream states that it is leaving.
+	Leaving bool
+	// Backoff is for how long an upstream that refused the request wants no others from this router;
+	// zero when it doesn't say.
+	Backoff time.Duration
 }
 
 // HeaderCodec translates between header fields and their meaning.
@@ -149,8 +155,20 @@
 	Record(now time.Time, stream origin.Stream, until time.Time)
 }
 
+// Avoidance knows which upstreams this router must not send to, because they have stated so in their
+// answers. It is safe for concurrent use.
+type Avoidance interface {
+	// RecordLeaving records that the answer to a request states that its upstream is leaving.
+	RecordLeaving(now time.Time, u registry.Upstream, request fleet.RequestID)
+	// RecordBackoff records that the answer to a request asks this router to send its upstream nothing
+	// for a while.
+	RecordBackoff(now time.Time, u registry.Upstream, backoff time.Duration, request fleet.RequestID)
+	// Avoided returns why an upstream must not be sent requests now, and whether that is so.
+	Avoided(now time.Time, u registry.Upstream) (avoidance.Term, bool)
+}
+
 // Handler is the http.Handler for callers. All fields are required but RoutineLog,
-// TooManyConnections, HasCapacity, OnShed, LeavingSince, Quarantine, Origins, Guard and SchedulingLatency.
+// TooManyConnections, HasCapacity, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
 type Handler struct {
 	Codec   HeaderCodec
 	State   RoutingState
@@ -173,6 +191,8 @@
 	// LeavingSince returns when the fleet learned that an upstream is leaving, zero if that is
 	// unknown, and whether it is; nil means that none is.
 	LeavingSince func(upstream registry.Upstream) (time.Time, bool)
+	// Avoidance may be nil: then nothing that upstreams state is taken into account.
+	Avoidance Avoidance
 	// Quarantine may be nil.
 	Quarantine Quarantine
 	// Origins may be nil: then all upstreams of a service count as of one software version.
--- a/forward/log.go
+++ b/forward/log.go
@@ -60,6 +60,7 @@
 	j.handler.Log.Warn("attempt failed",
 		"request", j.info.ID, "upstream", to.ID, "address", to.Address, "life", to.StartTime, "software", to.Software, "resumes", j.info.Resumes, "resumed-after", j.info.LastEventID, "reason", f.reason,
 		"ended-by", by, "decision", why, "fingerprint", j.fingerprint(), "parts", j.parts(), "sent", f.sent, "not-run", f.notRun,
+		"backoff-ms", ms(f.backoff), "leaving", f.leaving,
 		"attempt", j.sends, "events", j.eventCount, "last-event", j.lastEventID, "attempt-events", j.progress.events, "header-ms", sinceMS(j.progress.headerAt), "first-event-ms", sinceMS(j.progress.firstEventAt), "unread-tokens", ticket.PendingPrefill(),
 		"age-ms", ms(time.Since(j.arrived)), "attempt-ms", ms(time.Since(j.sentAt)), "left-ms", ms(time.Until(j.deadline)),
 		"silent-ms", ms(j.silence.lasted), "silence-limit-ms", ms(j.silence.limit), "latency-ms", ms(j.handler.latency()),
