--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -40,6 +40,8 @@
 	DeadlineBeforeTurn Reason = "deadline-before-turn"
 	DeadlinePassed     Reason = "deadline-passed"
 	NoUpstream         Reason = "no-upstream"
+	UpstreamsLeaving   Reason = "upstreams-leaving"
+	UpstreamsBackOff   Reason = "upstreams-back-off"
 	SoftwareReplaced   Reason = "software-replaced"
 	OriginUnknown      Reason = "stream-origin-unknown"
 	UpstreamFailed     Reason = "upstream-failed"
@@ -63,7 +65,7 @@
 	return []Reason{
 		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
 		ServiceNotAllowed, AccountQueueFull, AccountAhead, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
-		NoUpstream, SoftwareReplaced, OriginUnknown, UpstreamFailed, UpstreamBusy, CrashesUpstreams, RetriesExhausted, Stopping, NotReady,
+		NoUpstream, UpstreamsLeaving, UpstreamsBackOff, SoftwareReplaced, OriginUnknown, UpstreamFailed, UpstreamBusy, CrashesUpstreams, RetriesExhausted, Stopping, NotReady,
 		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
 		ResumeExpired, CallerGone, Internal,
 	}
@@ -114,6 +116,8 @@
 	DeadlineBeforeTurn: http.StatusServiceUnavailable,
 	DeadlinePassed:     http.StatusGatewayTimeout,
 	NoUpstream:         http.StatusServiceUnavailable,
+	UpstreamsLeaving:   http.StatusServiceUnavailable,
+	UpstreamsBackOff:   http.StatusServiceUnavailable,
 	SoftwareReplaced:   http.StatusServiceUnavailable,
 	OriginUnknown:      http.StatusServiceUnavailable,
 	UpstreamFailed:     http.StatusBadGateway,
