turn, forward, home: what upstreams state in their answers is kept

What callers and upstreams saw: requests went on to an upstream for as long as the store was out, though its answers said that it leaves; an upstream that refused with Retry-After got the next requests at once.

Cause: nobody read either field. What a router may believe of an upstream came from one source, the store's list. Class: a statement on the wire that nobody reads (as the software version was).

Change: avoidance.Set, by the upstream's process, is the one place that says whether this router may send there. Leaving upstreams are taken out of the pools like draining ones, and other routers are told over the mesh (the home that grants turns at them, or all in a small fleet). Backoffs belong to one router: its requests carry the set (Request.Avoid), also in asks to homes, so a home leaves the upstream out for that router only. Last of all the set is asked when the connection is open: a turn granted before goes back unused. If all upstreams of a group are avoided, the request goes to other groups; if all of the service are, it is refused at once with the first end, spread over 0.3 s, as upstreams-back-off or upstreams-leaving. After a backoff a router that decides by itself probes with one request (outlier.Hold), and each router extends it by up to an eighth, 0.5 s at most, so that not all return at once. Metrics put families of zeros last, as the page that collectors keep had no room left.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -219,7 +219,7 @@
 		m.evacuationPuller.forget(c.Router)
 		return
 	}
-	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement()})
+	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement(), LeavingUpstreams: m.state.leavingUpstreams()})
 	m.crashMonitor.sendRefusedRequests(c.Router)
 	m.mu.Lock()
 	m.lastReport = nil // so that the next report is sent even if it is unchanged
@@ -228,6 +228,9 @@
 
 // receive handles a batch of messages from another router.
 func (m *mesh) receive(from fleet.RouterID, batch *schema.Batch) {
+	if leaving := batch.GetLeavingUpstreams(); len(leaving) > 0 {
+		m.state.observeLeaving(from, leaving) // before the asks that it concerns
+	}
 	m.coordinator.HandleBatch(from, batch)
 	m.crashMonitor.receive(from, batch)
 	m.origins.receive(batch)
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
@@ -136,6 +137,7 @@
 	r.state = NewState(StateOptions{
 		Self: options.Self, DataCenter: options.DataCenter, ColdTolerance: options.ColdTolerance,
 		OnColdSkipped: func(reason turn.ColdReason) { r.metrics.ColdSkipped.WithLabelValues(string(reason)).Inc() },
+		OnAvoided:     r.metrics.AvoidedSends.WithLabelValues(string(avoidance.Backoff)).Inc,
 		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, RecoveryTime: options.RecoveryTime, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
 		OnLeaving: func(age time.Duration) { r.metrics.LeavingSeconds.Observe(age.Seconds()) },
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -83,6 +83,9 @@
 	// OnColdSkipped is called, unless it is nil, when a request can't go to the cold upstream
 	// that it prefers.
 	OnColdSkipped func(reason turn.ColdReason)
+	// OnAvoided is called, unless it is nil, when a request can't go to an upstream that it prefers, because of
+	// a backoff.
+	OnAvoided func()
 	// RecoveryTime is how recently a list of upstreams has to be confirmed to be current; zero
 	// means follow.DefaultRecovery.
 	RecoveryTime time.Duration
@@ -120,6 +123,7 @@
 // request can't get its turn in time, or the error of ctx.
 func (s *State) Turn(ctx context.Context, service fleet.ServiceID, request turn.Request) (home.Ticket, error) {
 	pool := s.Pool(service)
+	request.Avoid = &s.avoided
 	switch {
 	case pool == nil:
 		return nil, &turn.RefusedError{NoUpstream: true, RetryAfter: unknownServiceRetryAfter}
@@ -276,6 +280,9 @@
 			"address", c.Upstream.Address, "life", c.Upstream.StartTime, "software", c.Upstream.Software, "draining", c.Upstream.Draining,
 			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "revision", c.Revision, "from", source,
 			"age-ms", ageMillis(c.ReadAt), "complete-up-to", s.directory.SettledRevision())
+		if c.Removed && c.Upstream.StartTime == 0 {
+			s.avoided.Forget(turn.InstanceOf(c.Upstream)) // the next process would have the same key
+		}
 		if s.options.OnLeaving != nil && (c.Removed || c.Upstream.Draining) && !c.ReadAt.IsZero() {
 			s.options.OnLeaving(time.Since(c.ReadAt))
 		}
@@ -324,7 +331,9 @@
 			continue
 		}
 		pool := s.getOrCreatePool(service, configured)
-		upstreams = s.withoutEvacuated(upstreams, configured.ColdDuration)
+		staying := s.withoutLeaving(now, upstreams)
+		pool.SetLeavingCount(len(upstreams) - len(staying))
+		upstreams = s.withoutEvacuated(staying, configured.ColdDuration)
 		pool.SetColdStart(coldstart.Policy{Duration: configured.ColdDuration, Limit: s.options.ColdTolerance.Limit(configured.ColdRate)})
 		for i := range upstreams {
 			s.readyAddresses[upstreams[i].Address] = true
@@ -333,6 +342,7 @@
 	}
 	for service, pool := range s.pools {
 		if len(ready[service]) == 0 {
+			pool.SetLeavingCount(0)
 			pool.SetUpstreams(now, nil, table.FirstEventTarget(service))
 		}
 	}
@@ -345,7 +355,7 @@
 		return pool
 	}
 	pool := &turn.Pool{
-		DataCenter: s.options.DataCenter, OnOutlier: s.logOutlier, OnColdSkipped: s.options.OnColdSkipped,
+		DataCenter: s.options.DataCenter, OnOutlier: s.logOutlier, OnColdSkipped: s.options.OnColdSkipped, OnAvoided: s.options.OnAvoided,
 		OwnsCold: func(now time.Time, upstream fleet.UpstreamID, group int) bool {
 			return s.ownsCold(now, id, upstream, group)
 		},
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -85,7 +85,6 @@
 	j.progress = progress{}
 	j.tried = append(j.tried, turn.InstanceOf(ticket.Upstream()))
 	j.recordLeaving(ticket.Upstream())
-	j.recordAvoided(ticket.Upstream())
 	watch := newSilenceWatch(ctx, cancel, j.silenceLimit(), j.otherUpstreamFinder(), j.handler.Guard)
 	defer func() { j.nextTicket, j.silence = watch.stop() }()
 
@@ -138,11 +137,16 @@
 	return j.handler.Client.Do(ctx, to.Address, upstream.Request{
 		ID: j.info.ID, Method: j.request.Method, URI: j.request.RequestURI,
 		Host: j.request.Host, Header: j.header, Body: j.body, Probe: probe, Process: j.requiredProcess(to),
+		Permit: func() error { return j.permit(to) },
 	})
 }
 
 // failSend classifies the failure of an exchange that returned no answer and ends the ticket.
 func (j *job) failSend(ctx context.Context, ticket home.Ticket, err error) *failure {
+	var avoided *AvoidedError
+	if errors.As(err, &avoided) {
+		return j.returnTurn(ticket, avoided)
+	}
 	f := &failure{reason: retry.BrokenBeforeAnswer, sent: true, cause: err}
 	var failed *upstream.Error
 	if errors.As(err, &failed) && !failed.Sent {
--- a/forward/job.go
+++ b/forward/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -36,6 +37,8 @@
 	// an answer may have been read late.
 	maxReadPause = 500 * time.Millisecond
 	maxFirstWait = 2 * time.Second
+	// backoffReturnSpread spreads the return of the callers that wait for one upstream's backoff to end.
+	backoffReturnSpread = 300 * time.Millisecond
 	// maxSends bounds how often one request is sent, whatever the outcomes.
 	maxSends = 4
 )
@@ -75,6 +78,8 @@
 	sentAt       time.Time
 	possibleRuns int
 	tried        []turn.Instance
+	// returnedTurns counts the turns that weren't used.
+	returnedTurns int
 	// progress is how far the answer of the latest attempt has come.
 	progress progress
 	// ticket is the turn of the latest attempt, nil before the first.
@@ -291,6 +296,11 @@
 			j.handler.Metrics.RefusedTurns.WithLabelValues(string(refused.Lack)).Inc()
 		}
 		switch {
+		case refused.Lack == turn.LackLeaving:
+			out.Reason = refusal.UpstreamsLeaving
+		case refused.Lack == turn.LackBackoff:
+			out.Reason = refusal.UpstreamsBackOff
+			out.RetryAfter += rand.N(backoffReturnSpread)
 		case refused.NoSoftware:
 			out.Reason = refusal.SoftwareReplaced
 		case refused.NoUpstream:
@@ -355,7 +365,10 @@
 // giveUp ends a request after its last failure.
 func (j *job) giveUp(f *failure) {
 	if f.notRun && j.possibleRuns == 0 {
-		after := max(f.retryAfter, notReadyRetryAfter)
+		after := notReadyRetryAfter
+		if f.backoff == 0 {
+			after = max(after, f.retryAfter)
+		} // a backoff concerns one upstream, and others may take the request
 		j.answerOrRefuse(&refusal.Error{Reason: refusal.UpstreamBusy, Outcome: refusal.NotRun, Detail: "no upstream took the request", RetryAfter: after, Cause: f.cause})
 		return
 	}
--- a/forward/statement.go
+++ b/forward/statement.go
@@ -1,11 +1,31 @@
 package forward
 
 import (
+	"fmt"
 	"time"
 
+	"nutmeglock.example/nutmeglock/avoidance"
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/retry"
+	"nutmeglock.example/nutmeglock/turn"
 )
 
+// maxReturnedTurns bounds how often one request returns its turn.
+const maxReturnedTurns = 8
+
+// AvoidedError reports that a request wasn't sent to an upstream, because it has stated that it wants none.
+type AvoidedError struct {
+	Upstream fleet.UpstreamID
+	Term     avoidance.Term
+}
+
+// Error names the upstream and what it stated.
+func (e *AvoidedError) Error() string {
+	return fmt.Sprintf("upstream %s wants no requests: %s", e.Upstream, e.Term.Reason)
+}
+
 // recordStatements records what an answer states about further requests to its upstream.
 func (j *job) recordStatements(u registry.Upstream, status int, info AnswerInfo) {
 	avoidance := j.handler.Avoidance
@@ -21,14 +41,25 @@
 	}
 }
 
-// recordAvoided logs a request that is sent to an upstream which wants none.
-func (j *job) recordAvoided(u registry.Upstream) {
+// permit returns *AvoidedError if a request must not be sent to an upstream now. It is asked last of all: the turn may have
+// been granted, and the connection begun, before the upstream's statement arrived.
+func (j *job) permit(u registry.Upstream) error {
 	if j.handler.Avoidance == nil {
-		return
+		return nil
 	}
-	now := time.Now()
-	if term, avoided := j.handler.Avoidance.Avoided(now, u); avoided {
-		j.handler.Log.Warn("request sent to an avoided upstream", "request", j.info.ID, "upstream", u.ID, "life", u.StartTime,
-			"why", term.Reason, "since-ms", ms(now.Sub(term.Since)), "left-ms", ms(term.Left(now)), "attempt", j.sends, "age-ms", ms(now.Sub(j.arrived)))
+	term, avoided := j.handler.Avoidance.Avoided(time.Now(), u)
+	if !avoided {
+		return nil
 	}
+	return &AvoidedError{Upstream: u.ID, Term: term}
+}
+
+// returnTurn returns the turn of a request that wasn't sent, as if it had never been granted.
+func (j *job) returnTurn(ticket home.Ticket, e *AvoidedError) *failure {
+	ticket.End(time.Now(), turn.Unsent)
+	j.sends--
+	j.tried = j.tried[:len(j.tried)-1]
+	j.returnedTurns++
+	j.handler.Metrics.AvoidedSends.WithLabelValues(string(e.Term.Reason)).Inc()
+	return &failure{reason: retry.UpstreamAvoided, notRun: true, final: j.returnedTurns >= maxReturnedTurns, cause: e}
 }
--- a/home/ask.go
+++ b/home/ask.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
@@ -24,11 +25,14 @@
 func (e *NoAnswerError) Error() string { return "home " + string(e.Home) + " does not answer" }
 
 // UpstreamGoneError reports that a home granted a turn at an upstream that this router
-// already knows to have left, or to have another software version than the request needs.
+// already knows to have left, to want no requests, or to have another software version than the
+// request needs.
 type UpstreamGoneError struct{ Instance turn.Instance }
 
 // Error implements error.
-func (e *UpstreamGoneError) Error() string { return "upstream " + string(e.Instance.ID) + " has left" }
+func (e *UpstreamGoneError) Error() string {
+	return "upstream " + string(e.Instance.ID) + " can't be used"
+}
 
 // pendingAsk is an ask of this router that is waiting for its answers.
 type pendingAsk struct {
@@ -47,7 +51,7 @@
 	id, a, timeout := c.openAsk(home)
 	defer c.closeAsk(id)
 	asked := time.Now()
-	c.Send(home, &schema.Batch{TurnAsks: []*schema.TurnAsk{encodeAsk(id, service, &r)}, TurnNotes: c.takeNotes(home)})
+	c.Send(home, &schema.Batch{TurnAsks: []*schema.TurnAsk{encodeAsk(id, service, &r, pool.Avoided(asked, &r))}, TurnNotes: c.takeNotes(home)})
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	queued := false
@@ -59,7 +63,7 @@
 			}
 			switch {
 			case answer.GetGrant() != nil:
-				return c.acceptGrant(home, id, pool, answer.GetGrant(), r.Software)
+				return c.acceptGrant(home, id, pool, answer.GetGrant(), &r)
 			case answer.GetRefusal() != nil:
 				return nil, decodeRefusal(answer.GetRefusal())
 			}
@@ -127,14 +131,19 @@
 }
 
 // acceptGrant returns the ticket for a turn that a home has granted. If the upstream has
-// left, which the home may not know yet, or doesn't have the software version that the request
-// needs, it releases the turn and returns *UpstreamGoneError.
-func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant, software fleet.SoftwareVersion) (Ticket, error) {
+// left, which the home may not know yet, wants no requests, or doesn't have the software version
+// that the request needs, it releases the turn and returns *UpstreamGoneError.
+func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant, r *turn.Request) (Ticket, error) {
 	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(time.Now(), grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork()), isEngine: pool.HasCaches()}
-	listed, known := pool.Upstream(turn.InstanceOf(t.upstream))
-	if !known || (software != "" && listed.Software != software) {
+	instance := turn.InstanceOf(t.upstream)
+	listed, known := pool.Upstream(instance)
+	term, avoided := r.Avoid.Find(time.Now(), instance)
+	if avoided && term.Reason == avoidance.Leaving {
+		c.sendLeaving([]fleet.RouterID{home}, instance)
+	}
+	if !known || avoided || (r.Software != "" && listed.Software != r.Software) {
 		t.End(time.Now(), turn.Unsent)
-		return nil, &UpstreamGoneError{Instance: turn.InstanceOf(t.upstream)}
+		return nil, &UpstreamGoneError{Instance: instance}
 	}
 	t.upstream.Software = listed.Software
 	return t, nil
--- a/home/codec.go
+++ b/home/codec.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
 )
 
-func encodeAsk(id uint64, service fleet.ServiceID, r *turn.Request) *schema.TurnAsk {
+func encodeAsk(id uint64, service fleet.ServiceID, r *turn.Request, avoided []turn.AvoidedUpstream) *schema.TurnAsk {
 	a := &schema.TurnAsk{
 		Id: id, Service: string(service), Account: string(r.Account), Input: uint32(max(r.Input, 0)), Output: uint32(max(r.Output, 0)),
 		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience), DataCenter: string(r.DataCenter),
@@ -21,14 +22,39 @@
 	for _, i := range r.Tried {
 		a.Tried = append(a.Tried, turn.EncodeInstance(i))
 	}
+	now := time.Now()
+	for _, u := range avoided {
+		left := schema.Millis(u.Term.Left(now))
+		if u.Term.Reason == avoidance.Backoff {
+			left = max(left, 1)
+		}
+		a.Avoided = append(a.Avoided, &schema.AvoidedUpstream{Upstream: turn.EncodeInstance(u.Instance), ForMs: left})
+	}
 	return a
 }
 
+func decodeAvoided(now time.Time, in []*schema.AvoidedUpstream) *avoidance.Set[turn.Instance] {
+	if len(in) == 0 {
+		return nil
+	}
+	out := &avoidance.Set[turn.Instance]{}
+	for _, u := range in {
+		instance := turn.DecodeInstance(u.GetUpstream())
+		if u.GetForMs() == 0 {
+			out.RecordLeaving(now, instance)
+			continue
+		}
+		out.RecordBackoff(now, instance, schema.Duration(u.GetForMs()))
+	}
+	return out
+}
+
 func decodeAsk(a *schema.TurnAsk) (fleet.ServiceID, turn.Request) {
 	r := turn.Request{
 		Account: fleet.AccountID(a.GetAccount()), Input: int(a.GetInput()), Output: int(a.GetOutput()),
 		Target: schema.Duration(a.GetTargetMs()), Patience: schema.Duration(a.GetPatienceMs()),
 		DataCenter: fleet.DataCenterID(a.GetDataCenter()), Software: fleet.SoftwareVersion(a.GetSoftwareVersion()),
+		Avoid: decodeAvoided(time.Now(), a.GetAvoided()),
 	}
 	for _, p := range a.GetBeginnings() {
 		r.Prefixes = append(r.Prefixes, turn.Prefix{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
--- a/home/home.go
+++ b/home/home.go
@@ -140,7 +140,7 @@
 // RequestTurn waits until the request is granted a turn. It returns *turn.RefusedError if
 // it can't be granted one in time, or the error of ctx.
 func (c *Coordinator) RequestTurn(ctx context.Context, service fleet.ServiceID, pool *turn.Pool, r turn.Request) (Ticket, error) {
-	number, grouped := pool.GroupOf(&r)
+	number, grouped := pool.GroupOf(time.Now(), &r)
 	if !grouped || !c.IsActive() {
 		return AwaitLocal(ctx, pool, r)
 	}
--- a/metric/handler.go
+++ b/metric/handler.go
@@ -12,7 +12,8 @@
 )
 
 // Handler serves the metrics of gatherers as text, in the order of the gatherers. Within
-// each of them the smallest families come first and the histograms last.
+// each of them families that have counted something come first, small ones before large ones, and the
+// histograms last.
 //
 // A collector may keep only the beginning of a page. With families sorted by name the Go
 // runtime's metrics would fill most of it, and the metrics of refusals would be missing.
@@ -38,9 +39,20 @@
 	})
 }
 
-// compareFamilies orders histograms last, and other families by their number of lines.
+// compareFamilies orders histograms last and families of zeros before them, and others by their number of lines.
 func compareFamilies(a, b *dto.MetricFamily) int {
-	return cmp.Or(cmp.Compare(histogramRank(a), histogramRank(b)), cmp.Compare(lineCount(a), lineCount(b)))
+	return cmp.Or(
+		cmp.Compare(histogramRank(a), histogramRank(b)), cmp.Compare(zeroRank(a), zeroRank(b)), cmp.Compare(lineCount(a), lineCount(b)),
+	)
+}
+
+func zeroRank(family *dto.MetricFamily) int {
+	for _, m := range family.GetMetric() {
+		if m.GetCounter().GetValue() != 0 || m.GetGauge().GetValue() != 0 {
+			return 0
+		}
+	}
+	return 1
 }
 
 func histogramRank(family *dto.MetricFamily) int {
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -5,6 +5,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	dto "github.com/prometheus/client_model/go"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -47,6 +48,9 @@
 	// ColdSkipped counts requests that couldn't go to the cold upstream that they prefer, by
 	// reason.
 	ColdSkipped *prometheus.CounterVec
+	// AvoidedSends counts requests that weren't sent to an upstream, or not to the one that they prefer, because it
+	// has stated that it wants none, by reason.
+	AvoidedSends *prometheus.CounterVec
 	// LeavingSeconds is the age of the changes by which upstreams drain or are gone when they take
 	// effect, since the first router read them from the store.
 	LeavingSeconds prometheus.Histogram
@@ -92,6 +96,7 @@
 		UpstreamConnections:  newCounter("upstream_connections_total", "Connections opened to upstreams."),
 		RefusedTurns:         newCounterVec("refused_turns_total", "Requests refused their turn, by what they lacked.", "lack"),
 		ColdSkipped:          newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
+		AvoidedSends:         newCounterVec("avoided_sends_total", "Requests kept from an upstream that wants none, by reason.", "reason"),
 		LeavingSeconds:       newLeavingHistogram("upstream_leaving_seconds", "Age of the changes by which upstreams leave when they take effect."),
 		SentToLeavingSeconds: newLeavingHistogram("sent_to_leaving_upstream_seconds", "Age of the changes by which upstreams leave when requests are sent to them."),
 		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
@@ -100,7 +105,7 @@
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -118,6 +123,9 @@
 	for _, reason := range turn.ColdReasons() {
 		s.ColdSkipped.WithLabelValues(string(reason))
 	}
+	for _, reason := range avoidance.Reasons() {
+		s.AvoidedSends.WithLabelValues(string(reason))
+	}
 	for _, by := range origin.Resumers() {
 		for _, match := range origin.Matches() {
 			s.ResumedStreams.WithLabelValues(string(by), string(match))
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -57,6 +57,8 @@
 	ejectedUntil time.Time
 	// probeUntil is the time until which no other request may probe the upstream.
 	probeUntil time.Time
+	// heldUntil is the time until which a success doesn't end the ejection.
+	heldUntil time.Time
 }
 
 // Detector tracks the outcomes of the upstreams of one service. Its zero value ejects
@@ -65,11 +67,26 @@
 	states map[K]*upstreamState
 }
 
-// RecordSuccess records a successful exchange, which ends an ejection.
-func (d *Detector[K]) RecordSuccess(key K) {
+// Hold ejects an upstream until some time, because it has asked for that. Exchanges that began before
+// don't end the ejection.
+func (d *Detector[K]) Hold(key K, until time.Time) {
+	s := d.state(key)
+	s.ejection = max(s.ejection, minEjection)
+	s.heldUntil = until
+	if until.After(s.ejectedUntil) {
+		s.ejectedUntil = until
+	}
+	s.probeUntil = time.Time{}
+}
+
+// RecordSuccess records a successful exchange, which ends an ejection unless the upstream is held.
+func (d *Detector[K]) RecordSuccess(now time.Time, key K) {
 	s := d.state(key)
 	s.failureRate *= 1 - outcomeWeight
 	s.consecutiveFailures = 0
+	if now.Before(s.heldUntil) {
+		return
+	}
 	if s.ejection > 0 {
 		s.failureRate = min(s.failureRate, ejectionRate/2)
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -25,11 +25,12 @@
 	StreamBroken       Reason = "stream-broken"
 	AnsweredError      Reason = "answered-error"
 	UpstreamSilent     Reason = "upstream-silent"
+	UpstreamAvoided    Reason = "upstream-avoided"
 )
 
 // Reasons returns all reasons, for counters that start at zero.
 func Reasons() []Reason {
-	return []Reason{ConnectFailed, UpstreamRefused, UpstreamDraining, BrokenBeforeAnswer, StreamBroken, AnsweredError, UpstreamSilent}
+	return []Reason{ConnectFailed, UpstreamRefused, UpstreamDraining, BrokenBeforeAnswer, StreamBroken, AnsweredError, UpstreamSilent, UpstreamAvoided}
 }
 
 // Attempt describes a failed attempt.
--- a/turn/group.go
+++ b/turn/group.go
@@ -48,20 +48,37 @@
 func (p *Pool) HasCaches() bool { return p.placement().Choices() > 0 }
 
 // GroupOf returns the index of the group that a request belongs to, and false when the
-// service's requests may go to any upstream and each router schedules its own.
-func (p *Pool) GroupOf(r *Request) (int, bool) {
+// service's requests may go to any upstream and each router schedules its own, or when the
+// request's router must not send to any upstream of the group.
+func (p *Pool) GroupOf(now time.Time, r *Request) (int, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.HasCaches() {
-		return 0, p.isPlainGroup() && len(p.engines) > 0
+	if !p.HasCaches() && !p.isPlainGroup() {
+		return 0, false
 	}
 	order := p.preferenceOrder(r)
-	if len(order) == 0 {
+	if len(order) == 0 || r.avoidsAll(now, order) {
 		return 0, false
 	}
 	return order[0].group, true
 }
 
+// GroupOfInstance returns the index of the group of an upstream, and false if the pool doesn't contain it or
+// its requests are in no group.
+func (p *Pool) GroupOfInstance(i Instance) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.isHome() {
+		return 0, false
+	}
+	for _, e := range p.engines {
+		if e.instance == i {
+			return e.group, true
+		}
+	}
+	return 0, false
+}
+
 // GroupCount returns the number of engine groups, or zero when requests may go to any upstream.
 func (p *Pool) GroupCount() int {
 	p.mu.Lock()
--- a/turn/lack.go
+++ b/turn/lack.go
@@ -12,6 +12,10 @@
 const (
 	// LackUpstream means that no upstream takes requests.
 	LackUpstream Lack = "upstream"
+	// LackLeaving means that all upstreams are leaving.
+	LackLeaving Lack = "leaving"
+	// LackBackoff means that no upstream wants requests from the router for a while.
+	LackBackoff Lack = "backoff"
 	// LackSoftware means that no upstream of the software version that began the stream takes
 	// requests.
 	LackSoftware Lack = "software"
@@ -29,7 +33,7 @@
 
 // Lacks returns all lacks, for counters that start at zero.
 func Lacks() []Lack {
-	return []Lack{LackUpstream, LackSoftware, LackCold, LackSlots, LackPrefill, LackShare, LackOrder}
+	return []Lack{LackUpstream, LackLeaving, LackBackoff, LackSoftware, LackCold, LackSlots, LackPrefill, LackShare, LackOrder}
 }
 
 // ParseLack returns the lack with this name, empty if there is none.
@@ -49,6 +53,8 @@
 	switch {
 	case best == nil:
 		return p.noUpstream(t).Lack
+	case t.request.avoidsAll(now, candidates):
+		return LackBackoff
 	case !slices.ContainsFunc(candidates, func(e *engine) bool { return p.admitsCold(now, e) }):
 		return LackCold
 	case !slices.ContainsFunc(candidates, (*engine).hasSlot):
--- a/turn/order.go
+++ b/turn/order.go
@@ -28,15 +28,30 @@
 	return order
 }
 
-func (p *Pool) computeOrder(r *Request) []*engine {
+// widerOrder returns the first engines in order of preference, whatever their group.
+func (p *Pool) widerOrder(r *Request) []*engine {
+	order, _ := p.wholeOrder(r)
+	return order[:min(len(order), maxWiderOrder)]
+}
+
+// wholeOrder returns all engines, and whether that is in an order of preference.
+func (p *Pool) wholeOrder(r *Request) (order []*engine, isPreference bool) {
 	indices := p.placement().Order(p.upstreams, r)
 	if indices == nil {
-		return p.engines
+		return p.engines, false
 	}
-	order := make([]*engine, len(indices))
+	order = make([]*engine, len(indices))
 	for i, index := range indices {
 		order[i] = p.engines[index]
 	}
+	return order, true
+}
+
+func (p *Pool) computeOrder(r *Request) []*engine {
+	order, isPreference := p.wholeOrder(r)
+	if !isPreference {
+		return order
+	}
 	if p.grouped && p.isResumption(r) {
 		// The group of the prefix may lack the version.
 		order = slices.DeleteFunc(order, func(e *engine) bool { return e.upstream.Software != r.Software })
--- a/turn/plain_wait.go
+++ b/turn/plain_wait.go
@@ -19,14 +19,18 @@
 // request was served. As no more may be in flight, one of them ends in the service time
 // divided by their number.
 func (p *Pool) plainWait(now time.Time, r *Request) time.Duration {
-	if p.anyOpen(now) {
-		return 0
-	}
+	view := p.view(now, maxBacklogFactor)
 	ahead, inFlight := 1, 0
 	for a := range p.accountsAhead(now, r.Account) {
 		ahead += len(a.queue) + a.remote.WaitingTokens
 	}
 	for _, e := range p.engines {
+		if r.isAvoided(now, e) {
+			continue
+		}
+		if p.isOpen(view, e) {
+			return 0
+		}
 		if p.detector.Usable(now, e.instance) {
 			inFlight += e.fleetInFlight()
 		}
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -41,6 +41,9 @@
 	// OnColdSkipped, if set, is called when a request can't go to the cold upstream that it
 	// prefers.
 	OnColdSkipped func(reason ColdReason)
+	// OnAvoided, if set, is called when a request can't go to an upstream that it prefers, because that
+	// one wants no requests from the request's router for a while.
+	OnAvoided func()
 
 	mu        sync.Mutex
 	target    time.Duration
@@ -74,6 +77,8 @@
 	promptTokens, uncachedTokens rate.DecayingSum
 	detector                     outlier.Detector[Instance]
 	waitingCount                 int
+	// leavingCount is how many upstreams aren't in the list because they are leaving.
+	leavingCount int
 }
 
 // SetUpstreams replaces the upstreams that accept requests, and the target time to the first
@@ -124,12 +129,17 @@
 	t.tokens, _ = view.prefillCost(best, &r)
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
+	if wait := r.backoffWait(now, best); wait > t.patience {
+		a.recordRefused(now, &r)
+		return nil, p.refuseBackoff(wait)
+	}
 	t.returned = a.refusedRequests.take(now, &r) || p.isResumption(&r)
 	if !r.wasSent() && shares.isCapped(now, a) {
 		a.recordRefused(now, &r)
 		return nil, p.refuseCapped(now, &r, best)
 	}
 	p.countColdSkipped(now, t)
+	p.countAvoided(now, t)
 	if wait := p.expectedWait(now, best, &r); wait > t.patience && !t.returned {
 		a.recordRefused(now, &r)
 		return nil, &RefusedError{Lack: p.lack(now, t), Wait: wait, RetryAfter: max(wait, minRetryAfter)}
@@ -166,7 +176,7 @@
 // assumed to be spread evenly over the upstreams.
 func (p *Pool) expectedWait(now time.Time, e *engine, r *Request) time.Duration {
 	if !p.HasCaches() {
-		return max(p.plainWait(now, r), p.coldWait(now, e))
+		return max(p.plainWait(now, r), p.coldWait(now, e), r.backoffWait(now, e))
 	}
 	ahead, remote := p.view(now, 1).estimatedUnread(e), 0
 	for a := range p.accountsAhead(now, r.Account) {
@@ -178,7 +188,7 @@
 		}
 	}
 	ahead += int(float64(remote) * p.uncachedPart(now) / float64(len(p.engines)))
-	return max(p.latency.reading(ahead)-p.target, p.coldWait(now, e))
+	return max(p.latency.reading(ahead)-p.target, p.coldWait(now, e), r.backoffWait(now, e))
 }
 
 // accountsAhead returns the accounts whose waiting requests go before a new one of an account,
--- a/turn/reassign.go
+++ b/turn/reassign.go
@@ -26,7 +26,11 @@
 	}
 	best := p.bestCandidate(view, t, candidates)
 	if best == nil {
-		p.refuse(view.now, t)
+		p.refuse(view.now, t, p.noUpstream(t))
+		return
+	}
+	if wait := t.request.backoffWait(view.now, best); wait > 0 && view.now.Add(wait).After(t.arrivedAt.Add(t.patience)) {
+		p.refuse(view.now, t, p.refuseBackoff(wait))
 		return
 	}
 	t.preferred.waitingTokens -= t.request.Input
@@ -35,11 +39,11 @@
 	best.waitingTokens += t.request.Input
 }
 
-// refuse ends the wait of a ticket that has no upstream left.
-func (p *Pool) refuse(now time.Time, t *Ticket) {
+// refuse ends the wait of a ticket.
+func (p *Pool) refuse(now time.Time, t *Ticket, refusal *RefusedError) {
 	p.dequeue(t)
 	p.account(t.request.Account).recordRefused(now, &t.request)
-	t.refusal = p.noUpstream(t)
+	t.refusal = refusal
 	t.refusal.Waited = now.Sub(t.arrivedAt)
 	t.refused <- t.refusal
 }
--- a/turn/software.go
+++ b/turn/software.go
@@ -43,7 +43,11 @@
 // missing, the caller isn't asked to return: that version is being replaced.
 func (p *Pool) noUpstream(t *Ticket) *RefusedError {
 	if t.request.Software == "" || len(p.engines) == 0 || p.hasSoftware(t.request.Software) {
-		return &RefusedError{NoUpstream: true, Lack: LackUpstream, RetryAfter: noUpstreamRetryAfter}
+		lack := LackUpstream
+		if len(p.engines) == 0 && p.leavingCount > 0 {
+			lack = LackLeaving
+		}
+		return &RefusedError{NoUpstream: true, Lack: lack, RetryAfter: noUpstreamRetryAfter}
 	}
 	return &RefusedError{NoUpstream: true, Lack: LackSoftware, NoSoftware: true}
 }
--- a/turn/start.go
+++ b/turn/start.go
@@ -20,21 +20,38 @@
 
 // candidates returns the upstreams that a ticket may go to now: the first usable ones in
 // its order that it hasn't tried. If there are none, it returns the cold ones that can't take
-// a request at the moment, or else the ejected ones.
+// a request at the moment, or else the ejected ones, or the one whose backoff ends first.
 func (p *Pool) candidates(now time.Time, t *Ticket) []*engine {
 	if t.generation != p.generation {
 		t.generation = p.generation
 		t.order = p.preferenceOrder(&t.request)
+		t.widerOrder = nil
 	}
+	if !p.grouped || !p.HasCaches() || !t.request.avoidsAll(now, t.order) {
+		return p.candidatesOf(now, t, t.order)
+	}
+	if t.widerOrder == nil {
+		t.widerOrder = p.widerOrder(&t.request)
+	}
+	return p.candidatesOf(now, t, t.widerOrder)
+}
+
+// candidatesOf returns the upstreams of an order that a ticket may go to now.
+func (p *Pool) candidatesOf(now time.Time, t *Ticket, order []*engine) []*engine {
 	choices := p.placement().Choices()
 	if p.isResumption(&t.request) {
 		choices = 0 // fewer upstreams have the version, and the owners may not
 	}
 	var usable, cold, ejected []*engine
-	for _, e := range t.order {
+	var back firstBack
+	for _, e := range order {
 		if slices.Contains(t.request.Tried, e.instance) || !e.hasVersion(&t.request) {
 			continue
 		}
+		if term, avoided := t.request.Avoid.Find(now, e.instance); avoided {
+			back.add(e, term)
+			continue
+		}
 		if !p.detector.Usable(now, e.instance) {
 			ejected = append(ejected, e)
 			continue
@@ -53,8 +70,10 @@
 		return usable
 	case len(cold) > 0:
 		return cold
-	default:
+	case len(ejected) > 0 || back.engine == nil:
 		return ejected
+	default:
+		return []*engine{back.engine}
 	}
 }
 
@@ -88,7 +107,7 @@
 		if p.isMixed && e.upstream.Software != software {
 			continue
 		}
-		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) {
+		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) {
 			best = cacheHolder{engine: e, tokens: cached}
 		}
 	}
@@ -121,7 +140,7 @@
 
 // hasRoom reports whether an upstream takes a request now.
 func (p *Pool) hasRoom(view *View, e *engine, r *Request) bool {
-	return p.isOpen(view, e) && p.placement().HasRoom(view, e, r)
+	return p.isOpen(view, e) && p.placement().HasRoom(view, e, r) && !r.isAvoided(view.now, e)
 }
 
 func (p *Pool) startNext(now time.Time) bool {
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -20,6 +20,8 @@
 	// generation of the pool's list.
 	order      []*engine
 	generation int
+	// widerOrder also has upstreams of other groups; nil until it is needed.
+	widerOrder []*engine
 	// preferred is the upstream at which the ticket is counted while it waits, and tokens is
 	// what that upstream would probably have to read of its prompt.
 	preferred *engine
@@ -167,7 +169,7 @@
 	ejected := false
 	switch outcome {
 	case Served:
-		p.detector.RecordSuccess(e.instance)
+		p.detector.RecordSuccess(now, e.instance)
 		p.recordServiceTime(now.Sub(startedAt))
 	case Refused, Failed:
 		ejected = p.detector.RecordFailure(now, e.instance, outlier.Soft)
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"time"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 )
@@ -57,6 +58,9 @@
 	DataCenter fleet.DataCenterID
 	// Tried are the instances that the request must not be sent to again.
 	Tried []Instance
+	// Avoid holds the instances that the request's router must not send to at the moment. It may
+	// change while the request waits; nil means none.
+	Avoid *avoidance.Set[Instance]
 	// Software is the only software version that the request may be sent to, because it began the
 	// stream that the request takes up; empty means any.
 	Software fleet.SoftwareVersion
@@ -106,6 +110,12 @@
 	if e.NoSoftware {
 		return "no upstream of the software version that began the stream takes requests"
 	}
+	switch e.Lack {
+	case LackLeaving:
+		return "all upstreams are leaving"
+	case LackBackoff:
+		return fmt.Sprintf("no upstream wants requests for another %v", e.Wait)
+	}
 	if e.NoUpstream {
 		return "no upstream takes requests"
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -92,6 +92,12 @@
 			return nil, &Error{Address: address, Cause: errorCause(ctx, err)}
 		}
 	}
+	if request.Permit != nil {
+		if err := request.Permit(); err != nil {
+			_ = connection.Close()
+			return nil, &Error{Address: address, Cause: err}
+		}
+	}
 	request.Probe.watch(connection)
 	x := &exchange{client: c, conn: connection, address: address, writeDone: make(chan struct{})}
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -39,6 +39,8 @@
 	Process registry.StartTime
 	// Probe, unless nil, is attached to the request's connection.
 	Probe *Probe
+	// Permit, unless nil, is called right before the request is sent. If it returns an error, nothing is sent.
+	Permit func() error
 }
 
 // encode returns the request in wire format. The body always has a Content-Length, even if the
