registry: an old removal that a whole list names is no entry of that list

That router has the entry of 11; it took the upstream as listed, ignored the older removal and kept the upstream ready with Known = 13, so requests would go to an upstream that has left until a checksum shows it 30 s later.

Cause: 'listed' was set for removals too. Test first: it kept e ready.

--- a/registry/directory.go
+++ b/registry/directory.go
@@ -53,7 +53,7 @@
 	var changed []Change
 	var newest Revision
 	for _, c := range list {
-		listed[c.Upstream.ID] = true
+		listed[c.Upstream.ID] = !c.Removed // a removal that another router names may be followed by later ones
 		if c.Revision <= revision { // a later page may have later changes, and not all of them
 			newest = max(newest, c.Revision)
 		}
--- a/registry/frontier_model_test.go
+++ b/registry/frontier_model_test.go
@@ -91,17 +91,19 @@
 
 // model plays a store and several routers that read it and ask each other.
 type model struct {
-	random  *rand.Rand
-	now     time.Time
-	store   modelStore
-	routers []*modelRouter
-	answers []modelAnswer
+	random *rand.Rand
+	now    time.Time
+	store  modelStore
+	// upstreams is the number of ids; with few of them an id comes and goes often.
+	upstreams int
+	routers   []*modelRouter
+	answers   []modelAnswer
 	// history has what happened.
 	history []string
 }
 
 func newModel(seed uint64) *model {
-	m := &model{random: rand.New(rand.NewPCG(seed, 0)), now: start}
+	m := &model{random: rand.New(rand.NewPCG(seed, 0)), now: start, upstreams: 1 + int(seed%5)}
 	for range 4 {
 		m.routers = append(m.routers, &modelRouter{readAll: true})
 	}
@@ -142,7 +144,7 @@
 
 // write changes a random upstream in the store.
 func (m *model) write() {
-	id := fleet.UpstreamID(fmt.Sprintf("u%d", m.random.IntN(5)))
+	id := fleet.UpstreamID(fmt.Sprintf("u%d", m.random.IntN(m.upstreams)))
 	c := entry(id, 0)
 	current, known := m.store.latest(m.store.revision)[id]
 	if known && !current.Removed {
@@ -334,3 +336,20 @@
 	require.Len(t, d.RemoveDue(due), 1)
 	require.Greater(t, d.SettledRevision(), before, "other routers ask for what is newer than they have")
 }
+
+// Guards against a removal that a whole list names and that is older than the entry known here: the entry has come again
+// since and been removed again, or it would be in the list.
+func TestOldRemovalInAWholeListIsNoEntryOfIt(t *testing.T) {
+	t.Parallel()
+	var other, d registry.Directory
+	other.Replace(start, []registry.Change{entry("x", 5), entry("e", 6)}, 7)
+	other.Apply(start, []registry.Change{removal("e", 8)})
+	other.Replace(start, []registry.Change{entry("x", 5)}, 13) // e came again at 11 and was removed at 12
+
+	d.Replace(start, []registry.Change{entry("x", 5)}, 5)
+	d.ApplyFromPeer(start, told([]registry.Change{entry("e", 11)}, 6))
+	require.Equal(t, []fleet.UpstreamID{"e", "x"}, ids(&d))
+	d.ApplyFromPeer(start, other.After(6))
+	require.Equal(t, []fleet.UpstreamID{"x"}, ids(&d))
+	require.Equal(t, registry.Revision(13), d.Position().Known)
+}
