registry: a change that seemed to repeat an earlier one counts once what lay between is known

A router hears from another one that x is ready at 17, which repeats its own entry of 9, and then from the store that x had been removed at 16: it took 16 for the latest change and had the state of 17.

--- a/registry/directory.go
+++ b/registry/directory.go
@@ -54,7 +54,7 @@
 	var newest Revision
 	for _, c := range list {
 		listed[c.Upstream.ID] = !c.Removed // a removal that another router names may be followed by later ones
-		if c.Revision <= revision { // a later page may have later changes, and not all of them
+		if c.Revision <= revision {        // a later page may have later changes, and not all of them
 			newest = max(newest, c.Revision)
 		}
 		effective, _ := d.applyOne(now, c, c.Revision, confirmed)
@@ -113,7 +113,11 @@
 	}
 	c.Upstream.Software = previous.softwareOf(c)
 	if known && previous.supersedes(c) {
-		return d.addSoftware(previous, c), known && isRepetition(now, previous.change, c)
+		repeated = isRepetition(now, previous.change, c)
+		if !repeated {
+			d.frontier.addOverlooked(c.Revision, previous.change.Revision)
+		}
+		return d.addSoftware(previous, c), repeated
 	}
 	switch {
 	case c.Removed:
--- a/registry/frontier_model_test.go
+++ b/registry/frontier_model_test.go
@@ -353,3 +353,18 @@
 	require.Equal(t, []fleet.UpstreamID{"x"}, ids(&d))
 	require.Equal(t, registry.Revision(13), d.Position().Known)
 }
+
+// Guards against two routers that seem to contradict each other, so that one reads the whole list from the store: one heard of
+// the latest change before that which it replaces, and took it for a repetition.
+func TestChangeThatSeemedToRepeatAnEarlierOneCounts(t *testing.T) {
+	t.Parallel()
+	var inOrder, d registry.Directory
+	for _, each := range []*registry.Directory{&inOrder, &d} {
+		each.Replace(start, []registry.Change{entry("x", 9)}, 14)
+	}
+	inOrder.Apply(start, []registry.Change{removal("x", 16), entry("x", 17)})
+	d.ApplyFromPeer(start, told([]registry.Change{entry("x", 17)}, 14))
+	d.Apply(start, []registry.Change{removal("x", 16), entry("x", 17)})
+	require.Equal(t, inOrder.Position().Version, d.Position().Version)
+	require.Equal(t, registry.Revision(17), d.Position().Version)
+}
