--- a/turn/start.go
+++ b/turn/start.go
@@ -27,8 +27,9 @@
 		t.order = p.preferenceOrder(&t.request)
 		t.widerOrder = nil
 	}
-	if !p.grouped || !p.HasCaches() || !t.request.avoidsAll(now, t.order) {
-		return p.candidatesOf(now, t, t.order)
+	found := p.candidatesOf(now, t, t.order)
+	if !p.grouped || !p.HasCaches() || t.request.Avoid.IsEmpty() || slices.ContainsFunc(found, func(e *engine) bool { return !t.request.isAvoided(now, e) }) {
+		return found
 	}
 	if t.widerOrder == nil {
 		t.widerOrder = p.widerOrder(&t.request)
