forward, home, deployment: tests of statements without processes; nothing is opened for a request that won't be sent

A connection to an upstream that wants none is no longer opened, nor is it asked when its process started: the check stood only before the send.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -59,7 +59,9 @@
 }
 
 func (testCodec) ParseAnswer(_ int, h http.Header) forward.AnswerInfo {
-	return forward.AnswerInfo{NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != ""}
+	info := forward.AnswerInfo{NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != "", Leaving: h.Get("X-Leaving") != ""}
+	info.Backoff, _ = time.ParseDuration(h.Get("X-Backoff")) // zero if there is none
+	return info
 }
 
 // upstreams records the requests that reach any upstream.
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/registry"
@@ -335,6 +336,51 @@
 	})
 }
 
+// Guards against a home that grants an upstream to a router which that one has asked for a backoff, and against one that leaves
+// it out for other routers, too.
+func TestBackoffHoldsForOneRouterOnly(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := startNetwork(20, 2)
+		first, err := n.turn(t.Context(), "r1", requestFor(1, 2))
+		require.NoError(t, err)
+		first.End(time.Now(), turn.Refused)
+		preferred := first.Upstream()
+		var avoided avoidance.Set[turn.Instance]
+		avoided.RecordBackoff(time.Now(), turn.InstanceOf(preferred), time.Minute)
+		request := requestFor(1, 3)
+		request.Avoid = &avoided
+		ticket, err := n.turn(t.Context(), "r1", request)
+		require.NoError(t, err)
+		require.NotEqual(t, preferred.ID, ticket.Upstream().ID)
+		other, err := n.turn(t.Context(), "r2", requestFor(1, 4))
+		require.NoError(t, err)
+		require.Equal(t, preferred.ID, other.Upstream().ID)
+	})
+}
+
+// Guards against a request that waits, or goes to another home in vain, while its router must not send to any upstream.
+func TestRequestIsRefusedAtOnceWhileAllUpstreamsAreInBackoff(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := startNetwork(20, 24)
+		var avoided avoidance.Set[turn.Instance]
+		for i, u := range engines(24) {
+			avoided.RecordBackoff(time.Now(), turn.InstanceOf(u), 10*time.Second+time.Duration(i)*time.Second)
+		}
+		request := requestFor(1, 2)
+		request.Avoid = &avoided
+		asked := time.Now()
+		_, err := n.turn(t.Context(), "r1", request)
+		var refused *turn.RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, turn.LackBackoff, refused.Lack)
+		require.Equal(t, 10*time.Second, refused.RetryAfter, "when the first wants requests again")
+		require.Zero(t, time.Since(asked))
+		require.Zero(t, n.totalAsks())
+	})
+}
+
 // An overloaded router refuses requests without asking for turns. Each home has to be sent
 // its part of these tokens. Otherwise the account would seem to have no unmet demand, and
 // others would get several times its service.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -82,6 +82,9 @@
 // Do sends a request to the upstream at address and returns its answer as soon as the header has
 // arrived. Errors are of type *Error. ctx applies to the exchange and to reading the body.
 func (c *Client) Do(ctx context.Context, address string, request Request) (*Answer, error) {
+	if err := request.permit(); err != nil {
+		return nil, &Error{Address: address, Cause: err}
+	}
 	connection, err := c.connect(ctx, address)
 	if err != nil {
 		return nil, &Error{Address: address, Cause: errorCause(ctx, err)}
@@ -92,11 +95,9 @@
 			return nil, &Error{Address: address, Cause: errorCause(ctx, err)}
 		}
 	}
-	if request.Permit != nil {
-		if err := request.Permit(); err != nil {
-			_ = connection.Close()
-			return nil, &Error{Address: address, Cause: err}
-		}
+	if err := request.permit(); err != nil {
+		_ = connection.Close()
+		return nil, &Error{Address: address, Cause: err}
 	}
 	request.Probe.watch(connection)
 	x := &exchange{client: c, conn: connection, address: address, writeDone: make(chan struct{})}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -39,10 +39,18 @@
 	Process registry.StartTime
 	// Probe, unless nil, is attached to the request's connection.
 	Probe *Probe
-	// Permit, unless nil, is called right before the request is sent. If it returns an error, nothing is sent.
+	// Permit, unless nil, is called before a connection is opened and again right before the request is sent. If it
+	// returns an error, nothing is sent.
 	Permit func() error
 }
 
+func (r Request) permit() error {
+	if r.Permit == nil {
+		return nil
+	}
+	return r.Permit()
+}
+
 // encode returns the request in wire format. The body always has a Content-Length, even if the
 // caller sent it in chunks.
 func (r Request) encode() []byte {
