diagnosis: parts that end upstreams late are told by the answers that they don't complete

Cause: in that search all runs at an upstream are suspects, some 25, so each crash with the part tells little (0.4 by chance, 0.73 for two crashes within 0.2 s), and that no answer with the part ends while hundreds of others do told nothing at all. Rare parts were certain after three crashes.

Change, for that search only: routers report how many whole answers they have recorded; the chance is the greatest over the share of requests that may hold the part of being at each of the crashes and completing none of those answers; suspects are the runs up to the age within which upstreams ended; each crash of a group counts; the threshold is 2e-6 in place of 2e-3.

--- a/deployment/part_codec.go
+++ b/deployment/part_codec.go
@@ -16,7 +16,7 @@
 func encodeUpstreamCrash(now time.Time, c diagnosis.Crash) *schema.UpstreamCrash {
 	out := &schema.UpstreamCrash{
 		Service: string(c.Service), Upstream: turn.EncodeInstance(c.Upstream), EndedMs: schema.Millis(now.Sub(c.At)),
-		Sound: encodeSound(now, c.Sound),
+		Sound: encodeSound(now, c.Sound), AnsweredCount: c.AnsweredCount,
 	}
 	for _, at := range c.AnsweredAt {
 		out.AnsweredMs = append(out.AnsweredMs, schema.Millis(now.Sub(at)))
@@ -32,7 +32,7 @@
 func decodeUpstreamCrash(now time.Time, from fleet.RouterID, in *schema.UpstreamCrash) diagnosis.Crash {
 	out := diagnosis.Crash{
 		Service: fleet.ServiceID(in.GetService()), Upstream: turn.DecodeInstance(in.GetUpstream()), At: now.Add(-schema.Duration(in.GetEndedMs())),
-		Sound: decodeSoundParts(now, in.GetSound()), Reporter: from,
+		Sound: decodeSoundParts(now, in.GetSound()), Reporter: from, AnsweredCount: in.GetAnsweredCount(),
 	}
 	for _, ms := range in.GetAnsweredMs() {
 		out.AnsweredAt = append(out.AnsweredAt, now.Add(-schema.Duration(ms)))
--- a/deployment/part_crashes_test.go
+++ b/deployment/part_crashes_test.go
@@ -168,7 +168,7 @@
 	t.Parallel()
 	now := time.Now()
 	crash := diagnosis.Crash{
-		Service: "s", Upstream: turn.InstanceOf(testUpstream(3)), At: now.Add(-time.Second), Reporter: "r", AnsweredAt: []time.Time{now.Add(-2 * time.Second), now.Add(-time.Second)},
+		Service: "s", Upstream: turn.InstanceOf(testUpstream(3)), At: now.Add(-time.Second), Reporter: "r", AnsweredCount: 1234, AnsweredAt: []time.Time{now.Add(-2 * time.Second), now.Add(-time.Second)},
 		Runs:  []diagnosis.Run{{Request: 5, Parts: prompt.Parts{1, 2}, SentAt: now.Add(-3 * time.Second), Stage: diagnosis.Answering}},
 		Sound: []diagnosis.Sound{{Part: 1, AnsweredAt: now.Add(-time.Second)}, {Part: 2, AnsweredAt: now.Add(-time.Second), CompletedAt: now.Add(-time.Minute)}},
 	}
--- a/diagnosis/candidate.go
+++ b/diagnosis/candidate.go
@@ -42,8 +42,8 @@
 	// furthest.
 	runs     int
 	furthest Stage
-	// group is the number of the group.
-	group int
+	// group is the number of the group, and size the number of its crashes.
+	group, size int
 }
 
 // presences returns the parts that the crashes of the group tell against. A part has to be at most of the
@@ -59,6 +59,7 @@
 			p.crashes = append(p.crashes, crash)
 			p.runs += len(runs.runs)
 			p.furthest = max(p.furthest, runs.furthest)
+			p.size = len(g.crashes)
 			out[part] = p
 		}
 	}
@@ -135,37 +136,48 @@
 	if c.wasSound {
 		chance -= math.Log(soundBefore)
 	}
+	if s.late {
+		return chance + s.logLateChance(c)
+	}
+	for i, least := range c.leastChances() {
+		chance += math.Log(max(c.presences[i].chance(), least))
+	}
+	return chance
+}
+
+// leastChances returns the least chance of each presence.
+func (c *candidate) leastChances() []float64 {
+	out := make([]float64, len(c.presences))
 	seen := make(map[quarantine.Fingerprint]bool)
-	for _, p := range c.presences {
-		least := repeatedChance
+	for i, p := range c.presences {
+		out[i] = repeatedChance
 		for _, run := range c.runsAt(p) {
 			if !seen[run.Request] {
-				least = 0
+				out[i] = 0
 			}
 			seen[run.Request] = true
 		}
-		chance += math.Log(max(p.chance(s.late), least))
 	}
-	return chance
+	return out
 }
 
 // chance returns the probability that a part is at a crash by chance, among the runs that may have caused
 // it as well. It grows with the number of runs that hold the part, of which one may have caused the crash.
-func (p presence) chance(late bool) float64 {
+func (p presence) chance() float64 {
 	suspects := 0
 	for _, crash := range p.crashes {
-		suspects += crash.countSuspects(p.furthest, late)
+		suspects += crash.countSuspects(p.furthest)
 	}
 	others := float64(p.runs)/float64(len(p.crashes)) - 1
 	return max(1-math.Pow(1-commonShare, float64(suspects)), 1-math.Exp(-others))
 }
 
-// countSuspects returns how many runs may have caused a crash: those whose answers had just begun if this
-// holds for the part in question, those that may have begun, or all.
-func (c *upstreamCrash) countSuspects(stage Stage, late bool) int {
+// countSuspects returns how many runs may have caused a crash at the beginning of an answer: those whose answers had just
+// begun if this holds for the part in question, or also those that may have begun.
+func (c *upstreamCrash) countSuspects(stage Stage) int {
 	count := 0
 	for _, run := range c.runs {
-		if late || run.Stage == Beginning || (stage == Waiting && run.Stage == Waiting) {
+		if run.Stage == Beginning || (stage == Waiting && run.Stage == Waiting) {
 			count++
 		}
 	}
--- a/diagnosis/crash.go
+++ b/diagnosis/crash.go
@@ -18,9 +18,11 @@
 	Runs []Run
 	// Sound is what the router knows of their parts.
 	Sound []Sound
-	// Reporter is the router, and AnsweredAt has when its latest whole answers of the service ended.
-	Reporter   fleet.RouterID
-	AnsweredAt []time.Time
+	// Reporter is the router. AnsweredAt has when its latest whole answers of the service ended, and AnsweredCount is
+	// how many it has recorded since it started.
+	Reporter      fleet.RouterID
+	AnsweredAt    []time.Time
+	AnsweredCount uint64
 }
 
 // Run is a request that an upstream ran when it ended.
--- a/diagnosis/finder.go
+++ b/diagnosis/finder.go
@@ -76,7 +76,7 @@
 		found = append(found, s.finding(c, runs))
 		s.explain(c.part)
 		chance += s.logChance(c, groups)
-		if s.mayBeCertain(c) && chance <= math.Log(maxCoincidence)-float64(len(found)-1)*math.Log(partsAtOnce) {
+		if s.mayBeCertain(c) && chance <= math.Log(s.threshold())-float64(len(found)-1)*math.Log(partsAtOnce) {
 			for i := range found {
 				found[i].isCertain = true
 			}
@@ -87,6 +87,14 @@
 	return found
 }
 
+// threshold returns the probability up to which parts count as causes.
+func (s *search) threshold() float64 {
+	if s.late {
+		return maxLateCoincidence
+	}
+	return maxCoincidence
+}
+
 // best returns the first candidate that several different requests hold, with its runs; nil if there is none.
 func (s *search) best(groups []crashGroup) (*candidate, []Run) {
 	for _, c := range s.candidates(groups) {
--- a/diagnosis/record.go
+++ b/diagnosis/record.go
@@ -79,6 +79,7 @@
 	crashes []*upstreamCrash
 	sound   soundness
 	answers fleetAnswers
+	counts  answerCounts
 	// askedAt holds when the other routers were last asked about a part, and firstAskedAt since when
 	// they have been.
 	askedAt, firstAskedAt map[prompt.Part]time.Time
@@ -90,8 +91,9 @@
 		r.sound.add(sound)
 	}
 	if r.answers == nil {
-		r.answers = make(fleetAnswers)
+		r.answers, r.counts = make(fleetAnswers), make(answerCounts)
 	}
+	r.counts.add(crash.Reporter, answerCount{at: crash.At, count: crash.AnsweredCount})
 	r.answers[crash.Reporter] = crash.AnsweredAt
 	r.expire(now)
 	known := r.find(crash.Upstream)
--- a/diagnosis/tracker.go
+++ b/diagnosis/tracker.go
@@ -220,7 +220,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := t.soundOf(crash.Service)
-	crash.AnsweredAt = t.answersOf(crash.Service).clone()
+	whole := t.answersOf(crash.Service)
+	crash.AnsweredAt, crash.AnsweredCount = whole.clone(), whole.count
 	seen := make(map[prompt.Part]bool)
 	for _, run := range crash.Runs {
 		for _, part := range run.Parts {
