follow, peer: routers that may follow the store watch each other closely

What callers would see: with all four followers frozen in a fleet of 300, a leaving of an upstream is read after 4.5 s and more, over bounds of 4 s. Cause: whether a router is silent goes by its heartbeats, which become rarer with the fleet (3 s at 300), for all connections alike.

Change: the twelve routers that may follow, or stand in, send each other a heartbeat a second; 132 of 4 bytes a second in the whole fleet. Connections still time out as before. By the constants a freeze is noticed after 1.5 s at any size; the test of heartbeats has 40 routers (0.15 s against 0.6 s at a tenth of the interval). Not played with 300 routers yet.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -209,6 +209,7 @@
 	routers := m.peers.Routers()
 	m.coordinator.SetRouters(routers)
 	m.group.SetRouters(routers)
+	m.peers.SetWatched(m.group.Candidates())
 	m.state.setConnectedRouters(routers)
 	m.state.setGrouped(m.coordinator.IsActive())
 	if !c.Connected {
--- a/follow/group.go
+++ b/follow/group.go
@@ -1,6 +1,8 @@
 package follow
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,9 +45,11 @@
 
 	mu sync.Mutex
 	// peerCount is how many other routers are connected, and rankedAhead holds those of
-	// them that precede this one in the choice of followers.
+	// them that precede this one in the choice of followers. candidates are the others that
+	// may follow if this one may, too.
 	peerCount   int
 	rankedAhead []fleet.RouterID
+	candidates  []fleet.RouterID
 	statuses    map[fleet.RouterID]Status
 	storeLost   bool
 }
@@ -76,6 +80,21 @@
 		}
 	}
 	g.statuses = statuses
+	g.candidates = nil
+	if len(g.rankedAhead) < followerCount+maxSubstitutes {
+		ranked := slices.SortedFunc(slices.Values(others), func(a, b fleet.RouterID) int {
+			return cmp.Compare(rendezvous.Score(key, b), rendezvous.Score(key, a))
+		})
+		g.candidates = ranked[:min(len(ranked), followerCount+maxSubstitutes-1)]
+	}
+}
+
+// Candidates returns the connected routers that may follow for all, or take over from each other, if this router is
+// one of them. They have to notice soon when one of them is frozen.
+func (g *Group) Candidates() []fleet.RouterID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.candidates
 }
 
 // SetPeerStatus records the Status that another router announced.
--- a/follow/group_test.go
+++ b/follow/group_test.go
@@ -164,3 +164,25 @@
 	}
 	require.Equal(t, 4, able)
 }
+
+// Guards against a fleet of hundreds whose followers notice late that others of them are frozen, since heartbeats become rarer
+// with its size: those that may follow watch each other.
+func TestRoutersThatMayFollowKnowEachOther(t *testing.T) {
+	t.Parallel()
+	all := groups(300)
+	exchangeStatuses(all, false)
+	candidates := make(map[fleet.RouterID]bool)
+	for id, g := range all {
+		if g.Candidates() != nil {
+			candidates[id] = true
+		}
+	}
+	require.Len(t, candidates, 12)
+	for id, g := range all {
+		require.False(t, g.OwnStatus().Follows && !candidates[id])
+		for _, other := range g.Candidates() {
+			require.True(t, candidates[other])
+			require.Contains(t, all[other].Candidates(), id)
+		}
+	}
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -55,6 +55,8 @@
 	rpc      *jsonrpc2.Conn
 	// silentAt is when the router counts as silent unless a frame arrives before, in nanoseconds since 1970.
 	silentAt atomic.Int64
+	// watched is set if heartbeats to the router don't become rarer in a large fleet.
+	watched atomic.Bool
 
 	mu           sync.Mutex
 	queue        []frame
@@ -149,11 +151,19 @@
 	return queue
 }
 
+// heartbeatInterval returns the interval of the heartbeats on this connection.
+func (l *link) heartbeatInterval() time.Duration {
+	if l.watched.Load() {
+		return l.peers.options.Heartbeat
+	}
+	return l.peers.heartbeatInterval()
+}
+
 // writeLoop sends queued frames, and a heartbeat after an interval without any.
 func (l *link) writeLoop() {
 	defer l.close()
 	for {
-		interval := l.peers.heartbeatInterval()
+		interval := l.heartbeatInterval()
 		frames := l.takeQueue()
 		if len(frames) == 0 {
 			frames = []frame{{heartbeatFrame, binary.AppendUvarint(nil, uint64(interval.Milliseconds()))}}
@@ -194,9 +204,9 @@
 	peerInterval := time.Duration(0)
 	lastReceived := l.peers.options.Timer.Now()
 	for {
-		interval := max(l.peers.heartbeatInterval(), peerInterval)
+		interval := max(l.heartbeatInterval(), peerInterval)
 		l.silentAt.Store(lastReceived.Add(silentHeartbeats * interval / 2).UnixNano())
-		timeout := maxMissedHeartbeats * interval
+		timeout := maxMissedHeartbeats * max(l.peers.heartbeatInterval(), interval)
 		if err := l.conn.SetReadDeadline(lastReceived.Add(timeout)); err != nil {
 			return eris.Wrap(err, "set read deadline")
 		}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -151,6 +151,16 @@
 	return silentAt != 0 && p.options.Timer.Now().UnixNano() > silentAt
 }
 
+// SetWatched sets the routers whose silence has to be noticed soon, however large the fleet is. They should watch this
+// router, too. It holds for the connections that are open now.
+func (p *Peers) SetWatched(routers []fleet.RouterID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, l := range p.links {
+		l.watched.Store(slices.Contains(routers, id))
+	}
+}
+
 // NotConnectedError reports a call to a router that is not connected. Nothing
 // was sent.
 type NotConnectedError struct{ Router fleet.RouterID }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -378,3 +378,34 @@
 		return sent == received && sent > 10*4
 	}, waitTimeout, pollInterval)
 }
+
+// Guards against a frozen router that is noticed late in a large fleet although others depend on it.
+func TestSilenceOfAWatchedRouterIsNoticedSooner(t *testing.T) {
+	t.Parallel()
+	const heartbeat, routers = 100 * time.Millisecond, 40 // a heartbeat each 400 ms in such a fleet
+	hub := startNode(t, nodeConfig{id: "hub", heartbeat: heartbeat})
+	links := make(map[fleet.RouterID]*proxy)
+	for i := range routers {
+		id := fmt.Sprintf("r%02d", i)
+		n := startNode(t, nodeConfig{id: id, heartbeat: heartbeat})
+		link := newProxy(t, hub.address)
+		links[fleet.RouterID(id)] = link
+		n.SetTargets(map[fleet.RouterID]string{"hub": link.address})
+	}
+	require.Eventually(t, func() bool { return len(hub.Routers()) == routers }, waitTimeout, pollInterval)
+	hub.SetWatched([]fleet.RouterID{"r01"})
+	time.Sleep(5 * heartbeat)
+	cut := time.Now()
+	links["r01"].cut()
+	links["r02"].cut()
+	after := make(map[fleet.RouterID]time.Duration)
+	require.Eventually(t, func() bool {
+		for _, id := range []fleet.RouterID{"r01", "r02"} {
+			if after[id] == 0 && hub.IsSilent(id) {
+				after[id] = time.Since(cut)
+			}
+		}
+		return len(after) == 2
+	}, waitTimeout, pollInterval)
+	require.Less(t, after["r01"], after["r02"]-heartbeat)
+}
