Routes and accounts that are bound to regions are served there only

Cause: allowedRegions of routes and accounts was read nowhere.

Change: the configuration and the regions of data centres are decoded once; a request has the data centres in which it may be served, which its turn brings along, also in asks to homes and in what routers tell each other. Homes choose the group among the upstreams that are allowed. A prompt's cache isn't copied from elsewhere. Without a region in common the request is refused at once.

Not covered: a router of the build before passes a configuration on without the regions, and a newer one that has it from there doesn't keep to them.

--- a/deployment/codec.go
+++ b/deployment/codec.go
@@ -22,7 +22,7 @@
 		})
 	}
 	for _, a := range c.Accounts {
-		out.Accounts = append(out.Accounts, &schema.RoutedAccount{Id: string(a.ID), Keys: a.Keys})
+		out.Accounts = append(out.Accounts, &schema.RoutedAccount{Id: string(a.ID), Keys: a.Keys, Regions: encodeRegions(a.Regions)})
 	}
 	return out
 }
@@ -32,6 +32,7 @@
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Kind: string(r.Kind),
 		TimeoutMs: schema.Millis(r.Timeout), TargetMs: schema.Millis(r.LatencyTarget), MaxPauseMs: schema.Millis(r.MaxPause),
 		Attempts: uint32(r.MaxAttempts), Public: r.Public, Resumable: r.Resumable, Cached: r.PromptCaching,
+		Regions: encodeRegions(r.Regions),
 	}
 	for _, s := range r.Shares {
 		out.Shares = append(out.Shares, &schema.RouteShare{Service: string(s.Service), Weight: uint32(s.Weight)})
@@ -58,7 +59,7 @@
 		})
 	}
 	for _, a := range in.GetAccounts() {
-		out.Accounts = append(out.Accounts, route.Account{ID: fleet.AccountID(a.GetId()), Keys: a.GetKeys()})
+		out.Accounts = append(out.Accounts, route.Account{ID: fleet.AccountID(a.GetId()), Keys: a.GetKeys(), Regions: decodeRegions(a.GetRegions())})
 	}
 	return out
 }
@@ -68,9 +69,26 @@
 		Name: in.GetName(), Host: in.GetHost(), Prefix: in.GetPrefix(), Kind: route.Kind(in.GetKind()),
 		Timeout: schema.Duration(in.GetTimeoutMs()), LatencyTarget: schema.Duration(in.GetTargetMs()), MaxPause: schema.Duration(in.GetMaxPauseMs()),
 		MaxAttempts: int(in.GetAttempts()), Public: in.GetPublic(), Resumable: in.GetResumable(), PromptCaching: in.GetCached(),
+		Regions: decodeRegions(in.GetRegions()),
 	}
 	for _, s := range in.GetShares() {
 		out.Shares = append(out.Shares, route.Share{Service: fleet.ServiceID(s.GetService()), Weight: int(s.GetWeight())})
 	}
 	return out
 }
+
+func encodeRegions(regions route.Regions) []string {
+	var out []string
+	for _, region := range regions {
+		out = append(out, string(region))
+	}
+	return out
+}
+
+func decodeRegions(in []string) route.Regions {
+	var out route.Regions
+	for _, region := range in {
+		out = append(out, fleet.RegionID(region))
+	}
+	return out
+}
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -59,6 +59,8 @@
 type Options struct {
 	Self       fleet.RouterID
 	DataCenter fleet.DataCenterID
+	// Regions has the region of each data centre. It may be nil if no route or account is bound to regions.
+	Regions map[fleet.DataCenterID]fleet.RegionID
 	// CallerAddress, ReadyAddress and MetricsAddress are the addresses that the router listens on.
 	CallerAddress  string
 	ReadyAddress   string
@@ -146,7 +148,7 @@
 	r.handler = &forward.Handler{
 		Codec: options.Codec, State: r.state, Client: r.client, Metrics: r.metrics,
 		Log: logging.WithPriority(options.Log, logging.Failure), RoutineLog: logging.WithPriority(options.Log, logging.Request),
-		TooManyConnections: r.shouldCloseConnections, LeavingSince: r.state.LeavingSince, Avoidance: r.state, Guard: r.guard,
+		Regions: options.Regions, TooManyConnections: r.shouldCloseConnections, LeavingSince: r.state.LeavingSince, Avoidance: r.state, Guard: r.guard,
 	}
 	if err := r.connectPeers(ctx); err != nil {
 		return nil, err
--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -25,9 +25,10 @@
 		Routes: []route.Route{{
 			Name: "r", Host: "h", Prefix: "/a/", Kind: route.Streaming, Timeout: 12 * time.Second, LatencyTarget: 800 * time.Millisecond,
 			MaxPause: 300 * time.Millisecond, MaxAttempts: 2, Resumable: true, PromptCaching: true, Shares: []route.Share{{Service: "s", Weight: 90}},
+			Regions: route.Regions{"north", "south"},
 		}},
 		Services: []route.Service{{ID: "s", MaxConnections: 360, Slots: 64, CacheTokens: 664_478}},
-		Accounts: []route.Account{{ID: "ada", Keys: []string{"k1", "k2"}}},
+		Accounts: []route.Account{{ID: "ada", Keys: []string{"k1", "k2"}, Regions: route.Regions{"north"}}},
 		Limits:   route.Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 22, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -33,6 +33,9 @@
 // DataCenterID identifies a data centre.
 type DataCenterID string
 
+// RegionID identifies a region, which has one or several data centres.
+type RegionID string
+
 // RequestID identifies a caller's request. Every answer carries it.
 type RequestID string
 
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -49,6 +49,9 @@
 	if err := j.authenticate(table); err != nil {
 		return err
 	}
+	if err := j.findDataCenters(table.RegionsOf(j.account)); err != nil {
+		return err
+	}
 	if h.HasCapacity != nil && !h.HasCapacity(j.arrived, j.account) {
 		return j.shed()
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,7 +168,7 @@
 }
 
 // Handler is the http.Handler for callers. All fields are required but RoutineLog,
-// TooManyConnections, HasCapacity, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
+// Regions, TooManyConnections, HasCapacity, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
 type Handler struct {
 	Codec   HeaderCodec
 	State   RoutingState
@@ -191,6 +191,8 @@
 	// LeavingSince returns when the fleet learned that an upstream is leaving, zero if that is
 	// unknown, and whether it is; nil means that none is.
 	LeavingSince func(upstream registry.Upstream) (time.Time, bool)
+	// Regions has the region of each data centre; nil if no route or account is bound to regions.
+	Regions map[fleet.DataCenterID]fleet.RegionID
 	// Avoidance may be nil: then nothing that upstreams state is taken into account.
 	Avoidance Avoidance
 	// Quarantine may be nil.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -90,6 +90,8 @@
 	router  *httptest.Server
 	handler *forward.Handler
 	state   *fixedState
+	// addresses are those of the upstreams.
+	addresses []string
 }
 
 // start starts a router with one upstream per function and routes of each kind.
@@ -104,6 +106,7 @@
 			fn(w, r)
 		}))
 		t.Cleanup(server.Close)
+		f.addresses = append(f.addresses, server.Listener.Addr().String())
 		list = append(list, registry.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i)), Address: server.Listener.Addr().String(), Slots: 8})
 	}
 	return f.serve(t, list)
--- a/forward/job.go
+++ b/forward/job.go
@@ -64,8 +64,10 @@
 	service  fleet.ServiceID
 	account  fleet.AccountID
 	deadline time.Time
-	header   http.Header
-	body     []byte
+	// dataCenters are those in which the request may be served; empty means all.
+	dataCenters []fleet.DataCenterID
+	header      http.Header
+	body        []byte
 	// cachedSubject is zero until subject has computed it.
 	cachedSubject quarantine.Subject
 	// cachedParts are the parts of the prompt once hasParts is set.
@@ -223,7 +225,7 @@
 	request := turn.Request{
 		Account: j.account, Prefixes: j.info.Prefixes, Tried: j.tried,
 		Input: max(j.info.InputTokens, 1), Output: j.info.OutputTokens, Target: j.route.LatencyTarget,
-		Software: j.began.Software,
+		Software: j.began.Software, DataCenters: j.dataCenters,
 	}
 	request.Patience = max(min(j.maxWait(), time.Until(j.deadline)), 0)
 	return request
--- a/home/ask.go
+++ b/home/ask.go
@@ -131,8 +131,8 @@
 }
 
 // acceptGrant returns the ticket for a turn that a home has granted. If the upstream has
-// left, which the home may not know yet, wants no requests, or doesn't have the software version
-// that the request needs, it releases the turn and returns *UpstreamGoneError.
+// left, which the home may not know yet, wants no requests, is where the request may not be served, or doesn't
+// have the software version that the request needs, it releases the turn and returns *UpstreamGoneError.
 func (c *Coordinator) acceptGrant(home fleet.RouterID, id uint64, pool *turn.Pool, grant *schema.TurnGrant, r *turn.Request) (Ticket, error) {
 	t := &remoteTicket{coordinator: c, home: home, id: id, upstream: registry.Decode(time.Now(), grant.GetUpstream()).Upstream, fetchFrom: grant.GetFetchFrom(), pendingPrefill: int(grant.GetWork()), isEngine: pool.HasCaches()}
 	instance := turn.InstanceOf(t.upstream)
@@ -141,7 +141,7 @@
 	if avoided && term.Reason == avoidance.Leaving {
 		c.sendLeaving([]fleet.RouterID{home}, instance)
 	}
-	if !known || avoided || (r.Software != "" && listed.Software != r.Software) {
+	if !known || avoided || !r.Allows(listed.DataCenter) || (r.Software != "" && listed.Software != r.Software) {
 		t.End(time.Now(), turn.Unsent)
 		return nil, &UpstreamGoneError{Instance: instance}
 	}
--- a/home/codec.go
+++ b/home/codec.go
@@ -16,6 +16,9 @@
 		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience), DataCenter: string(r.DataCenter),
 		SoftwareVersion: string(r.Software),
 	}
+	for _, dataCenter := range r.DataCenters {
+		a.DataCenters = append(a.DataCenters, string(dataCenter))
+	}
 	for _, p := range r.Prefixes {
 		a.Beginnings = append(a.Beginnings, &schema.PromptBeginning{Hash: p.Hash, Tokens: uint32(max(p.Tokens, 0))})
 	}
@@ -59,6 +62,9 @@
 	for _, p := range a.GetBeginnings() {
 		r.Prefixes = append(r.Prefixes, turn.Prefix{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
 	}
+	for _, dataCenter := range a.GetDataCenters() {
+		r.DataCenters = append(r.DataCenters, fleet.DataCenterID(dataCenter))
+	}
 	for _, t := range a.GetTried() {
 		r.Tried = append(r.Tried, turn.DecodeInstance(t))
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -6,6 +6,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -56,6 +57,16 @@
 	// PromptCaching is set if requests list the parts of their prompt. They are faster at
 	// upstreams that have these parts cached.
 	PromptCaching bool
+	// Regions are those in which requests may be served.
+	Regions Regions
+}
+
+// Regions lists regions; empty means all.
+type Regions []fleet.RegionID
+
+// Contains reports whether a region is among them.
+func (r Regions) Contains(region fleet.RegionID) bool {
+	return len(r) == 0 || slices.Contains(r, region)
 }
 
 // Idempotent reports whether a second run of a request does no harm.
@@ -110,6 +121,8 @@
 type Account struct {
 	ID   fleet.AccountID
 	Keys []string
+	// Regions are those in which the account's requests may be served.
+	Regions Regions
 }
 
 // Configuration is the content of a Table.
@@ -129,6 +142,7 @@
 	services    map[fleet.ServiceID]*Service
 	targets     map[fleet.ServiceID]time.Duration // see FirstEventTarget
 	accounts    map[string]fleet.AccountID        // by key
+	regions     map[fleet.AccountID]Regions       // of accounts that are bound to some
 	requiresKey bool
 }
 
@@ -141,6 +155,7 @@
 		services:    make(map[fleet.ServiceID]*Service, len(c.Services)),
 		targets:     make(map[fleet.ServiceID]time.Duration),
 		accounts:    make(map[string]fleet.AccountID),
+		regions:     make(map[fleet.AccountID]Regions),
 		requiresKey: len(c.Accounts) > 0,
 	}
 	for i := range c.Routes {
@@ -153,6 +168,9 @@
 		for _, key := range account.Keys {
 			t.accounts[key] = account.ID
 		}
+		if len(account.Regions) > 0 {
+			t.regions[account.ID] = account.Regions
+		}
 	}
 	return t
 }
@@ -239,3 +257,11 @@
 	id, ok := t.accounts[key]
 	return id, ok
 }
+
+// RegionsOf returns the regions in which an account's requests may be served.
+func (t *Table) RegionsOf(id fleet.AccountID) Regions {
+	if t == nil {
+		return nil
+	}
+	return t.regions[id]
+}
--- a/turn/order.go
+++ b/turn/order.go
@@ -13,7 +13,7 @@
 // long as a router takes for two stream events, and both a request's router and its home
 // need it.
 func (p *Pool) preferenceOrder(r *Request) []*engine {
-	if p.grouped && p.isResumption(r) {
+	if p.grouped && (p.isResumption(r) || r.isBound()) {
 		return p.computeOrder(r)
 	}
 	prefix := r.sharedPrefix()
@@ -31,6 +31,9 @@
 // widerOrder returns the first engines in order of preference, whatever their group.
 func (p *Pool) widerOrder(r *Request) []*engine {
 	order, _ := p.wholeOrder(r)
+	if r.isBound() {
+		order = slices.DeleteFunc(slices.Clone(order), func(e *engine) bool { return !r.Allows(e.upstream.DataCenter) })
+	}
 	return order[:min(len(order), maxWiderOrder)]
 }
 
@@ -56,6 +59,10 @@
 		// The group of the prefix may lack the version.
 		order = slices.DeleteFunc(order, func(e *engine) bool { return e.upstream.Software != r.Software })
 	}
+	if p.grouped && r.isBound() {
+		// The group of the prefix may have no upstream where the request may be served.
+		order = slices.DeleteFunc(order, func(e *engine) bool { return !r.Allows(e.upstream.DataCenter) })
+	}
 	if !p.grouped || len(order) == 0 {
 		return order
 	}
--- a/turn/plain_wait.go
+++ b/turn/plain_wait.go
@@ -25,7 +25,7 @@
 		ahead += len(a.queue) + a.remote.WaitingTokens
 	}
 	for _, e := range p.engines {
-		if r.isAvoided(now, e) {
+		if r.isAvoided(now, e) || !r.Allows(e.upstream.DataCenter) {
 			continue
 		}
 		if p.isOpen(view, e) {
--- a/turn/software.go
+++ b/turn/software.go
@@ -23,9 +23,10 @@
 // caller has of the answer, so it goes first.
 func (p *Pool) isResumption(r *Request) bool { return r.Software != "" && p.isMixed }
 
-// hasVersion reports whether an upstream has the software version that a request needs.
-func (e *engine) hasVersion(r *Request) bool {
-	return r.Software == "" || e.upstream.Software == r.Software
+// suits reports whether an upstream has the software version that a request needs, and is where it may be
+// served.
+func (e *engine) suits(r *Request) bool {
+	return (r.Software == "" || e.upstream.Software == r.Software) && r.Allows(e.upstream.DataCenter)
 }
 
 // HasSoftware reports whether an upstream that accepts requests has a software version.
--- a/turn/start.go
+++ b/turn/start.go
@@ -46,7 +46,7 @@
 	var usable, cold, ejected []*engine
 	var back firstBack
 	for _, e := range order {
-		if slices.Contains(t.request.Tried, e.instance) || !e.hasVersion(&t.request) {
+		if slices.Contains(t.request.Tried, e.instance) || !e.suits(&t.request) {
 			continue
 		}
 		if term, avoided := t.request.Avoid.Find(now, e.instance); avoided {
@@ -108,7 +108,7 @@
 		if p.isMixed && e.upstream.Software != software {
 			continue
 		}
-		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) {
+		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) && r.Allows(e.upstream.DataCenter) {
 			best = cacheHolder{engine: e, tokens: cached}
 		}
 	}
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -56,6 +56,8 @@
 	// DataCenter is that of the router that sends the request, where it matters; empty means
 	// that of the pool.
 	DataCenter fleet.DataCenterID
+	// DataCenters are those whose upstreams may serve the request; empty means all.
+	DataCenters []fleet.DataCenterID
 	// Tried are the instances that the request must not be sent to again.
 	Tried []Instance
 	// Avoid holds the instances that the request's router must not send to at the moment. It may
