--- a/forward/job.go
+++ b/forward/job.go
@@ -368,9 +368,9 @@
 func (j *job) giveUp(f *failure) {
 	if f.notRun && j.possibleRuns == 0 {
 		after := notReadyRetryAfter
-		if f.backoff == 0 {
+		if f.backoff == 0 { // that of one upstream is no reason for the caller to wait, as others may take the request
 			after = max(after, f.retryAfter)
-		} // a backoff concerns one upstream, and others may take the request
+		}
 		j.answerOrRefuse(&refusal.Error{Reason: refusal.UpstreamBusy, Outcome: refusal.NotRun, Detail: "no upstream took the request", RetryAfter: after, Cause: f.cause})
 		return
 	}
--- a/forward/statement.go
+++ b/forward/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"nutmeglock.example/nutmeglock/avoidance"
@@ -58,7 +59,7 @@
 func (j *job) returnTurn(ticket home.Ticket, e *AvoidedError) *failure {
 	ticket.End(time.Now(), turn.Unsent)
 	j.sends--
-	j.tried = j.tried[:len(j.tried)-1]
+	j.tried = slices.Clone(j.tried[:len(j.tried)-1]) // the search for another upstream may still read it
 	j.returnedTurns++
 	j.handler.Metrics.AvoidedSends.WithLabelValues(string(e.Term.Reason)).Inc()
 	return &failure{reason: retry.UpstreamAvoided, notRun: true, final: j.returnedTurns >= maxReturnedTurns, cause: e}
