--- a/turn/avoid.go
+++ b/turn/avoid.go
@@ -26,7 +26,8 @@
 	return term.Left(now)
 }
 
-// avoidsAll reports whether the request's router must not send to any of some upstreams now.
+// avoidsAll reports whether the request's router must not send to any of some upstreams now. Of no upstreams that is
+// true, unless nothing is avoided.
 func (r *Request) avoidsAll(now time.Time, engines []*engine) bool {
 	if r.Avoid.IsEmpty() {
 		return false
--- a/turn/start.go
+++ b/turn/start.go
@@ -28,7 +28,7 @@
 		t.widerOrder = nil
 	}
 	found := p.candidatesOf(now, t, t.order)
-	if !p.grouped || !p.HasCaches() || t.request.Avoid.IsEmpty() || slices.ContainsFunc(found, func(e *engine) bool { return !t.request.isAvoided(now, e) }) {
+	if !p.grouped || !p.HasCaches() || !t.request.avoidsAll(now, found) {
 		return found
 	}
 	if t.widerOrder == nil {
