--- a/deployment/avoidance.go
+++ b/deployment/avoidance.go
@@ -16,6 +16,8 @@
 const (
 	maxBackoffSpread      = 500 * time.Millisecond
 	backoffSpreadFraction = 8
+	// loggedExtension is by how much a backoff has to become longer for a further line.
+	loggedExtension = 10 * time.Second
 )
 
 // RecordLeaving records that the answer to a request states that its upstream is leaving, and tells other routers.
@@ -90,15 +92,18 @@
 func (s *State) RecordBackoff(now time.Time, u registry.Upstream, backoff time.Duration, request fleet.RequestID) {
 	instance := turn.InstanceOf(u)
 	spread := rand.N(min(backoff/backoffSpreadFraction, maxBackoffSpread) + 1)
+	before, _ := s.avoided.Find(now, instance)
 	until, began := s.avoided.RecordBackoff(now, instance, backoff+spread)
+	if began || until.Sub(before.Until) > loggedExtension {
+		s.options.Log.Info("upstream asks for a backoff", "upstream", u.ID, "service", u.Service, "address", u.Address,
+			"life", u.StartTime, "asked-ms", backoff.Milliseconds(), "until-ms", until.Sub(now).Milliseconds(), "request", request)
+	}
 	pool := s.Pool(u.Service)
 	if pool == nil {
 		return
 	}
 	pool.ApplyBackoff(now, instance, until)
 	if began {
-		s.options.Log.Info("upstream asks for a backoff", "upstream", u.ID, "service", u.Service, "address", u.Address,
-			"life", u.StartTime, "asked-ms", backoff.Milliseconds(), "until-ms", until.Sub(now).Milliseconds(), "request", request)
 		s.wakeAfterBackoff(pool, instance, until)
 	}
 }
--- a/deployment/avoidance_test.go
+++ b/deployment/avoidance_test.go
@@ -1,12 +1,16 @@
 package deployment_test
 
 import (
+	"bytes"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/avoidance"
+	"nutmeglock.example/nutmeglock/deployment"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/schema"
@@ -86,3 +90,19 @@
 	require.False(t, avoided)
 	require.True(t, s.isUsed(7))
 }
+
+// Guards against an upstream that is shut out for long without a line that says so, since its first backoff was short, and
+// against a line for each of its refusals.
+func TestLongBackoffIsLogged(t *testing.T) {
+	t.Parallel()
+	var lines bytes.Buffer
+	s := deployment.NewState(deployment.StateOptions{Log: slog.New(slog.NewTextHandler(&lines, nil))})
+	now := time.Now()
+	for range 50 {
+		s.RecordBackoff(now, upstreamOf(7), time.Second, "request")
+	}
+	require.Equal(t, 1, strings.Count(lines.String(), "asks for a backoff"))
+	s.RecordBackoff(now, upstreamOf(7), time.Hour, "request")
+	require.Equal(t, 2, strings.Count(lines.String(), "asks for a backoff"))
+	require.Contains(t, lines.String(), "asked-ms=3600000")
+}
