forward: the test of answers that are cut off waits until their handlers have ended

Traced: an answer with a length is whole at the caller before the router's handler records it, and the test looked at once. All its checks and bounds stay as they were.

--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -264,6 +264,7 @@
 				path = "/read/1"
 			}
 			status, _, _, err := f.post(t, path)
+			require.NoError(t, f.handler.Wait(t.Context())) // an answer with a length is whole before its handler ends
 			q.mu.Lock()
 			defer q.mu.Unlock()
 			if c.whole {
