--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -69,6 +69,8 @@
 	quarantinePersister quarantinePersister
 	// origins knows which software versions began the streams.
 	origins originKeeper
+	// handovers hands over requests to other routers and accepts theirs; nil if that is off.
+	handovers *handovers
 	// encodingCache holds the configuration encoded for other routers.
 	encodingCache encodingCache
 	log           *slog.Logger
@@ -206,6 +208,7 @@
 func (m *mesh) handleConnectionChange(c peer.Change) {
 	m.log.Info("router connection changed", "other", c.Router, "address", c.Address, "incarnation", c.Incarnation, "connected", c.Connected)
 	m.origins.handleConnectionChange(c)
+	m.handovers.handleConnectionChange(c)
 	routers := m.peers.Routers()
 	m.coordinator.SetRouters(routers)
 	m.group.SetRouters(routers)
@@ -235,6 +238,7 @@
 	m.coordinator.HandleBatch(from, batch)
 	m.crashMonitor.receive(from, batch)
 	m.origins.receive(batch)
+	m.handovers.receive(from, batch)
 	if a := batch.GetAnnouncement(); a != nil {
 		m.handleAnnouncement(from, a)
 	}
@@ -339,6 +343,7 @@
 			"mean-wait-ms", m.overload.MeanWait().Milliseconds())
 	}
 	m.checkLink(now)
+	m.handovers.observe(now, wait)
 }
 
 // checkLink measures whether the router's link is full.
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -54,8 +54,8 @@
 	maxPeerBackoff = time.Second
 )
 
-// Options configure a Router. All are required but RecoveryTime, History, ColdTolerance and
-// MixedServiceStore.
+// Options configure a Router. All are required but RecoveryTime, History, ColdTolerance,
+// HandoverAddress and MixedServiceStore.
 type Options struct {
 	Self       fleet.RouterID
 	DataCenter fleet.DataCenterID
@@ -82,6 +82,9 @@
 	// which routers authenticate each other as members of one fleet.
 	PeerAddress string
 	FleetKey    []byte
+	// HandoverAddress is the address at which other routers hand over requests; empty if none are
+	// handed over.
+	HandoverAddress string
 	// RetryRatio bounds the retries of a service relative to its requests, and RetryBurst the
 	// retries of the whole fleet beyond that.
 	RetryRatio float64
@@ -155,6 +158,9 @@
 	}
 	r.mesh.requestsInFlight = r.handler.InFlight
 	r.handler.HasCapacity = r.mesh.shedder.Admit
+	if err := r.setUpHandovers(); err != nil {
+		return nil, err
+	}
 	r.handler.OnShed = r.mesh.coordinator.AddShed
 	r.handler.SchedulingLatency = r.mesh.schedulingLatency
 	r.handler.Quarantine = &r.mesh.crashMonitor
@@ -241,6 +247,7 @@
 		}
 		r.actors = append(r.actors, actor{l.name, serve(l.server, listener)})
 	}
+	r.listenForRelays(ctx) // last, as it can do without its port
 	return nil
 }
 
@@ -279,7 +286,8 @@
 // for seconds; callers give up meanwhile, and their requests are read and forwarded though
 // nobody waits for the answers any more.
 func (r *Router) shouldCloseConnections() bool {
-	return r.openConnections.Load() > int64(r.options.MaxConnections) || r.mesh.isOverloaded()
+	open := r.openConnections.Load() + r.mesh.handovers.takenConnections()
+	return open > int64(r.options.MaxConnections) || r.mesh.isOverloaded()
 }
 
 // serve returns an actor that serves on a listener and closes the server when its context ends.
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -31,7 +31,7 @@
 )
 
 // admit authenticates the request, finds its route and reads its body. It returns a refusal if the
-// request isn't served.
+// request isn't served. If isHandedOver is set then, another router has served it.
 func (j *job) admit() *refusal.Error {
 	h := j.handler
 	if h.shutdown.isRefusing() {
@@ -53,6 +53,9 @@
 		return err
 	}
 	if h.HasCapacity != nil && !h.HasCapacity(j.arrived, j.account) {
+		if j.handOver() {
+			return nil
+		}
 		return j.shed()
 	}
 	if err := j.checkQueue(); err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,7 +168,7 @@
 }
 
 // Handler is the http.Handler for callers. All fields are required but RoutineLog,
-// Regions, TooManyConnections, HasCapacity, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
+// Regions, TooManyConnections, HasCapacity, Handover, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
 type Handler struct {
 	Codec   HeaderCodec
 	State   RoutingState
@@ -185,6 +185,9 @@
 	// HasCapacity reports whether the router has processor time for an account's request that has
 	// just arrived; nil means always.
 	HasCapacity func(now time.Time, account fleet.AccountID) bool
+	// Handover hands over requests for which HasCapacity reports false; nil means that all of them
+	// are refused.
+	Handover Handover
 	// OnShed is called for each request refused for lack of capacity, with the request's cost in
 	// tokens; it may be nil.
 	OnShed func(service fleet.ServiceID, account fleet.AccountID, tokens float64)
@@ -225,7 +228,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.shutdown.begin()
 	defer h.shutdown.end()
-	j := &job{handler: h, writer: w, request: r, arrived: time.Now()}
+	j := h.newJob(w, r)
 	if h.shutdown.isClosingConnections() || (h.TooManyConnections != nil && h.TooManyConnections()) {
 		w.Header().Set("Connection", "close")
 	}
--- a/forward/job.go
+++ b/forward/job.go
@@ -57,6 +57,9 @@
 	writer  http.ResponseWriter
 	request *http.Request
 	arrived time.Time
+	// isRelayed is set if another router has handed the request over, and isHandedOver once this one
+	// has.
+	isRelayed, isHandedOver bool
 
 	info     RequestInfo
 	version  fleet.Version
--- a/forward/panic.go
+++ b/forward/panic.go
@@ -21,7 +21,9 @@
 		j.refuse(err)
 		return nil
 	}
-	j.serve()
+	if !j.isHandedOver {
+		j.serve()
+	}
 	return nil
 }
 
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -6,6 +6,7 @@
 	dto "github.com/prometheus/client_model/go"
 
 	"nutmeglock.example/nutmeglock/avoidance"
+	"nutmeglock.example/nutmeglock/handover"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -60,6 +61,10 @@
 	// ResumedStreams counts streams that went on at an upstream, by who resumed them and by the
 	// software version compared with that of the upstream that began them.
 	ResumedStreams *prometheus.CounterVec
+	// Handovers counts the requests for which this router had no processor time and another router was
+	// sought, by result, and AcceptedHandovers those that this router accepted from others.
+	Handovers         *prometheus.CounterVec
+	AcceptedHandovers prometheus.Counter
 	// Panics counts recovered panics.
 	Panics prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
@@ -100,12 +105,14 @@
 		LeavingSeconds:       newLeavingHistogram("upstream_leaving_seconds", "Age of the changes by which upstreams leave when they take effect."),
 		SentToLeavingSeconds: newLeavingHistogram("sent_to_leaving_upstream_seconds", "Age of the changes by which upstreams leave when requests are sent to them."),
 		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
+		Handovers:            newCounterVec("handovers_total", "Requests that were to be handed over to another router, by result.", "result"),
+		AcceptedHandovers:    newCounter("accepted_handovers_total", "Requests accepted from other routers."),
 		Panics:               newCounter("panics_total", "Panics contained."),
 		NoteVersion:          newGauge("note_version", "The release note version in force."),
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Handovers, s.AcceptedHandovers, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -126,6 +133,9 @@
 	for _, reason := range avoidance.Reasons() {
 		s.AvoidedSends.WithLabelValues(string(reason))
 	}
+	for _, result := range handover.Results() {
+		s.Handovers.WithLabelValues(string(result))
+	}
 	for _, by := range origin.Resumers() {
 		for _, match := range origin.Matches() {
 			s.ResumedStreams.WithLabelValues(string(by), string(match))
--- a/overload/shedder.go
+++ b/overload/shedder.go
@@ -50,6 +50,9 @@
 	minArrivals = 0.01
 )
 
+// LowWait is the scheduling latency below which a router has processor time to spare.
+const LowWait = lowWait
+
 // Shedder decides which requests a router without enough processor time admits. Its
 // zero value admits all. It is safe for concurrent use.
 //
