--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
@@ -116,3 +118,33 @@
 
 // IsReadRequested reports whether a whole read of the list of upstreams is requested from the store.
 func (m *mesh) IsReadRequested() bool { return m.lists.readRequested.Load() }
+
+// Handovers exports handovers.
+type Handovers = handovers
+
+// NewHandovers returns the handovers of a router of a data centre. Its link to others is send.
+func NewHandovers(self fleet.RouterID, send func(to fleet.RouterID, batch *schema.Batch), stopping *atomic.Bool, maxRelays int, metrics *metric.Set, log *slog.Logger) (*Handovers, error) {
+	never := func() bool { return false }
+	return newHandovers(handoverOptions{
+		self: self, dataCenter: "d", send: send, isActive: func() bool { return true }, isExhausted: never, isBusy: never,
+		isStopping: stopping.Load, maxRelays: maxRelays, metrics: metrics, log: log, requestLog: log,
+	})
+}
+
+// SetActive sets whether the fleet is large.
+func (h *handovers) SetActive(active bool) { h.options.isActive = func() bool { return active } }
+
+// SetAddress sets the address for relays.
+func (h *handovers) SetAddress(address string) { h.address = address }
+
+// Observe adds a sample.
+func (h *handovers) Observe(now time.Time, wait time.Duration) { h.observe(now, wait) }
+
+// Receive handles a batch of messages.
+func (h *handovers) Receive(from fleet.RouterID, batch *schema.Batch) { h.receive(from, batch) }
+
+// HandleConnectionChange handles a connection that was opened or lost.
+func (h *handovers) HandleConnectionChange(c peer.Change) { h.handleConnectionChange(c) }
+
+// TakenConnections returns the number of connections taken from the server.
+func (h *handovers) TakenConnections() int64 { return h.takenConnections() }
