--- a/deployment/handover.go
+++ b/deployment/handover.go
@@ -50,6 +50,7 @@
 	isBusy, isStopping func() bool
 	// maxRelays is the number of relays in both directions that this router may have.
 	maxRelays int
+	dialer    relay.Dialer
 	metrics   *metric.Set
 	log       *slog.Logger
 	// requestLog gets the lines on single relays that broke.
@@ -116,7 +117,7 @@
 		h.Release()
 		return nil, h.fail(now, &handover.Error{Result: handover.NoOffer})
 	}
-	conn, err := relay.Dial(h.running, helper, relay.Preamble{
+	conn, err := h.options.dialer.Dial(h.running, helper, relay.Preamble{
 		Token: helper.Token, Age: now.Sub(request.Arrived), Caller: request.RemoteAddr, Router: h.options.self,
 	})
 	if err != nil {
--- a/deployment/handover_test.go
+++ b/deployment/handover_test.go
@@ -154,6 +154,7 @@
 	t.Parallel()
 	s, h := startHandoverPair(t, func(http.ResponseWriter, *http.Request) {})
 	s.awaitRelay(t).Cancel()
+	require.Equal(t, relay.WrongToken, h.Admit(relay.Preamble{}))
 	h.stopping.Store(true)
 	s.awaitResult(t, handover.ConnectFailed)
 	h.Observe(time.Now(), 0) // withdraws the offers
--- a/handover/relay/dial.go
+++ b/handover/relay/dial.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"syscall"
@@ -13,9 +14,9 @@
 )
 
 const (
-	// maxConnectTime bounds the time until the helper's verdict. Routers of a data centre are less
+	// defaultConnectTime bounds the time until the helper's verdict. Routers of a data centre are less
 	// than a millisecond apart, and the strictest target of callers is some hundred milliseconds.
-	maxConnectTime = 50 * time.Millisecond
+	defaultConnectTime = 50 * time.Millisecond
 	// maxUnacknowledged bounds how long sent bytes may stay unacknowledged, as for upstreams: TCP
 	// resends a lost packet after 200 ms and doubles the delay each time, so three losses in a row
 	// are tolerated.
@@ -25,10 +26,16 @@
 	keepAliveDisabled = -1
 )
 
+// Dialer opens connections to helpers. Its zero value is ready to use.
+type Dialer struct {
+	// Timeout bounds the time until the helper's verdict; zero means 50 ms.
+	Timeout time.Duration
+}
+
 // Dial opens a connection to a helper that accepts a request. If it returns an error, nothing of the
 // request was sent. The error is *RejectedError if the helper rejects the relay.
-func Dial(ctx context.Context, helper handover.Helper, p Preamble) (*net.TCPConn, error) {
-	deadline := time.Now().Add(maxConnectTime)
+func (d Dialer) Dial(ctx context.Context, helper handover.Helper, p Preamble) (*net.TCPConn, error) {
+	deadline := time.Now().Add(cmp.Or(d.Timeout, defaultConnectTime))
 	dialer := net.Dialer{
 		Deadline: deadline, KeepAlive: keepAliveDisabled,
 		Control: func(_, _ string, raw syscall.RawConn) error { return socket.SetUserTimeout(raw, maxUnacknowledged) },
--- a/handover/relay/relay.go
+++ b/handover/relay/relay.go
@@ -54,7 +54,7 @@
 	// from it beyond the head.
 	Caller   net.Conn
 	Buffered *bufio.Reader
-	// Helper is a connection that Dial has opened.
+	// Helper is a connection that a Dialer has opened.
 	Helper *net.TCPConn
 	// Deadline is that of the request.
 	Deadline time.Time
