--- a/deployment/handover.go
+++ b/deployment/handover.go
@@ -28,7 +28,7 @@
 	// relayShare is the share of the connections that a router may have up to which they are relays.
 	// A relay takes up to six file descriptors, as a caller's connection does: two connections, and
 	// a pipe of the kernel for each direction.
-	relayShare = 4
+	relayShare = 2
 )
 
 // errHandoverOff is returned while there is no router to which requests can be handed over.
--- a/handover/relay/relay.go
+++ b/handover/relay/relay.go
@@ -29,6 +29,10 @@
 	headBufferSize = 8 << 10
 )
 
+// badGateway answers a request whose helper was lost before its answer began. It may have run, so nothing is said of
+// when to return.
+const badGateway = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 var errNoAnswer = eris.New("the helper closed the connection without an answer")
 
 // BrokenError reports a relay that ended without a whole answer after the request was sent. The
@@ -79,12 +83,16 @@
 		r.upload(unsent)
 	}()
 	copied, err := r.download()
+	if err == nil && copied == 0 {
+		err = errNoAnswer
+	}
 	switch {
 	case r.isCallerGone():
 		err = nil
-	case err == nil && copied == 0:
-		err = errNoAnswer
-	case err == nil && !r.bodySent.Load():
+	case copied == 0:
+		_, _ = io.WriteString(r.Caller, badGateway) // the error already says that the relay broke
+		r.linger(uploaded)
+	case err == nil:
 		r.linger(uploaded)
 	}
 	r.Close()
@@ -161,6 +169,9 @@
 
 // linger lets a caller that still sends its body read the answer.
 func (r *Relay) linger(uploaded <-chan struct{}) {
+	if r.bodySent.Load() {
+		return
+	}
 	if tcp, ok := r.Caller.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
