turn: upstreams that state a slowdown get less, and requests later

The time to read tokens and the overhead are multiplied by the slowdown wherever an upstream is chosen or a wait is expected. Stated slowdowns are taken out of the speed that the pool learns.

--- a/turn/engine.go
+++ b/turn/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/coldstart"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -40,6 +41,9 @@
 	// sent holds the latest requests, which count once the upstream is cold. coldUntil is when an upstream that may have restarted is warm again.
 	sent      coldstart.Limiter
 	coldUntil time.Time
+	// pace is how fast it works, and foreign what it has to do for routers that this one doesn't know of.
+	pace    pace.Estimate
+	foreign foreignLoad
 	// remote is the sum of the other routers' reports.
 	remote   Load
 	cachedAt map[uint64]time.Time
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/turn"
 )
@@ -68,6 +69,10 @@
 	resumeShare float64
 	// resumers is the account that takes up streams, empty for all.
 	resumers fleet.AccountID
+	// slowdown is the slowdown of an engine after some time; nil means none. Engines that state it do so with each
+	// first event.
+	slowdown func(engine int, after time.Duration) pace.Slowdown
+	states   bool
 }
 
 // simAccount sends requests by a Poisson process to some of the routers.
@@ -85,6 +90,7 @@
 }
 
 type simEngine struct {
+	index  int
 	freeAt time.Time
 	cache  map[uint64]time.Time
 }
@@ -146,8 +152,8 @@
 	for i, software := range config.software {
 		m.upstreams[i].Software = software
 	}
-	for _, u := range m.upstreams {
-		m.engines[u.ID] = &simEngine{cache: make(map[uint64]time.Time)}
+	for i, u := range m.upstreams {
+		m.engines[u.ID] = &simEngine{index: i, cache: make(map[uint64]time.Time)}
 		m.byAddress[u.Address] = m.engines[u.ID]
 	}
 	m.makePools()
@@ -173,6 +179,7 @@
 func (m *simulation) makePools() {
 	for home := range m.config.homes {
 		p := &turn.Pool{}
+		p.ScheduleRecheck = func(after time.Duration) { m.schedule(after, func() { p.Recheck(m.now) }) }
 		p.SetGrouped(m.now, true)
 		p.SetUpstreams(m.now, m.upstreamsOf(home), m.config.target)
 		m.pools = append(m.pools, p)
@@ -338,8 +345,28 @@
 	}
 	prefill := time.Duration(float64(work) / m.config.prefillSpeed * float64(time.Millisecond))
 	m.maxQueueDelay = max(m.maxQueueDelay, prefillStart.Sub(m.now))
-	e.freeAt = prefillStart.Add(prefill)
-	m.schedule(e.freeAt.Sub(m.now)+firstEventDelay, func() { m.firstEvent(t, r, arrivedAt) })
+	e.freeAt = m.finishes(e, prefillStart, prefill)
+	m.schedule(m.finishes(e, e.freeAt, firstEventDelay).Sub(m.now), func() { m.firstEvent(t, r, arrivedAt) })
+}
+
+// finishes returns when an engine has done work that usually takes some time.
+func (m *simulation) finishes(e *simEngine, at time.Time, work time.Duration) time.Time {
+	if m.config.slowdown == nil {
+		return at.Add(work)
+	}
+	const step = time.Millisecond
+	for ; work > 0; work -= m.slowdownOf(e, at).Shrink(step) {
+		at = at.Add(step)
+	}
+	return at
+}
+
+// slowdownOf returns the slowdown of an engine.
+func (m *simulation) slowdownOf(e *simEngine, at time.Time) pace.Slowdown {
+	if m.config.slowdown == nil {
+		return pace.Usual
+	}
+	return m.config.slowdown(e.index, at.Sub(start))
 }
 
 // cachedTokens returns how many tokens of a prompt an engine has in its cache.
@@ -362,7 +389,13 @@
 		m.late++
 		m.unserved[r.Account][m.second()] = true
 	}
-	m.schedule(networkDelay, func() { t.RecordFirstEvent(m.now) })
+	load := pace.Statement{Slowdown: m.slowdownOf(m.engines[t.Upstream().ID], m.now)}
+	m.schedule(networkDelay, func() {
+		if m.config.states {
+			t.RecordLoad(m.now, load)
+		}
+		t.RecordFirstEvent(m.now)
+	})
 	m.schedule(generationTime, func() { t.End(m.now, turn.Served) })
 }
 
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -35,6 +35,7 @@
 	latency *prefillLatency
 	// cached is the upstream that the rest of the prompt's cache may be fetched from.
 	cached cacheHolder
+	paceView
 	// isHome is true when all requests for the upstreams start at this router.
 	isHome bool
 	// DataCenter is this router's data centre.
@@ -106,7 +107,7 @@
 // for leaving the first owner.
 func (a CacheAffinity) Score(v *View, e *engine, r *Request, rank int) float64 {
 	penalty := float64(rank) * switchPenalty * v.latency.speed() * float64(v.Target.Milliseconds())
-	return float64(a.prefillWork(v, e, r)) + penalty
+	return v.slowedWork(e, a.prefillWork(v, e, r)) + penalty
 }
 
 // prefillWork returns the tokens to be read before a request's first event.
@@ -136,13 +137,13 @@
 
 // estimatedUnread is unread with an estimate of the progress of this router's prompts.
 func (v *View) estimatedUnread(e *engine) int {
-	return e.backlog.unread(v.now, v.latency) + e.remote.PendingPrefill
+	return e.backlog.unread(v.workClock(e), v.latency) + e.remote.PendingPrefill
 }
 
 // idleFor returns for how long an upstream has had nothing to read.
 func (v *View) idleFor(e *engine) time.Duration {
 	idleSince := e.lastBusy
-	if end := e.backlog.endsAt(v.latency); v.isHome && end.After(idleSince) {
+	if end := v.backlogEnd(e); v.isHome && end.After(idleSince) {
 		idleSince = end
 	}
 	return v.now.Sub(idleSince)
@@ -173,10 +174,10 @@
 
 // IsOpen reports whether an upstream has a free slot and a backlog within the limit.
 func (a CacheAffinity) IsOpen(v *View, e *engine) bool {
-	if e.upstream.Slots > 0 && e.fleetInFlight() >= e.upstream.Slots {
+	if e.upstream.Slots > 0 && v.inFlight(e) >= e.upstream.Slots {
 		return false
 	}
-	return a.canTakeIdle(v, e) || v.latency.reading(v.unread(e)) <= a.maxBacklog(v)
+	return a.canTakeIdle(v, e) || v.reading(e, v.unread(e)) <= a.maxBacklog(v)
 }
 
 // canTakeIdle reports whether an upstream has nothing to read and the account may use it.
@@ -188,7 +189,8 @@
 // time. An idle upstream accepts a request of any size; otherwise the largest would never
 // start.
 func (a CacheAffinity) HasRoom(v *View, e *engine, r *Request) bool {
-	return a.canTakeIdle(v, e) || v.latency.reading(a.prefillWork(v, e, r)) <= a.maxBacklog(v)
+	work := a.prefillWork(v, e, r)
+	return (a.canTakeIdle(v, e) && v.servesInTime(e, r, v.latency.firstEvent(work))) || v.reading(e, work) <= a.maxBacklog(v)
 }
 
 // maxBacklog returns the limit of an upstream's prefill backlog, as time.
@@ -228,11 +230,11 @@
 // Score returns the fraction of the slots in use, less sameDataCenterBonus in the data centre
 // of the router that sends the request.
 func (LeastLoaded) Score(v *View, e *engine, r *Request, _ int) float64 {
-	load := float64(e.fleetInFlight()) / float64(max(e.upstream.Slots, 1))
+	load := float64(v.inFlight(e)) / float64(max(e.upstream.Slots, 1))
 	if e.upstream.DataCenter == cmp.Or(r.DataCenter, v.DataCenter) {
-		return load - sameDataCenterBonus
+		load -= sameDataCenterBonus
 	}
-	return load
+	return v.slowedLoad(e, r, load)
 }
 
 // sameDataCenterBonus prefers an upstream in this router's data centre unless it has a
@@ -246,8 +248,11 @@
 	if v.isHome {
 		limit = inFlightPerSlotAtHome * float64(e.upstream.Slots)
 	}
-	return e.upstream.Slots <= 0 || float64(e.fleetInFlight()) < limit
+	return e.upstream.Slots <= 0 || float64(v.inFlight(e)) < v.slowedLimit(e, limit)
 }
 
-// HasRoom reports true: requests are similar, so any fits.
-func (LeastLoaded) HasRoom(*View, *engine, *Request) bool { return true }
+// HasRoom reports whether an upstream that is slow for the moment serves a request in time. Otherwise requests are
+// similar, so any fits.
+func (LeastLoaded) HasRoom(v *View, e *engine, r *Request) bool {
+	return v.servesInTime(e, r, v.serviceTime)
+}
--- a/turn/plain_wait.go
+++ b/turn/plain_wait.go
@@ -17,10 +17,10 @@
 // plainWait returns the expected time until a request of a service without caches gets its
 // turn: that in which the upstreams serve the requests that go first. It is zero before any
 // request was served. As no more may be in flight, one of them ends in the service time
-// divided by their number.
+// divided by their number. At a slow upstream a request counts as a part of one.
 func (p *Pool) plainWait(now time.Time, r *Request) time.Duration {
 	view := p.view(now, maxBacklogFactor)
-	ahead, inFlight := 1, 0
+	ahead, served := 1, 0
 	for a := range p.accountsAhead(now, r.Account) {
 		ahead += len(a.queue) + a.remote.WaitingTokens
 	}
@@ -32,8 +32,8 @@
 			return 0
 		}
 		if p.detector.Usable(now, e.instance) {
-			inFlight += e.fleetInFlight()
+			served += view.usualThousandths(e)
 		}
 	}
-	return time.Duration(ahead) * p.serviceTime / time.Duration(max(inFlight, 1))
+	return time.Duration(ahead) * p.serviceTime * thousandths / time.Duration(max(served, thousandths))
 }
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -44,6 +44,11 @@
 	// OnAvoided, if set, is called when a request can't go to an upstream that it prefers, because that
 	// one wants no requests from the request's router for a while.
 	OnAvoided func()
+	// OnPaceChange, if set, is called when an upstream has turned slow or usual.
+	OnPaceChange func(PaceChange)
+	// ScheduleRecheck, if set, is called with the time after which Recheck should be called, because requests wait beside
+	// an upstream that is slow.
+	ScheduleRecheck func(after time.Duration)
 
 	mu        sync.Mutex
 	target    time.Duration
@@ -77,6 +82,7 @@
 	promptTokens, uncachedTokens rate.DecayingSum
 	detector                     outlier.Detector[Instance]
 	waitingCount                 int
+	pace                         paceState
 	// leavingCount is how many upstreams aren't in the list because they are leaving.
 	leavingCount int
 }
@@ -146,6 +152,7 @@
 	}
 	p.enqueue(t, best)
 	p.startWaiting(now)
+	p.scheduleRecheck(now)
 	return t, nil
 }
 
@@ -188,7 +195,7 @@
 		}
 	}
 	ahead += int(float64(remote) * p.uncachedPart(now) / float64(len(p.engines)))
-	return max(p.latency.reading(ahead)-p.target, p.coldWait(now, e), r.backoffWait(now, e))
+	return max(p.readingWait(now, e, ahead)-p.target, p.coldWait(now, e), r.backoffWait(now, e), p.slowWait(now, e, r))
 }
 
 // accountsAhead returns the accounts whose waiting requests go before a new one of an account,
--- a/turn/start.go
+++ b/turn/start.go
@@ -10,7 +10,7 @@
 
 // view returns the View for an account with this backlog factor.
 func (p *Pool) view(now time.Time, backlogFactor float64) *View {
-	return &View{now: now, latency: &p.latency, isHome: p.isHome(), DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
+	return &View{now: now, latency: &p.latency, paceView: p.paceView(), isHome: p.isHome(), DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
 }
 
 // accountView returns the View for an account with waiting requests.
@@ -212,7 +212,8 @@
 		t.fetchFrom = view.cached.engine.upstream.Address
 	}
 	t.prefillAhead = view.unread(e) + t.uncached
-	e.backlog.add(t, now.Add(p.latency.reading(e.remote.PendingPrefill)))
+	t.statedBefore = e.pace.Stated(now)
+	e.backlog.add(t, view.workClock(e).Add(p.latency.reading(e.remote.PendingPrefill)))
 	e.inFlight++
 	e.lastBusy = now
 	e.sent.Record(now, p.coldStart.Limit)
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/outlier"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -42,7 +43,9 @@
 	prefillAhead int
 	startedAt    time.Time
 	prefilled    bool
-	ended        bool
+	// statedBefore is the slowdown that the upstream had stated before the grant, and stated what it stated in its answer.
+	statedBefore, stated pace.Slowdown
+	ended                bool
 }
 
 // Patience returns the longest time that the ticket may wait for its turn.
@@ -102,26 +105,30 @@
 	if !t.isGranted() || t.prefilled || t.ended {
 		return
 	}
-	p.latency.observe(t.prefillAhead, now.Sub(t.startedAt))
-	t.markPrefilled(p.readAt(now))
+	p.observeFirstEvent(now, t)
+	t.markPrefilled(now, p.overheadOfFirstEvent())
 	p.startWaiting(now)
 }
 
-// readAt returns when the prompt was read whose first event has arrived now.
-func (p *Pool) readAt(now time.Time) time.Time {
+// overheadOfFirstEvent returns how long it usually takes from the end of reading a prompt to the arrival of its first
+// event, or zero where other routers' prompts are read in between.
+func (p *Pool) overheadOfFirstEvent() time.Duration {
 	if !p.grouped {
-		return now
+		return 0
 	}
-	return now.Add(-p.latency.overhead())
+	return p.latency.overhead()
 }
 
-// markPrefilled records that the upstream had read the prompt, or given it up, at readAt.
-func (t *Ticket) markPrefilled(readAt time.Time) {
+// markPrefilled records that the upstream had read the prompt, or given it up, before now and the usual duration of
+// some work.
+func (t *Ticket) markPrefilled(now time.Time, work time.Duration) {
 	if t.prefilled {
 		return
 	}
 	t.prefilled = true
-	t.engine.backlog.remove(t, readAt)
+	view := t.pool.view(now, 1)
+	t.engine.backlog.remove(t, view.workClock(t.engine).Add(-work))
+	readAt := now.Add(-view.slowdown(t.engine).Stretch(work))
 	if readAt.After(t.engine.lastBusy) {
 		t.engine.lastBusy = readAt
 	}
@@ -154,23 +161,23 @@
 	if !t.isGranted() || t.ended {
 		return
 	}
-	t.markPrefilled(now)
+	t.markPrefilled(now, 0)
 	t.ended = true
 	t.engine.inFlight--
 	if outcome == Unsent || outcome == Refused || outcome == Unreachable {
 		p.account(t.request.Account).servedHere.Add(now, serviceWindow, -t.request.cost())
 	}
-	p.recordOutcome(now, t.startedAt, t.engine, outcome)
+	p.recordOutcome(now, t, outcome)
 	p.startWaiting(now)
 }
 
 // recordOutcome reports an outcome to the outlier detector.
-func (p *Pool) recordOutcome(now, startedAt time.Time, e *engine, outcome Outcome) {
-	ejected := false
+func (p *Pool) recordOutcome(now time.Time, t *Ticket, outcome Outcome) {
+	e, ejected := t.engine, false
 	switch outcome {
 	case Served:
 		p.detector.RecordSuccess(now, e.instance)
-		p.recordServiceTime(now.Sub(startedAt))
+		p.observeServiceTime(now, t)
 	case Refused, Failed:
 		ejected = p.detector.RecordFailure(now, e.instance, outlier.Soft)
 	case Unreachable:
