home: notes bring the home the slowdown that an upstream has stated

The figures go with the note of the first event or of the end, with the age of the answer. A statement belongs to the turn under which it came, so one of a former process is dropped with the ticket.

--- a/home/ask.go
+++ b/home/ask.go
@@ -183,6 +183,8 @@
 	isEngine      bool
 	hasFirstEvent bool
 	hasEnded      bool
+	// load is what the upstream has stated and the home doesn't know yet.
+	load load
 }
 
 func (t *remoteTicket) Upstream() registry.Upstream { return t.upstream }
@@ -190,22 +192,22 @@
 func (t *remoteTicket) PendingPrefill() int         { return t.pendingPrefill }
 
 // RecordFirstEvent notifies the home that the upstream has read the prompt.
-func (t *remoteTicket) RecordFirstEvent(time.Time) {
+func (t *remoteTicket) RecordFirstEvent(now time.Time) {
 	if t.hasFirstEvent || t.hasEnded || !t.isEngine {
 		return
 	}
 	t.hasFirstEvent = true
-	t.sendNote(&schema.TurnNote{Id: t.id, Read: true})
+	t.sendNote(t.load.attach(now, &schema.TurnNote{Id: t.id, Read: true}))
 }
 
 // End notifies the home that the request has ended. Notes of requests that engines have served
 // may be delayed; all others are sent at once, since they may show a fault of the upstream.
-func (t *remoteTicket) End(_ time.Time, outcome turn.Outcome) {
+func (t *remoteTicket) End(now time.Time, outcome turn.Outcome) {
 	if t.hasEnded {
 		return
 	}
 	t.hasEnded = true
-	note := &schema.TurnNote{Id: t.id, Outcome: uint32(outcome)}
+	note := t.load.attach(now, &schema.TurnNote{Id: t.id, Outcome: uint32(outcome)})
 	if outcome == turn.Served && t.isEngine {
 		t.coordinator.queueNote(t.home, note)
 		return
--- a/home/home.go
+++ b/home/home.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/rendezvous"
@@ -48,6 +49,9 @@
 	PendingPrefill() int
 	// RecordFirstEvent records that the first event has arrived.
 	RecordFirstEvent(now time.Time)
+	// RecordLoad records what the upstream has stated about its load in an answer that has just arrived. It is
+	// followed by RecordFirstEvent or End.
+	RecordLoad(now time.Time, s pace.Statement)
 	// End records that the request has ended.
 	End(now time.Time, outcome turn.Outcome)
 }
--- a/home/serve.go
+++ b/home/serve.go
@@ -124,6 +124,7 @@
 		t := c.peerTurns[from][n.GetId()]
 		c.mu.Unlock()
 		if t != nil {
+			recordLoad(t.ticket, n)
 			t.ticket.RecordFirstEvent(time.Now())
 		}
 		return
@@ -134,6 +135,7 @@
 	case n.GetLeft():
 		t.end(turn.Unsent)
 	default:
+		recordLoad(t.ticket, n)
 		t.end(turn.Outcome(n.GetOutcome()))
 	}
 }
