--- a/metric/metric.go
+++ b/metric/metric.go
@@ -7,6 +7,7 @@
 
 	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/turn"
@@ -60,6 +61,12 @@
 	// ResumedStreams counts streams that went on at an upstream, by who resumed them and by the
 	// software version compared with that of the upstream that began them.
 	ResumedStreams *prometheus.CounterVec
+	// RejectedLoads counts statements of upstreams about their load of which a figure isn't used, by reason.
+	RejectedLoads *prometheus.CounterVec
+	// StatedSlowdown has the slowdowns that upstreams have stated; its count is the number of statements.
+	StatedSlowdown prometheus.Histogram
+	// Slowdowns is the number of upstreams by their estimated slowdown. It has only those that state it.
+	Slowdowns *prometheus.GaugeVec
 	// Panics counts recovered panics.
 	Panics prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
@@ -100,12 +107,15 @@
 		LeavingSeconds:       newLeavingHistogram("upstream_leaving_seconds", "Age of the changes by which upstreams leave when they take effect."),
 		SentToLeavingSeconds: newLeavingHistogram("sent_to_leaving_upstream_seconds", "Age of the changes by which upstreams leave when requests are sent to them."),
 		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
+		RejectedLoads:        newCounterVec("rejected_loads_total", "Statements of upstreams about their load that aren't used in full, by reason.", "reason"),
+		StatedSlowdown:       newSlowdownHistogram("stated_slowdown", "Slowdowns that upstreams have stated."),
+		Slowdowns:            newSlowdowns(),
 		Panics:               newCounter("panics_total", "Panics contained."),
 		NoteVersion:          newGauge("note_version", "The release note version in force."),
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.RejectedLoads, s.StatedSlowdown, s.Slowdowns, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -126,6 +136,9 @@
 	for _, reason := range avoidance.Reasons() {
 		s.AvoidedSends.WithLabelValues(string(reason))
 	}
+	for _, reason := range pace.Rejections() {
+		s.RejectedLoads.WithLabelValues(string(reason))
+	}
 	for _, by := range origin.Resumers() {
 		for _, match := range origin.Matches() {
 			s.ResumedStreams.WithLabelValues(string(by), string(match))
