forward, platform: X-Nutmeglock-Server-Load is read

From any answer but 421 and successes without a signature. Figures that are malformed or out of range count as absent and are counted by reason.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -96,6 +96,7 @@
 	j.progress.headerAt = time.Now()
 	info := j.handler.Codec.ParseAnswer(answer.Status, answer.Header)
 	j.recordStatements(ticket.Upstream(), answer.Status, info)
+	j.recordLoad(ticket, info)
 	if info.NotRun {
 		ticket.End(time.Now(), turn.Refused)
 		_, _ = io.CopyN(io.Discard, answer.Body, maxBuffered) // read so that the connection can be used again
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -21,6 +21,7 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/prompt"
 	"nutmeglock.example/nutmeglock/quarantine"
 	"nutmeglock.example/nutmeglock/recovery"
@@ -78,6 +79,9 @@
 	// Backoff is for how long an upstream that refused the request wants no others from this router;
 	// zero when it doesn't say.
 	Backoff time.Duration
+	// Load is what the upstream states about its load, and LoadRejection why a figure of it isn't used; empty if all are.
+	Load          pace.Statement
+	LoadRejection pace.Rejection
 }
 
 // HeaderCodec translates between header fields and their meaning.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -19,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/metric"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/prompt"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
@@ -61,6 +62,9 @@
 func (testCodec) ParseAnswer(_ int, h http.Header) forward.AnswerInfo {
 	info := forward.AnswerInfo{NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != "", Leaving: h.Get("X-Leaving") != ""}
 	info.Backoff, _ = time.ParseDuration(h.Get("X-Backoff")) // zero if there is none
+	if percent, err := strconv.ParseFloat(h.Get("X-Slowdown"), 64); err == nil {
+		info.Load.Slowdown = pace.FromPercent(percent)
+	}
 	return info
 }
 
