--- a/deployment/router.go
+++ b/deployment/router.go
@@ -222,7 +222,7 @@
 	readiness := echo.New()
 	readiness.GET(r.options.ReadyPath, r.serveReadiness)
 	metrics := echo.New()
-	metrics.GET("/metrics", echo.WrapHandler(r.metricsHandler))
+	metrics.GET("/metrics", echo.WrapHandler(r.withSlowdowns(r.metricsHandler)))
 	callers := r.newServer(r.handler)
 	callers.ConnState = r.countConnection
 	callers.ConnContext = forward.WithCaller
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -365,7 +365,7 @@
 	}
 	pool.SetGrouped(time.Now(), s.grouped)
 	s.pools[id] = pool
-	return pool
+	return s.followPace(pool)
 }
 
 func (s *State) logOutlier(u registry.Upstream) {
