--- a/pace/course.go
+++ b/pace/course.go
@@ -13,10 +13,10 @@
 }
 
 // slope returns the change of the slowdown per nanosecond.
-func (p phase) slope() float64 { return (p.last - p.first) / float64(p.end-p.begin) }
+func (p *phase) slope() float64 { return (p.last - p.first) / float64(p.end-p.begin) }
 
 // at returns the slowdown at an age.
-func (p phase) at(age time.Duration) float64 {
+func (p *phase) at(age time.Duration) float64 {
 	if p.first == p.last {
 		return p.first
 	}
@@ -25,7 +25,7 @@
 
 // work returns the usual duration of the work that is done between two ages: the integral of the inverse of the
 // slowdown.
-func (p phase) work(from, to time.Duration) time.Duration {
+func (p *phase) work(from, to time.Duration) time.Duration {
 	if p.first == p.last {
 		return time.Duration(float64(to-from) / p.first)
 	}
@@ -33,7 +33,7 @@
 }
 
 // duration returns how long it takes from an age on to do work with this usual duration. It is the inverse of work.
-func (p phase) duration(from, work time.Duration) time.Duration {
+func (p *phase) duration(from, work time.Duration) time.Duration {
 	if p.first == p.last {
 		return time.Duration(float64(work) * p.first)
 	}
@@ -60,9 +60,9 @@
 
 // at returns the slowdown at an age.
 func (c course) at(age time.Duration) float64 {
-	for _, p := range c {
-		if age < p.end {
-			return p.at(age)
+	for i := range c {
+		if age < c[i].end {
+			return c[i].at(age)
 		}
 	}
 	return 1
@@ -71,7 +71,11 @@
 // work returns the usual duration of the work that is done between two ages.
 func (c course) work(from, to time.Duration) time.Duration {
 	var sum time.Duration
-	for _, p := range c {
+	for i := range c {
+		p := &c[i]
+		if p.begin >= to {
+			break
+		}
 		if begin, end := max(from, p.begin), min(to, p.end); begin < end {
 			sum += p.work(begin, end)
 		}
--- a/pace/estimate.go
+++ b/pace/estimate.go
@@ -66,7 +66,11 @@
 	if e.stated == 0 {
 		return Usual
 	}
-	return Slowdown(e.course(target).at(e.age(now)))
+	age := e.age(now)
+	if age < target/2 {
+		return e.stated * Slowdown(e.boundedRatio()) // most often, and it is asked for each waiting request
+	}
+	return Slowdown(e.course(target).at(age))
 }
 
 // Clock returns the reading of a clock that advances by the usual duration of the work that the process does. Before
