turn: expected waits count only what a slow engine was sent at its pace

With all that goes first at that pace, requests were refused at once beside engines that then stood idle.

--- a/turn/pace.go
+++ b/turn/pace.go
@@ -218,10 +218,12 @@
 	}
 }
 
-// readingWait returns how long an upstream takes to read a number of tokens, if it states nothing more. That is a low
-// estimate, as expectedWait has to be.
+// readingWait returns how long an upstream takes to read a number of tokens, of which it was sent a part: at its present
+// pace, if it states nothing more. The rest counts as if it were as usual, since slow phases are short and requests that wait
+// may go elsewhere. With the whole at the present pace, engines stood idle beside requests that were refused.
 func (p *Pool) readingWait(now time.Time, e *engine, tokens int) time.Duration {
-	return e.pace.Duration(now, p.paceTarget(), p.latency.reading(tokens))
+	sent := min(p.view(now, 1).estimatedUnread(e), tokens)
+	return e.pace.Duration(now, p.paceTarget(), p.latency.reading(sent)) + p.latency.reading(tokens) - p.latency.reading(sent)
 }
 
 // slowWait returns the time until a slow upstream that has nothing to do could take a request, which would be late there
