--- a/forward/statement_test.go
+++ b/forward/statement_test.go
@@ -12,6 +12,7 @@
 	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/turn"
@@ -72,7 +73,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := start(t, c.answer)
+			f := start(t, stating("X-Slowdown", "250", c.answer))
 			stated := &statedAvoidance{}
 			f.handler.Avoidance = stated
 			_, _, _, _ = f.post(t, c.path)
@@ -80,6 +81,7 @@
 			defer stated.mu.Unlock()
 			require.Len(t, stated.leaving, c.leaving)
 			require.Len(t, stated.backoff, c.backoff)
+			require.Equal(t, []pace.Slowdown{2.5}, f.state.pool.Slowdowns(time.Now()))
 		})
 	}
 }
