--- a/turn/pace_test.go
+++ b/turn/pace_test.go
@@ -255,9 +255,11 @@
 	list[0].Slots = 1
 	plain.SetUpstreams(start, list, 0)
 	now := start
-	for i := range 4 {
+	tickets := make([]*turn.Ticket, 4)
+	for i := range tickets {
 		ticket, err := plain.Submit(now, plainRequest())
 		require.NoError(t, err)
+		tickets[i] = ticket
 		ticket.RecordLoad(now, pace.Statement{Slowdown: 2.5})
 		if i < 2 { // the first one began before the upstream was known to be slow
 			now = now.Add(250 * time.Millisecond)
@@ -265,4 +267,8 @@
 		}
 	}
 	require.Equal(t, 125*time.Millisecond, refusedWait(plain, now, plainRequest()))
+	tickets[2].End(now, turn.Unsent)
+	tickets[3].RecordLoad(now, pace.Statement{Slowdown: pace.Max})
+	tickets[3].End(now, turn.Unsent)
+	require.Positive(t, refusedWait(plain, now, plainRequest()), "it would be late at the free slot")
 }
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -183,7 +183,7 @@
 // assumed to be spread evenly over the upstreams.
 func (p *Pool) expectedWait(now time.Time, e *engine, r *Request) time.Duration {
 	if !p.HasCaches() {
-		return max(p.plainWait(now, r), p.coldWait(now, e), r.backoffWait(now, e))
+		return max(p.plainWait(now, r), p.coldWait(now, e), r.backoffWait(now, e), p.slowWait(now, e, r))
 	}
 	ahead, remote := p.view(now, 1).estimatedUnread(e), 0
 	for a := range p.accountsAhead(now, r.Account) {
