--- a/metric/metric.go
+++ b/metric/metric.go
@@ -8,6 +8,7 @@
 	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/handover"
 	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/pace"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/turn"
@@ -65,6 +66,12 @@
 	// sought, by result, and AcceptedHandovers those that this router accepted from others.
 	Handovers         *prometheus.CounterVec
 	AcceptedHandovers prometheus.Counter
+	// RejectedLoads counts statements of upstreams about their load of which a figure isn't used, by reason.
+	RejectedLoads *prometheus.CounterVec
+	// StatedSlowdown has the slowdowns that upstreams have stated; its count is the number of statements.
+	StatedSlowdown prometheus.Histogram
+	// Slowdowns is the number of upstreams by their estimated slowdown. It has only those that state it.
+	Slowdowns *prometheus.GaugeVec
 	// Panics counts recovered panics.
 	Panics prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
@@ -107,12 +114,16 @@
 		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
 		Handovers:            newCounterVec("handovers_total", "Requests that were to be handed over to another router, by result.", "result"),
 		AcceptedHandovers:    newCounter("accepted_handovers_total", "Requests accepted from other routers."),
+		RejectedLoads:        newCounterVec("rejected_loads_total", "Statements of upstreams about their load that aren't used in full, by reason.", "reason"),
+		StatedSlowdown:       newSlowdownHistogram("stated_slowdown", "Slowdowns that upstreams have stated."),
+		Slowdowns:            newSlowdowns(),
 		Panics:               newCounter("panics_total", "Panics contained."),
 		NoteVersion:          newGauge("note_version", "The release note version in force."),
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Handovers, s.AcceptedHandovers, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+	registry.MustRegister(s.Handovers, s.AcceptedHandovers, s.RejectedLoads, s.StatedSlowdown, s.Slowdowns)
 	s.initReasons()
 	return s
 }
@@ -136,6 +147,9 @@
 	for _, result := range handover.Results() {
 		s.Handovers.WithLabelValues(string(result))
 	}
+	for _, reason := range pace.Rejections() {
+		s.RejectedLoads.WithLabelValues(string(reason))
+	}
 	for _, by := range origin.Resumers() {
 		for _, match := range origin.Matches() {
 			s.ResumedStreams.WithLabelValues(string(by), string(match))
