promptcache: ledger of what each engine keeps of prompts, used at homes

Routers assumed that each prefix stays cached for a minute, requested copies of parts that no engine had read yet, and filled engines until they preempted running requests. At a home all requests to an engine are known, so a ledger follows what the engine keeps and holds: parts that are being read count as cached at that engine only, copies cost what kvTokenBytes and linkMbps give, and a request that would preempt another one waits (lack memory).

--- a/deployment/codec.go
+++ b/deployment/codec.go
@@ -18,7 +18,7 @@
 	for _, s := range c.Services {
 		out.Services = append(out.Services, &schema.RoutedService{
 			Id: string(s.ID), MaxConnections: uint32(s.MaxConnections), Slots: uint32(s.Slots), CacheTokens: uint32(s.CacheTokens),
-			ColdMs: schema.Millis(s.ColdDuration), ColdRate: s.ColdRate,
+			ColdMs: schema.Millis(s.ColdDuration), ColdRate: s.ColdRate, TokenBytes: uint32(s.TokenBytes), LinkMbps: s.LinkMbps,
 		})
 	}
 	for _, a := range c.Accounts {
@@ -56,6 +56,7 @@
 		out.Services = append(out.Services, route.Service{
 			ID: fleet.ServiceID(s.GetId()), MaxConnections: int(s.GetMaxConnections()), Slots: int(s.GetSlots()), CacheTokens: int(s.GetCacheTokens()),
 			ColdDuration: schema.Duration(s.GetColdMs()), ColdRate: s.GetColdRate(),
+			TokenBytes: int(s.GetTokenBytes()), LinkMbps: s.GetLinkMbps(),
 		})
 	}
 	for _, a := range in.GetAccounts() {
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -86,6 +86,8 @@
 	// OnAvoided is called, unless it is nil, when a request can't go to an upstream that it prefers, because of
 	// a backoff.
 	OnAvoided func()
+	// CacheEvents are called on what engines keep of prompts.
+	CacheEvents CacheEvents
 	// RecoveryTime is how recently a list of upstreams has to be confirmed to be current; zero
 	// means follow.DefaultRecovery.
 	RecoveryTime time.Duration
@@ -334,6 +336,7 @@
 		staying := s.withoutLeaving(now, upstreams)
 		pool.SetLeavingCount(len(upstreams) - len(staying))
 		upstreams = s.withoutEvacuated(staying, configured.ColdDuration)
+		pool.SetMemory(now, memoryOf(configured))
 		pool.SetColdStart(coldstart.Policy{Duration: configured.ColdDuration, Limit: s.options.ColdTolerance.Limit(configured.ColdRate)})
 		for i := range upstreams {
 			s.readyAddresses[upstreams[i].Address] = true
@@ -363,6 +366,7 @@
 	if configured.CacheTokens == 0 {
 		pool.Placement = turn.LeastLoaded{}
 	}
+	s.observeCaches(pool)
 	pool.SetGrouped(time.Now(), s.grouped)
 	s.pools[id] = pool
 	return pool
--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -27,7 +27,7 @@
 			MaxPause: 300 * time.Millisecond, MaxAttempts: 2, Resumable: true, PromptCaching: true, Shares: []route.Share{{Service: "s", Weight: 90}},
 			Regions: route.Regions{"north", "south"},
 		}},
-		Services: []route.Service{{ID: "s", MaxConnections: 360, Slots: 64, CacheTokens: 664_478}},
+		Services: []route.Service{{ID: "s", MaxConnections: 360, Slots: 64, CacheTokens: 664_478, TokenBytes: 18_432, LinkMbps: 180_000}},
 		Accounts: []route.Account{{ID: "ada", Keys: []string{"k1", "k2"}, Regions: route.Regions{"north"}}},
 		Limits:   route.Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 22, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -57,6 +57,11 @@
 	// SentToLeavingSeconds is how long the fleet had known that an upstream is leaving when a request
 	// was sent there.
 	SentToLeavingSeconds prometheus.Histogram
+	// PromptTokens counts the tokens of prompts that this router has started at engines whose
+	// memory it knows, by where the engine is expected to take them from.
+	PromptTokens *prometheus.CounterVec
+	// CacheLosses counts how often an engine was found to have lost what it kept of prompts.
+	CacheLosses prometheus.Counter
 	// ResumedStreams counts streams that went on at an upstream, by who resumed them and by the
 	// software version compared with that of the upstream that began them.
 	ResumedStreams *prometheus.CounterVec
@@ -99,13 +104,15 @@
 		AvoidedSends:         newCounterVec("avoided_sends_total", "Requests kept from an upstream that wants none, by reason.", "reason"),
 		LeavingSeconds:       newLeavingHistogram("upstream_leaving_seconds", "Age of the changes by which upstreams leave when they take effect."),
 		SentToLeavingSeconds: newLeavingHistogram("sent_to_leaving_upstream_seconds", "Age of the changes by which upstreams leave when requests are sent to them."),
+		PromptTokens:         newCounterVec("prompt_tokens_total", "Tokens of prompts, by where engines are expected to take them from.", "from"),
+		CacheLosses:          newCounter("cache_losses_total", "Engines found to have lost what they kept of prompts."),
 		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
 		Panics:               newCounter("panics_total", "Panics contained."),
 		NoteVersion:          newGauge("note_version", "The release note version in force."),
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.PromptTokens, s.CacheLosses, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -126,6 +133,7 @@
 	for _, reason := range avoidance.Reasons() {
 		s.AvoidedSends.WithLabelValues(string(reason))
 	}
+	s.CountCacheUse(turn.CacheUse{})
 	for _, by := range origin.Resumers() {
 		for _, match := range origin.Matches() {
 			s.ResumedStreams.WithLabelValues(string(by), string(match))
@@ -133,6 +141,21 @@
 	}
 }
 
+// Where engines take the tokens of prompts from: their own cache, that of another engine, or the
+// prompt, which they read.
+const (
+	fromCache = "cache"
+	fromCopy  = "copy"
+	fromRead  = "read"
+)
+
+// CountCacheUse counts the tokens of a prompt.
+func (s *Set) CountCacheUse(use turn.CacheUse) {
+	s.PromptTokens.WithLabelValues(fromCache).Add(float64(max(use.Cached, 0)))
+	s.PromptTokens.WithLabelValues(fromCopy).Add(float64(max(use.Copied, 0)))
+	s.PromptTokens.WithLabelValues(fromRead).Add(float64(max(use.Read, 0)))
+}
+
 // ServiceTokensByAccount returns the weighted tokens that each account has received so far.
 func (s *Set) ServiceTokensByAccount() map[string]float64 {
 	tokens := make(map[string]float64)
--- a/route/route.go
+++ b/route/route.go
@@ -103,6 +103,10 @@
 	Slots int
 	// CacheTokens is the cache size of a model engine, in tokens; zero for other services.
 	CacheTokens int
+	// TokenBytes is the size of a token in a model engine's cache, and LinkMbps the speed, in
+	// megabits per second, at which it copies from the cache of another; zero if unknown.
+	TokenBytes int
+	LinkMbps   float64
 	// ColdDuration is how long an upstream is cold after its start, and ColdRate the number
 	// of requests per second that it tolerates then; zero means any number.
 	ColdDuration time.Duration
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/coldstart"
+	"nutmeglock.example/nutmeglock/promptcache"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -43,6 +44,9 @@
 	// remote is the sum of the other routers' reports.
 	remote   Load
 	cachedAt map[uint64]time.Time
+	// ledger is what the upstream keeps, nil where that isn't known. Loss looks for its loss.
+	ledger *promptcache.Ledger[*Ticket]
+	loss   promptcache.LossDetector
 	// unreportedPrefixes are the shared prefixes sent since the last report.
 	unreportedPrefixes []uint64
 }
@@ -55,6 +59,9 @@
 
 // cachedTokens returns how many tokens of a prompt are probably cached.
 func (e *engine) cachedTokens(now time.Time, r *Request) int {
+	if e.ledger != nil {
+		return e.ledger.Cached(now, r.Prefixes)
+	}
 	for i := len(r.Prefixes) - 1; i >= 0; i-- {
 		at, known := e.cachedAt[r.Prefixes[i].Hash]
 		if known && now.Sub(at) < cacheTTL {
--- a/turn/group.go
+++ b/turn/group.go
@@ -20,6 +20,7 @@
 		return
 	}
 	p.grouped = grouped
+	p.updateLedgers()
 	p.generation++
 	p.orderCache = nil
 	// Routers stop reporting once homes schedule for them, so their last reports would
--- a/turn/lack.go
+++ b/turn/lack.go
@@ -23,6 +23,9 @@
 	LackCold Lack = "cold"
 	// LackSlots means that all slots of the upstreams are in use.
 	LackSlots Lack = "slots"
+	// LackMemory means that the request would preempt another one, as running requests take the
+	// upstreams' memory.
+	LackMemory Lack = "memory"
 	// LackPrefill means that the upstreams had too many prompts to read.
 	LackPrefill Lack = "prefill"
 	// LackShare means that there was room, but not for an account with this much service.
@@ -33,7 +36,7 @@
 
 // Lacks returns all lacks, for counters that start at zero.
 func Lacks() []Lack {
-	return []Lack{LackUpstream, LackLeaving, LackBackoff, LackSoftware, LackCold, LackSlots, LackPrefill, LackShare, LackOrder}
+	return []Lack{LackUpstream, LackLeaving, LackBackoff, LackSoftware, LackCold, LackSlots, LackMemory, LackPrefill, LackShare, LackOrder}
 }
 
 // ParseLack returns the lack with this name, empty if there is none.
@@ -49,7 +52,7 @@
 	candidates := p.candidates(now, t)
 	generous := p.view(now, maxBacklogFactor)
 	own := p.accountView(now, p.fairShares(now), p.account(t.request.Account).served(now))
-	best := p.bestCandidate(generous, t, candidates)
+	best := p.bestFitting(generous, t, candidates)
 	switch {
 	case best == nil:
 		return p.noUpstream(t).Lack
@@ -59,9 +62,11 @@
 		return LackCold
 	case !slices.ContainsFunc(candidates, (*engine).hasSlot):
 		return LackSlots
+	case !slices.ContainsFunc(candidates, func(e *engine) bool { return e.fitsMemory(now, &t.request) }):
+		return LackMemory
 	case !p.hasRoom(generous, best, &t.request):
 		return LackPrefill
-	case !p.hasRoom(own, p.bestCandidate(own, t, candidates), &t.request):
+	case !p.hasRoom(own, p.bestFitting(own, t, candidates), &t.request):
 		return LackShare
 	default:
 		return LackOrder
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/promptcache"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/rendezvous"
 )
@@ -35,6 +36,10 @@
 	latency *prefillLatency
 	// cached is the upstream that the rest of the prompt's cache may be fetched from.
 	cached cacheHolder
+	// link is the connection by which upstreams copy from each other's caches.
+	link promptcache.Link
+	// first is the first choice of the request.
+	first *engine
 	// isHome is true when all requests for the upstreams start at this router.
 	isHome bool
 	// DataCenter is this router's data centre.
@@ -105,7 +110,7 @@
 // Score returns the tokens to be read before the request's first event, plus the penalty
 // for leaving the first owner.
 func (a CacheAffinity) Score(v *View, e *engine, r *Request, rank int) float64 {
-	penalty := float64(rank) * switchPenalty * v.latency.speed() * float64(v.Target.Milliseconds())
+	penalty := float64(v.switchRank(e, r, rank)) * switchPenalty * v.latency.speed() * float64(v.Target.Milliseconds())
 	return float64(a.prefillWork(v, e, r)) + penalty
 }
 
@@ -116,7 +121,7 @@
 }
 
 // fetchCost is the cost of fetching a token from another upstream's cache, relative to
-// reading it: engines that can fetch do so at about 600 tokens per millisecond, and read 50
+// reading it, where the speed of the connection isn't known: engines that can fetch do so at about 600 tokens per millisecond, and read 50
 // to 150.
 const fetchCost = 0.15
 
@@ -156,7 +161,11 @@
 	if v.cached.engine == nil || missing < minFetchTokens {
 		return r.Input - cached, false
 	}
-	return r.Input - v.cached.tokens + int(fetchCost*float64(missing)), true
+	cost := v.copyCost(e)
+	if cost >= promptcache.ReadingCost {
+		return r.Input - cached, false
+	}
+	return r.Input - v.cached.tokens + int(cost*float64(missing)), true
 }
 
 // evenBacklogFactor is the backlog factor of an account with about the same service as
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -44,10 +44,16 @@
 	// OnAvoided, if set, is called when a request can't go to an upstream that it prefers, because that
 	// one wants no requests from the request's router for a while.
 	OnAvoided func()
+	// OnCacheUse, if set, is called when a request starts at an upstream whose memory is known.
+	OnCacheUse func(use CacheUse)
+	// OnCacheLoss, if set, is called when an upstream has lost what it kept, with the number of
+	// tokens.
+	OnCacheLoss func(upstream registry.Upstream, tokens int)
 
 	mu        sync.Mutex
 	target    time.Duration
 	coldStart coldstart.Policy
+	memory    Memory
 	engines   []*engine
 	// upstreams are the entries of engines, in the same order. generation counts the
 	// changes of the list and of the grouping.
@@ -108,6 +114,7 @@
 	}
 	p.isMixed = hasSeveralVersions(upstreams)
 	p.assignGroups()
+	p.updateLedgers()
 	p.detector.Retain(keep)
 	p.sumReports(now)
 	p.reassign(now)
--- a/turn/start.go
+++ b/turn/start.go
@@ -10,7 +10,7 @@
 
 // view returns the View for an account with this backlog factor.
 func (p *Pool) view(now time.Time, backlogFactor float64) *View {
-	return &View{now: now, latency: &p.latency, isHome: p.isHome(), DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
+	return &View{now: now, latency: &p.latency, isHome: p.isHome(), link: p.memory.Link, DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
 }
 
 // accountView returns the View for an account with waiting requests.
@@ -84,6 +84,9 @@
 	var lowest float64
 	var holder cacheHolder
 	for rank, e := range candidates {
+		if rank == 0 {
+			view.first = e
+		}
 		if rank == 0 || p.isMixed {
 			view.cached = p.cacheHolder(view.now, t, e.upstream.Software)
 		}
@@ -108,7 +111,7 @@
 		if p.isMixed && e.upstream.Software != software {
 			continue
 		}
-		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) && r.Allows(e.upstream.DataCenter) {
+		if cached := e.keptTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) && r.Allows(e.upstream.DataCenter) {
 			best = cacheHolder{engine: e, tokens: cached}
 		}
 	}
@@ -141,7 +144,7 @@
 
 // hasRoom reports whether an upstream takes a request now.
 func (p *Pool) hasRoom(view *View, e *engine, r *Request) bool {
-	return p.isOpen(view, e) && p.placement().HasRoom(view, e, r) && !r.isAvoided(view.now, e)
+	return p.isOpen(view, e) && p.placement().HasRoom(view, e, r) && e.fitsMemory(view.now, r) && !r.isAvoided(view.now, e)
 }
 
 func (p *Pool) startNext(now time.Time) bool {
@@ -169,7 +172,7 @@
 	if !open {
 		return false
 	}
-	best := p.bestCandidate(view, t, candidates)
+	best := p.bestFitting(view, t, candidates)
 	if p.hasRoom(view, best, &t.request) {
 		p.start(view, t, best)
 		return true
@@ -217,6 +220,7 @@
 	e.lastBusy = now
 	e.sent.Record(now, p.coldStart.Limit)
 	e.recordPrompt(now, &t.request)
+	p.recordStart(view, t)
 	p.promptTokens.Add(now, uncachedPartMemory, float64(t.request.Input))
 	p.uncachedTokens.Add(now, uncachedPartMemory, float64(t.uncached))
 	p.detector.RecordSend(now, e.instance)
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -38,6 +38,8 @@
 	uncached int
 	// fetchFrom is the address of an upstream whose cache has more of the prompt.
 	fetchFrom string
+	// keptTokens is how much of the prompt the upstream keeps, unless the rest is copied.
+	keptTokens int
 	// prefillAhead is the tokens that the upstream has to read before the first event.
 	prefillAhead int
 	startedAt    time.Time
@@ -102,6 +104,7 @@
 	if !t.isGranted() || t.prefilled || t.ended {
 		return
 	}
+	p.recordRead(now, t)
 	p.latency.observe(t.prefillAhead, now.Sub(t.startedAt))
 	t.markPrefilled(p.readAt(now))
 	p.startWaiting(now)
@@ -157,6 +160,7 @@
 	t.markPrefilled(now)
 	t.ended = true
 	t.engine.inFlight--
+	t.recordEnd(now, outcome)
 	if outcome == Unsent || outcome == Refused || outcome == Unreachable {
 		p.account(t.request.Account).servedHere.Add(now, serviceWindow, -t.request.cost())
 	}
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -18,6 +18,7 @@
 
 	"nutmeglock.example/nutmeglock/avoidance"
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/promptcache"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -32,12 +33,7 @@
 func InstanceOf(u registry.Upstream) Instance { return Instance{ID: u.ID, StartTime: u.StartTime} }
 
 // Prefix is a prefix of a prompt that other prompts may share.
-type Prefix struct {
-	// Hash identifies the whole text of the prefix.
-	Hash uint64
-	// Tokens is the length of the prefix.
-	Tokens int
-}
+type Prefix = promptcache.Prefix
 
 // Request describes a request to be scheduled.
 type Request struct {
