turn: waiting requests that fit nowhere in memory are skipped early

Engines that lack memory only, and not reading time, stay open, so each event searched the whole queue.

--- a/turn/start.go
+++ b/turn/start.go
@@ -168,7 +168,7 @@
 // tryStart starts a ticket if the best of its candidates has room.
 func (p *Pool) tryStart(view *View, t *Ticket) bool {
 	candidates := p.candidates(view.now, t)
-	open := slices.ContainsFunc(candidates, func(e *engine) bool { return p.isOpen(view, e) })
+	open := slices.ContainsFunc(candidates, func(e *engine) bool { return p.isOpen(view, e) && e.fitsMemory(view.now, &t.request) })
 	if !open {
 		return false
 	}
