--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -13,6 +13,7 @@
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/turn"
 )
 
 func newState() *deployment.State {
@@ -64,6 +65,29 @@
 	require.Equal(t, change, registry.Decode(now, registry.Encode(now, change)))
 }
 
+// Guards against engines whose memory isn't known, or stays as it was when the configuration
+// changes.
+func TestMemoryOfEnginesIsConfigured(t *testing.T) {
+	t.Parallel()
+	s := newState()
+	s.Configure(testConfiguration(1), "test")
+	s.ApplyUpstreamsFromPeer(&schema.Knowledge{Upstreams: []*schema.UpstreamChange{{Id: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Revision: 3}}}, "test")
+	pool, now := s.Pool("s"), time.Now()
+	pool.SetGrouped(now, true)
+	first, err := pool.Submit(now, turn.Request{Input: 600_000})
+	require.NoError(t, err)
+	first.RecordFirstEvent(now)
+	second, err := pool.Submit(now, turn.Request{Input: 100_000, Patience: time.Minute})
+	require.NoError(t, err)
+	require.Equal(t, turn.LackMemory, second.Cancel(now).Lack)
+	larger := testConfiguration(2)
+	larger.Services[0].CacheTokens *= 2
+	s.Configure(larger, "test")
+	third, err := pool.Submit(now, turn.Request{Input: 100_000, Patience: time.Minute})
+	require.NoError(t, err)
+	require.Nil(t, third.Cancel(now), "it was granted")
+}
+
 // After a start, a service's upstreams may be known before its configuration. Guards against
 // upstreams that then aren't used once the configuration arrives.
 func TestUpstreamsAndConfigurationComeInAnyOrder(t *testing.T) {
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -313,6 +313,28 @@
 	})
 }
 
+// Guards against memory that stays taken by a request whose router stopped without a note.
+func TestMemoryOfRequestsThatLeftIsFreed(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		n := startNetwork(20, 1)
+		for _, pool := range n.pools {
+			pool.SetMemory(time.Now(), turn.Memory{Capacity: 24_000})
+		}
+		running, err := n.turn(t.Context(), "r1", requestFor(1, 2))
+		require.NoError(t, err)
+		time.Sleep(target)
+		running.RecordFirstEvent(time.Now())
+		_, err = n.turn(t.Context(), "r2", requestFor(3, 4))
+		var refused *turn.RefusedError
+		require.ErrorAs(t, err, &refused)
+		require.Equal(t, turn.LackMemory, refused.Lack)
+		n.routers[n.mostAsked()].HandleDisconnect("r1")
+		_, err = n.turn(t.Context(), "r2", requestFor(3, 4))
+		require.NoError(t, err)
+	})
+}
+
 // An upstream has left and the home doesn't know yet. A router that does know must not
 // send the request there.
 func TestTurnAtAnUpstreamThatHasLeftIsNotUsed(t *testing.T) {
