--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -1,7 +1,9 @@
 package deployment_test
 
 import (
+	"bytes"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,6 +90,29 @@
 	require.Nil(t, third.Cancel(now), "it was granted")
 }
 
+// Guards against a loss of an engine's cache that the operator can't see, or sees once per request.
+func TestLossOfACacheIsLoggedOnce(t *testing.T) {
+	t.Parallel()
+	var log bytes.Buffer
+	losses := 0
+	s := deployment.NewState(deployment.StateOptions{
+		Log: slog.New(slog.NewTextHandler(&log, nil)), CacheEvents: deployment.CacheEvents{OnLoss: func() { losses++ }},
+	})
+	s.Configure(testConfiguration(1), "test")
+	s.ApplyUpstreamsFromPeer(&schema.Knowledge{Upstreams: []*schema.UpstreamChange{{Id: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Revision: 3}}}, "test")
+	pool, now := s.Pool("s"), time.Now()
+	pool.SetGrouped(now, true)
+	for range 6 {
+		ticket, err := pool.Submit(now, turn.Request{Input: 10_000, Prefixes: []turn.Prefix{{Hash: 1, Tokens: 10_000}}})
+		require.NoError(t, err)
+		now = now.Add(time.Second)
+		ticket.RecordFirstEvent(now)
+		ticket.End(now, turn.Served)
+	}
+	require.Equal(t, 1, losses)
+	require.Equal(t, 1, strings.Count(log.String(), "engine lost its prompt cache"))
+}
+
 // After a start, a service's upstreams may be known before its configuration. Guards against
 // upstreams that then aren't used once the configuration arrives.
 func TestUpstreamsAndConfigurationComeInAnyOrder(t *testing.T) {
