turn: link of each engine kept with its ledger, test of slow links

As a field of View it made Pool.view too large to be inlined, which cost an allocation per request also where no ledger is used. The machine of random changes to a pool now also changes the memory.

--- a/turn/cache.go
+++ b/turn/cache.go
@@ -46,6 +46,7 @@
 			e.ledger, e.loss = &promptcache.Ledger[*Ticket]{}, promptcache.LossDetector{}
 		}
 		e.ledger.SetCapacity(p.memory.Capacity)
+		e.link = p.memory.Link
 	}
 }
 
@@ -61,10 +62,10 @@
 // copyCost returns the cost of copying a token to an upstream from another one, relative to
 // reading it.
 func (v *View) copyCost(e *engine) float64 {
-	if e.ledger == nil || !v.link.IsSet() {
+	if e.ledger == nil || !e.link.IsSet() {
 		return fetchCost
 	}
-	return v.link.CopyCost(v.latency.speed())
+	return e.link.CopyCost(v.latency.speed())
 }
 
 // switchRank returns the rank of an upstream for the penalty of leaving the first choice. An
--- a/turn/cache_test.go
+++ b/turn/cache_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/promptcache"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/turn"
 )
@@ -23,7 +24,7 @@
 	p.OnCacheLoss = func(_ registry.Upstream, tokens int) { p.losses = append(p.losses, tokens) }
 	p.SetGrouped(start, true)
 	p.SetUpstreams(start, newEngines(engines), target)
-	p.SetMemory(start, turn.Memory{Capacity: capacity})
+	p.SetMemory(start, turn.Memory{Capacity: capacity, Link: promptcache.Link{TokenBytes: 125, MegabitsPerSecond: 400}}) // 400 tokens per ms
 	return p
 }
 
@@ -45,6 +46,14 @@
 	return p.uses[len(p.uses)-1]
 }
 
+// startElsewhere starts a request with the same prefix at another engine.
+func (p *cachePool) startElsewhere(t *testing.T, now time.Time, first *turn.Ticket) *turn.Ticket {
+	t.Helper()
+	r := prompt("b", 1, 200, 1_000)
+	r.Tried = []turn.Instance{turn.InstanceOf(first.Upstream())}
+	return p.start(t, now, r)
+}
+
 const readingTime = 300 * time.Millisecond
 
 // Guards against a part that is read twice, and a copy that brings nothing, because requests for
@@ -62,12 +71,21 @@
 	}
 	now := start.Add(readingTime)
 	first.RecordFirstEvent(now)
-	copied := p.start(t, now, prompt("b", 1, 200, 1_000))
-	for copied.Upstream().ID == first.Upstream().ID {
-		copied = p.start(t, now, prompt("b", 1, 200+uint64(len(p.uses)), 1_000))
-	}
+	copied := p.startElsewhere(t, now, first)
 	require.Equal(t, first.Upstream().Address, copied.FetchFrom())
 	require.Equal(t, turn.CacheUse{Copied: 10_000, Read: 1_000}, p.uses[len(p.uses)-1])
+	require.InDelta(t, 1_000+10_000*0.1, copied.PendingPrefill(), 20, "it reads 40 tokens per ms and copies 400")
+}
+
+// Guards against a copy over a link that is slower than reading.
+func TestSlowLinkIsNotUsed(t *testing.T) {
+	t.Parallel()
+	p := newCachePool(2, 400_000)
+	first := p.start(t, start, prompt("a", 1, 100, 1_000))
+	now := start.Add(readingTime)
+	first.RecordFirstEvent(now)
+	p.SetMemory(now, turn.Memory{Capacity: 400_000, Link: promptcache.Link{TokenBytes: 125, MegabitsPerSecond: 30}})
+	require.Empty(t, p.startElsewhere(t, now, first).FetchFrom())
 }
 
 // Guards against a prefix that the first owner reads while the second has nearly read it.
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -44,9 +44,11 @@
 	// remote is the sum of the other routers' reports.
 	remote   Load
 	cachedAt map[uint64]time.Time
-	// ledger is what the upstream keeps, nil where that isn't known. Loss looks for its loss.
+	// ledger is what the upstream keeps, nil where that isn't known; loss looks for its loss, and
+	// link is the connection by which it copies from other caches.
 	ledger *promptcache.Ledger[*Ticket]
 	loss   promptcache.LossDetector
+	link   promptcache.Link
 	// unreportedPrefixes are the shared prefixes sent since the last report.
 	unreportedPrefixes []uint64
 }
--- a/turn/machine_test.go
+++ b/turn/machine_test.go
@@ -82,6 +82,10 @@
 	m.pool.SetGrouped(m.now, rapid.Bool().Draw(t, "grouped"))
 }
 
+func (m *poolMachine) setMemory(t *rapid.T) {
+	m.pool.SetMemory(m.now, turn.Memory{Capacity: rapid.SampledFrom([]int{0, 1, 30_000, 1_000_000}).Draw(t, "capacity")})
+}
+
 func (m *poolMachine) submit(t *rapid.T) {
 	m.advance(t)
 	m.lastPrompt++
@@ -246,7 +250,7 @@
 				// Repeat sorts the steps by name, so other names change the sequences of a seed.
 				t.Repeat(map[string]func(*rapid.T){
 					"set": m.setUpstreams, "group": m.setGrouped, "ask": m.submit, "ask more": m.submit, "give up": m.cancel, "first": m.recordFirstEvent,
-					"end": m.end, "cold": m.setColdStart, "back off": m.backOff, "observe": m.applyReport, "shed": m.recordShed, "": m.check,
+					"end": m.end, "cold": m.setColdStart, "back off": m.backOff, "memory": m.setMemory, "observe": m.applyReport, "shed": m.recordShed, "": m.check,
 				})
 			})
 		})
--- a/turn/placement.go
+++ b/turn/placement.go
@@ -36,8 +36,6 @@
 	latency *prefillLatency
 	// cached is the upstream that the rest of the prompt's cache may be fetched from.
 	cached cacheHolder
-	// link is the connection by which upstreams copy from each other's caches.
-	link promptcache.Link
 	// first is the first choice of the request.
 	first *engine
 	// isHome is true when all requests for the upstreams start at this router.
--- a/turn/start.go
+++ b/turn/start.go
@@ -10,7 +10,7 @@
 
 // view returns the View for an account with this backlog factor.
 func (p *Pool) view(now time.Time, backlogFactor float64) *View {
-	return &View{now: now, latency: &p.latency, isHome: p.isHome(), link: p.memory.Link, DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
+	return &View{now: now, latency: &p.latency, isHome: p.isHome(), DataCenter: p.DataCenter, Target: p.target, BacklogFactor: backlogFactor}
 }
 
 // accountView returns the View for an account with waiting requests.
