--- a/deployment/state_test.go
+++ b/deployment/state_test.go
@@ -1,7 +1,9 @@
 package deployment_test
 
 import (
+	"bytes"
 	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/turn"
 )
 
 func newState() *deployment.State {
@@ -27,7 +30,7 @@
 			MaxPause: 300 * time.Millisecond, MaxAttempts: 2, Resumable: true, PromptCaching: true, Shares: []route.Share{{Service: "s", Weight: 90}},
 			Regions: route.Regions{"north", "south"},
 		}},
-		Services: []route.Service{{ID: "s", MaxConnections: 360, Slots: 64, CacheTokens: 664_478}},
+		Services: []route.Service{{ID: "s", MaxConnections: 360, Slots: 64, CacheTokens: 664_478, TokenBytes: 18_432, LinkMbps: 180_000}},
 		Accounts: []route.Account{{ID: "ada", Keys: []string{"k1", "k2"}, Regions: route.Regions{"north"}}},
 		Limits:   route.Limits{MaxHeaderBytes: 1 << 14, MaxBodyBytes: 1 << 22, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 	}
@@ -64,6 +67,52 @@
 	require.Equal(t, change, registry.Decode(now, registry.Encode(now, change)))
 }
 
+// Guards against engines whose memory isn't known, or stays as it was when the configuration
+// changes.
+func TestMemoryOfEnginesIsConfigured(t *testing.T) {
+	t.Parallel()
+	s := newState()
+	s.Configure(testConfiguration(1), "test")
+	s.ApplyUpstreamsFromPeer(&schema.Knowledge{Upstreams: []*schema.UpstreamChange{{Id: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Revision: 3}}}, "test")
+	pool, now := s.Pool("s"), time.Now()
+	pool.SetGrouped(now, true)
+	first, err := pool.Submit(now, turn.Request{Input: 600_000})
+	require.NoError(t, err)
+	first.RecordFirstEvent(now)
+	second, err := pool.Submit(now, turn.Request{Input: 100_000, Patience: time.Minute})
+	require.NoError(t, err)
+	require.Equal(t, turn.LackMemory, second.Cancel(now).Lack)
+	larger := testConfiguration(2)
+	larger.Services[0].CacheTokens *= 2
+	s.Configure(larger, "test")
+	third, err := pool.Submit(now, turn.Request{Input: 100_000, Patience: time.Minute})
+	require.NoError(t, err)
+	require.Nil(t, third.Cancel(now), "it was granted")
+}
+
+// Guards against a loss of an engine's cache that the operator can't see, or sees once per request.
+func TestLossOfACacheIsLoggedOnce(t *testing.T) {
+	t.Parallel()
+	var log bytes.Buffer
+	losses := 0
+	s := deployment.NewState(deployment.StateOptions{
+		Log: slog.New(slog.NewTextHandler(&log, nil)), CacheEvents: deployment.CacheEvents{OnLoss: func() { losses++ }},
+	})
+	s.Configure(testConfiguration(1), "test")
+	s.ApplyUpstreamsFromPeer(&schema.Knowledge{Upstreams: []*schema.UpstreamChange{{Id: "u", Service: "s", Address: "10.0.0.1:80", Slots: 8, Revision: 3}}}, "test")
+	pool, now := s.Pool("s"), time.Now()
+	pool.SetGrouped(now, true)
+	for range 6 {
+		ticket, err := pool.Submit(now, turn.Request{Input: 10_000, Prefixes: []turn.Prefix{{Hash: 1, Tokens: 10_000}}})
+		require.NoError(t, err)
+		now = now.Add(time.Second)
+		ticket.RecordFirstEvent(now)
+		ticket.End(now, turn.Served)
+	}
+	require.Equal(t, 1, losses)
+	require.Equal(t, 1, strings.Count(log.String(), "engine lost its prompt cache"))
+}
+
 // After a start, a service's upstreams may be known before its configuration. Guards against
 // upstreams that then aren't used once the configuration arrives.
 func TestUpstreamsAndConfigurationComeInAnyOrder(t *testing.T) {
--- a/turn/engine.go
+++ b/turn/engine.go
@@ -5,6 +5,7 @@
 
 	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/pace"
+	"nutmeglock.example/nutmeglock/promptcache"
 	"nutmeglock.example/nutmeglock/registry"
 )
 
@@ -47,6 +48,11 @@
 	// remote is the sum of the other routers' reports.
 	remote   Load
 	cachedAt map[uint64]time.Time
+	// ledger is what the upstream keeps, nil where that isn't known; loss looks for its loss, and
+	// link is the connection by which it copies from other caches.
+	ledger *promptcache.Ledger[*Ticket]
+	loss   promptcache.LossDetector
+	link   promptcache.Link
 	// unreportedPrefixes are the shared prefixes sent since the last report.
 	unreportedPrefixes []uint64
 }
@@ -59,6 +65,9 @@
 
 // cachedTokens returns how many tokens of a prompt are probably cached.
 func (e *engine) cachedTokens(now time.Time, r *Request) int {
+	if e.ledger != nil {
+		return e.ledger.Cached(now, r.Prefixes)
+	}
 	for i := len(r.Prefixes) - 1; i >= 0; i-- {
 		at, known := e.cachedAt[r.Prefixes[i].Hash]
 		if known && now.Sub(at) < cacheTTL {
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -39,6 +39,8 @@
 	uncached int
 	// fetchFrom is the address of an upstream whose cache has more of the prompt.
 	fetchFrom string
+	// keptTokens is how much of the prompt the upstream keeps, unless the rest is copied.
+	keptTokens int
 	// prefillAhead is the tokens that the upstream has to read before the first event.
 	prefillAhead int
 	startedAt    time.Time
@@ -105,6 +107,7 @@
 	if !t.isGranted() || t.prefilled || t.ended {
 		return
 	}
+	p.recordRead(now, t)
 	p.observeFirstEvent(now, t)
 	t.markPrefilled(now, p.overheadOfFirstEvent())
 	p.startWaiting(now)
@@ -164,6 +167,7 @@
 	t.markPrefilled(now, 0)
 	t.ended = true
 	t.engine.inFlight--
+	t.recordEnd(now, outcome)
 	if outcome == Unsent || outcome == Refused || outcome == Unreachable {
 		p.account(t.request.Account).servedHere.Add(now, serviceWindow, -t.request.cost())
 	}
