home, turn: a prefix is copied from its former group

The asking router remembers at which upstream its latest request with a shared prefix began and tells it with the ask. The home copies the prefix from there if its own engines lack it, also while that upstream is draining.

--- a/deployment/state.go
+++ b/deployment/state.go
@@ -323,7 +323,7 @@
 func (s *State) refreshPools(now time.Time) {
 	s.history.Observe(now, s.directory.SoftwareVersions())
 	table := s.Table()
-	ready := s.directory.Ready()
+	ready, draining := s.directory.Ready(), s.directory.Draining()
 	s.readyAddresses = make(map[string]bool)
 	for service, upstreams := range ready {
 		configured, ok := table.Service(service)
@@ -338,11 +338,13 @@
 		for i := range upstreams {
 			s.readyAddresses[upstreams[i].Address] = true
 		}
+		pool.SetDraining(draining[service])
 		pool.SetUpstreams(now, upstreams, table.FirstEventTarget(service))
 	}
 	for service, pool := range s.pools {
 		if len(ready[service]) == 0 {
 			pool.SetLeavingCount(0)
+			pool.SetDraining(nil)
 			pool.SetUpstreams(now, nil, table.FirstEventTarget(service))
 		}
 	}
--- a/home/codec.go
+++ b/home/codec.go
@@ -16,6 +16,9 @@
 		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience), DataCenter: string(r.DataCenter),
 		SoftwareVersion: string(r.Software),
 	}
+	if r.LastHolder != (turn.Instance{}) {
+		a.LastHolder = turn.EncodeInstance(r.LastHolder)
+	}
 	for _, dataCenter := range r.DataCenters {
 		a.DataCenters = append(a.DataCenters, string(dataCenter))
 	}
@@ -57,7 +60,7 @@
 		Account: fleet.AccountID(a.GetAccount()), Input: int(a.GetInput()), Output: int(a.GetOutput()),
 		Target: schema.Duration(a.GetTargetMs()), Patience: schema.Duration(a.GetPatienceMs()),
 		DataCenter: fleet.DataCenterID(a.GetDataCenter()), Software: fleet.SoftwareVersion(a.GetSoftwareVersion()),
-		Avoid: decodeAvoided(time.Now(), a.GetAvoided()),
+		Avoid: decodeAvoided(time.Now(), a.GetAvoided()), LastHolder: turn.DecodeInstance(a.GetLastHolder()),
 	}
 	for _, p := range a.GetBeginnings() {
 		r.Prefixes = append(r.Prefixes, turn.Prefix{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
--- a/home/home.go
+++ b/home/home.go
@@ -75,6 +75,8 @@
 	homeByGroup map[group]fleet.RouterID
 	lastAskID   uint64
 	pendingAsks map[uint64]*pendingAsk
+	// locations is where the prefixes of this router's requests were last read.
+	locations prefixLocations
 	// roundTrip tracks how long homes take to answer.
 	roundTrip roundTrip
 	// pendingNotes holds notes to be sent with the next message to their home.
@@ -147,13 +149,24 @@
 	if !pool.HasCaches() {
 		r.DataCenter = pool.DataCenter
 	}
+	prefix := r.SharedPrefix()
+	r.LastHolder = c.findLocation(prefix)
+	ticket, err := c.requestFromHomes(ctx, group{service, number}, pool, r)
+	if err != nil || prefix == 0 {
+		return ticket, err
+	}
+	return &locatedTicket{Ticket: ticket, coordinator: c, prefix: prefix}, nil
+}
+
+// requestFromHomes asks the homes of a group for a turn, and decides by itself if none answers.
+func (c *Coordinator) requestFromHomes(ctx context.Context, g group, pool *turn.Pool, r turn.Request) (Ticket, error) {
 	deadline := time.Now().Add(r.Patience)
 	for range maxHomes {
-		home := c.homeOf(group{service, number})
+		home := c.homeOf(g)
 		if home == c.Self {
 			break
 		}
-		ticket, err := c.ask(ctx, home, service, pool, r)
+		ticket, err := c.ask(ctx, home, g.service, pool, r)
 		var noAnswer *NoAnswerError
 		var upstreamGone *UpstreamGoneError
 		var refused *turn.RefusedError
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -334,19 +334,25 @@
 }
 
 // Ready returns the upstreams that accept new requests, by service and sorted by id.
-func (d *Directory) Ready() map[fleet.ServiceID][]Upstream {
+func (d *Directory) Ready() map[fleet.ServiceID][]Upstream { return d.listed(false) }
+
+// Draining returns the upstreams that only finish their requests, by service and sorted by id.
+func (d *Directory) Draining() map[fleet.ServiceID][]Upstream { return d.listed(true) }
+
+// listed returns the upstreams that haven't been removed and drain, or don't.
+func (d *Directory) listed(draining bool) map[fleet.ServiceID][]Upstream {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	ready := make(map[fleet.ServiceID][]Upstream)
+	byService := make(map[fleet.ServiceID][]Upstream)
 	for _, e := range d.entries {
 		u := e.change.Upstream
-		if e.change.Removed || u.Draining {
+		if e.change.Removed || u.Draining != draining {
 			continue
 		}
-		ready[u.Service] = append(ready[u.Service], u)
+		byService[u.Service] = append(byService[u.Service], u)
 	}
-	for _, list := range ready {
+	for _, list := range byService {
 		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
-	return ready
+	return byService
 }
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -53,6 +53,8 @@
 	// changes of the list and of the grouping.
 	upstreams  []registry.Upstream
 	generation int
+	// draining are upstreams that accept no requests, and whose caches can be copied.
+	draining []*engine
 	// isMixed is true when the upstreams have several software versions.
 	isMixed bool
 	// orderCache holds preference orders of the current list by shared prefix.
--- a/turn/start.go
+++ b/turn/start.go
@@ -26,6 +26,7 @@
 		t.generation = p.generation
 		t.order = p.preferenceOrder(&t.request)
 		t.widerOrder = nil
+		t.holder = p.reportedHolder(t)
 	}
 	found := p.candidatesOf(now, t, t.order)
 	if !p.grouped || !p.HasCaches() || !t.request.avoidsAll(now, found) {
@@ -97,7 +98,8 @@
 }
 
 // cacheHolder returns the upstream in the ticket's order that probably has most of the prompt in a
-// cache that a software version can read. With homes, the order contains only the ticket's group.
+// cache that a software version can read. With homes, the order contains only the ticket's group, so
+// an upstream of another group is known only from the request's router.
 func (p *Pool) cacheHolder(now time.Time, t *Ticket, software fleet.SoftwareVersion) cacheHolder {
 	r := &t.request
 	if len(r.Prefixes) == 0 {
@@ -105,16 +107,23 @@
 	}
 	var best cacheHolder
 	for _, e := range t.order {
-		if p.isMixed && e.upstream.Software != software {
-			continue
-		}
-		if cached := e.cachedTokens(now, r); cached > best.tokens && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) && r.Allows(e.upstream.DataCenter) {
+		if cached := e.cachedTokens(now, r); cached > best.tokens && p.canCopyFrom(now, e, r, software) {
 			best = cacheHolder{engine: e, tokens: cached}
 		}
 	}
+	if t.holder.tokens > best.tokens && p.canCopyFrom(now, t.holder.engine, r, software) {
+		return t.holder
+	}
 	return best
 }
 
+// canCopyFrom reports whether an upstream of a software version may copy a request's prompt from
+// another upstream's cache.
+func (p *Pool) canCopyFrom(now time.Time, e *engine, r *Request, software fleet.SoftwareVersion) bool {
+	isReadable := !p.isMixed || e.upstream.Software == software
+	return isReadable && p.detector.Usable(now, e.instance) && !r.isAvoided(now, e) && r.Allows(e.upstream.DataCenter)
+}
+
 // startWaiting starts waiting requests until none has room: those of the account with the
 // least service first, and within an account in the order of arrival. It runs at each
 // event, so it stops early when no upstream is open.
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -22,6 +22,8 @@
 	generation int
 	// widerOrder also has upstreams of other groups; nil until it is needed.
 	widerOrder []*engine
+	// holder is the upstream of another group that has the shared prefix in its cache, as of generation.
+	holder cacheHolder
 	// preferred is the upstream at which the ticket is counted while it waits, and tokens is
 	// what that upstream would probably have to read of its prompt.
 	preferred *engine
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -63,6 +63,9 @@
 	// Avoid holds the instances that the request's router must not send to at the moment. It may
 	// change while the request waits; nil means none.
 	Avoid *avoidance.Set[Instance]
+	// LastHolder is the instance at which the router's latest request with the same shared prefix
+	// began; zero if it knows none.
+	LastHolder Instance
 	// Software is the only software version that the request may be sent to, because it began the
 	// stream that the request takes up; empty means any.
 	Software fleet.SoftwareVersion
