turn: a home refuses at arrival what its account's share can't begin, and reserves return times

70 % of the refusals of a contended deployment lacked share: requests waited 110 to 225 ms in vain, were told to return in 100 ms and waited in vain again. The wait is now estimated by the account's rate as well, and each refused request gets a time at which it goes first within its account. Asks carry the caller's time left, refusals whether a turn is kept.

--- a/deployment/router.go
+++ b/deployment/router.go
@@ -140,6 +140,7 @@
 		Self: options.Self, DataCenter: options.DataCenter, ColdTolerance: options.ColdTolerance,
 		OnColdSkipped: func(reason turn.ColdReason) { r.metrics.ColdSkipped.WithLabelValues(string(reason)).Inc() },
 		OnAvoided:     r.metrics.AvoidedSends.WithLabelValues(string(avoidance.Backoff)).Inc,
+		Reservations:  r.metrics.ReservationHooks(),
 		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, RecoveryTime: options.RecoveryTime, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
 		OnLeaving: func(age time.Duration) { r.metrics.LeavingSeconds.Observe(age.Seconds()) },
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -86,6 +86,8 @@
 	// OnAvoided is called, unless it is nil, when a request can't go to an upstream that it prefers, because of
 	// a backoff.
 	OnAvoided func()
+	// Reservations are called by the pools.
+	Reservations turn.ReservationHooks
 	// RecoveryTime is how recently a list of upstreams has to be confirmed to be current; zero
 	// means follow.DefaultRecovery.
 	RecoveryTime time.Duration
@@ -356,6 +358,7 @@
 	}
 	pool := &turn.Pool{
 		DataCenter: s.options.DataCenter, OnOutlier: s.logOutlier, OnColdSkipped: s.options.OnColdSkipped, OnAvoided: s.options.OnAvoided,
+		Reservations: s.options.Reservations,
 		OwnsCold: func(now time.Time, upstream fleet.UpstreamID, group int) bool {
 			return s.ownsCold(now, id, upstream, group)
 		},
--- a/forward/job.go
+++ b/forward/job.go
@@ -227,7 +227,8 @@
 		Input: max(j.info.InputTokens, 1), Output: j.info.OutputTokens, Target: j.route.LatencyTarget,
 		Software: j.began.Software, DataCenters: j.dataCenters,
 	}
-	request.Patience = max(min(j.maxWait(), time.Until(j.deadline)), 0)
+	request.Left = max(time.Until(j.deadline), 0)
+	request.Patience = min(j.maxWait(), request.Left)
 	return request
 }
 
--- a/forward/log.go
+++ b/forward/log.go
@@ -11,6 +11,7 @@
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/stream"
+	"nutmeglock.example/nutmeglock/turn"
 )
 
 // answerLogInterval is how many normally answered requests share one log line.
@@ -90,7 +91,13 @@
 		"request", j.info.ID, "reason", e.Reason, "outcome", e.Outcome, "detail", e.Detail,
 		"route", j.routeName(), "service", j.service, "account", j.account, "configuration", j.version,
 		"resumes", j.info.Resumes, "resumed-after", j.info.LastEventID, "sends", j.sends, "runs", j.possibleRuns, "events", j.eventCount, "waited-ms", ms(j.queueTime),
-		"age-ms", ms(time.Since(j.arrived)), "retry-after-ms", ms(e.RetryAfter), "cause", errorText(e.Cause))
+		"age-ms", ms(time.Since(j.arrived)), "retry-after-ms", ms(e.RetryAfter), "reserved", isReserved(e), "cause", errorText(e.Cause))
+}
+
+// isReserved reports whether a turn is kept for a retry of the refused request.
+func isReserved(e *refusal.Error) bool {
+	var refused *turn.RefusedError
+	return errors.As(e.Cause, &refused) && refused.Reserved
 }
 
 // LogRefusals logs a summary of the refusals since the last call that weren't logged one by one.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -45,6 +45,15 @@
 	UpstreamConnections prometheus.Counter
 	// RefusedTurns counts requests that were refused their turn, by what they lacked.
 	RefusedTurns *prometheus.CounterVec
+	// TurnReservations counts requests that this router refused their turn as a home, by whether a
+	// turn is kept for their return.
+	TurnReservations *prometheus.CounterVec
+	// TurnReturns counts requests that returned and had a reservation, by whether they were in time.
+	TurnReturns *prometheus.CounterVec
+	// DueReturns counts the returns in time by whether they began.
+	DueReturns *prometheus.CounterVec
+	// WaitErrorSeconds is the predicted wait less the real one of requests that began after a wait.
+	WaitErrorSeconds prometheus.Histogram
 	// ColdSkipped counts requests that couldn't go to the cold upstream that they prefer, by
 	// reason.
 	ColdSkipped *prometheus.CounterVec
@@ -95,6 +104,10 @@
 		ControlMessages:      newCounterVec("control_messages_total", "Messages of control traffic.", "direction", "side"),
 		UpstreamConnections:  newCounter("upstream_connections_total", "Connections opened to upstreams."),
 		RefusedTurns:         newCounterVec("refused_turns_total", "Requests refused their turn, by what they lacked.", "lack"),
+		TurnReservations:     newCounterVec("turn_reservations_total", "Requests refused their turn here, by whether one is kept for their return.", "kept"),
+		TurnReturns:          newCounterVec("turn_returns_total", "Requests that returned and had a reservation, by their time.", "claim"),
+		DueReturns:           newCounterVec("due_returns_total", "Requests that returned in time, by whether they began.", "began"),
+		WaitErrorSeconds:     newWaitErrorHistogram(),
 		ColdSkipped:          newCounterVec("cold_skipped_total", "Requests kept from the cold upstream that they prefer.", "reason"),
 		AvoidedSends:         newCounterVec("avoided_sends_total", "Requests kept from an upstream that wants none, by reason.", "reason"),
 		LeavingSeconds:       newLeavingHistogram("upstream_leaving_seconds", "Age of the changes by which upstreams leave when they take effect."),
@@ -105,7 +118,7 @@
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.TurnReservations, s.TurnReturns, s.DueReturns, s.WaitErrorSeconds, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	s.initReasons()
 	return s
 }
@@ -120,6 +133,7 @@
 	for _, lack := range turn.Lacks() {
 		s.RefusedTurns.WithLabelValues(string(lack))
 	}
+	s.initReservations()
 	for _, reason := range turn.ColdReasons() {
 		s.ColdSkipped.WithLabelValues(string(reason))
 	}
--- a/turn/account.go
+++ b/turn/account.go
@@ -21,6 +21,8 @@
 	refused rate.DecayingSum
 	// refusedRequests are those whose callers may return.
 	refusedRequests refusedRequests
+	// returns holds when they may return, if this is their home.
+	returns returns
 	// shed counts the tokens of its requests that a router refused before calling Submit.
 	shed rate.DecayingSum
 	// remote is the account's usage at all other routers.
@@ -45,12 +47,6 @@
 	}
 }
 
-// recordRefused records that this pool refused a request of the account.
-func (a *account) recordRefused(now time.Time, r *Request) {
-	a.refused.Add(now, serviceWindow, r.cost())
-	a.refusedRequests.add(now, r)
-}
-
 // enqueue adds a ticket to the queue. A request that was refused before goes before those
 // that weren't.
 func (a *account) enqueue(t *Ticket) {
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -44,6 +44,8 @@
 	// OnAvoided, if set, is called when a request can't go to an upstream that it prefers, because that
 	// one wants no requests from the request's router for a while.
 	OnAvoided func()
+	// Reservations are called as refused requests are told when to return, and as they do.
+	Reservations ReservationHooks
 
 	mu        sync.Mutex
 	target    time.Duration
@@ -130,19 +132,23 @@
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
 	if wait := r.backoffWait(now, best); wait > t.patience {
-		a.recordRefused(now, &r)
+		p.recordRefused(now, a, &r)
 		return nil, p.refuseBackoff(wait)
 	}
-	t.returned = a.refusedRequests.take(now, &r) || p.isResumption(&r)
+	if early := p.identifyReturn(now, t, a); early != nil {
+		return nil, early
+	}
 	if !r.wasSent() && shares.isCapped(now, a) {
-		a.recordRefused(now, &r)
+		p.recordRefused(now, a, &r)
+		p.recordDueEnd(t, false)
 		return nil, p.refuseCapped(now, &r, best)
 	}
 	p.countColdSkipped(now, t)
 	p.countAvoided(now, t)
-	if wait := p.expectedWait(now, best, &r); wait > t.patience && !t.returned {
-		a.recordRefused(now, &r)
-		return nil, &RefusedError{Lack: p.lack(now, t), Wait: wait, RetryAfter: max(wait, minRetryAfter)}
+	t.expected = p.estimateWait(now, t, best, shares)
+	if t.expected > t.patience && !t.returned && !p.couldBegin(now, t, shares) {
+		p.recordRefused(now, a, &r)
+		return nil, p.refuseTurn(now, t, p.lack(now, t), t.expected)
 	}
 	p.enqueue(t, best)
 	p.startWaiting(now)
--- a/turn/reassign.go
+++ b/turn/reassign.go
@@ -42,7 +42,8 @@
 // refuse ends the wait of a ticket.
 func (p *Pool) refuse(now time.Time, t *Ticket, refusal *RefusedError) {
 	p.dequeue(t)
-	p.account(t.request.Account).recordRefused(now, &t.request)
+	p.recordRefused(now, p.account(t.request.Account), &t.request)
+	p.recordDueEnd(t, false)
 	t.refusal = refusal
 	t.refusal.Waited = now.Sub(t.arrivedAt)
 	t.refused <- t.refusal
--- /dev/null
+++ b/turn/reservation.go
@@ -0,0 +1,208 @@
+package turn
+
+import (
+	"math"
+	"time"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/reservation"
+)
+
+// horizonFraction is the part of a caller's remaining time after which it is asked to return at
+// the latest. Callers honour Retry-After up to a third of their time; the rest is for the
+// messages, during which that third gets shorter.
+const horizonFraction = 0.3
+
+// duePatienceFraction is the part of its target that a request which returns in time may wait at
+// least. Reading the prompt fits into the rest.
+const duePatienceFraction = 0.5
+
+// ReservationHooks are called, unless they are nil, at what happens to refused requests and their
+// reservations.
+type ReservationHooks struct {
+	// OnRefused is called when a request doesn't get its turn in time.
+	OnRefused func(reserved bool)
+	// OnReturn is called when a request returns for which a reservation was kept.
+	OnReturn func(claim reservation.Claim)
+	// OnDueEnded is called when a request that returned in time begins or is refused.
+	OnDueEnded func(began bool)
+	// OnBegun is called when a request begins that had to wait, or was predicted to.
+	OnBegun func(predicted, waited time.Duration)
+}
+
+// returns is what an account's home knows of its refused requests.
+type returns struct {
+	book reservation.Book[uint64]
+	// contendedSince is when requests of the account began to wait or to be refused, zero while
+	// none do.
+	contendedSince time.Time
+}
+
+// observe records whether the account has more requests than are served.
+func (s *returns) observe(now time.Time, contended bool) {
+	switch {
+	case !contended:
+		s.contendedSince = time.Time{}
+	case s.contendedSince.IsZero():
+		s.contendedSince = now
+	}
+}
+
+// contendedFor returns for how long the account has had more requests than are served.
+func (s *returns) contendedFor(now time.Time) time.Duration {
+	if s.contendedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.contendedSince)
+}
+
+// keepsReservations reports whether a request is given a time to return at if it doesn't get its
+// turn. That takes a home, because elsewhere the account may be served at other routers, and a
+// caller whose remaining time is known. A request that was sent before isn't refused for its
+// account's share.
+func (p *Pool) keepsReservations(r *Request) bool {
+	return r.Left > 0 && p.HasCaches() && p.isHome() && !r.wasSent() && !p.isResumption(r)
+}
+
+// recordRefused records a request that this pool refused. A home remembers it by its reservation.
+func (p *Pool) recordRefused(now time.Time, a *account, r *Request) {
+	a.refused.Add(now, serviceWindow, r.cost())
+	if !p.keepsReservations(r) {
+		a.refusedRequests.add(now, r)
+	}
+}
+
+// identifyReturn determines whether a request returns, and refuses one that returns before the time of
+// its reservation. That refusal doesn't count as further demand.
+func (p *Pool) identifyReturn(now time.Time, t *Ticket, a *account) *RefusedError {
+	r := &t.request
+	if !p.keepsReservations(r) {
+		t.returned = a.refusedRequests.take(now, r) || p.isResumption(r)
+		return nil
+	}
+	a.returns.observe(now, len(a.queue) > 0 || a.refused.At(now, serviceWindow) >= r.cost())
+	if len(r.Prefixes) == 0 {
+		return nil
+	}
+	claim := a.returns.book.Claim(now, r.promptHash())
+	if claim != reservation.Unknown && p.Reservations.OnReturn != nil {
+		p.Reservations.OnReturn(claim)
+	}
+	switch claim {
+	case reservation.Early:
+		at, _ := a.returns.book.TimeOf(r.promptHash())
+		return &RefusedError{Lack: p.lack(now, t), Wait: at.Sub(now), RetryAfter: max(at.Sub(now), minRetryAfter), Reserved: true}
+	case reservation.Due:
+		t.returned, t.isDue = true, true
+		t.patience = max(t.patience, time.Duration(duePatienceFraction*float64(r.Target)))
+	case reservation.Late, reservation.Unknown:
+	}
+	return nil
+}
+
+// estimateWait returns the time until a request could begin at an upstream. At a home it includes
+// the account's share: room that its queued requests leave unused is no room for this one.
+func (p *Pool) estimateWait(now time.Time, t *Ticket, e *engine, shares fairShares) time.Duration {
+	wait := p.expectedWait(now, e, &t.request)
+	if !p.keepsReservations(&t.request) {
+		return wait
+	}
+	return max(wait, p.shareWait(now, t, shares), 0)
+}
+
+// shareWait returns the time in which an account's share lets the requests begin that go before a
+// new one, zero if the account is below its share. It is a low estimate, as it has to be: the
+// rate isn't known until the account has had unserved requests for a whole serviceWindow, and
+// returns count by the part of callers that do return.
+func (p *Pool) shareWait(now time.Time, t *Ticket, shares fairShares) time.Duration {
+	a := p.account(t.request.Account)
+	usage := a.totalUsage(now)
+	if usage.Served < shares.fairShare(usage.hasUnmetDemand()) || a.returns.contendedFor(now) < serviceWindow {
+		return 0
+	}
+	ahead := a.queuedCost() + a.returns.book.Expected(now, now.Add(t.patience))
+	return a.beginRate(now, shares).TimeFor(ahead)
+}
+
+// queuedCost returns the cost of the account's queued requests.
+func (a *account) queuedCost() fleet.Tokens {
+	sum := 0.0
+	for _, t := range a.queue {
+		sum += t.request.cost()
+	}
+	return fleet.Tokens(sum)
+}
+
+// beginRate returns the rate at which an account's requests begin here: its service of the last
+// second, or its share if that is more. The decayed sum of its service reaches the rate only
+// after several windows, and is corrected by how long the account has had unserved requests.
+func (a *account) beginRate(now time.Time, shares fairShares) reservation.Rate {
+	windows := max(a.returns.contendedFor(now).Seconds()/serviceWindow.Seconds(), 1)
+	rate := a.servedHere.At(now, serviceWindow) / serviceWindow.Seconds() / (1 - math.Exp(-windows))
+	if share := shares.fairShare(true); !math.IsInf(share, 1) {
+		rate = max(rate, share/serviceWindow.Seconds())
+	}
+	return reservation.Rate(rate)
+}
+
+// couldBegin reports whether a request would begin now if its account's earlier ones didn't.
+func (p *Pool) couldBegin(now time.Time, t *Ticket, shares fairShares) bool {
+	if !p.keepsReservations(&t.request) {
+		return false // the estimate alone decides
+	}
+	view := p.accountView(now, shares, p.account(t.request.Account).served(now))
+	return p.roomFor(view, t) != nil
+}
+
+// refuseTurn returns the refusal of a request whose turn can't come within its patience. At a home
+// it gets a reservation, unless its caller has left.
+func (p *Pool) refuseTurn(now time.Time, t *Ticket, lack Lack, wait time.Duration) *RefusedError {
+	e := &RefusedError{Lack: lack, Wait: wait, Waited: now.Sub(t.arrivedAt), RetryAfter: max(wait, minRetryAfter)}
+	p.recordDueEnd(t, false)
+	if !p.keepsReservations(&t.request) || (e.Waited > 0 && e.Waited < t.patience) {
+		return e
+	}
+	p.reserve(now, t, e)
+	if p.Reservations.OnRefused != nil {
+		p.Reservations.OnRefused(e.Reserved)
+	}
+	return e
+}
+
+// reserve sets when a refused request should return.
+func (p *Pool) reserve(now time.Time, t *Ticket, e *RefusedError) {
+	a, r := p.account(t.request.Account), &t.request
+	left := max(r.Left-e.Waited, 0)
+	horizon := time.Duration(horizonFraction * float64(left))
+	if len(r.Prefixes) > 0 {
+		rate := a.beginRate(now, p.fairShares(now))
+		at, reserved := a.returns.book.Reserve(now, r.promptHash(), reservation.Demand{
+			Cost: fleet.Tokens(r.cost()), Rate: rate, Horizon: horizon,
+			Earliest: now.Add(max(e.Wait, rate.TimeFor(a.queuedCost()), minRetryAfter)),
+		})
+		if !at.IsZero() {
+			e.Wait = at.Sub(now)
+		}
+		e.Reserved = reserved
+	}
+	e.RetryAfter = e.Wait
+	if !e.Reserved && e.Wait <= left { // a retry at the horizon may still meet with room
+		e.RetryAfter = min(e.Wait, horizon)
+	}
+	e.RetryAfter = max(e.RetryAfter, minRetryAfter)
+}
+
+// recordBegin reports that a request begins.
+func (p *Pool) recordBegin(now time.Time, t *Ticket) {
+	p.recordDueEnd(t, true)
+	waited := now.Sub(t.arrivedAt)
+	if p.Reservations.OnBegun != nil && p.keepsReservations(&t.request) && max(t.expected, waited) > 0 {
+		p.Reservations.OnBegun(t.expected, waited)
+	}
+}
+
+func (p *Pool) recordDueEnd(t *Ticket, began bool) {
+	if t.isDue && p.Reservations.OnDueEnded != nil {
+		p.Reservations.OnDueEnded(began)
+	}
+}
--- a/turn/start.go
+++ b/turn/start.go
@@ -164,17 +164,25 @@
 
 // tryStart starts a ticket if the best of its candidates has room.
 func (p *Pool) tryStart(view *View, t *Ticket) bool {
+	best := p.roomFor(view, t)
+	if best == nil {
+		return false
+	}
+	p.start(view, t, best)
+	return true
+}
+
+// roomFor returns the best of a ticket's candidates if that has room, or else nil.
+func (p *Pool) roomFor(view *View, t *Ticket) *engine {
 	candidates := p.candidates(view.now, t)
 	open := slices.ContainsFunc(candidates, func(e *engine) bool { return p.isOpen(view, e) })
 	if !open {
-		return false
+		return nil
 	}
-	best := p.bestCandidate(view, t, candidates)
-	if p.hasRoom(view, best, &t.request) {
-		p.start(view, t, best)
-		return true
+	if best := p.bestCandidate(view, t, candidates); p.hasRoom(view, best, &t.request) {
+		return best
 	}
-	return false
+	return nil
 }
 
 // waitingAccount is an account with waiting requests, and its service.
@@ -203,6 +211,7 @@
 func (p *Pool) start(view *View, t *Ticket, e *engine) {
 	now := view.now
 	p.dequeue(t)
+	p.recordBegin(now, t)
 	t.engine = e
 	t.upstream = e.upstream
 	t.startedAt = now
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -16,6 +16,10 @@
 	patience time.Duration
 	// returned is true if the request was refused before.
 	returned bool
+	// isDue is true if it returned at the time that was reserved for it, and expected is the wait
+	// that was predicted for it.
+	isDue    bool
+	expected time.Duration
 	// order lists the upstreams that may serve the request in order of preference, as of
 	// generation of the pool's list.
 	order      []*engine
@@ -78,9 +82,8 @@
 	}
 	lack := p.lack(now, t)
 	p.dequeue(t)
-	p.account(t.request.Account).recordRefused(now, &t.request)
-	wait := max(p.expectedWait(now, t.preferred, &t.request), 0)
-	t.refusal = &RefusedError{Lack: lack, Wait: wait, Waited: now.Sub(t.arrivedAt), RetryAfter: max(wait, minRetryAfter)}
+	p.recordRefused(now, p.account(t.request.Account), &t.request)
+	t.refusal = p.refuseTurn(now, t, lack, max(p.expectedWait(now, t.preferred, &t.request), 0))
 	return t.refusal
 }
 
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -53,6 +53,8 @@
 	Target time.Duration
 	// Patience is the longest time that the request may wait for its turn.
 	Patience time.Duration
+	// Left is the time until its caller's deadline, zero if that isn't known.
+	Left time.Duration
 	// DataCenter is that of the router that sends the request, where it matters; empty means
 	// that of the pool.
 	DataCenter fleet.DataCenterID
@@ -105,6 +107,8 @@
 	// Capped is true when the account has reached its service cap, which applies while
 	// another account is throttled by its router.
 	Capped bool
+	// Reserved is true when a turn is kept for a retry after RetryAfter.
+	Reserved bool
 }
 
 // Error implements error.
