--- a/home/home_test.go
+++ b/home/home_test.go
@@ -33,6 +33,8 @@
 	routers  map[fleet.RouterID]*home.Coordinator
 	pools    map[fleet.RouterID]*turn.Pool
 	isolated map[fleet.RouterID]bool
+	// mute routers receive messages, and theirs are dropped.
+	mute map[fleet.RouterID]bool
 	// readDelay is the additional delay until a router reads a message.
 	readDelay map[fleet.RouterID]time.Duration
 	// askCount counts the asks sent to each router.
@@ -54,7 +56,7 @@
 func startNetwork(routers, upstreams int) *network {
 	n := &network{
 		routers: make(map[fleet.RouterID]*home.Coordinator), pools: make(map[fleet.RouterID]*turn.Pool),
-		isolated: make(map[fleet.RouterID]bool), askCount: make(map[fleet.RouterID]int),
+		isolated: make(map[fleet.RouterID]bool), mute: make(map[fleet.RouterID]bool), askCount: make(map[fleet.RouterID]int),
 		readDelay: make(map[fleet.RouterID]time.Duration),
 	}
 	for i := range routers {
@@ -91,7 +93,7 @@
 	defer n.mu.Unlock()
 	n.askCount[to] += len(batch.GetTurnAsks())
 	receiver := n.routers[to]
-	if n.isolated[from] || n.isolated[to] || receiver == nil {
+	if n.isolated[from] || n.isolated[to] || n.mute[from] || receiver == nil {
 		return
 	}
 	time.AfterFunc(messageDelay+n.readDelay[to], func() { receiver.HandleBatch(from, batch) })
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -68,6 +68,8 @@
 	resumeShare float64
 	// resumers is the account that takes up streams, empty for all.
 	resumers fleet.AccountID
+	// callers describes callers that return after a refusal; nil means that none do.
+	callers *simCallers
 }
 
 // simAccount sends requests by a Poisson process to some of the routers.
@@ -172,7 +174,7 @@
 // engines and receives all requests for them.
 func (m *simulation) makePools() {
 	for home := range m.config.homes {
-		p := &turn.Pool{}
+		p := &turn.Pool{Reservations: m.config.callers.hooks()}
 		p.SetGrouped(m.now, true)
 		p.SetUpstreams(m.now, m.upstreamsOf(home), m.config.target)
 		m.pools = append(m.pools, p)
@@ -229,6 +231,9 @@
 	if m.config.homes > 0 {
 		pool = int(prefix) % m.config.homes
 	}
+	if c := m.config.callers; c != nil && c.isStated {
+		r.Left = c.left
+	}
 	m.submit(pool, r, m.now)
 }
 
@@ -264,8 +269,7 @@
 func (m *simulation) submit(router int, r turn.Request, arrivedAt time.Time) {
 	t, err := m.pools[router].Submit(m.now, r)
 	if err != nil {
-		m.recordIdleOwner(router, r)
-		m.refuse(r)
+		m.handleRefusal(router, r, arrivedAt, err)
 		return
 	}
 	m.pollTicket(router, t, r, arrivedAt, m.now.Add(t.Patience()))
@@ -277,12 +281,12 @@
 	case isGranted(t):
 		m.schedule(networkDelay, func() { m.runOnEngine(t, r, arrivedAt) })
 	case !m.now.Before(cancelAt):
-		if t.Cancel(m.now) == nil {
+		refused := t.Cancel(m.now)
+		if refused == nil {
 			m.schedule(networkDelay, func() { m.runOnEngine(t, r, arrivedAt) })
 			return
 		}
-		m.recordIdleOwner(router, r)
-		m.refuse(r)
+		m.handleRefusal(router, r, arrivedAt, refused)
 	default:
 		m.schedule(2*time.Millisecond, func() { m.pollTicket(router, t, r, arrivedAt, cancelAt) })
 	}
--- /dev/null
+++ b/turn/reservation_model_test.go
@@ -0,0 +1,81 @@
+package turn_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/turn"
+)
+
+// simCallers are callers that return once after a refusal, and what became of their requests.
+type simCallers struct {
+	// left is the time that each has, and isStated whether its home is told.
+	left     time.Duration
+	isStated bool
+	returned map[uint64]bool
+	// waitedInVain is the total wait of attempts that were refused.
+	waitedInVain time.Duration
+	// due counts the returns in time by whether they began.
+	due map[bool]int
+}
+
+func (c *simCallers) hooks() turn.ReservationHooks {
+	if c == nil {
+		return turn.ReservationHooks{}
+	}
+	return turn.ReservationHooks{OnDueEnded: func(began bool) { c.due[began]++ }}
+}
+
+// handleRefusal has the caller of a refused request return, or counts the request as refused.
+func (m *simulation) handleRefusal(home int, r turn.Request, arrivedAt time.Time, err error) {
+	m.recordIdleOwner(home, r)
+	c := m.config.callers
+	if c == nil {
+		m.refuse(r)
+		return
+	}
+	var refused *turn.RefusedError
+	errors.As(err, &refused)
+	c.waitedInVain += refused.Waited
+	id, left := r.Prefixes[len(r.Prefixes)-1].Hash, c.left-m.now.Sub(arrivedAt)
+	if c.returned[id] || refused.RetryAfter > left/3 {
+		m.refuse(r)
+		return
+	}
+	c.returned[id] = true
+	m.schedule(refused.RetryAfter+2*networkDelay, func() {
+		if c.isStated {
+			r.Left = left - refused.RetryAfter
+		}
+		m.submit(home, r, m.now)
+	})
+}
+
+// Guards against requests of accounts above their share that wait in vain, return as soon and
+// wait in vain again, and against reservations that cost service or fairness.
+func TestReservedReturnsAreServed(t *testing.T) {
+	t.Parallel()
+	const minShare, minBegun, maxLate = 0.65, 0.7, 0.01
+	for _, overload := range []float64{5, 12} {
+		run := func(isStated bool) *simulation {
+			config := largeFleetConfig(1, overload)
+			config.homes = 8
+			config.callers = &simCallers{left: 4 * time.Second, isStated: isStated, returned: make(map[uint64]bool), due: make(map[bool]int)}
+			return simulate(config)
+		}
+		before, sim := run(false), run(true)
+		callers := sim.config.callers
+		t.Logf("overload %v: served %d, %d before; waited in vain %v, %v before; returns that began %v", overload,
+			sim.inTime, before.inTime, callers.waitedInVain, before.config.callers.waitedInVain, callers.due)
+		require.Greater(t, sim.inTime, before.inTime*99/100)
+		require.Less(t, sim.refused, before.refused)
+		require.Less(t, callers.waitedInVain, before.config.callers.waitedInVain*2/3)
+		require.Greater(t, float64(callers.due[true]), minBegun*float64(callers.due[true]+callers.due[false]))
+		require.Less(t, float64(sim.late), maxLate*float64(sim.inTime))
+		share, account, second := sim.lowestShare()
+		require.Greater(t, share, minShare, "%s from second %d", account, second)
+	}
+}
--- /dev/null
+++ b/turn/reservation_test.go
@@ -0,0 +1,147 @@
+package turn_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/reservation"
+	"nutmeglock.example/nutmeglock/turn"
+)
+
+// Guards against requests that wait in vain for the share of an account that many of its requests
+// wait for, and against an estimate that refuses what could begin or what it can't know.
+func TestRequestBeyondTheShareIsRefusedAtArrival(t *testing.T) {
+	t.Parallel()
+	p, id := newPool(12), uint64(100)
+	p.SetGrouped(start, true)
+	submit := func(now time.Time, account fleet.AccountID, prefix uint64, tokens int) (*turn.Ticket, error) {
+		id++
+		r := prompt(account, prefix, id, tokens)
+		r.Left = time.Minute
+		return p.Submit(now, r)
+	}
+	for waiting := 0; waiting < 4; {
+		ticket, err := submit(start, "big", 1, 2_000)
+		require.NoError(t, err)
+		if !isGranted(ticket) {
+			waiting++
+		}
+	}
+	later := start.Add(1300 * time.Millisecond)
+	for _, accepted := range []struct {
+		account fleet.AccountID
+		at      time.Time
+		reason  string
+	}{
+		{"other", start, "nothing waits"},
+		{"other", start, "the rate isn't known"},
+		{"big", start.Add(900 * time.Millisecond), "the rate isn't known yet"},
+		{"other", later, "the account is below its share"},
+	} {
+		_, err := submit(accepted.at, accepted.account, 1, 3_000)
+		require.NoError(t, err, accepted.reason)
+	}
+	_, err := submit(later, "big", 1, 2_000)
+	var refused *turn.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.True(t, refused.Reserved)
+	require.Zero(t, refused.Waited)
+	idle, err := submit(later, "big", 4, 2_000)
+	require.NoError(t, err)
+	require.True(t, isGranted(idle), "an engine of its own prefix is idle")
+}
+
+// returningHome is a home with one engine that reads a long prompt, four requests of the account
+// that wait longer than any caller, and one that was refused.
+type returningHome struct {
+	*turn.Pool
+	long      *turn.Ticket
+	newcomers []*turn.Ticket
+	refused   turn.Request
+	at        time.Time
+	claims    []reservation.Claim
+}
+
+func newReturningHome(t *testing.T) *returningHome {
+	t.Helper()
+	h := &returningHome{Pool: newHomePool(), refused: prompt("a", 1, 900, 12_000)}
+	h.Reservations.OnReturn = func(claim reservation.Claim) { h.claims = append(h.claims, claim) }
+	h.long = startLongPrompt(t, h.Pool)
+	for i := range uint64(4) {
+		r := prompt("a", 1, 200+i, 12_000)
+		r.Patience, r.Left = time.Hour, time.Hour
+		ticket, err := h.Submit(start, r)
+		require.NoError(t, err)
+		h.newcomers = append(h.newcomers, ticket)
+	}
+	h.refused.Left = 10 * time.Second
+	refused := h.refuse(t, h.Pool, start)
+	require.True(t, refused.Reserved)
+	require.LessOrEqual(t, refused.RetryAfter, h.refused.Left/3)
+	h.at = start.Add(refused.RetryAfter)
+	return h
+}
+
+func (h *returningHome) refuse(t *testing.T, p *turn.Pool, now time.Time) *turn.RefusedError {
+	t.Helper()
+	_, err := p.Submit(now, h.refused)
+	var refused *turn.RefusedError
+	require.ErrorAs(t, err, &refused)
+	return refused
+}
+
+// Guards against a promise that isn't kept, and against callers that gain by returning before
+// their time or again.
+func TestDueReturnGoesFirstAndEarlyOnesAreRefused(t *testing.T) {
+	t.Parallel()
+	h := newReturningHome(t)
+	for _, early := range []time.Duration{time.Second, 60 * time.Millisecond} {
+		refused := h.refuse(t, h.Pool, h.at.Add(-early))
+		require.Equal(t, early, refused.Wait)
+		require.True(t, refused.Reserved)
+	}
+	ticket, err := h.Submit(h.at, h.refused)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, ticket.Patience(), target/2)
+	require.Positive(t, h.refuse(t, h.Pool, h.at).Wait, "a repeated return is a new request")
+	h.long.RecordFirstEvent(h.at.Add(10 * time.Millisecond))
+	require.True(t, isGranted(ticket))
+	for _, newcomer := range h.newcomers {
+		require.False(t, isGranted(newcomer))
+	}
+	require.Equal(t, []reservation.Claim{reservation.Early, reservation.Early, reservation.Due}, h.claims)
+}
+
+// Guards against a reservation that outlives its time, and against a second home of the group, or
+// one that lost its reservations, which treats a return as anything but a new request.
+func TestLateReturnsAndThoseAtAnotherHomeAreNewRequests(t *testing.T) {
+	t.Parallel()
+	h := newReturningHome(t)
+	require.Positive(t, h.refuse(t, h.Pool, h.at.Add(reservation.Expiry+time.Millisecond)).Wait)
+	require.Equal(t, []reservation.Claim{reservation.Late}, h.claims)
+	h = newReturningHome(t)
+	ticket, err := newHomePool().Submit(h.at.Add(-time.Second), h.refused)
+	require.NoError(t, err)
+	require.True(t, isGranted(ticket))
+	require.Empty(t, h.claims)
+}
+
+// Guards against a change of what small fleets and routers of older software decide.
+func TestOnlyHomesKeepReservations(t *testing.T) {
+	t.Parallel()
+	ungrouped := newPool(1)
+	for i := range uint64(8) {
+		r := prompt("a", 1, 100+i, 40_000)
+		r.Left = 10 * time.Second
+		if _, err := ungrouped.Submit(start, r); err != nil {
+			var refused *turn.RefusedError
+			require.ErrorAs(t, err, &refused)
+			require.False(t, refused.Reserved)
+			_, err = ungrouped.Submit(start.Add(time.Millisecond), r)
+			require.NoError(t, err, "a return is accepted at any time")
+		}
+	}
+}
