--- a/turn/machine_test.go
+++ b/turn/machine_test.go
@@ -85,9 +85,11 @@
 func (m *poolMachine) submit(t *rapid.T) {
 	m.advance(t)
 	m.lastPrompt++
-	r := prompt(rapid.SampledFrom([]fleet.AccountID{"a", "b", "c"}).Draw(t, "account"), rapid.Uint64Range(1, 4).Draw(t, "shared"), 100+m.lastPrompt,
+	id := m.lastPrompt - min(rapid.Uint64Range(0, 3).Draw(t, "returns"), m.lastPrompt-1)
+	r := prompt(rapid.SampledFrom([]fleet.AccountID{"a", "b", "c"}).Draw(t, "account"), rapid.Uint64Range(1, 4).Draw(t, "shared"), 100+id,
 		rapid.SampledFrom([]int{-10_000, 1_000, 200_000}).Draw(t, "tokens"))
 	r.Patience = rapid.SampledFrom([]time.Duration{0, target, time.Hour}).Draw(t, "patience")
+	r.Left = rapid.SampledFrom([]time.Duration{0, 4 * time.Second, time.Hour}).Draw(t, "left")
 	for i := range m.incarnations {
 		if rapid.IntRange(0, 5).Draw(t, "tried") == 0 {
 			r.Tried = append(r.Tried, turn.Instance{ID: fleet.UpstreamID(fmt.Sprintf("e%d", i)), StartTime: m.incarnations[i]})
@@ -99,6 +101,7 @@
 		var refused *turn.RefusedError
 		require.ErrorAs(t, err, &refused)
 		require.Positive(t, refused.RetryAfter)
+		require.False(t, refused.Reserved && refused.RetryAfter > r.Left/3, "the caller doesn't return so late")
 		return
 	}
 	m.tickets = append(m.tickets, &trackedTicket{Ticket: ticket, request: r, submittedAt: m.now})
