--- a/reservation/reservation_test.go
+++ b/reservation/reservation_test.go
@@ -58,28 +58,26 @@
 	}
 }
 
-// Guards against an account whose new requests are refused for the sake of callers that
-// never return.
+// Guards against new requests that are refused for the sake of callers that never return.
 func TestCallersThatNeverReturnAreNotExpected(t *testing.T) {
 	t.Parallel()
-	var returning, absent reservation.Book[int]
-	now := start
-	for i := range 100 {
-		d := demand
-		d.Earliest = now.Add(50 * time.Millisecond)
-		_, ok := returning.Reserve(now, i, d)
-		require.True(t, ok)
-		_, ok = absent.Reserve(now, i, d)
-		require.True(t, ok)
-		now = now.Add(100 * time.Millisecond)
-		require.Equal(t, reservation.Due, returning.Claim(now, i))
-	}
-	for _, b := range []*reservation.Book[int]{&returning, &absent} {
-		_, ok := b.Reserve(now, 1_000, demand)
+	for _, returns := range []bool{false, true} {
+		var b reservation.Book[int]
+		now := start
+		for i := range 100 {
+			at, ok := b.Reserve(now, i, demand)
+			require.True(t, ok)
+			if now = at; returns {
+				require.Equal(t, reservation.Due, b.Claim(now, i))
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		_, ok := b.Reserve(now, 100, demand)
 		require.True(t, ok)
+		expected := b.Expected(now, now.Add(time.Second))
+		require.Equal(t, returns, expected > 9*demand.Cost/10, expected)
+		require.Equal(t, !returns, expected == 0, expected)
 	}
-	require.Greater(t, returning.Expected(now, now.Add(time.Second)), 9*demand.Cost/10)
-	require.Zero(t, absent.Expected(now, now.Add(time.Second)))
 }
 
 // Guards against an account that gains service by returning early, often, late or at several
