turn: reservations only for what can be in time, late returns after all others

A caller that returned after seconds went first within its account and took the place of a request that would have been in time. A reservation is now kept only at a time at which the first event can be in time, counted from the arrival that the home remembers. Late returns get only upstreams that are idle. The share refuses at arrival only beyond ten patiences.

--- a/forward/job.go
+++ b/forward/job.go
@@ -228,6 +228,7 @@
 		Software: j.began.Software, DataCenters: j.dataCenters,
 	}
 	request.Left = max(time.Until(j.deadline), 0)
+	request.Age = time.Since(j.arrived)
 	request.Patience = min(j.maxWait(), request.Left)
 	return request
 }
--- a/home/codec.go
+++ b/home/codec.go
@@ -14,7 +14,7 @@
 	a := &schema.TurnAsk{
 		Id: id, Service: string(service), Account: string(r.Account), Input: uint32(max(r.Input, 0)), Output: uint32(max(r.Output, 0)),
 		TargetMs: schema.Millis(r.Target), PatienceMs: schema.Millis(r.Patience), DataCenter: string(r.DataCenter),
-		SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Left),
+		SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Left), AgeMs: schema.Millis(r.Age),
 	}
 	for _, dataCenter := range r.DataCenters {
 		a.DataCenters = append(a.DataCenters, string(dataCenter))
@@ -57,7 +57,7 @@
 		Account: fleet.AccountID(a.GetAccount()), Input: int(a.GetInput()), Output: int(a.GetOutput()),
 		Target: schema.Duration(a.GetTargetMs()), Patience: schema.Duration(a.GetPatienceMs()),
 		DataCenter: fleet.DataCenterID(a.GetDataCenter()), Software: fleet.SoftwareVersion(a.GetSoftwareVersion()),
-		Avoid: decodeAvoided(time.Now(), a.GetAvoided()), Left: schema.Duration(a.GetLeftMs()),
+		Avoid: decodeAvoided(time.Now(), a.GetAvoided()), Left: schema.Duration(a.GetLeftMs()), Age: schema.Duration(a.GetAgeMs()),
 	}
 	for _, p := range a.GetBeginnings() {
 		r.Prefixes = append(r.Prefixes, turn.Prefix{Hash: p.GetHash(), Tokens: int(p.GetTokens())})
--- a/turn/model_test.go
+++ b/turn/model_test.go
@@ -68,6 +68,9 @@
 	resumeShare float64
 	// resumers is the account that takes up streams, empty for all.
 	resumers fleet.AccountID
+	// promptTokens and sharedTokens are the median lengths of prompts and of their shared
+	// prefixes, which vary little; zero means lengths of a wide distribution.
+	promptTokens, sharedTokens int
 	// callers describes callers that return after a refusal; nil means that none do.
 	callers *simCallers
 }
@@ -212,6 +215,10 @@
 	prefix := uint64(m.random.IntN(m.config.prefixes)) + 1
 	prefixTokens := int(min(6_000*math.Exp(m.random.NormFloat64()*0.7), 30_000))
 	ownTokens := int(min(2_000*math.Exp(m.random.NormFloat64()), 30_000))
+	if m.config.promptTokens > 0 {
+		prefixTokens = m.config.sharedTokens
+		ownTokens = int(float64(m.config.promptTokens-prefixTokens) * (0.5 + m.random.Float64()))
+	}
 	r := turn.Request{
 		Account: a.id, Input: prefixTokens + ownTokens, Output: 100, Target: m.config.target, Patience: m.config.target / 4,
 		Prefixes: []turn.Prefix{{Hash: prefix, Tokens: prefixTokens}, {Hash: 1<<40 + m.lastSeq, Tokens: prefixTokens + ownTokens}},
--- a/turn/pool.go
+++ b/turn/pool.go
@@ -131,23 +131,23 @@
 	t.tokens, _ = view.prefillCost(best, &r)
 	a, shares := p.account(r.Account), p.fairShares(now)
 	t.patience = patience(shares, a.totalUsage(now), &r)
+	t.timing = p.timingOf(now, t)
 	if wait := r.backoffWait(now, best); wait > t.patience {
-		p.recordRefused(now, a, &r)
+		p.recordRefused(now, t)
 		return nil, p.refuseBackoff(wait)
 	}
 	if early := p.identifyReturn(now, t, a); early != nil {
 		return nil, early
 	}
 	if !r.wasSent() && shares.isCapped(now, a) {
-		p.recordRefused(now, a, &r)
+		p.recordRefused(now, t)
 		p.recordDueEnd(t, false)
 		return nil, p.refuseCapped(now, &r, best)
 	}
 	p.countColdSkipped(now, t)
 	p.countAvoided(now, t)
-	t.expected = p.estimateWait(now, t, best, shares)
-	if t.expected > t.patience && !t.returned && !p.couldBegin(now, t, shares) {
-		p.recordRefused(now, a, &r)
+	if p.comesTooLate(now, t, best, shares) && !t.returned && !p.couldBegin(now, t, shares) {
+		p.recordRefused(now, t)
 		return nil, p.refuseTurn(now, t, p.lack(now, t), t.expected)
 	}
 	p.enqueue(t, best)
--- a/turn/reassign.go
+++ b/turn/reassign.go
@@ -42,7 +42,7 @@
 // refuse ends the wait of a ticket.
 func (p *Pool) refuse(now time.Time, t *Ticket, refusal *RefusedError) {
 	p.dequeue(t)
-	p.recordRefused(now, p.account(t.request.Account), &t.request)
+	p.recordRefused(now, t)
 	p.recordDueEnd(t, false)
 	t.refusal = refusal
 	t.refusal.Waited = now.Sub(t.arrivedAt)
--- a/turn/refused_requests.go
+++ b/turn/refused_requests.go
@@ -13,35 +13,41 @@
 // refusedRequests remembers the requests of an account that were refused, by the hash of
 // their prompts. Its zero value is empty.
 type refusedRequests struct {
-	// current holds when requests were refused since rotatedAt, and previous those before.
-	current, previous map[uint64]time.Time
+	// current holds the requests that were refused since rotatedAt, and previous those before.
+	current, previous map[uint64]refusedRequest
 	rotatedAt         time.Time
 }
 
-// add remembers a request.
-func (s *refusedRequests) add(now time.Time, r *Request) {
+// refusedRequest is when a request was refused, and when it first arrived at a router.
+type refusedRequest struct{ refusedAt, arrivedAt time.Time }
+
+// add remembers a request that arrived at a router at arrivedAt, or earlier if it is remembered already.
+func (s *refusedRequests) add(now time.Time, r *Request, arrivedAt time.Time) {
 	if len(r.Prefixes) == 0 {
 		return
 	}
 	if s.current == nil || now.Sub(s.rotatedAt) > retryMemory || len(s.current) >= maxRemembered {
-		s.previous, s.current = s.current, make(map[uint64]time.Time)
+		s.previous, s.current = s.current, make(map[uint64]refusedRequest)
 		s.rotatedAt = now
 	}
-	s.current[r.promptHash()] = now
+	if first, known := s.take(now, r); known && first.Before(arrivedAt) {
+		arrivedAt = first
+	}
+	s.current[r.promptHash()] = refusedRequest{refusedAt: now, arrivedAt: arrivedAt}
 }
 
-// take reports whether a request was refused lately, and forgets it.
-func (s *refusedRequests) take(now time.Time, r *Request) bool {
+// take reports whether a request was refused lately and when it first arrived, and forgets it.
+func (s *refusedRequests) take(now time.Time, r *Request) (arrivedAt time.Time, known bool) {
 	if len(r.Prefixes) == 0 {
-		return false
+		return time.Time{}, false
 	}
-	for _, requests := range []map[uint64]time.Time{s.current, s.previous} {
-		if at, known := requests[r.promptHash()]; known {
+	for _, requests := range []map[uint64]refusedRequest{s.current, s.previous} {
+		if refused, known := requests[r.promptHash()]; known {
 			delete(requests, r.promptHash())
-			return now.Sub(at) <= retryMemory
+			return refused.arrivedAt, now.Sub(refused.refusedAt) <= retryMemory
 		}
 	}
-	return false
+	return time.Time{}, false
 }
 
 // promptHash returns the hash of the whole prompt.
--- a/turn/reservation.go
+++ b/turn/reservation.go
@@ -13,6 +13,23 @@
 // messages, during which that third gets shorter.
 const horizonFraction = 0.3
 
+// maxRetryAfter is the longest time after which a caller is asked to return: refused requests are
+// remembered for retryMemory.
+const maxRetryAfter = retryMemory - reservation.Expiry
+
+// shareWaitFactor is how many times its patience the wait for its account's share must be for a
+// request to be refused at arrival. Requests ahead give up after their patience, so a shorter
+// queue may still empty in time: with 6, fewer requests were in target at 1.2 times the load.
+const shareWaitFactor = 10
+
+// startMargin is the part of the target that is left between the latest time of a reservation and
+// the latest start that is in time. A due return still waits for its account's turn.
+const startMargin = 0.2
+
+// overbooking is the rate of reservations relative to that at which the account's requests begin,
+// since many returns find room besides.
+const overbooking = 1.5
+
 // duePatienceFraction is the part of its target that a request which returns in time may wait at
 // least. Reading the prompt fits into the rest.
 const duePatienceFraction = 0.5
@@ -64,12 +81,63 @@
 	return r.Left > 0 && p.HasCaches() && p.isHome() && !r.wasSent() && !p.isResumption(r)
 }
 
-// recordRefused records a request that this pool refused. A home remembers it by its reservation.
-func (p *Pool) recordRefused(now time.Time, a *account, r *Request) {
-	a.refused.Add(now, serviceWindow, r.cost())
-	if !p.keepsReservations(r) {
-		a.refusedRequests.add(now, r)
+// timing is when a request has to begin to be in time.
+type timing struct {
+	// arrivedAt is when the request first arrived at a router, before any refusal.
+	arrivedAt time.Time
+	// latestStart is the latest start with which its first event is in time, zero if that doesn't matter.
+	latestStart time.Time
+	// isReturn is true if the request was refused before.
+	isReturn bool
+}
+
+// timingOf returns the timing of a new request.
+func (p *Pool) timingOf(now time.Time, t *Ticket) timing {
+	r := &t.request
+	timing := timing{arrivedAt: now.Add(-r.Age)}
+	if p.keepsReservations(r) && r.Target > 0 {
+		timing.latestStart = timing.arrivedAt.Add(r.Target - p.latency.firstEvent(t.tokens))
+	}
+	return timing
+}
+
+// recordReturn records that the request first arrived at another time and was refused.
+func (t *timing) recordReturn(arrivedAt time.Time) {
+	t.isReturn = true
+	if earlier := t.arrivedAt.Sub(arrivedAt); earlier > 0 {
+		t.arrivedAt = arrivedAt
+		t.latestStart = t.latestStart.Add(-earlier)
+	}
+}
+
+// isLate reports whether a return can't be in time any more. New requests are never late: a
+// prompt that takes longer to read than its target would not begin at all.
+func (t *Ticket) isLate(now time.Time) bool {
+	return t.timing.isReturn && t.timing.latestStart.Before(now)
+}
+
+// startLateReturn starts the first late return of the account with the least service that has
+// one, at an upstream that the requests which can still be in time leave idle.
+func (p *Pool) startLateReturn(now time.Time, shares fairShares, accounts []waitingAccount) bool {
+	view := p.view(now, minBacklogFactor)
+	for _, a := range accounts {
+		if shares.isCapped(now, a.account) {
+			continue
+		}
+		for _, t := range a.queue {
+			if t.isLate(now) && p.tryStart(view, t) {
+				return true
+			}
+		}
 	}
+	return false
+}
+
+// recordRefused records a request that this pool refused.
+func (p *Pool) recordRefused(now time.Time, t *Ticket) {
+	a := p.account(t.request.Account)
+	a.refused.Add(now, serviceWindow, t.request.cost())
+	a.refusedRequests.add(now, &t.request, t.timing.arrivedAt)
 }
 
 // identifyReturn determines whether a request returns, and refuses one that returns before the time of
@@ -77,7 +145,8 @@
 func (p *Pool) identifyReturn(now time.Time, t *Ticket, a *account) *RefusedError {
 	r := &t.request
 	if !p.keepsReservations(r) {
-		t.returned = a.refusedRequests.take(now, r) || p.isResumption(r)
+		_, known := a.refusedRequests.take(now, r)
+		t.returned = known || p.isResumption(r)
 		return nil
 	}
 	a.returns.observe(now, len(a.queue) > 0 || a.refused.At(now, serviceWindow) >= r.cost())
@@ -88,26 +157,34 @@
 	if claim != reservation.Unknown && p.Reservations.OnReturn != nil {
 		p.Reservations.OnReturn(claim)
 	}
-	switch claim {
-	case reservation.Early:
+	if claim == reservation.Early {
 		at, _ := a.returns.book.TimeOf(r.promptHash())
 		return &RefusedError{Lack: p.lack(now, t), Wait: at.Sub(now), RetryAfter: max(at.Sub(now), minRetryAfter), Reserved: true}
-	case reservation.Due:
-		t.returned, t.isDue = true, true
-		t.patience = max(t.patience, time.Duration(duePatienceFraction*float64(r.Target)))
-	case reservation.Late, reservation.Unknown:
+	}
+	if arrivedAt, known := a.refusedRequests.take(now, r); known {
+		t.timing.recordReturn(arrivedAt)
+	}
+	if claim == reservation.Due {
+		t.returned, t.isDue = !t.isLate(now), true
+		t.patience = max(t.patience, min(t.timing.latestStart.Sub(now), time.Duration(duePatienceFraction*float64(r.Target))))
 	}
 	return nil
 }
 
-// estimateWait returns the time until a request could begin at an upstream. At a home it includes
-// the account's share: room that its queued requests leave unused is no room for this one.
-func (p *Pool) estimateWait(now time.Time, t *Ticket, e *engine, shares fairShares) time.Duration {
-	wait := p.expectedWait(now, e, &t.request)
-	if !p.keepsReservations(&t.request) {
-		return wait
+// comesTooLate reports whether a request's turn will probably not come within its patience, and
+// records the estimate. At a home the estimate includes the account's share: room that its queued
+// requests leave unused is no room for this one.
+func (p *Pool) comesTooLate(now time.Time, t *Ticket, e *engine, shares fairShares) bool {
+	t.expected = p.expectedWait(now, e, &t.request)
+	if t.expected > t.patience || !p.keepsReservations(&t.request) {
+		return t.expected > t.patience
+	}
+	wait := p.shareWait(now, t, shares)
+	t.expected = max(t.expected, wait, 0)
+	if t.isLate(now) {
+		return wait > t.patience
 	}
-	return max(wait, p.shareWait(now, t, shares), 0)
+	return wait > shareWaitFactor*t.patience
 }
 
 // shareWait returns the time in which an account's share lets the requests begin that go before a
@@ -151,6 +228,9 @@
 		return false // the estimate alone decides
 	}
 	view := p.accountView(now, shares, p.account(t.request.Account).served(now))
+	if t.isLate(now) {
+		view = p.view(now, minBacklogFactor)
+	}
 	return p.roomFor(view, t) != nil
 }
 
@@ -169,16 +249,17 @@
 	return e
 }
 
-// reserve sets when a refused request should return.
+// reserve sets when a refused request should return. A reservation is kept only if the request
+// can still be in time then.
 func (p *Pool) reserve(now time.Time, t *Ticket, e *RefusedError) {
 	a, r := p.account(t.request.Account), &t.request
-	left := max(r.Left-e.Waited, 0)
-	horizon := time.Duration(horizonFraction * float64(left))
-	if len(r.Prefixes) > 0 {
-		rate := a.beginRate(now, p.fairShares(now))
+	horizon := min(time.Duration(horizonFraction*float64(max(r.Left-e.Waited, 0))), maxRetryAfter)
+	rate := overbooking * a.beginRate(now, p.fairShares(now))
+	queued := a.queuedCost()
+	if len(r.Prefixes) > 0 && r.Target > 0 {
 		at, reserved := a.returns.book.Reserve(now, r.promptHash(), reservation.Demand{
-			Cost: fleet.Tokens(r.cost()), Rate: rate, Horizon: horizon,
-			Earliest: now.Add(max(e.Wait, rate.TimeFor(a.queuedCost()), minRetryAfter)),
+			Cost: fleet.Tokens(r.cost()), Rate: rate, Horizon: min(horizon, t.timing.latestStart.Sub(now)-time.Duration(startMargin*float64(r.Target))),
+			Earliest: now.Add(max(e.Wait, rate.TimeFor(queued), minRetryAfter)),
 		})
 		if !at.IsZero() {
 			e.Wait = at.Sub(now)
@@ -186,7 +267,8 @@
 		e.Reserved = reserved
 	}
 	e.RetryAfter = e.Wait
-	if !e.Reserved && e.Wait <= left { // a retry at the horizon may still meet with room
+	if !e.Reserved { // the others that were refused return as well
+		e.Wait = max(e.Wait, rate.TimeFor(queued+fleet.Tokens(a.refused.At(now, serviceWindow))))
 		e.RetryAfter = min(e.Wait, horizon)
 	}
 	e.RetryAfter = max(e.RetryAfter, minRetryAfter)
--- a/turn/start.go
+++ b/turn/start.go
@@ -116,7 +116,7 @@
 }
 
 // startWaiting starts waiting requests until none has room: those of the account with the
-// least service first, and within an account in the order of arrival. It runs at each
+// least service first, and within an account in the order of its queue. Late returns come last. It runs at each
 // event, so it stops early when no upstream is open.
 func (p *Pool) startWaiting(now time.Time) {
 	for p.waitingCount > 0 && p.anyOpen(now) && p.startNext(now) {
@@ -154,12 +154,12 @@
 		capped := shares.isCapped(now, a.account)
 		view := p.accountView(now, shares, a.served)
 		for _, t := range a.queue {
-			if (!capped || t.request.wasSent()) && p.tryStart(view, t) {
+			if (!capped || t.request.wasSent()) && !t.isLate(now) && p.tryStart(view, t) {
 				return true
 			}
 		}
 	}
-	return false
+	return p.startLateReturn(now, shares, accounts)
 }
 
 // tryStart starts a ticket if the best of its candidates has room.
--- a/turn/ticket.go
+++ b/turn/ticket.go
@@ -20,6 +20,8 @@
 	// that was predicted for it.
 	isDue    bool
 	expected time.Duration
+	// timing is when the request has to begin, if its home keeps reservations.
+	timing timing
 	// order lists the upstreams that may serve the request in order of preference, as of
 	// generation of the pool's list.
 	order      []*engine
@@ -82,7 +84,7 @@
 	}
 	lack := p.lack(now, t)
 	p.dequeue(t)
-	p.recordRefused(now, p.account(t.request.Account), &t.request)
+	p.recordRefused(now, t)
 	t.refusal = p.refuseTurn(now, t, lack, max(p.expectedWait(now, t.preferred, &t.request), 0))
 	return t.refusal
 }
--- a/turn/turn.go
+++ b/turn/turn.go
@@ -55,6 +55,8 @@
 	Patience time.Duration
 	// Left is the time until its caller's deadline, zero if that isn't known.
 	Left time.Duration
+	// Age is how long ago the request arrived at its router.
+	Age time.Duration
 	// DataCenter is that of the router that sends the request, where it matters; empty means
 	// that of the pool.
 	DataCenter fleet.DataCenterID
