--- a/turn/machine_test.go
+++ b/turn/machine_test.go
@@ -90,6 +90,7 @@
 		rapid.SampledFrom([]int{-10_000, 1_000, 200_000}).Draw(t, "tokens"))
 	r.Patience = rapid.SampledFrom([]time.Duration{0, target, time.Hour}).Draw(t, "patience")
 	r.Left = rapid.SampledFrom([]time.Duration{0, 4 * time.Second, time.Hour}).Draw(t, "left")
+	r.Age = rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, time.Hour}).Draw(t, "age")
 	for i := range m.incarnations {
 		if rapid.IntRange(0, 5).Draw(t, "tried") == 0 {
 			r.Tried = append(r.Tried, turn.Instance{ID: fleet.UpstreamID(fmt.Sprintf("e%d", i)), StartTime: m.incarnations[i]})
@@ -102,6 +103,7 @@
 		require.ErrorAs(t, err, &refused)
 		require.Positive(t, refused.RetryAfter)
 		require.False(t, refused.Reserved && refused.RetryAfter > r.Left/3, "the caller doesn't return so late")
+		require.False(t, refused.Reserved && r.Age == 0 && refused.RetryAfter > r.Target, "the first event can't be in time")
 		return
 	}
 	m.tickets = append(m.tickets, &trackedTicket{Ticket: ticket, request: r, submittedAt: m.now})
