--- a/home/home.go
+++ b/home/home.go
@@ -147,7 +147,7 @@
 	if !pool.HasCaches() {
 		r.DataCenter = pool.DataCenter
 	}
-	deadline := time.Now().Add(r.Patience)
+	first, asked := r, time.Now()
 	for range maxHomes {
 		home := c.homeOf(group{service, number})
 		if home == c.Self {
@@ -160,18 +160,23 @@
 		switch {
 		case errors.As(err, &refused) && refused.NoSoftware && pool.HasSoftware(r.Software):
 			// The home's list is older or newer than this router's.
-			r.Patience = max(time.Until(deadline), 0)
+			setElapsed(&r, &first, time.Since(asked))
 			return AwaitLocal(ctx, pool, r)
 		case errors.As(err, &upstreamGone):
 			r.Tried = append(slices.Clone(r.Tried), upstreamGone.Instance)
 		case !errors.As(err, &noAnswer):
 			return ticket, err
 		}
-		r.Patience = max(time.Until(deadline), 0)
+		setElapsed(&r, &first, time.Since(asked))
 	}
 	return AwaitLocal(ctx, pool, r)
 }
 
+// setElapsed sets the times of a request that was first as given and has since asked a home in vain.
+func setElapsed(r, first *turn.Request, elapsed time.Duration) {
+	r.Patience, r.Left, r.Age = max(first.Patience-elapsed, 0), max(first.Left-elapsed, 0), first.Age+elapsed
+}
+
 // AwaitLocal waits for a turn that this router grants by itself.
 func AwaitLocal(ctx context.Context, pool *turn.Pool, r turn.Request) (Ticket, error) {
 	ticket, err := pool.Submit(time.Now(), r)
