forward: a request that upstreams turn away in turn waits one patience in all

Cause: backoffs that end one after the other, upstreams that refuse again. For each turn after a refusal, and after a turn that was returned unused because the upstream had asked for a backoff since, a request could wait its whole patience anew.

Change: after a refusal with a backoff, or a returned turn, the waits so far shorten the next ones.

--- a/forward/job.go
+++ b/forward/job.go
@@ -106,6 +106,8 @@
 	errorAnswer *bufferedAnswer
 	// queueTime is the total time spent waiting for turns.
 	queueTime time.Duration
+	// spentPatience is the part of queueTime that shortens further waits before the answer begins.
+	spentPatience time.Duration
 }
 
 // progress describes how much of an attempt's answer has arrived.
@@ -194,6 +196,7 @@
 			return
 		}
 		j.logFailure(ctx, ticket, f)
+		j.spendPatience(f)
 		if f.errorAnswer != nil {
 			j.errorAnswer = f.errorAnswer
 		}
@@ -234,16 +237,16 @@
 // cost returns the tokens that the request counts towards its account's service.
 func (j *job) cost() float64 { return turn.Cost(max(j.info.InputTokens, 1), j.info.OutputTokens) }
 
-// maxWait returns how long the request may wait for its next turn, before its account's share and
-// its deadline are taken into account.
+// maxWait returns how long the request may wait for its next turn, negative if it has spent its
+// patience, before its account's share and its deadline are taken into account.
 func (j *job) maxWait() time.Duration {
 	switch {
 	case j.headerSent:
 		return resumeMaxWait
 	case j.route.Kind == route.Streaming:
-		return time.Duration(streamWaitFraction * float64(j.route.LatencyTarget))
+		return time.Duration(streamWaitFraction*float64(j.route.LatencyTarget)) - j.spentPatience
 	default:
-		return time.Duration(plainWaitFraction * float64(j.route.LatencyTarget))
+		return time.Duration(plainWaitFraction*float64(j.route.LatencyTarget)) - j.spentPatience
 	}
 }
 
--- a/forward/statement.go
+++ b/forward/statement.go
@@ -55,6 +55,14 @@
 	return &AvoidedError{Upstream: u.ID, Term: term}
 }
 
+// spendPatience lets the waits for turns so far shorten the next ones, if the upstream wanted no requests. Upstreams that come
+// out of their backoffs one after the other and refuse again would otherwise hold a request for its whole patience each.
+func (j *job) spendPatience(f *failure) {
+	if f.backoff > 0 || f.reason == retry.UpstreamAvoided {
+		j.spentPatience = j.queueTime
+	}
+}
+
 // returnTurn returns the turn of a request that wasn't sent, as if it had never been granted.
 func (j *job) returnTurn(ticket home.Ticket, e *AvoidedError) *failure {
 	ticket.End(time.Now(), turn.Unsent)
--- a/forward/statement_test.go
+++ b/forward/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"testing"
@@ -134,6 +135,54 @@
 	require.Zero(t, f.count())
 }
 
+// Guards against a refusal that comes late: upstreams whose backoffs end one after the other refuse a request again, or want none
+// any more once it has its turn, and it waits its whole patience anew for each.
+func TestRequestThatUpstreamsTurnAwayInTurnWaitsOnePatience(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name string
+		// again is set if upstreams ask for a backoff again before the request is sent, so that none is sent.
+		again bool
+		sent  int
+	}{{"refused", false, 1}, {"turns are returned", true, 0}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			const apart = 200 * time.Millisecond
+			refuses := stating("X-Backoff", "1m", answersNotRun)
+			f := start(t, refuses, refuses, refuses, refuses)
+			stated := &statedAvoidance{}
+			f.handler.Avoidance = stated
+			began := time.Now()
+			for i := range f.addresses {
+				stated.RecordBackoff(began, registry.Upstream{ID: fleet.UpstreamID(fmt.Sprintf("u%d", i))}, time.Duration(i+1)*apart, "")
+			}
+			go wakeOften(t.Context(), f.state.pool)
+			f.state.turn = func(ctx context.Context, r turn.Request) (home.Ticket, error) {
+				r.Avoid = &stated.set
+				ticket, err := home.AwaitLocal(ctx, f.state.pool, r)
+				if err == nil && c.again {
+					stated.RecordBackoff(time.Now(), ticket.Upstream(), time.Minute, "")
+				}
+				return ticket, err
+			}
+			status, _, header, err := f.post(t, "/stream/1")
+			require.NoError(t, err)
+			require.Less(t, time.Since(began), 500*time.Millisecond)
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			require.NotEmpty(t, header.Get("Retry-After"))
+			require.Equal(t, c.sent, f.count(), "the first backoff ends within the patience, the second doesn't")
+		})
+	}
+}
+
+// wakeOften starts the waiting requests of a pool that have room.
+func wakeOften(ctx context.Context, pool *turn.Pool) {
+	for ctx.Err() == nil {
+		time.Sleep(5 * time.Millisecond)
+		pool.Wake(time.Now())
+	}
+}
+
 // noRetries is a retry.Policy that allows none.
 type noRetries struct{}
 
