upstream: two tests wait for the upstream's goroutine instead of 20 ms

Found by reading: TestClosedIdleConnectionIsNotUsed and TestConnectionWithLeftOverBytesIsNotUsed needed an upstream's goroutine to close, or to write again, within 20 ms after an answer. With a delay of 30 ms there both fail with 'unexpected EOF'. They wait for it now, pass with that delay and check the same.

--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -136,15 +136,18 @@
 // new one.
 func TestConnectionWithLeftOverBytesIsNotUsed(t *testing.T) {
 	t.Parallel()
+	written := make(chan struct{}, 2)
 	s := startScripted(t, func(conn net.Conn, in *bufio.Reader) {
 		id, _, _ := readRequest(in)
 		writeAnswer(conn, id, "one")
 		writeAnswer(conn, id, "two")
+		written <- struct{}{}
 		_, _, _ = readRequest(in)
 	})
 	c := newClient(t)
 	_, err := exchangeBody(t, c, s.address, "1")
 	require.NoError(t, err)
+	<-written // a loaded machine may take long to run the upstream's goroutine again
 	time.Sleep(20 * time.Millisecond)
 	got, err := exchangeBody(t, c, s.address, "2")
 	require.NoError(t, err)
@@ -156,14 +159,18 @@
 // lost, and couldn't be retried if it must not run twice.
 func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
 	t.Parallel()
+	closed := make(chan struct{}, 2)
 	s := startScripted(t, func(conn net.Conn, in *bufio.Reader) {
 		id, _, _ := readRequest(in)
 		writeAnswer(conn, id, "ok")
+		_ = conn.Close()
+		closed <- struct{}{}
 	})
 	c := newClient(t)
 	for _, id := range []string{"1", "2"} {
 		_, err := exchangeBody(t, c, s.address, id)
 		require.NoError(t, err)
+		<-closed // a loaded machine may take long to run the upstream's goroutine again
 		time.Sleep(20 * time.Millisecond)
 	}
 	require.Equal(t, int64(2), s.connections.Load())
