--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
@@ -295,16 +296,25 @@
 // An upstream that refuses connections was sent nothing, so the order is reported as not run.
 func TestUnreachableUpstreamIsNotRun(t *testing.T) {
 	t.Parallel()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := listener.Addr().String()
-	require.NoError(t, listener.Close())
-	f := (&fixture{upstreams: &upstreams{}}).serve(t, []registry.Upstream{{ID: "gone", Address: address, Slots: 8}})
+	f := (&fixture{upstreams: &upstreams{}}).serve(t, []registry.Upstream{{ID: "gone", Address: refusingAddress(t), Slots: 8}})
 	status, _, _, err := f.post(t, "/order/1")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusServiceUnavailable, status)
 }
 
+// refusingAddress returns an address that refuses connections. Its socket is bound but doesn't listen, so that no
+// other process can take the port.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, unix.Close(fd)) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	return fmt.Sprintf("127.0.0.1:%d", address.(*unix.SockaddrInet4).Port)
+}
+
 // An idempotent request is retried after an upstream's error. If all upstreams fail, the caller
 // gets the error of the last one.
 func TestIdempotentRequestsAreRetried(t *testing.T) {
