turn: a return of a request without a target isn't late

Such a request has no latest start; its zero time was before any other, so its return waited for an idle engine after it had been refused once.

--- a/turn/reservation.go
+++ b/turn/reservation.go
@@ -105,8 +105,12 @@
 // recordReturn records that the request first arrived at another time and was refused.
 func (t *timing) recordReturn(arrivedAt time.Time) {
 	t.isReturn = true
-	if earlier := t.arrivedAt.Sub(arrivedAt); earlier > 0 {
-		t.arrivedAt = arrivedAt
+	earlier := t.arrivedAt.Sub(arrivedAt)
+	if earlier <= 0 {
+		return
+	}
+	t.arrivedAt = arrivedAt
+	if !t.latestStart.IsZero() {
 		t.latestStart = t.latestStart.Add(-earlier)
 	}
 }
@@ -114,7 +118,7 @@
 // isLate reports whether a return can't be in time any more. New requests are never late: a
 // prompt that takes longer to read than its target would not begin at all.
 func (t *Ticket) isLate(now time.Time) bool {
-	return t.timing.isReturn && t.timing.latestStart.Before(now)
+	return t.timing.isReturn && !t.timing.latestStart.IsZero() && t.timing.latestStart.Before(now)
 }
 
 // startLateReturn starts the first late return of the account with the least service that has
--- a/turn/reservation_test.go
+++ b/turn/reservation_test.go
@@ -169,6 +169,30 @@
 	newcomer, err := h.Submit(at, r)
 	require.NoError(t, err)
 	want := append(append(h.newcomers, newcomer), late...)
+	h.requireOrder(t, at, want)
+}
+
+// Guards against returns of requests without a target that count as late and wait for idle engines.
+func TestReturnWithoutATargetIsNotLate(t *testing.T) {
+	t.Parallel()
+	h := newReturningHome(t)
+	r := prompt("a", 1, 970, 12_000)
+	r.Target, r.Patience, r.Left = 0, 0, time.Hour
+	_, err := h.Submit(start, r)
+	require.Error(t, err)
+	r.Patience = time.Hour
+	returned, err := h.Submit(h.at, r)
+	require.NoError(t, err)
+	r = prompt("a", 1, 971, 12_000)
+	r.Patience, r.Left = time.Hour, time.Hour
+	newcomer, err := h.Submit(h.at, r)
+	require.NoError(t, err)
+	h.requireOrder(t, h.at, append(h.newcomers, returned, newcomer))
+}
+
+// requireOrder serves the long prompt and requires that tickets are granted in an order.
+func (h *returningHome) requireOrder(t *testing.T, at time.Time, want []*turn.Ticket) {
+	t.Helper()
 	h.long.RecordFirstEvent(at)
 	var begun []*turn.Ticket
 	for now := at; now.Before(at.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
