--- a/home/location.go
+++ b/home/location.go
@@ -14,11 +14,9 @@
 	maxLocations = 4096
 )
 
-// prefixLocations remembers at which upstream this router's latest request with a shared prefix began.
-//
-// A prefix belongs to another group after one of its owners was replaced. The home of that group doesn't know
-// which upstreams elsewhere have the prefix in their caches, and its upstreams would read it again. The routers whose callers use the
-// prefix do know. Its zero value is empty.
+// prefixLocations remembers at which upstream this router's latest request with a shared prefix began. The home of a
+// group doesn't know the caches of others, to which the prefix belonged before its owner was replaced. Its zero value is
+// empty.
 type prefixLocations struct {
 	// current holds the prefixes recorded since rotatedAt, and previous those of the time before.
 	current, previous map[turn.PrefixKey]turn.Instance
