--- a/deployment/handover.go
+++ b/deployment/handover.go
@@ -66,8 +66,8 @@
 	// relays counts the relays in both directions, taken those to other routers, and begun the
 	// requests that this router began to serve since its last sample.
 	relays, taken, begun atomic.Int64
-	// pace limits the relays if they alone take more processor time than this router has.
-	pace overload.Shedder[fleet.AccountID]
+	// limiter limits the relays if they alone take more processor time than this router has.
+	limiter overload.Shedder[fleet.AccountID]
 	// running ends when the router does, and the relays with it.
 	running context.Context
 	end     context.CancelFunc
@@ -109,7 +109,7 @@
 		return nil, errHandoverOff
 	}
 	now := time.Now()
-	if !h.pace.Admit(now, request.Account) || !h.acquire() {
+	if !h.limiter.Admit(now, request.Account) || !h.acquire() {
 		return nil, h.fail(now, &handover.Error{Result: handover.Limited})
 	}
 	helper, ok := h.choose(now)
@@ -214,7 +214,7 @@
 		// A relay takes less time than serving the request, so the router first serves less.
 		relayWait = 0
 	}
-	h.pace.Observe(now, relayWait)
+	h.limiter.Observe(now, relayWait)
 	sample := handover.Sample{
 		Begun: int(h.begun.Swap(0)), Wait: wait, Busy: h.options.isBusy() || h.options.isStopping(),
 		Room: h.options.maxRelays - int(h.relays.Load()),
--- a/deployment/handover_desk.go
+++ b/deployment/handover_messages.go
@@ -54,7 +54,7 @@
 	if message.GetAddress() != "" {
 		helper := handover.Helper{Router: from, Address: message.GetAddress()}
 		copy(helper.Token[:], message.GetToken())
-		h.helpers.Introduce(helper)
+		h.helpers.Add(helper)
 	}
 	h.helpers.Record(time.Now(), handover.Offer{Router: from, Requests: int(message.GetRequests())})
 }
@@ -129,6 +129,6 @@
 	r.actors = append(r.actors, actor{"relays", serveRelays(server, listener, h)})
 }
 
-func serveRelays(server *http.Server, listener net.Listener, desk relay.Desk) func(ctx context.Context) error {
-	return serve(server, &relay.Listener{Listener: listener, Desk: desk})
+func serveRelays(server *http.Server, listener net.Listener, admitter relay.Admitter) func(ctx context.Context) error {
+	return serve(server, &relay.Listener{Listener: listener, Admitter: admitter})
 }
--- a/deployment/handover_test.go
+++ b/deployment/handover_test.go
@@ -59,7 +59,7 @@
 	require.NoError(t, err)
 	helper.SetAddress(listener.Addr().String())
 	server := &http.Server{Handler: handler}
-	go func() { _ = server.Serve(&relay.Listener{Listener: listener, Desk: helper}) }()
+	go func() { _ = server.Serve(&relay.Listener{Listener: listener, Admitter: helper}) }()
 	t.Cleanup(func() { _ = server.Close() })
 	helper.Observe(time.Now(), 0)
 	return sender, helper
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -63,7 +63,7 @@
 
 // handOver lets another router serve the request, and reports whether that one got it. It returns
 // when the relay has ended. A request is handed over once at most: two routers short of processor
-// time could otherwise pass it to and fro.
+// time could otherwise pass it back and forth.
 func (j *job) handOver() bool {
 	h := j.handler
 	if h.Handover == nil || j.isRelayed || j.isCallerGone() {
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -42,11 +42,11 @@
 
 func (r testRelay) Cancel() { _ = r.Helper.Close() }
 
-// openDesk accepts all relays.
-type openDesk struct{ relay.Desk }
+// openAdmitter accepts all relays.
+type openAdmitter struct{ relay.Admitter }
 
-func (openDesk) Admit(relay.Preamble) relay.Verdict { return relay.Accepted }
-func (openDesk) Release()                           {}
+func (openAdmitter) Admit(relay.Preamble) relay.Verdict { return relay.Accepted }
+func (openAdmitter) Release()                           {}
 
 // startPair starts a router without processor time and one that accepts its requests.
 func startPair(t *testing.T, fn http.HandlerFunc) (sender, helper *fixture, handed *testHandover) {
@@ -55,7 +55,7 @@
 	server := httptest.NewUnstartedServer(helper.handler)
 	server.Config.ConnContext = forward.WithCaller
 	handed = &testHandover{address: server.Listener.Addr().String()}
-	server.Listener = &relay.Listener{Listener: server.Listener, Desk: openDesk{}}
+	server.Listener = &relay.Listener{Listener: server.Listener, Admitter: openAdmitter{}}
 	server.Start()
 	t.Cleanup(server.Close)
 	sender.handler.HasCapacity = func(time.Time, fleet.AccountID) bool { return false }
@@ -94,7 +94,7 @@
 	require.NoError(t, s.handler.Wait(t.Context()))
 }
 
-// Guards against requests that two routers without processor time pass to and fro.
+// Guards against requests that two routers without processor time pass back and forth.
 func TestRequestIsHandedOverOnce(t *testing.T) {
 	t.Parallel()
 	s, h, first := startPair(t, answersOK)
--- a/handover/helpers.go
+++ b/handover/helpers.go
@@ -42,8 +42,8 @@
 // Knows reports whether the address and the token of a router are known.
 func (h *Helpers) Knows(router fleet.RouterID) bool { return h.known[router] != nil }
 
-// Introduce records the address and the token of a router.
-func (h *Helpers) Introduce(who Helper) {
+// Add records the address and the token of a router.
+func (h *Helpers) Add(who Helper) {
 	if h.known == nil {
 		h.known = make(map[fleet.RouterID]*helper)
 	}
--- a/handover/offers_test.go
+++ b/handover/offers_test.go
@@ -115,8 +115,8 @@
 	now := time.Unix(1, 0)
 	var h handover.Helpers
 	h.Record(now, handover.Offer{Router: "c", Requests: 9}) // its address isn't known
-	h.Introduce(handover.Helper{Router: "a"})
-	h.Introduce(handover.Helper{Router: "b"})
+	h.Add(handover.Helper{Router: "a"})
+	h.Add(handover.Helper{Router: "b"})
 	h.Record(now, handover.Offer{Router: "a", Requests: 1})
 	h.Record(now, handover.Offer{Router: "b", Requests: 2})
 	require.Equal(t, []fleet.RouterID{"b", "a", "b", ""}, take(&h, now.Add(time.Second), 4))
@@ -131,7 +131,7 @@
 	t.Parallel()
 	now := time.Unix(1, 0)
 	var h handover.Helpers
-	h.Introduce(handover.Helper{Router: "a"})
+	h.Add(handover.Helper{Router: "a"})
 	h.Record(now, handover.Offer{Router: "a", Requests: 9})
 	require.True(t, h.ShouldAsk(now))
 	require.False(t, h.ShouldAsk(now.Add(499*time.Millisecond)), "a query for each request would be too many")
--- a/handover/relay/listener.go
+++ b/handover/relay/listener.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Desk decides which relays a helper accepts. It must be safe for concurrent use.
-type Desk interface {
+// Admitter decides which relays a helper accepts. It must be safe for concurrent use.
+type Admitter interface {
 	// Admit returns the verdict on a relay.
 	Admit(p Preamble) Verdict
 	// Release is called once for each accepted relay, when its connection is closed.
@@ -21,7 +21,7 @@
 // goroutine that serves the connection, before the request.
 type Listener struct {
 	net.Listener
-	Desk Desk
+	Admitter Admitter
 }
 
 // Accept waits for the next connection.
@@ -35,7 +35,7 @@
 		_ = conn.Close()
 		return nil, net.UnknownNetworkError(conn.LocalAddr().Network())
 	}
-	return &Conn{TCPConn: tcp, desk: l.Desk}, nil
+	return &Conn{TCPConn: tcp, admitter: l.Admitter}, nil
 }
 
 // The states of a Conn.
@@ -48,7 +48,7 @@
 // Conn is the connection of a relay, as an HTTP server sees it.
 type Conn struct {
 	*net.TCPConn
-	desk Desk
+	admitter Admitter
 	// isOpen is set by the first Read; only one goroutine reads at a time.
 	isOpen  bool
 	arrived time.Time
@@ -68,13 +68,13 @@
 func (c *Conn) open() bool {
 	preamble, err := readPreamble(c.TCPConn)
 	if err != nil {
-		c.desk.HandleMalformed(c.RemoteAddr(), err)
+		c.admitter.HandleMalformed(c.RemoteAddr(), err)
 		return false
 	}
 	c.arrived = time.Now().Add(-preamble.Age)
-	verdict := c.desk.Admit(preamble)
+	verdict := c.admitter.Admit(preamble)
 	if verdict == Accepted && !c.state.CompareAndSwap(stateNew, stateAccepted) {
-		c.desk.Release() // it was closed meanwhile
+		c.admitter.Release() // it was closed meanwhile
 		return false
 	}
 	if _, err := c.Write([]byte{byte(verdict)}); err != nil {
@@ -91,7 +91,7 @@
 // Close closes the connection.
 func (c *Conn) Close() error {
 	if c.state.Swap(stateClosed) == stateAccepted {
-		c.desk.Release()
+		c.admitter.Release()
 	}
 	return c.TCPConn.Close()
 }
--- a/handover/relay/relay_test.go
+++ b/handover/relay/relay_test.go
@@ -61,7 +61,7 @@
 			handler(w, r)
 		}),
 	}
-	go func() { _ = h.server.Serve(&relay.Listener{Listener: listener, Desk: h}) }()
+	go func() { _ = h.server.Serve(&relay.Listener{Listener: listener, Admitter: h}) }()
 	t.Cleanup(func() { _ = h.server.Close() })
 	return h
 }
--- a/pace/estimate.go
+++ b/pace/estimate.go
@@ -12,7 +12,7 @@
 	minRatio = 0.25
 	maxRatio = 4
 	// ratioWeight is the weight of the latest observation in the ratio, and maxStep the largest deviation of an
-	// observation that counts, in natural logarithms. A request that waits for a reason that nobody knows takes several times as
+	// observation that counts, in natural logarithms. A request that waits for an unknown reason takes several times as
 	// long as expected, and it mustn't send the next ones elsewhere.
 	ratioWeight = 1.0 / 32
 	maxStep     = 0.5
