--- a/review/rig/case_versions.go
+++ b/review/rig/case_versions.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return false, err
 	}
-	if err := s.startRouters(routers); err != nil {
+	if err := s.startRouters(); err != nil {
 		return false, err
 	}
 	time.Sleep(stable + time.Second)
--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -45,7 +45,6 @@
 	notes    []note
 	routers  []*router
 	version  int
-	requests int
 }
 
 // child is a process that the scene started.
@@ -240,8 +239,8 @@
 }
 
 // startRouters starts the system with the command of the deploy file, and waits until all routers are ready.
-func (s *scene) startRouters(count int) error {
-	for i := range count {
+func (s *scene) startRouters() error {
+	for i := range routers {
 		r, err := s.startRouter(i)
 		if err != nil {
 			return err
@@ -253,7 +252,7 @@
 			return err
 		}
 	}
-	s.record.add("%d routers are ready", count)
+	s.record.add("%d routers are ready", routers)
 	return nil
 }
 
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -29,7 +29,7 @@
 func (r *record) addAt(at time.Time, format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	fmt.Fprintf(r.file, "%8.3f  %s\n", at.Sub(r.began).Seconds(), fmt.Sprintf(format, args...))
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", at.Sub(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
 func itoa(n int) string { return fmt.Sprint(n) }
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -294,8 +294,9 @@
 	return s.version
 }
 
-func (s *platformStore) currentEra() uint64 {
+// callCount returns how many calls the store got, those of workers and the operator included.
+func (s *platformStore) callCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.era
+	return s.calls
 }
