review: requests that share a part go on crashing all engines when many come

The chance that a part is at a crash without being its cause is taken to grow with the requests that hold it, so a part that half of the requests hold never becomes certain when an engine has several of them at each end.

It takes the place of the streams that an exiting engine cuts off, whose driver stays in review/rig.

--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -39,11 +39,14 @@
 	platform  string // address of the store for the operator and the workers
 	folder    string
 	isTrouble bool
+	// isQuiet leaves single events out of the record.
+	isQuiet bool
 
 	mu       sync.Mutex
 	children []*child
 	notes    []note
 	routers  []*router
+	engines  []*engine
 	version  int
 }
 
@@ -53,6 +56,13 @@
 	exited  chan struct{}
 }
 
+// engine is a worker that is started again after it has crashed.
+type engine struct {
+	options workerOptions
+	child   *child
+	backAt  time.Time
+}
+
 // router is a process of the system.
 type router struct {
 	name, front, readiness string
@@ -170,7 +180,9 @@
 	if n.Line != "" {
 		detail += " " + n.Line
 	}
-	s.record.addAt(time.UnixMilli(n.AtMS), "worker %s (%s) %s%s", n.Worker, n.Version, n.What, detail)
+	if !s.isQuiet || n.What != "sent" {
+		s.record.addAt(time.UnixMilli(n.AtMS), "worker %s (%s) %s%s", n.Worker, n.Version, n.What, detail)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.notes = append(s.notes, n)
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -37,6 +37,10 @@
 	gap, work            time.Duration
 	drain, linger        time.Duration
 	unframed, halfOfBody bool
+	// crashPart crashes the worker after crashAt events of an answer to a request that holds it.
+	crashPart string
+	crashAt   int
+	prefill   time.Duration
 
 	born     int64
 	sequence atomic.Int64
@@ -81,6 +85,9 @@
 	flags.DurationVar(&w.linger, "linger", 500*time.Millisecond, "")
 	flags.BoolVar(&w.unframed, "unframed", false, "")
 	flags.BoolVar(&w.halfOfBody, "half", false, "")
+	flags.StringVar(&w.crashPart, "crash-part", "", "")
+	flags.IntVar(&w.crashAt, "crash-at", 0, "")
+	flags.DurationVar(&w.prefill, "prefill", 0, "")
 	if err := flags.Parse(args); err != nil {
 		return exitNotRun
 	}
@@ -319,7 +326,13 @@
 	} else {
 		fields += "Transfer-Encoding: chunked\r\n\r\n"
 	}
+	holdsPart := w.holdsCrashPart(r)
+	time.Sleep(w.prefill)
 	for n := last + 1; n <= w.events; n++ {
+		if holdsPart && n == last+1+w.crashAt {
+			w.note(note{What: "crashes", Request: id})
+			os.Exit(1)
+		}
 		select {
 		case <-time.After(w.gap):
 		case <-ctx.Done():
@@ -345,3 +358,16 @@
 	_, err := io.WriteString(conn, "0\r\n\r\n")
 	return err == nil && !w.leaving.Load()
 }
+
+// holdsCrashPart reports whether a request holds the part that crashes workers, other than as its last one.
+func (w *worker) holdsCrashPart(r *http.Request) bool {
+	entries := strings.Split(r.Header.Get("X-Nutmeglock-Prompt-Prefix"), ",")
+	for _, entry := range entries[:len(entries)-1] {
+		part, _, _ := strings.Cut(entry, ":")
+		if w.crashPart != "" && part == w.crashPart {
+			w.note(note{What: "part arrives", Request: r.Header.Get(attemptName)})
+			return true
+		}
+	}
+	return false
+}
