--- a/review/rig/case_restore.go
+++ b/review/rig/case_restore.go
@@ -23,12 +23,12 @@
 	if err := s.configure(routes, services); err != nil {
 		return false, err
 	}
-	workers := make([]*child, 3)
+	workers := make([]*child, 4)
 	for i := range workers {
 		id := fmt.Sprintf("i-%d", i+1)
 		var err error
 		if workers[i], err = s.startWorker(workerOptions{
-			id: id, service: "wuno96b", zone: zones[i], software: "v1", address: freeWorkerAddress(),
+			id: id, service: "wuno96b", zone: zones[i%len(zones)], software: "v1", address: freeWorkerAddress(),
 			flags: []string{"-slots", "6", "-work", "300ms", "-linger", "500ms"},
 		}); err != nil {
 			return false, err
--- a/review/rig/case_unframed.go
+++ b/review/rig/case_unframed.go
@@ -42,7 +42,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			calls[i] = s.sendStream(s.routers[i%routers])
+			calls[i] = s.sendStream(s.routers[i%routers], 0)
 		}()
 		time.Sleep(20 * time.Millisecond)
 	}
--- a/review/rig/case_versions.go
+++ b/review/rig/case_versions.go
@@ -10,25 +10,30 @@
 
 func init() { cases["versions"] = playVersions }
 
-// playVersions replaces the software of two engines, one after the other and each under its id, while the store is away.
+const (
+	versionEngines = 5
+	versionStreams = 120
+	versionPrompts = 24
+)
+
+// playVersions replaces the software of two of five engines, one after the other and each under its id, while the store is
+// away: first one that runs no stream, then the one that runs most.
 func playVersions(s *scene) (bool, error) {
 	if err := s.configure([]map[string]any{streamRoute()}, []map[string]any{engineService()}); err != nil {
 		return false, err
 	}
-	options := func(id string, zone int, address, software string) workerOptions {
-		return workerOptions{
-			id: id, service: "huvo11a", zone: zones[zone], software: software, address: address,
+	children := make(map[string]*child)
+	options := make(map[string]workerOptions)
+	for i := range versionEngines {
+		o := workerOptions{
+			id: "i-" + itoa(i+1), service: "huvo11a", zone: zones[i%len(zones)], software: "v1", address: freeWorkerAddress(),
 			flags: []string{"-slots", "64", "-events", "44", "-gap", "250ms", "-linger", "300ms"},
 		}
-	}
-	addressA, addressB := freeWorkerAddress(), freeWorkerAddress()
-	a, err := s.startWorker(options("i-a", 0, addressA, "v1"))
-	if err != nil {
-		return false, err
-	}
-	b, err := s.startWorker(options("i-b", 1, addressB, "v1"))
-	if err != nil {
-		return false, err
+		var err error
+		if children[o.id], err = s.startWorker(o); err != nil {
+			return false, err
+		}
+		options[o.id] = o
 	}
 	if err := s.startRouters(); err != nil {
 		return false, err
@@ -39,34 +44,54 @@
 		s.record.add("the store is down (503)")
 	}
 	time.Sleep(200 * time.Millisecond)
-	began := time.Now()
 	var wait sync.WaitGroup
-	calls := make([]*call, 18)
+	calls := make([]*call, versionStreams)
 	for i := range calls {
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			calls[i] = s.sendStream(s.routers[i%routers])
+			calls[i] = s.sendStream(s.routers[i%routers], i%versionPrompts)
 		}()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
 	}
-	if err := s.replace(b, options("i-b", 1, addressB, "v2")); err != nil {
-		return false, err
-	}
-	time.Sleep(300 * time.Millisecond)
-	if err := s.replace(a, options("i-a", 0, addressA, "v2")); err != nil {
-		return false, err
+	time.Sleep(100 * time.Millisecond)
+	idlest, busiest := s.leastAndMost(options)
+	for _, id := range []string{idlest, busiest} {
+		next := options[id]
+		next.software = "v2"
+		if err := s.replace(children[id], next); err != nil {
+			return false, err
+		}
+		time.Sleep(300 * time.Millisecond)
 	}
-	time.Sleep(300 * time.Millisecond)
 	if s.isTrouble {
 		s.store.setAway(false)
 		s.record.add("the store is back")
 	}
 	wait.Wait()
-	s.record.add("the streams took %.1f s", time.Since(began).Seconds())
 	return s.judgeVersions(calls), nil
 }
 
+// leastAndMost returns the engines that run fewest and most streams.
+func (s *scene) leastAndMost(engines map[string]workerOptions) (least, most string) {
+	runs := make(map[string]int)
+	for _, n := range s.seen() {
+		if n.What == "runs" {
+			runs[n.Worker]++
+		}
+	}
+	for id := range engines {
+		if least == "" || runs[id] < runs[least] {
+			least = id
+		}
+		if most == "" || runs[id] > runs[most] {
+			most = id
+		}
+	}
+	s.record.add("streams by engine: %v", runs)
+	return least, most
+}
+
 // replace makes a worker leave, waits until it has exited and starts it again under its id.
 func (s *scene) replace(c *child, next workerOptions) error {
 	s.record.add("worker %s is asked to leave", next.id)
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -69,11 +69,11 @@
 	c.isWhole = c.err == nil
 }
 
-// sendStream sends a request for a stream.
-func (s *scene) sendStream(r *router) *call {
+// sendStream sends a request for a stream, whose prompt shares its first part with others of that number.
+func (s *scene) sendStream(r *router, prompt int) *call {
 	return s.send(r, http.MethodPost, "/lohu930/2f", []byte("a prompt"), 15*time.Second, map[string]string{
 		"X-Nutmeglock-Model": "m", "X-Nutmeglock-Token-Count": "1460,160",
-		"X-Nutmeglock-Prompt-Prefix": "5c1e07a2:800,91bd3f06:410," + newID()[:8] + ":250",
+		"X-Nutmeglock-Prompt-Prefix": fmt.Sprintf("%x:1210,%s:250", 0x5c1e07a2+prompt, newID()[:8]),
 	})
 }
 
