review: streams of a frozen router don't go on once a second version serves

Which software version began a stream is known to its router alone while a service has one version.

The stand-ins in review/rig2 are those of the new cases.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/nutmeglock ] && [ -x target/rig2 ] || exit 2
-exec target/rig2 cut-answer review/4/record.txt
+exec target/rig2 frozen-router review/4/record.txt
--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -42,20 +41,6 @@
 	return nil
 }
 
-// events returns the ids and the data of the events of a stream, in order.
-func (e exchange) events() (ids []int, data []string) {
-	for event := range strings.SplitSeq(e.body, "\n\n") {
-		first, second, _ := strings.Cut(event, "\n")
-		id, err := strconv.Atoi(strings.TrimPrefix(first, "id: "))
-		if err != nil {
-			continue
-		}
-		ids = append(ids, id)
-		data = append(data, strings.TrimPrefix(second, "data: "))
-	}
-	return ids, data
-}
-
 // clients sends requests at a steady rate, each on a connection of its own, and collects the answers.
 type clients struct {
 	fleet *fleet
@@ -98,9 +83,8 @@
 		_ = response.Body.Close()
 		e.body, e.isWhole = string(body), err == nil
 	}
-	ids, _ := e.events()
-	c.fleet.log.add("answered", fmt.Sprintf("%s status %d, signed %t, %d bytes, %d events, whole for the client %t, error %v",
-		attempt, e.status, e.signed, len(e.body), len(ids), e.isWhole, err))
+	c.fleet.log.add("answered", fmt.Sprintf("%s status %d, signed %t, %d bytes, whole for the client %t, error %v",
+		attempt, e.status, e.signed, len(e.body), e.isWhole, err))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.exchanges = append(c.exchanges, e)
@@ -115,18 +99,6 @@
 	return request, err
 }
 
-// writeup returns a request of the streaming route.
-func writeup(ctx context.Context, front, attempt string) (*http.Request, error) {
-	request, err := newPost(ctx, front, "/writeup/report", attempt)
-	if err == nil {
-		request.Header.Set("X-Nutmeglock-Deadline-Remaining-Ms", "12000")
-		request.Header.Set("X-Nutmeglock-Model", "m")
-		request.Header.Set("X-Nutmeglock-Token-Count", "1110,120")
-		request.Header.Set("X-Nutmeglock-Prompt-Prefix", fmt.Sprintf("%08x:800,%08x:310", rand.Uint32(), rand.Uint32()))
-	}
-	return request, err
-}
-
 func newPost(ctx context.Context, front, path, attempt string) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+front+path, strings.NewReader("body of "+attempt))
 	if err != nil {
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -15,14 +15,15 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
 const (
-	// routerCount and zoneCount are those of a small deployment.
-	routerCount = 3
+	// routerCount and zoneCount are those of the small deployment.
+	routerCount = 6
 	zoneCount   = 3
 	// program is the router as the deploy file builds it.
 	program = "target/nutmeglock"
@@ -54,6 +55,27 @@
 	workers []*process
 	// next chooses the router of the next request.
 	next int
+
+	mu sync.Mutex
+	// lines are what the workers have printed.
+	lines []workerLine
+}
+
+// workerLine is a line that a worker has printed: what happened to an attempt.
+type workerLine struct {
+	what, attempt, worker string
+	at                    time.Time
+}
+
+func (f *fleet) noteLine(worker, line string) {
+	f.log.add("worker", line)
+	words := strings.Fields(line)
+	if len(words) < 2 {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lines = append(f.lines, workerLine{what: words[0], attempt: words[1], worker: worker, at: time.Now()})
 }
 
 // process is a router or a worker.
@@ -63,7 +85,6 @@
 	args    []string
 	env     []string
 	output  io.Writer
-	worker  workerOptions
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -82,10 +103,7 @@
 		return f, err
 	}
 	f.store.put("op", "config", []byte(configuration))
-	for i, w := range options.workers {
-		w.address, w.store = f.address(100+i, 8080), f.storeAddress()
-		w.id = fmt.Sprintf("i-%08x", rand.Uint32())
-		w.zone = zone(i)
+	for _, w := range options.workers {
 		if err := f.addWorker(w); err != nil {
 			return f, err
 		}
@@ -128,7 +146,11 @@
 	return nil
 }
 
+// addWorker starts a worker with an id and an address of its own.
 func (f *fleet) addWorker(o workerOptions) error {
+	i := len(f.workers)
+	o.address, o.store, o.zone = f.address(100+i, 8080), f.storeAddress(), zone(i)
+	o.id = fmt.Sprintf("i-%08x", rand.Uint32())
 	self, err := os.Executable()
 	if err != nil {
 		return err
@@ -137,10 +159,10 @@
 	go func() {
 		lines := bufio.NewScanner(reader)
 		for lines.Scan() {
-			f.log.add("worker", lines.Text())
+			f.noteLine(o.id, lines.Text())
 		}
 	}()
-	p := &process{name: o.id, program: self, args: o.args(), output: writer, worker: o}
+	p := &process{name: o.id, program: self, args: o.args(), output: writer}
 	f.workers = append(f.workers, p)
 	return p.start()
 }
@@ -263,11 +285,21 @@
 	}
 }
 
-// restart starts a worker again under its id and at its address, with a software version.
-func (p *process) restart(version string) error {
-	p.worker.version = version
-	p.args = p.worker.args()
-	return p.start()
+// supervise starts a worker again, each time a while after it has ended by itself.
+func (p *process) supervise(ctx context.Context, pause time.Duration) {
+	for {
+		p.mu.Lock()
+		exited := p.exited
+		p.mu.Unlock()
+		select {
+		case <-exited:
+		case <-ctx.Done():
+			return
+		}
+		if !sleep(ctx, pause) || p.start() != nil {
+			return
+		}
+	}
 }
 
 const bounds = `{"seedLagS":3,"reuseAfterS":2,"stableMs":3000,"ackMs":4000,"catchUpS":4,"drainMs":2000,"graceS":8,"lossSlackMs":200,
@@ -281,5 +313,5 @@
 "priority":2,"service":"tilaukset","maxAttempts":1,"public":false}],
 "services":[{"name":"kirjoitin","maxConns":360,"healthPath":"/health","engine":{"slots":64,"kvCapacityTokens":664478,"kvTokenBytes":18432,"linkMbps":88000}},
 {"name":"tilaukset","maxConns":96,"healthPath":"/health"}],
-"limits":{"maxHeaderBytes":32768,"maxBodyBytes":1048576,"headerTimeoutMs":10000,"idleTimeoutMs":30000},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000,"tokensPerS":310000},
 "tenants":[{"name":"hule930","apiKeys":["asnmgkcuyj8pjbvk9m68"]}]}`
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -44,7 +44,7 @@
 
 func runCase(name string, args []string) int {
 	scenes := map[string]scene{
-		"cut-answer": cutAnswer(), "cut-stream": cutStream(), "restarted-version": restartedVersion(),
+		"poison-midway": poisonMidway(), "frozen-router": frozenRouter(), "poison-parallel": poisonParallel(),
 	}
 	s, known := scenes[name]
 	if !known || len(args) != 1 {
--- a/review/rig2/store.go
+++ b/review/rig2/store.go
@@ -61,9 +61,8 @@
 	objects map[string][]byte
 	began   time.Time
 	beats   map[string]time.Time
-	// changed is closed at the next change, and down at the end of the outage, nil if there is none.
+	// changed is closed at the next change.
 	changed chan struct{}
-	down    chan struct{}
 }
 
 func newStore() *store {
@@ -82,41 +81,7 @@
 	mux.HandleFunc("GET /api/blob-get/{name}", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
 	mux.HandleFunc("PUT "+workersPath+"{id}", s.putWorker)
 	mux.HandleFunc("DELETE "+workersPath+"{id}", s.removeWorker)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.dropWhileDown(r)
-		mux.ServeHTTP(w, r)
-	})
-}
-
-// dropWhileDown answers nothing during an outage.
-func (s *store) dropWhileDown(r *http.Request) {
-	s.mu.Lock()
-	down := s.down
-	s.mu.Unlock()
-	if down == nil {
-		return
-	}
-	select {
-	case <-down:
-	case <-r.Context().Done():
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// setDown begins or ends an outage in which the store doesn't answer.
-func (s *store) setDown(isDown bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if isDown {
-		s.down = make(chan struct{})
-	} else {
-		close(s.down)
-		s.down = nil
-		for id := range s.beats {
-			s.beats[id] = time.Now() // nothing lapses for the time of the outage
-		}
-	}
-	s.wake()
+	return mux
 }
 
 // wake must be called with the lock held.
@@ -204,7 +169,6 @@
 	timer := time.NewTimer(min(time.Duration(wait)*time.Millisecond, maxWait))
 	defer timer.Stop()
 	for isOver := false; ; {
-		s.dropWhileDown(r)
 		s.mu.Lock()
 		changed := s.changed
 		if s.answerFollow(w, q.Get("table"), after, isOver) {
@@ -275,7 +239,7 @@
 	s.mu.Lock()
 	var silent []string
 	for id, at := range s.beats {
-		if s.down == nil && time.Since(at) > lapse {
+		if time.Since(at) > lapse {
 			silent = append(silent, id)
 		}
 	}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -11,11 +11,9 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -37,8 +35,10 @@
 	// events is the length of a stream, first the time to its first event, and interval that between two.
 	events          int
 	first, interval time.Duration
-	// leaveAfter is how long after SIGTERM the worker is gone.
-	leaveAfter time.Duration
+	// crashPath is the path of the request that ends the process. Before that the worker writes half of its answer if
+	// crashMidway is set.
+	crashPath   string
+	crashMidway bool
 }
 
 func (o *workerOptions) flags() *flag.FlagSet {
@@ -55,7 +55,8 @@
 	f.IntVar(&o.events, "events", 40, "")
 	f.DurationVar(&o.first, "first", 60*time.Millisecond, "")
 	f.DurationVar(&o.interval, "interval", 100*time.Millisecond, "")
-	f.DurationVar(&o.leaveAfter, "leave-after", 2*time.Second, "")
+	f.StringVar(&o.crashPath, "crash-path", "", "")
+	f.BoolVar(&o.crashMidway, "crash-midway", false, "")
 	return f
 }
 
@@ -63,7 +64,7 @@
 	return []string{
 		"worker", "-id", o.id, "-service", o.service, "-address", o.address, "-zone", o.zone, "-version", o.version, "-store", o.store,
 		"-slots", strconv.Itoa(o.slots), fmt.Sprintf("-stream=%t", o.stream), fmt.Sprintf("-unframed=%t", o.unframed),
-		"-events", strconv.Itoa(o.events), "-first", o.first.String(), "-interval", o.interval.String(), "-leave-after", o.leaveAfter.String(),
+		"-events", strconv.Itoa(o.events), "-first", o.first.String(), "-interval", o.interval.String(), "-crash-path", o.crashPath, fmt.Sprintf("-crash-midway=%t", o.crashMidway),
 	}
 }
 
@@ -73,7 +74,6 @@
 	born     int64
 	sequence atomic.Int64
 	running  atomic.Int64
-	leaving  atomic.Bool
 }
 
 // runWorker serves until a signal ends the process. Each line that it prints tells of a run.
@@ -91,18 +91,9 @@
 	mux.HandleFunc("/", w.serve)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }() // ends with the process
-	leave := make(chan os.Signal, 1)
-	signal.Notify(leave, syscall.SIGTERM)
-	ticker := time.NewTicker(heartbeat)
 	for {
 		w.beat()
-		select {
-		case <-ticker.C:
-		case <-leave:
-			w.leaving.Store(true)
-			w.print("leaves", "")
-			time.AfterFunc(w.leaveAfter, func() { os.Exit(held) })
-		}
+		time.Sleep(heartbeat)
 	}
 }
 
@@ -112,12 +103,8 @@
 
 // beat writes the worker's entry.
 func (w *worker) beat() {
-	state := "ready"
-	if w.leaving.Load() {
-		state = "draining"
-	}
 	entry, _ := json.Marshal(map[string]any{ // never fails
-		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": w.slots, "state": state,
+		"service": w.service, "address": w.address, "zone": w.zone, "version": w.version, "slots": w.slots, "state": "ready",
 		"coldRemainingMs": 0, "sequence": w.sequence.Add(1), "born": w.born,
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), beatTimeout)
@@ -140,17 +127,11 @@
 
 func (w *worker) health(out http.ResponseWriter, _ *http.Request) {
 	out.Header().Set("X-Nutmeglock-Instance-Id", w.id)
-	if w.leaving.Load() {
-		out.WriteHeader(http.StatusServiceUnavailable)
-	}
 }
 
 func (w *worker) serve(out http.ResponseWriter, r *http.Request) {
 	attempt := r.Header.Get(attemptField)
 	out.Header().Set(attemptField, attempt)
-	if w.leaving.Load() {
-		out.Header().Set("Server-Leaving", "1")
-	}
 	if expected := r.Header.Get("X-Nutmeglock-Expect-Instance"); expected != "" && expected != w.id {
 		out.Header().Set("X-Nutmeglock-Instance-Id", w.id)
 		out.WriteHeader(http.StatusMisdirectedRequest)
@@ -201,12 +182,29 @@
 		if !sleep(r.Context(), part.pause) {
 			panic(http.ErrAbortHandler)
 		}
+		isCrashing := w.crashPath != "" && r.URL.Path == w.crashPath
+		if isCrashing && !w.crashMidway {
+			w.crash(attempt)
+		}
 		_, _ = out.Write([]byte(part.text))
 		_ = http.NewResponseController(out).Flush() // a caller that left ends the context
+		if isCrashing {
+			time.Sleep(crashDelay)
+			w.crash(attempt)
+		}
 	}
 	w.print("whole", attempt)
 }
 
+// crashDelay is the time between the half of an answer and the crash, in which the half leaves the machine.
+const crashDelay = 20 * time.Millisecond
+
+// crash ends the process.
+func (w *worker) crash(attempt string) {
+	w.print("crash", attempt)
+	os.Exit(broken)
+}
+
 // bodySize is the size of the body of a plain worker's answer, in bytes.
 const bodySize = 800
 
