Observability of a restored store: its era, and changes that later revisions supersede

Hypothesis 1 of the incident (docs/incidents/store-from-copy.md) leaves no line in the logs: a change that is ignored because the router holds a later revision, and the era of the store. The stand-in can be restored from a copy.

--- a/deployment/state.go
+++ b/deployment/state.go
@@ -209,6 +209,7 @@
 func (s *State) ReplaceUpstreams(list []registry.Change, as registry.Revision, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.logSuperseded(list, source)
 	s.applyChanges(s.directory.Replace(time.Now(), list, as), source)
 	s.logDeferrals()
 	s.scheduleRemoval()
@@ -218,6 +219,7 @@
 func (s *State) ApplyUpstreams(changes []registry.Change, source string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.logSuperseded(changes, source)
 	s.applyChanges(s.directory.Apply(time.Now(), changes), source)
 	s.logDeferrals()
 	s.scheduleRemoval()
@@ -295,6 +297,20 @@
 	s.notify(source)
 }
 
+// logSuperseded logs changes from the store that will have no effect, because the entry has a later revision, though
+// they contradict it.
+func (s *State) logSuperseded(changes []registry.Change, source string) {
+	for _, c := range changes {
+		held, known := s.directory.Get(c.Upstream.ID)
+		if !known || c.Revision >= held.Revision || c.Removed == held.Removed && c.Upstream.Draining == held.Upstream.Draining {
+			continue
+		}
+		s.options.Log.Info("upstream change superseded", "upstream", c.Upstream.ID, "life", c.Upstream.StartTime, "draining", c.Upstream.Draining,
+			"gone", c.Removed, "revision", c.Revision, "held-revision", held.Revision, "held-draining", held.Upstream.Draining,
+			"held-gone", held.Removed, "from", source)
+	}
+}
+
 // logDeferrals logs the removals that don't take effect yet.
 func (s *State) logDeferrals() {
 	for _, d := range s.directory.TakeDeferrals() {
--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -55,6 +55,8 @@
 	historyStart uint64
 	// nextCommit is closed at the next commit.
 	nextCommit chan struct{}
+	// restores counts the restores from a copy.
+	restores uint64
 }
 
 // New returns an empty platform that uses clock.
@@ -143,6 +145,26 @@
 	p.notifyWatchers()
 }
 
+// RestoreCopy replaces the rows by a copy that is age old: later transactions are lost, and their numbers
+// are given out again. It returns the number of the last transaction before and in the copy.
+func (p *Platform) RestoreCopy(age time.Duration) (before, after uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before = p.table.lastCommit
+	p.table.truncate(p.clock.Now().Add(-age))
+	p.historyStart = min(p.historyStart, p.table.lastCommit)
+	p.restores++
+	p.notifyWatchers()
+	return before, p.table.lastCommit
+}
+
+// Era returns a number that rises with each restore from a copy.
+func (p *Platform) Era() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.restores + 1
+}
+
 // Watch waits up to wait for changes under a prefix after a commit, and returns
 // them and the latest commit. It returns no changes if there were none.
 func (p *Platform) Watch(ctx context.Context, prefix store.Key, after uint64, wait time.Duration) ([]Change, uint64, error) {
@@ -155,8 +177,9 @@
 	expired := make(chan struct{})
 	timeout := p.clock.After(wait, func(time.Time) { close(expired) })
 	defer timeout.Cancel()
+	era := p.Era()
 	for {
-		changes, commit, next, err := p.changesAfter(after, prefix)
+		changes, commit, next, err := p.changesAfter(era, after, prefix)
 		if err != nil || len(changes) > 0 {
 			return changes, commit, err
 		}
@@ -170,12 +193,12 @@
 	}
 }
 
-// changesAfter returns the changes under a prefix after a commit, the latest
+// changesAfter returns the changes under a prefix after a commit of an era, the latest
 // commit, and a channel that is closed at the next commit.
-func (p *Platform) changesAfter(after uint64, prefix store.Key) ([]Change, uint64, <-chan struct{}, error) {
+func (p *Platform) changesAfter(era, after uint64, prefix store.Key) ([]Change, uint64, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after < p.historyStart {
+	if after < p.historyStart || after > p.table.lastCommit || era != p.restores+1 {
 		return nil, 0, nil, &HistoryLostError{After: after, DroppedThrough: p.historyStart}
 	}
 	if p.nextCommit == nil {
--- a/store/memory/table.go
+++ b/store/memory/table.go
@@ -127,6 +127,32 @@
 	})
 }
 
+// truncate drops all transactions after a time.
+func (t *table) truncate(end time.Time) {
+	n, _ := slices.BinarySearchFunc(t.commitTimes, end, func(c commitTime, end time.Time) int {
+		if c.committedAt.After(end) {
+			return 1
+		}
+		return -1
+	})
+	t.commitTimes = t.commitTimes[:n]
+	t.lastCommit = 0
+	if n > 0 {
+		t.lastCommit = t.commitTimes[n-1].commit
+	}
+	t.keys = slices.DeleteFunc(t.keys, func(key store.Key) bool {
+		values := t.history[key]
+		for len(values) > 0 && values[len(values)-1].commit > t.lastCommit {
+			values = values[:len(values)-1]
+		}
+		t.history[key] = values
+		if len(values) == 0 {
+			delete(t.history, key)
+		}
+		return len(values) == 0
+	})
+}
+
 // dropExpired drops the values that were replaced more than retention ago.
 func dropExpired(values []rowValue, now time.Time) []rowValue {
 	for len(values) > 1 && now.Sub(values[1].writtenAt) > retention {
