registry, platform, deployment: revisions are ordered within an era of the store

Cause: the number of a change orders changes only until the store is restored. The same number is what routers ask the store and each other for, so each asked for changes after a number that the store doesn't have, got 410, read the whole table and asked again without a pause: 11,159 calls in a second from six routers.

The first list of a new era is compared with what is known: an upstream that has left stays away until it writes its entry again, one that the copy lacks may return for as long as after an outage, and routers that have started since are told. The class elsewhere: evacuations, a configuration that is written again under its version, conditions of transactions (indefinite across a restore), answers from before a restore, the routers' own rows, and the pause after two lost histories in a row.

TestDirectorySurvivesAnyChange draws revisions of any era, so its last list is of the latest one: as strict as before.

--- a/deployment/codec.go
+++ b/deployment/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -11,6 +12,7 @@
 	out := &schema.Configuration{
 		Version: uint64(c.Version), MaxHeaderBytes: uint32(c.Limits.MaxHeaderBytes), MaxBodyBytes: uint32(c.Limits.MaxBodyBytes),
 		HeaderTimeoutMs: schema.Millis(c.Limits.HeaderTimeout), IdleTimeoutMs: schema.Millis(c.Limits.IdleTimeout),
+		Revision: c.Revision.Number(), Era: uint32(c.Revision.Era()),
 	}
 	for i := range c.Routes {
 		out.Routes = append(out.Routes, encodeRoute(&c.Routes[i]))
@@ -43,7 +45,7 @@
 // decodeConfiguration is the inverse of encodeConfiguration.
 func decodeConfiguration(in *schema.Configuration) route.Configuration {
 	out := route.Configuration{
-		Version: fleet.Version(in.GetVersion()),
+		Version: fleet.Version(in.GetVersion()), Revision: registry.NewRevision(registry.Era(in.GetEra()), in.GetRevision()),
 		Limits: route.Limits{
 			MaxHeaderBytes: int(in.GetMaxHeaderBytes()), MaxBodyBytes: int(in.GetMaxBodyBytes()),
 			HeaderTimeout: schema.Duration(in.GetHeaderTimeoutMs()), IdleTimeout: schema.Duration(in.GetIdleTimeoutMs()),
--- a/deployment/consistency.go
+++ b/deployment/consistency.go
@@ -1,7 +1,6 @@
 package deployment
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -46,12 +45,13 @@
 }
 
 // positionOf returns the position that another router announced. One of an older build announces only its
-// version.
-func positionOf(a *schema.Announcement) registry.Position {
-	version := registry.Revision(a.GetUpstreamRevision())
+// version, which is taken as being of the given era.
+func positionOf(a *schema.Announcement, era registry.Era) registry.Position {
+	decode := func(number uint64) registry.Revision { return registry.DecodeRevision(a.UpstreamEra, number, era) }
+	version := decode(a.GetUpstreamRevision())
 	return registry.Position{
-		Version: version, Known: max(registry.Revision(a.GetUpstreamKnown()), version), Base: registry.Revision(a.GetUpstreamBase()),
-		Latest: cmp.Or(registry.Revision(a.GetUpstreamLatest()), version), Digest: registry.Digest(a.GetUpstreamDigest()),
+		Version: version, Known: max(decode(a.GetUpstreamKnown()), version), Base: decode(a.GetUpstreamBase()),
+		Latest: max(decode(a.GetUpstreamLatest()), version), Digest: registry.Digest(a.GetUpstreamDigest()),
 	}
 }
 
@@ -86,8 +86,8 @@
 		m.fetchList(from, own, theirs)
 	case registry.NeedRead:
 		if m.lists.requestRead(time.Now()) {
-			m.log.Warn("lists of upstreams contradict each other", "other", from, "revision", own.Version, "known", own.Known,
-				"other-known", theirs.Known)
+			m.log.Warn("lists of upstreams contradict each other", "other", from, "era", own.Known.Era(), "revision", own.Version.Number(), "known", own.Known.Number(),
+				"other-known", theirs.Known.Number())
 		}
 	case registry.NeedNothing, registry.NeedChanges:
 	}
@@ -103,8 +103,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pullTimeout)
 	defer cancel()
 	size, err := m.fetchUpstreams(ctx, from, uint64(own.Known))
-	m.log.Info("asked another router", "other", from, "update", "whole list of upstreams", "error", err, "before", own.Known,
-		"now", m.state.upstreamPosition().Known, "other-base", theirs.Base, "bytes", size)
+	m.log.Info("asked another router", "other", from, "update", "whole list of upstreams", "error", err, "before", own.Known.Number(),
+		"now", m.state.upstreamPosition().Known.Number(), "other-base", theirs.Base.Number(), "era", theirs.Known.Era(), "bytes", size)
 	var gone *peer.NotConnectedError
 	if err != nil && !errors.As(err, &gone) {
 		m.scheduleListCheck(from, theirs)
--- a/deployment/encoding.go
+++ b/deployment/encoding.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 
-	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/route"
 )
 
@@ -26,7 +25,7 @@
 // moment. Encoding it for each request would cost these few seconds of processor time.
 type encodingCache struct {
 	mu      sync.Mutex
-	version fleet.Version
+	encoded route.Configuration
 	data    []byte
 }
 
@@ -34,14 +33,14 @@
 func (e *encodingCache) encode(c route.Configuration) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.data != nil && c.Version <= e.version {
+	if e.data != nil && !c.IsNewerThan(&e.encoded) {
 		return e.data, nil
 	}
 	data, err := deflate(encodeConfiguration(c))
 	if err != nil {
 		return nil, err
 	}
-	e.version = c.Version
+	e.encoded = c
 	e.data = data
 	return data, nil
 }
--- a/deployment/evacuations.go
+++ b/deployment/evacuations.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
@@ -15,6 +17,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyEvacuations(s.evacuations.Replace(time.Now(), inForce, as), source)
+	if due, ok := s.evacuations.NextLapse(); ok {
+		time.AfterFunc(time.Until(due)+time.Millisecond, func() { s.options.Guard.RunControl(s.lapseEvacuations) })
+	}
+}
+
+// lapseEvacuations ends the evacuations that the operator has not written again after a restore of the store.
+func (s *State) lapseEvacuations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applyEvacuations(s.evacuations.Lapse(time.Now()), "lacking in the restored store")
 }
 
 // ApplyEvacuations applies changes of the evacuations.
@@ -40,7 +52,7 @@
 		return
 	}
 	for _, c := range changes {
-		s.options.Log.Info("evacuation changed", "data-centre", c.DataCenter, "ended", c.Ended, "revision", c.Revision, "from", source)
+		s.options.Log.Info("evacuation changed", "data-centre", c.DataCenter, "ended", c.Ended, "era", c.Revision.Era(), "revision", c.Revision.Number(), "from", source)
 	}
 	s.refreshPools(time.Now())
 	s.notify(source)
@@ -69,10 +81,13 @@
 // fetchEvacuations fetches and applies the evacuations of another router. It returns the size
 // of the answer in bytes.
 func (m *mesh) fetchEvacuations(ctx context.Context, from fleet.RouterID, heldRevision uint64) (int, error) {
-	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: notRequested, EvacuationRevision: heldRevision}
+	held := registry.Revision(heldRevision)
+	request := knowledgeRequest{
+		ConfigurationVersion: notRequested, UpstreamRevision: notRequested, EvacuationRevision: held.Number(), EvacuationEra: held.Era(),
+	}
 	knowledge, size, err := m.fetchKnowledge(ctx, from, request)
 	if err == nil {
-		m.state.applyAllEvacuations(decodeEvacuations(knowledge.GetEvacuations()), routerSource(from))
+		m.state.applyAllEvacuations(decodeEvacuations(knowledge.GetEvacuations(), m.state.EvacuationRevision().Era()), routerSource(from))
 	}
 	return size, err
 }
@@ -84,16 +99,19 @@
 	}
 	var out []*schema.EvacuationChange
 	for _, c := range s.evacuations.Changes() {
-		out = append(out, &schema.EvacuationChange{DataCenter: string(c.DataCenter), Revision: uint64(c.Revision), Ended: c.Ended})
+		out = append(out, &schema.EvacuationChange{
+			DataCenter: string(c.DataCenter), Revision: c.Revision.Number(), Era: proto.Uint32(uint32(c.Revision.Era())), Ended: c.Ended,
+		})
 	}
 	return out
 }
 
-func decodeEvacuations(in []*schema.EvacuationChange) []evacuation.Change {
+// decodeEvacuations takes changes that tell no era as being of the given one.
+func decodeEvacuations(in []*schema.EvacuationChange, era registry.Era) []evacuation.Change {
 	var out []evacuation.Change
 	for _, c := range in {
 		out = append(out, evacuation.Change{
-			DataCenter: fleet.DataCenterID(c.GetDataCenter()), Revision: registry.Revision(c.GetRevision()), Ended: c.GetEnded(),
+			DataCenter: fleet.DataCenterID(c.GetDataCenter()), Revision: registry.DecodeRevision(c.Era, c.GetRevision(), era), Ended: c.GetEnded(),
 		})
 	}
 	return out
--- a/deployment/knowledge.go
+++ b/deployment/knowledge.go
@@ -26,6 +26,9 @@
 	UpstreamRevision     uint64 `json:"upstream-revision"`
 	// EvacuationRevision is zero in requests of routers that don't know of evacuations.
 	EvacuationRevision uint64 `json:"evacuation-revision,omitempty"`
+	// UpstreamEra and EvacuationEra are the eras of the revisions; zero in requests of older builds.
+	UpstreamEra   registry.Era `json:"upstream-era,omitempty"`
+	EvacuationEra registry.Era `json:"evacuation-era,omitempty"`
 	// ConfigurationEncoding is the encoding in which the requesting router can read a
 	// configuration; empty means as part of Knowledge.
 	ConfigurationEncoding string `json:"configuration-encoding,omitempty"`
@@ -34,6 +37,14 @@
 	KnowledgeEncoding string `json:"knowledge-encoding,omitempty"`
 }
 
+// revision returns the revision that a request names by its era and number.
+func (r *knowledgeRequest) revision(era registry.Era, number uint64) registry.Revision {
+	if number == notRequested {
+		return registry.Revision(notRequested)
+	}
+	return registry.NewRevision(era, number)
+}
+
 // minCompressedKnowledge is the size from which on Knowledge is compressed, in bytes.
 const minCompressedKnowledge = 1 << 10
 
@@ -64,8 +75,11 @@
 // fetchUpstreams fetches and applies the changes of the list of upstreams after the held
 // revision from another router. It returns the size of the answer in bytes.
 func (m *mesh) fetchUpstreams(ctx context.Context, from fleet.RouterID, _ uint64) (int, error) {
-	heldRevision := uint64(m.state.upstreamPosition().Known)
-	request := knowledgeRequest{ConfigurationVersion: notRequested, UpstreamRevision: heldRevision, EvacuationRevision: notRequested, KnowledgeEncoding: deflateEncoding}
+	held := m.state.upstreamPosition().Known
+	request := knowledgeRequest{
+		ConfigurationVersion: notRequested, UpstreamRevision: held.Number(), UpstreamEra: held.Era(), EvacuationRevision: notRequested,
+		KnowledgeEncoding: deflateEncoding,
+	}
 	knowledge, size, err := m.fetchKnowledge(ctx, from, request)
 	if err == nil {
 		m.state.ApplyUpstreamsFromPeer(knowledge, routerSource(from))
@@ -130,8 +144,8 @@
 		return nil, eris.Wrap(err, "decoding a question")
 	}
 	var response knowledgeResponse
-	knowledge := m.state.knowledgeAfter(registry.Revision(request.UpstreamRevision))
-	knowledge.Evacuations = m.state.evacuationsAfter(registry.Revision(request.EvacuationRevision))
+	knowledge := m.state.knowledgeAfter(request.revision(request.UpstreamEra, request.UpstreamRevision))
+	knowledge.Evacuations = m.state.evacuationsAfter(request.revision(request.EvacuationEra, request.EvacuationRevision))
 	current := m.state.currentConfiguration()
 	switch {
 	case uint64(current.Version) <= request.ConfigurationVersion:
--- a/deployment/members.go
+++ b/deployment/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -197,14 +198,43 @@
 	attempted chan struct{}
 	// done is set once the entry is written.
 	done atomic.Bool
+	// lost receives a value when the entry may have been lost.
+	lost chan struct{}
 }
 
-// register writes the router's own entry, retrying until it is written, and returns when ctx
-// ends.
+func newRegistration() *registration {
+	return &registration{attempted: make(chan struct{}), lost: make(chan struct{}, 1)}
+}
+
+// renew has the entry written again.
+func (r *registration) renew() {
+	select {
+	case r.lost <- struct{}{}:
+	default: // it is to be written already
+	}
+}
+
+// maxRenewalDelay spreads the writes of routers whose entries were lost together.
+const maxRenewalDelay = time.Second
+
+// register writes the router's own entry, and again whenever it may have been lost, until ctx ends.
 func (r *Router) register(ctx context.Context) error {
-	own := Member{ID: r.options.Self, Address: r.options.PeerAddress}
 	attempted := sync.OnceFunc(func() { close(r.registration.attempted) })
 	defer attempted()
+	for ctx.Err() == nil {
+		r.writeEntry(ctx, attempted)
+		select {
+		case <-r.registration.lost:
+			sleep(ctx, rand.N(maxRenewalDelay))
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// writeEntry writes the router's own entry, retrying until it is written.
+func (r *Router) writeEntry(ctx context.Context, attempted func()) {
+	own := Member{ID: r.options.Self, Address: r.options.PeerAddress}
 	written := retryUntilSuccess(ctx, func(ctx context.Context) error { return r.options.MemberStore.Register(ctx, own) },
 		func(err error) {
 			r.options.Log.Warn("not registered", "error", err)
@@ -214,9 +244,14 @@
 		r.options.Log.Info("registered", "address", own.Address)
 		r.registration.done.Store(true)
 		attempted()
-		<-ctx.Done()
 	}
-	return ctx.Err()
+}
+
+func sleep(ctx context.Context, pause time.Duration) {
+	select {
+	case <-time.After(pause):
+	case <-ctx.Done():
+	}
 }
 
 // withdraw removes the router's own entry.
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -82,7 +82,9 @@
 	// latestPuller fetches changes of the list of upstreams that lie beyond one which another router defers.
 	latestPuller puller
 	lists        listChecker
-	guard        *recovery.Guard
+	// isFetchingRewritten is set while a configuration that was written again is fetched.
+	isFetchingRewritten atomic.Bool
+	guard               *recovery.Guard
 
 	mu             sync.Mutex
 	lastReportTime time.Time
@@ -140,10 +142,13 @@
 func (m *mesh) announcement() *schema.Announcement {
 	own, position := m.group.OwnStatus(), m.state.upstreamPosition()
 	out := &schema.Announcement{
-		ConfigurationVersion: m.configurationVersion(), UpstreamRevision: uint64(position.Version), UpstreamKnown: uint64(position.Known),
-		UpstreamBase: uint64(position.Base), UpstreamLatest: uint64(position.Latest), UpstreamDigest: uint64(position.Digest),
-		EvacuationRevision: m.evacuationRevision(), Follows: own.Follows, StoreLost: own.StoreLost,
+		ConfigurationVersion: m.configurationVersion(), UpstreamRevision: position.Version.Number(), UpstreamKnown: position.Known.Number(),
+		UpstreamBase: position.Base.Number(), UpstreamLatest: numberIn(position.Known.Era(), position.Latest), UpstreamDigest: uint64(position.Digest),
+		UpstreamEra: proto.Uint32(uint32(position.Known.Era())), Follows: own.Follows, StoreLost: own.StoreLost,
 	}
+	evacuations := m.state.EvacuationRevision()
+	out.EvacuationRevision, out.EvacuationEra = evacuations.Number(), uint32(evacuations.Era())
+	m.state.announceRewritten(out)
 	if age, confirmed := m.state.listAge(time.Now()); confirmed {
 		out.UpstreamAgeMs = proto.Uint32(schema.Millis(age))
 	}
@@ -223,7 +228,9 @@
 		m.evacuationPuller.forget(c.Router)
 		return
 	}
-	m.peers.Send(c.Router, &schema.Batch{Announcement: m.announcement(), LeavingUpstreams: m.state.leavingUpstreams()})
+	m.peers.Send(c.Router, &schema.Batch{
+		Announcement: m.announcement(), LeavingUpstreams: m.state.leavingUpstreams(), KeptUpstreams: m.state.keptUpstreams(),
+	})
 	m.crashMonitor.sendRefusedRequests(c.Router)
 	m.mu.Lock()
 	m.lastReport = nil // so that the next report is sent even if it is unchanged
@@ -235,6 +242,9 @@
 	if leaving := batch.GetLeavingUpstreams(); len(leaving) > 0 {
 		m.state.observeLeaving(from, leaving) // before the asks that it concerns
 	}
+	if kept := batch.GetKeptUpstreams(); len(kept) > 0 {
+		m.state.applyKept(from, kept)
+	}
 	m.coordinator.HandleBatch(from, batch)
 	m.crashMonitor.receive(from, batch)
 	m.origins.receive(batch)
@@ -253,15 +263,18 @@
 func (m *mesh) handleAnnouncement(from fleet.RouterID, a *schema.Announcement) {
 	m.group.SetPeerStatus(from, follow.Status{Follows: a.GetFollows(), StoreLost: a.GetStoreLost()})
 	m.updateFollowersLostStore()
-	if a.UpstreamAgeMs != nil && a.GetUpstreamRevision() <= m.upstreamRevision() {
+	theirs := positionOf(a, m.state.upstreamPosition().Known.Era())
+	if a.UpstreamAgeMs != nil && uint64(theirs.Version) <= m.upstreamRevision() {
 		m.state.confirmUpstreams(time.Now().Add(-schema.Duration(a.GetUpstreamAgeMs())))
 	}
 	m.configurationPuller.handleAnnouncement(from, a.GetConfigurationVersion(), m.pullDelay())
-	m.handleUpstreamPosition(from, positionOf(a))
-	m.evacuationPuller.handleAnnouncement(from, a.GetEvacuationRevision(), m.pullDelay())
+	m.fetchRewritten(from, a)
+	m.handleUpstreamPosition(from, theirs)
+	evacuations := registry.NewRevision(registry.Era(a.GetEvacuationEra()), a.GetEvacuationRevision())
+	m.evacuationPuller.handleAnnouncement(from, uint64(evacuations), m.pullDelay())
 	own := m.announcement()
-	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || own.GetUpstreamRevision() > uint64(positionOf(a).Known) ||
-		own.GetEvacuationRevision() > a.GetEvacuationRevision() {
+	if own.GetConfigurationVersion() > a.GetConfigurationVersion() || m.state.upstreamPosition().Version > theirs.Known ||
+		m.state.EvacuationRevision() > evacuations {
 		m.announceIfGrouped(from, own)
 	}
 }
@@ -285,6 +298,14 @@
 
 func (m *mesh) configurationVersion() uint64 { return uint64(m.state.Table().Version()) }
 
+// numberIn returns the number of a revision, zero if it is of another era.
+func numberIn(era registry.Era, revision registry.Revision) uint64 {
+	if revision.Era() != era {
+		return 0
+	}
+	return revision.Number()
+}
+
 func (m *mesh) upstreamRevision() uint64 { return uint64(m.state.upstreamPosition().Known) }
 
 func (m *mesh) latestUpstreamRevision() uint64 {
--- a/deployment/mixed_services.go
+++ b/deployment/mixed_services.go
@@ -116,6 +116,26 @@
 	return true
 }
 
+// storeAgain stores the services with several versions that this router is responsible for once more, as the store may have lost
+// them.
+func (m *mixedServices) storeAgain() {
+	if m.store == nil {
+		return
+	}
+	m.mu.Lock()
+	var stored []fleet.ServiceID
+	for service, isStored := range m.saved {
+		if isStored {
+			stored = append(stored, service)
+		}
+	}
+	clear(m.saved)
+	m.mu.Unlock()
+	for _, service := range stored {
+		m.set(service, true)
+	}
+}
+
 // anyService stands for all services where one router is chosen to look after them.
 const anyService fleet.ServiceID = ""
 
--- a/deployment/quarantines.go
+++ b/deployment/quarantines.go
@@ -94,6 +94,28 @@
 	}
 }
 
+// storeAgain stores what is refused once more, as the store may have lost it. One of the connected routers does so.
+func (p *quarantinePersister) storeAgain() {
+	if !p.isResponsible() {
+		return
+	}
+	now := time.Now()
+	for _, v := range p.monitor.tracker.ActiveVerdicts(now) {
+		if v.Status == quarantine.Refused {
+			p.enqueue(v)
+		}
+	}
+	for _, v := range p.monitor.parts.tracker.Refused(now) {
+		p.enqueueCause(v)
+	}
+}
+
+// isResponsible reports whether this router looks after the stored entries on behalf of those that it is connected to.
+func (p *quarantinePersister) isResponsible() bool {
+	m := p.monitor
+	return rendezvous.Pick(rendezvous.KeyOf("quarantine", "reload"), append(m.otherRouters(), m.self)) == m.self
+}
+
 // run loads the stored entries, then stores verdicts until ctx ends.
 func (p *quarantinePersister) run(ctx context.Context) error {
 	p.retryStoreCall(ctx, "load", p.load)
@@ -124,7 +146,7 @@
 	if !m.parts.tracker.HasRefusals() && !m.trials.isCutOff() {
 		return
 	}
-	if rendezvous.Pick(rendezvous.KeyOf("quarantine", "reload"), append(m.otherRouters(), m.self)) != m.self {
+	if !p.isResponsible() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, retryCallTimeout)
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -27,6 +27,7 @@
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/recovery"
 	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/schema"
 	"nutmeglock.example/nutmeglock/turn"
 	"nutmeglock.example/nutmeglock/upstream"
 )
@@ -136,7 +137,7 @@
 func New(ctx context.Context, options Options) (*Router, error) {
 	routerMetrics, processMetrics := prometheus.NewRegistry(), prometheus.NewRegistry()
 	processMetrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	r := &Router{options: options, metricsHandler: metric.Handler(routerMetrics, processMetrics), metrics: metric.New(routerMetrics), startedAt: time.Now(), registration: &registration{attempted: make(chan struct{})}}
+	r := &Router{options: options, metricsHandler: metric.Handler(routerMetrics, processMetrics), metrics: metric.New(routerMetrics), startedAt: time.Now(), registration: newRegistration()}
 	r.failures = make(chan error, 1)
 	r.guard = &recovery.Guard{Log: logging.WithPriority(options.Log, logging.Panic), OnPanic: r.metrics.Panics.Inc, Shutdown: r.fail}
 	r.state = NewState(StateOptions{
@@ -147,6 +148,8 @@
 		Reservations:  r.metrics.ReservationHooks(),
 		RetryRatio:    options.RetryRatio, RetryBurst: options.RetryBurst, RecoveryTime: options.RecoveryTime, Log: options.Log,
 		Guard: r.guard, OnChange: r.handleStateChange,
+		OnRestore: r.handleRestore,
+		OnKept:    func(kept []*schema.UpstreamChange) { r.mesh.announceKept(kept) },
 		OnLeaving: func(age time.Duration) { r.metrics.LeavingSeconds.Observe(age.Seconds()) },
 	})
 	r.client = &upstream.Client{EchoedID: options.EchoedID, Identity: options.Identity, OnOpen: r.metrics.UpstreamConnections.Inc}
@@ -195,6 +198,14 @@
 	r.mesh.announceUpdate(source)
 }
 
+// handleRestore writes again what this router has stored and the restored store may lack.
+func (r *Router) handleRestore() {
+	r.metrics.StoreRestores.Inc()
+	r.registration.renew()
+	r.mesh.quarantinePersister.storeAgain()
+	r.mesh.origins.mixedServices.storeAgain()
+}
+
 // connectPeers sets up the mesh with the other routers, and adds its actors.
 func (r *Router) connectPeers(ctx context.Context) error {
 	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", r.options.PeerAddress)
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -62,6 +62,8 @@
 	listConfirmedAt time.Time
 	// readyAddresses are the addresses of the upstreams that take requests.
 	readyAddresses map[string]bool
+	// wasRestored is set once the store is known to have been restored from a copy.
+	wasRestored atomic.Bool
 	// avoided are the upstreams that have stated that they want no requests.
 	avoided avoidance.Set[turn.Instance]
 }
@@ -96,6 +98,10 @@
 	// OnLeaving is called, unless it is nil, with the age of each change by which an upstream drains
 	// or is gone, since the first router read it from the store.
 	OnLeaving func(age time.Duration)
+	// OnRestore is called, unless it is nil, when the router learns that the store was restored from a copy.
+	OnRestore func()
+	// OnKept is called, unless it is nil, with the upstreams that have left, though the restored store still lists them.
+	OnKept func(kept []*schema.UpstreamChange)
 	// OnChange is called, unless it is nil, with the source of each configuration or change of
 	// the list of upstreams that has taken effect.
 	OnChange func(source string)
@@ -192,13 +198,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.Table().Version()
-	if c.Version <= before {
+	isKnown := s.Table() != nil
+	switch {
+	case isKnown && !c.IsNewerThan(&s.configuration), !isKnown && c.Version <= before:
+		return false
+	case isKnown && c.Version == before && c.HasContentOf(&s.configuration):
+		s.configuration.Revision = c.Revision
 		return false
 	}
 	s.configuration = c
 	s.table.Store(route.NewTable(c))
 	s.longestStream.Store(int64(longestStreamOf(c)))
-	s.options.Log.Info("configuration in force", "version", c.Version, "before", before, "from", source,
+	s.options.Log.Info("configuration in force", "version", c.Version, "before", before, "era", c.Revision.Era(), "from", source,
 		"routes", len(c.Routes), "services", len(c.Services), "accounts", len(c.Accounts))
 	s.refreshPools(time.Now())
 	s.notify(source)
@@ -211,6 +222,7 @@
 	defer s.mu.Unlock()
 	s.logSuperseded(list, source)
 	s.applyChanges(s.directory.Replace(time.Now(), list, as), source)
+	s.handleRestore(source)
 	s.logDeferrals()
 	s.scheduleRemoval()
 }
@@ -228,15 +240,20 @@
 // ApplyUpstreamsFromPeer applies what another router has told of the list of upstreams.
 func (s *State) ApplyUpstreamsFromPeer(told *schema.Knowledge, source string) {
 	now := time.Now()
+	era := s.upstreamPosition().Known.Era()
 	answer := registry.Answer{
-		Version: registry.Revision(told.GetUpstreamRevision()), Known: registry.Revision(told.GetUpstreamKnown()), Whole: told.GetWholeList(),
+		Version: registry.DecodeRevision(told.UpstreamEra, told.GetUpstreamRevision(), era),
+		Known:   registry.DecodeRevision(told.UpstreamEra, told.GetUpstreamKnown(), era), Whole: told.GetWholeList(),
 	}
 	for _, c := range told.GetUpstreams() {
-		answer.Changes = append(answer.Changes, registry.Decode(now, c))
+		answer.Changes = append(answer.Changes, registry.DecodeWithin(now, c, era))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyChanges(s.directory.ApplyFromPeer(now, answer), source)
+	s.handleRestore(source)
+	s.logDeferrals()
+	s.scheduleRemoval()
 }
 
 // upstreamPosition returns what the list of upstreams is up to date with.
@@ -273,6 +290,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.applyChanges(s.directory.RemoveDue(time.Now()), "lapsed in an outage")
+	s.announceKept()
 	s.scheduleRemoval()
 }
 
@@ -284,8 +302,8 @@
 	for _, c := range changes {
 		s.options.Log.Info("upstream changed", "upstream", c.Upstream.ID, "service", c.Upstream.Service,
 			"address", c.Upstream.Address, "life", c.Upstream.StartTime, "software", c.Upstream.Software, "draining", c.Upstream.Draining,
-			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "revision", c.Revision, "from", source,
-			"age-ms", ageMillis(c.ReadAt), "complete-up-to", s.directory.SettledRevision())
+			"gone", c.Removed, "cold-ms", max(time.Until(c.Upstream.ColdUntil), 0).Milliseconds(), "era", c.Revision.Era(), "revision", c.Revision.Number(),
+			"from", source, "age-ms", ageMillis(c.ReadAt), "complete-up-to", s.directory.SettledRevision().Number())
 		if c.Removed && c.Upstream.StartTime == 0 {
 			s.avoided.Forget(turn.InstanceOf(c.Upstream)) // the next process would have the same key
 		}
@@ -306,8 +324,8 @@
 			continue
 		}
 		s.options.Log.Info("upstream change superseded", "upstream", c.Upstream.ID, "life", c.Upstream.StartTime, "draining", c.Upstream.Draining,
-			"gone", c.Removed, "revision", c.Revision, "held-revision", held.Revision, "held-draining", held.Upstream.Draining,
-			"held-gone", held.Removed, "from", source)
+			"gone", c.Removed, "era", c.Revision.Era(), "revision", c.Revision.Number(), "held-era", held.Revision.Era(),
+			"held-revision", held.Revision.Number(), "held-draining", held.Upstream.Draining, "held-gone", held.Removed, "from", source)
 	}
 }
 
@@ -318,8 +336,8 @@
 		if !d.Until.IsZero() {
 			until = time.Until(d.Until).Milliseconds()
 		}
-		s.options.Log.Info("upstream removal deferred", "upstream", d.Upstream, "revision", d.Revision, "until-ms", until,
-			"complete-up-to", s.directory.SettledRevision())
+		s.options.Log.Info("upstream removal deferred", "upstream", d.Upstream, "era", d.Revision.Era(), "revision", d.Revision.Number(),
+			"until-ms", until, "complete-up-to", s.directory.SettledRevision().Number())
 	}
 }
 
--- a/deployment/work.go
+++ b/deployment/work.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
@@ -83,7 +84,8 @@
 func (s *State) knowledgeAfter(after registry.Revision) *schema.Knowledge {
 	answer := s.directory.After(after)
 	out := &schema.Knowledge{
-		UpstreamRevision: uint64(answer.Version), UpstreamKnown: uint64(answer.Known), WholeList: answer.Whole,
+		UpstreamRevision: answer.Version.Number(), UpstreamKnown: answer.Known.Number(), UpstreamEra: proto.Uint32(uint32(answer.Known.Era())),
+		WholeList: answer.Whole,
 	}
 	now := time.Now()
 	for _, c := range answer.Changes {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -109,6 +109,8 @@
 	// failedCalls counts the calls without an answer since then.
 	unavailableSince time.Time
 	failedCalls      int
+	// hasJustRead is set if the latest call that succeeded read the whole table.
+	hasJustRead bool
 	// lastCall is when the latest call to the store began, and pauseBefore how long after the call
 	// before it.
 	lastCall    time.Time
@@ -135,12 +137,17 @@
 		var dropped *HistoryLostError
 		switch {
 		case err == nil:
+			if f.hasJustRead = readAll; !readAll {
+				pause = initialBackoff
+			}
 			readAll = false
-			pause = initialBackoff
 			continue
 		case errors.As(err, &dropped):
 			f.Log.Info("history lost, reading the whole table", "table", f.Name)
-			readAll = true
+			if readAll = true; f.hasJustRead {
+				sleep(ctx, jitter(pause)) // the whole read did not help, so another one may not either
+				pause = min(2*pause, maxBackoff)
+			}
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -87,7 +87,9 @@
 	// Slowdowns is the number of upstreams by their estimated slowdown. It has only those that state it.
 	Slowdowns *prometheus.GaugeVec
 	// Panics counts recovered panics.
-	Panics prometheus.Counter
+	// StoreRestores counts the restores of the store from a copy.
+	StoreRestores prometheus.Counter
+	Panics        prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
 	NoteVersion prometheus.Gauge
 	// Routers is the number of routers considered alive, including this one.
@@ -137,6 +139,7 @@
 		RejectedLoads:        newCounterVec("rejected_loads_total", "Statements of upstreams about their load that aren't used in full, by reason.", "reason"),
 		StatedSlowdown:       newSlowdownHistogram("stated_slowdown", "Slowdowns that upstreams have stated."),
 		Slowdowns:            newSlowdowns(),
+		StoreRestores:        newCounter("store_restores_total", "Restores of the store from a copy that the router has learnt of."),
 		Panics:               newCounter("panics_total", "Panics contained."),
 		NoteVersion:          newGauge("note_version", "The release note version in force."),
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
@@ -144,7 +147,7 @@
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
 		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	registry.MustRegister(s.Handovers, s.AcceptedHandovers, s.RejectedLoads, s.StatedSlowdown, s.Slowdowns, s.PromptTokens, s.CacheLosses,
-		s.TurnReservations, s.TurnReturns, s.DueReturns, s.WaitErrorSeconds)
+		s.StoreRestores, s.TurnReservations, s.TurnReturns, s.DueReturns, s.WaitErrorSeconds)
 	s.initReasons()
 	return s
 }
--- a/registry/answer.go
+++ b/registry/answer.go
@@ -38,6 +38,9 @@
 		d.narrowDeferrals(a.Known)
 		return changed
 	}
+	if a.Known.Era() > d.era() {
+		return nil // the changes of a new era say nothing without its list
+	}
 	var changed []Change
 	for _, c := range a.Changes {
 		effective, _ := d.applyOne(now, c, c.Revision, true)
@@ -49,6 +52,26 @@
 	return changed
 }
 
+// ApplyKept applies changes that another router has kept from before a restore. It returns those that took effect.
+func (d *Directory) ApplyKept(now time.Time, kept []Change) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var changed []Change
+	for _, c := range kept {
+		e, known := d.entries[c.Upstream.ID]
+		if known && e.change.isLeaving() && c.Upstream.StartTime == e.change.Upstream.StartTime {
+			if c.Revision > e.change.Revision {
+				e.change.Revision, e.isKept = c.Revision, true
+				d.set(e)
+			}
+			continue
+		}
+		effective, _ := d.applyOne(now, c, c.Revision, true)
+		changed = append(changed, effective...)
+	}
+	return changed
+}
+
 // narrowDeferrals records that the entries whose removal is deferred were still listed at a revision, since
 // another router that knows all changes up to it did not tell their removal.
 func (d *Directory) narrowDeferrals(known Revision) {
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -15,10 +15,14 @@
 	change Change
 	// deferred is the removal of the entry while it may still return, else nil.
 	deferred *deferredRemoval
+	// readyAt is the revision at which an upstream that is leaving was last ready, zero if that isn't known.
+	readyAt Revision
+	// isKept is set if the upstream has left and the store's list, restored from a copy, still names it.
+	isKept bool
 }
 
 // supersedes reports whether a change is older than the entry, or already in it.
-func (e entry) supersedes(c Change) bool { return c.Revision <= e.change.Revision }
+func (e entry) supersedes(c Change) bool { return c.Revision <= e.change.Revision && !c.prevails(e) }
 
 // Directory is one router's copy of the list. Its zero value is empty. It is safe
 // for concurrent use.
@@ -36,6 +40,10 @@
 	deferredCount int
 	// deferrals are the removals that were deferred since TakeDeferrals was last called.
 	deferrals []Deferral
+	// isEnteringEra is set while the first list of a new era is applied, which may be older than what is known.
+	isEnteringEra bool
+	// restore is what was found when a new era began, until TakeRestore is called.
+	restore *Restore
 }
 
 // Replace applies a full read of the list as of a revision: entries that it lacks
@@ -47,6 +55,15 @@
 }
 
 func (d *Directory) replace(now time.Time, list []Change, revision Revision, confirmed bool) []Change {
+	switch {
+	case revision.Era() < d.era():
+		return nil // a late answer from before a restore
+	case revision.Era() > d.era():
+		d.enterEra(now, revision.Era())
+		confirmed = false // what another router never knew may return
+		d.isEnteringEra = true
+		defer func() { d.isEnteringEra = false }()
+	}
 	d.loaded = true
 	before := d.frontier.known
 	listed := make(map[fleet.UpstreamID]bool, len(list))
@@ -72,6 +89,9 @@
 		changed = append(changed, effective...)
 	}
 	d.frontier.extendWhole(revision, newest)
+	if d.restore != nil {
+		d.restore.After = revision
+	}
 	return changed
 }
 
@@ -112,25 +132,32 @@
 		return nil, false // removed since, or it would have been in the whole list
 	}
 	c.Upstream.Software = previous.softwareOf(c)
-	if known && previous.supersedes(c) {
-		repeated = isRepetition(now, previous.change, c)
-		if !repeated {
-			d.frontier.addOverlooked(c.Revision, previous.change.Revision)
-		}
-		return d.addSoftware(previous, c), repeated
-	}
 	switch {
+	case known && d.isEnteringEra && previous.isOutlived(c):
+		d.outlive(previous, c)
+		return nil, false
+	case known && previous.supersedes(c):
+		return d.overlook(now, previous, c)
 	case c.Removed:
 		return d.remove(now, previous, c, first, confirmed), false
 	case previous.deferred != nil && c.Revision <= previous.deferred.last:
 		previous.change = c // an earlier change than the removal
 		return d.takeEffect(previous), false
 	case known && previous.deferred == nil && isRepetition(now, previous.change, c):
-		previous.change.Revision = c.Revision
+		previous.change.Revision, previous.isKept = c.Revision, false
 		d.set(previous)
 		return nil, true
 	}
-	return d.takeEffect(entry{change: c}), false
+	return d.takeEffect(entry{change: c, readyAt: previous.readyBefore(c)}), false
+}
+
+// overlook handles a change that is older than the entry, or already in it.
+func (d *Directory) overlook(now time.Time, e entry, c Change) (effective []Change, repeated bool) {
+	repeated = isRepetition(now, e.change, c)
+	if !repeated {
+		d.frontier.addOverlooked(c.Revision, e.change.Revision)
+	}
+	return d.addSoftware(e, c), repeated
 }
 
 // remove applies the removal of an entry.
@@ -151,7 +178,7 @@
 	if previous.change.Upstream.ID == c.Upstream.ID {
 		c.Upstream = previous.change.Upstream // the removal itself names only the id
 	}
-	return d.takeEffect(entry{change: c})
+	return d.takeEffect(entry{change: c, readyAt: previous.readyBefore(c)})
 }
 
 // takeEffect stores the state of an entry with a change that takes effect, and returns the change.
@@ -283,7 +310,7 @@
 			continue
 		}
 		removal := Change{Upstream: e.change.Upstream, Revision: e.deferred.last, Removed: true, ReadAt: e.deferred.readAt}
-		removals = append(removals, d.takeEffect(entry{change: removal})...)
+		removals = append(removals, d.takeEffect(entry{change: removal, readyAt: e.lastReady(), isKept: e.isKept})...)
 	}
 	return removals
 }
--- a/registry/machine_test.go
+++ b/registry/machine_test.go
@@ -59,9 +59,10 @@
 				}
 			},
 		})
-		// Once the list can be read again and is empty, every entry is removed at the end of its grace period.
+		// Once the list can be read again and is empty, every entry is removed at the end of its grace period. The list is of
+		// the latest era that another router has told.
 		d.SetAvailable(now)
-		d.Replace(now, nil, 1_000)
+		d.Replace(now, nil, registry.NewRevision(d.Position().Known.Era(), 1_000))
 		d.RemoveDue(now.Add(time.Minute))
 		require.Empty(t, ids(&d))
 	})
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -13,9 +13,6 @@
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
-// Revision orders the changes to the platform's list.
-type Revision uint64
-
 // StartTime distinguishes successive starts of an upstream with the same id. It is in
 // milliseconds since 1970.
 type StartTime int64
--- a/route/route.go
+++ b/route/route.go
@@ -6,6 +6,7 @@
 package route
 
 import (
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 )
 
 // Kind determines whether and how the requests of a route may be retried.
@@ -131,13 +133,31 @@
 
 // Configuration is the content of a Table.
 type Configuration struct {
-	Version  fleet.Version
+	Version fleet.Version
+	// Revision is that at which the store wrote the configuration; zero if unknown.
+	Revision registry.Revision
 	Routes   []Route
 	Services []Service
 	Accounts []Account
 	Limits   Limits
 }
 
+// IsNewerThan reports whether a configuration replaces another one: it has a later version, or the store was restored from a copy
+// and the operator wrote the version again.
+func (c *Configuration) IsNewerThan(other *Configuration) bool {
+	if c.Version != other.Version {
+		return c.Version > other.Version
+	}
+	return c.Revision.Era() > other.Revision.Era()
+}
+
+// HasContentOf reports whether two configurations differ at most in their versions and revisions.
+func (c *Configuration) HasContentOf(other *Configuration) bool {
+	a, b := *c, *other
+	a.Version, a.Revision = b.Version, b.Revision
+	return reflect.DeepEqual(a, b)
+}
+
 // Table indexes one Configuration for lookups. The nil Table is empty.
 type Table struct {
 	version     fleet.Version
