upstream, forward: bytes that never become an answer are cut off

Cause: a header was read to its end whatever its size, and so were any number of interim answers; the watch for silent upstreams doesn't act while unread bytes wait, which then is always so. Comments in a stream, and events that the caller has, counted as progress. A refusal's body was read until the request's deadline.

Change, each bound counted as retry reason malformed-answer and recorded for the upstream as a failure like others: 64 KiB for a header, interim answers and skipped ones included, also for the question who the upstream is; eight interim answers; 256 KiB of comments and repeated events between two new ones; 20 ms and 16 KiB for a refusal's body. Bounded before, and tested now: chunk extensions, trailers, an event without end. Frames between routers have bounds of their own.

TestHeaderWithoutEnd and TestStreamWithoutProgress are the same without processes.

A plain answer of more than 256 KiB that never ends is passed on until its route's time, as before.

--- a/daemon/sharing.go
+++ b/daemon/sharing.go
@@ -28,13 +28,16 @@
 // polls reuse the connection.
 const pollIdleTimeout = time.Minute
 
+// maxPollHeaderBytes bounds the header of a load report.
+const maxPollHeaderBytes = 16 << 10
+
 // newPollClient returns the HTTP client for load reports of upstreams. Unlike
 // the default client it ignores proxies from the environment, because a proxy
 // would answer for an upstream that is down.
 func newPollClient() *http.Client {
 	return &http.Client{
 		Timeout:   pollTimeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: pollIdleTimeout},
+		Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: pollIdleTimeout, MaxResponseHeaderBytes: maxPollHeaderBytes},
 	}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -23,7 +23,13 @@
 // itself.
 var errNotFromUpstream = eris.New("the answer doesn't come from the upstream itself")
 
+// errDrained is the cause of an exchange that ended because the rest of its body takes too long.
+var errDrained = eris.New("the rest of the body takes too long")
+
 const (
+	// drainTime and maxDrained, in bytes, bound the reading of a body that nobody needs.
+	drainTime  = 20 * time.Millisecond
+	maxDrained = 16 << 10
 	// maxBuffered is the size in bytes up to which an answer is buffered before it is relayed. If
 	// it breaks off before, the request can still be retried.
 	maxBuffered = 256 << 10
@@ -99,7 +105,7 @@
 	j.recordLoad(ticket, info)
 	if info.NotRun {
 		ticket.End(time.Now(), turn.Refused)
-		_, _ = io.CopyN(io.Discard, answer.Body, maxBuffered) // read so that the connection can be used again
+		j.drain(answer, cancel)
 		return &failure{
 			reason: retry.UpstreamRefused, sent: true, notRun: true, retryAfter: retryAfter(answer.Header), backoff: info.Backoff, leaving: info.Leaving,
 		}
@@ -158,9 +164,30 @@
 	if f.sent {
 		j.possibleRuns++
 	}
+	if isMalformed(err) {
+		f.reason = retry.MalformedAnswer
+	}
 	return j.fail(ctx, ticket, f)
 }
 
+// isMalformed reports whether an exchange failed because what the upstream sent could no longer become an answer.
+func isMalformed(err error) bool {
+	var (
+		head     *upstream.HeadTooLargeError
+		stray    *upstream.StrayAnswersError
+		event    *stream.TooLargeError
+		progress *stream.NoProgressError
+	)
+	return errors.As(err, &head) || errors.As(err, &stray) || errors.As(err, &event) || errors.As(err, &progress)
+}
+
+// drain reads a body that nobody needs, so that its connection can be used again, unless that takes too long.
+func (j *job) drain(answer *upstream.Answer, cancel context.CancelCauseFunc) {
+	timer := time.AfterFunc(drainTime, func() { cancel(errDrained) })
+	defer timer.Stop()
+	_, _ = io.CopyN(io.Discard, answer.Body, maxDrained)
+}
+
 // fail ends the ticket of a failed attempt.
 func (j *job) fail(ctx context.Context, ticket home.Ticket, f *failure) *failure {
 	if f.sent && isUpstreamDisconnect(ctx, f.cause) {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -24,8 +24,12 @@
 // break off in the middle of one.
 func (j *job) relay(ctx context.Context, ticket home.Ticket, answer *upstream.Answer, watch *silenceWatch) *failure {
 	events := stream.NewReader(answer.Body)
+	var progress stream.Progress
 	for {
 		event, err := events.Next()
+		if err == nil {
+			err = progress.Record(event, j.isNewEvent(event))
+		}
 		if err == nil {
 			watch.suspend()
 			err = j.writeEvent(ticket, answer, event, events.HasBuffered())
@@ -42,8 +46,20 @@
 			ticket.End(time.Now(), turn.Served)
 			return nil
 		}
-		return j.fail(ctx, ticket, &failure{reason: retry.StreamBroken, sent: true, cause: endCause(ctx, err), final: isFinal(err)})
+		reason := retry.StreamBroken
+		if isMalformed(err) {
+			reason = retry.MalformedAnswer
+		}
+		return j.fail(ctx, ticket, &failure{reason: reason, sent: true, cause: endCause(ctx, err), final: isFinal(err)})
+	}
+}
+
+// isNewEvent reports whether an event brings something that the caller doesn't have.
+func (j *job) isNewEvent(event stream.Event) bool {
+	if event.ID == 0 {
+		return len(event.Data) > 0
 	}
+	return uint64(event.ID) > j.lastEventID
 }
 
 // isEmptyStart reports whether a stream has ended before its first event though nothing says that it is whole.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -26,11 +26,13 @@
 	AnsweredError      Reason = "answered-error"
 	UpstreamSilent     Reason = "upstream-silent"
 	UpstreamAvoided    Reason = "upstream-avoided"
+	// MalformedAnswer means that what the upstream sent could no longer become an answer.
+	MalformedAnswer Reason = "malformed-answer"
 )
 
 // Reasons returns all reasons, for counters that start at zero.
 func Reasons() []Reason {
-	return []Reason{ConnectFailed, UpstreamRefused, UpstreamDraining, BrokenBeforeAnswer, StreamBroken, AnsweredError, UpstreamSilent, UpstreamAvoided}
+	return []Reason{ConnectFailed, UpstreamRefused, UpstreamDraining, BrokenBeforeAnswer, StreamBroken, AnsweredError, UpstreamSilent, UpstreamAvoided, MalformedAnswer}
 }
 
 // Attempt describes a failed attempt.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -71,6 +71,7 @@
 type conn struct {
 	net.Conn
 	raw    syscall.RawConn
+	head   *headLimiter
 	reader *bufio.Reader
 	// idleUntil is when an idle connection is no longer used.
 	idleUntil time.Time
@@ -155,7 +156,8 @@
 	if c.OnOpen != nil {
 		c.OnOpen()
 	}
-	return &conn{Conn: opened, raw: raw, reader: bufio.NewReaderSize(opened, readBufferSize), isNew: true}, nil
+	head := &headLimiter{inner: opened}
+	return &conn{Conn: opened, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), isNew: true}, nil
 }
 
 // CheckReachable returns an error if no connection to an upstream can be opened. It sends no
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -119,15 +119,11 @@
 
 // receive reads the header of the answer to this request, skipping answers to others.
 func (x *exchange) receive(request Request) (*http.Response, error) {
-	httpRequest := &http.Request{Method: request.Method}
 	for stray := 0; ; {
-		response, err := http.ReadResponse(x.conn.reader, httpRequest)
+		response, err := x.readHead(request)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
 		if x.answersRequest(request.ID, response.Header) {
 			return response, nil
 		}
@@ -141,6 +137,23 @@
 	}
 }
 
+// readHead reads the header of the next answer, skipping interim ones.
+func (x *exchange) readHead(request Request) (*http.Response, error) {
+	httpRequest := &http.Request{Method: request.Method}
+	x.conn.head.begin(x.conn.reader.Buffered())
+	defer x.conn.head.end()
+	for range maxInterimAnswers + 1 {
+		response, err := http.ReadResponse(x.conn.reader, httpRequest)
+		if x.conn.head.exceeded {
+			return nil, &HeadTooLargeError{Bytes: maxHeadBytes}
+		}
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, &HeadTooLargeError{Bytes: maxHeadBytes, InterimAnswers: maxInterimAnswers}
+}
+
 // answersRequest reports whether an answer belongs to a request. The id may be missing only on a
 // new connection, where no other answer can be left over.
 func (x *exchange) answersRequest(id fleet.RequestID, header http.Header) bool {
--- a/upstream/identity.go
+++ b/upstream/identity.go
@@ -17,7 +17,7 @@
 	// identityTimeout bounds the time in which an upstream has to tell when it started.
 	identityTimeout = 300 * time.Millisecond
 	// maxIdentityBody is the maximum size of that answer, in bytes.
-	maxIdentityBody = 1 << 20
+	maxIdentityBody = 128 << 10
 	// unknownProcess marks a connection to an upstream that doesn't tell when it started.
 	unknownProcess registry.StartTime = -1
 )
