forward, deployment: an answer that ends with its connection is whole only if its upstream lives on

Cause: relayPlain knew that the process had ended, and passed the answer on all the same where the request can't be repeated; HasEnded didn't look at the process of an upstream that drains.

Change: both look, and treat the answer as broken off. The caller of an order gets 502, its outcome unknown, and the quarantine hears of the crash; a stream goes on elsewhere. An order whose upstream ends within moments after it was answered whole gets 502, too: nothing on the wire tells the two apart.

Two tests asked for the opposite, and are replaced: TestAnswerThatMayBeWholeIsDeliveredIfItCannotBeRepeated, since an answer that ends early must not look complete, by TestAnswerThatMayBeCutOffIsNotPassedOnAsWhole; and the draining case of TestHasEnded, which now has both sides.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -144,12 +144,8 @@
 	}
 }
 
-// HasEnded reports whether an upstream's process has ended, other than after it had said that it would. An entry that
-// was removed says nothing: it may have expired because the process has ended.
+// HasEnded reports whether an upstream's process has ended. One that drains may end in the middle of an answer, too.
 func (c *crashMonitor) HasEnded(ctx context.Context, upstream registry.Upstream, isLate bool) bool {
-	if known, ok := c.upstreamEntry(upstream.ID); ok && known.Upstream.StartTime == upstream.StartTime && known.Upstream.Draining {
-		return false
-	}
 	select {
 	case <-time.After(socketCloseTime):
 	case <-ctx.Done():
--- a/deployment/part_crashes_test.go
+++ b/deployment/part_crashes_test.go
@@ -143,7 +143,8 @@
 	require.LessOrEqual(t, total, 32)
 }
 
-// Guards against an upstream that leaves, or can be reached, being taken for one that has ended.
+// Guards against an upstream that can be reached being taken for one that has ended, and one that drains and has ended being
+// taken for one that serves.
 func TestHasEnded(t *testing.T) {
 	t.Parallel()
 	n := newNode(t, "one")
@@ -153,6 +154,8 @@
 	leaving := testUpstream(3)
 	leaving.Draining = true
 	n.state.ApplyUpstreams([]registry.Change{{Upstream: leaving, Revision: 1}}, "test")
+	require.True(t, n.mesh.Quarantine().HasEnded(t.Context(), testUpstream(3), false))
+	n.reachable[testUpstream(3).Address] = true
 	require.False(t, n.mesh.Quarantine().HasEnded(t.Context(), testUpstream(3), false))
 	expired := testUpstream(5)
 	n.state.ApplyUpstreams([]registry.Change{{Upstream: expired, Revision: 2}}, "test")
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -102,10 +102,8 @@
 
 // recordAnswer records a completed answer in quarantine, metrics and log.
 func (j *job) recordAnswer(ticket home.Ticket) {
-	if !j.progress.isUnproven {
-		j.recordServed()
-		j.recordWhole()
-	}
+	j.recordServed()
+	j.recordWhole()
 	h := j.handler
 	now := time.Now()
 	firstByte := j.firstByteAt.Sub(j.arrived)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -245,10 +245,7 @@
 		return j.relayUnbuffered(ctx, ticket, buffered, answer)
 	}
 	if j.isCutOff(ctx, ticket, answer) {
-		if j.route.Idempotent() {
-			return j.fail(ctx, ticket, &failure{reason: retry.BrokenBeforeAnswer, sent: true, cause: io.ErrUnexpectedEOF})
-		}
-		j.progress.isUnproven = true // a request that can't be repeated gets the answer that there is
+		return j.fail(ctx, ticket, &failure{reason: retry.BrokenBeforeAnswer, sent: true, cause: io.ErrUnexpectedEOF})
 	}
 	if answer.Status >= http.StatusInternalServerError {
 		j.recordServed()
--- a/forward/crash_test.go
+++ b/forward/crash_test.go
@@ -283,18 +283,20 @@
 	}
 }
 
-// Guards against the answer to a request that can't be repeated being thrown away because its upstream ended after it.
-func TestAnswerThatMayBeWholeIsDeliveredIfItCannotBeRepeated(t *testing.T) {
+// Guards against half of an answer that is passed on as a whole one, because the request can't be repeated, and against the crash that cut
+// it off going unreported.
+func TestAnswerThatMayBeCutOffIsNotPassedOnAsWhole(t *testing.T) {
 	t.Parallel()
 	q := &recordingQuarantine{ended: true}
 	f := startWithQuarantine(t, framedAnswer("neither", endsWhole, false), q)
 	status, _, _, err := f.post(t, "/order/1")
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, http.StatusBadGateway, status, "it may have run")
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	require.Zero(t, q.served, "it proves nothing")
 	require.Zero(t, q.whole)
+	require.Len(t, q.broken, 1)
 }
 
 // Guards against a router that was stopped for a while taking the process that has a crashed upstream's address by then for
--- a/forward/job.go
+++ b/forward/job.go
@@ -123,8 +123,6 @@
 	longestPause time.Duration
 	// recordAt is when the quarantine is next told that events have been arriving.
 	recordAt time.Time
-	// isUnproven is set if the answer may have been cut off, though it seems whole.
-	isUnproven bool
 }
 
 // addEvent records the arrival of an event.
