evacuation, deployment: after a restore only the first list is taken for older than what is known

An evacuation that the operator began after a restore, with a number below that of an earlier one's start, was taken for that one and ignored (found by reading; the new case of TestEvacuationsOfARestoredStore failed before). The end that is known now holds as of the list, and every later change is ordinary, as in registry. A router also announces a new era if nothing of its list has changed by it, so that routers without the store learn of it.

--- a/deployment/restores.go
+++ b/deployment/restores.go
@@ -26,6 +26,7 @@
 	if s.options.OnRestore != nil {
 		go s.options.Guard.Run(recovery.Update, s.options.OnRestore, "from", source)
 	}
+	s.notify(source) // also if nothing has changed: others may not be able to read the store
 	if source == storeSource {
 		s.announceKept()
 	}
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -74,6 +74,9 @@
 	wasRestored := s.listed != 0 && revision.Era() > s.listed.Era()
 	s.listed = max(s.listed, revision)
 	changes := slices.Clone(inForce)
+	if wasRestored {
+		changes = slices.DeleteFunc(changes, func(c Change) bool { return s.outlives(c, revision) })
+	}
 	for id, e := range s.entries {
 		listed := slices.ContainsFunc(inForce, func(c Change) bool { return c.DataCenter == id })
 		switch {
@@ -88,6 +91,18 @@
 	return s.apply(now, changes)
 }
 
+// outlives reports whether the end that is known of an evacuation is later than its start in a restored list. The end then holds as of
+// the list.
+func (s *Set) outlives(c Change, as registry.Revision) bool {
+	e, known := s.entries[c.DataCenter]
+	if !known || !e.isOutlived(c) {
+		return false
+	}
+	e.change.Revision = as
+	s.entries[c.DataCenter] = e
+	return true
+}
+
 // NextLapse returns when the next evacuation ends that a restored list lacks, and whether there is one.
 func (s *Set) NextLapse() (time.Time, bool) {
 	s.mu.Lock()
@@ -143,11 +158,6 @@
 		if known && c.Revision <= previous.change.Revision {
 			continue
 		}
-		if previous.isOutlived(c) {
-			previous.change.Revision = c.Revision
-			s.entries[c.DataCenter] = previous
-			continue
-		}
 		e := entry{change: c}
 		if c.Ended && known && !previous.change.Ended {
 			e.endedAt = now
--- a/evacuation/restore_test.go
+++ b/evacuation/restore_test.go
@@ -51,6 +51,15 @@
 		s.Apply(now, []evacuation.Change{{DataCenter: "z", Revision: registry.NewRevision(2, 86)}})
 		require.True(t, s.IsEvacuated("z"), "the operator has written it again")
 	})
+	t.Run("it had ended, and the operator begins another one", func(t *testing.T) {
+		t.Parallel()
+		var s evacuation.Set
+		s.Replace(now, []evacuation.Change{began}, registry.NewRevision(1, 85))
+		s.Apply(now, []evacuation.Change{ended})
+		s.Replace(now, nil, registry.NewRevision(2, 60))
+		s.Apply(now, []evacuation.Change{{DataCenter: "z", Revision: registry.NewRevision(2, 61)}})
+		require.True(t, s.IsEvacuated("z"))
+	})
 	t.Run("a late list from before", func(t *testing.T) {
 		t.Parallel()
 		var s evacuation.Set
