forward, deployment: a stream goes on only at the process that its upstream's entry describes

Cause: a router asked a process when it had started only once the list named two versions, and the list can't be read then.

Change: a stream that has begun always goes on at a process with the start time of its entry. While the list can't be read, a new one is sent so as well; if another process answers, it gets the stream with an unknown version, so that it can't go on elsewhere. In calm nothing is asked for new streams; one question a connection for those that go on.

--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -93,14 +93,19 @@
 	}
 }
 
-// MustIdentify reports whether a stream may only be sent to the process that an upstream's entry
-// describes. Only model engines tell when they started.
-func (k *originKeeper) MustIdentify(service fleet.ServiceID) bool {
-	if !k.isMixed(service) {
-		return false
-	}
+// Identification returns whether a stream may only be sent to the process that an upstream's entry describes. While
+// the list can't be read, an upstream may have restarted with another version unnoticed. Only model engines tell when they started.
+func (k *originKeeper) Identification(service fleet.ServiceID, continues bool) forward.Identification {
 	configured, known := k.state.Table().Service(service)
-	return known && configured.CacheTokens > 0
+	switch {
+	case !known || configured.CacheTokens <= 0:
+		return forward.NoIdentification
+	case k.isMixed(service), continues:
+		return forward.RequiredIdentification
+	case k.state.directory.IsUnavailable():
+		return forward.PreferredIdentification
+	}
+	return forward.NoIdentification
 }
 
 // isMixed reports whether the upstreams of a service have, or had lately, several software versions.
--- a/deployment/origins_test.go
+++ b/deployment/origins_test.go
@@ -8,8 +8,10 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/route"
 )
 
 // upstreamChanges returns the entries of upstreams with these software versions.
@@ -181,3 +183,21 @@
 	require.Empty(t, n.mesh.Origins().SoftwareOf(before))
 	require.Equal(t, fleet.SoftwareVersion("v2"), n.mesh.Origins().SoftwareOf(after))
 }
+
+// Guards against streams that go on at another software version because an upstream restarted while the list couldn't be read.
+func TestProcessIsIdentifiedWhileTheListCannotBeRead(t *testing.T) {
+	t.Parallel()
+	n := newUnconnectedNode("r")
+	c := testConfiguration(1)
+	c.Services = []route.Service{{ID: "s", CacheTokens: 1000}}
+	n.state.Configure(c, "store")
+	n.state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+	origins := n.mesh.Origins()
+	require.Equal(t, forward.NoIdentification, origins.Identification("s", false))
+	require.Equal(t, forward.RequiredIdentification, origins.Identification("s", true))
+	require.Equal(t, forward.NoIdentification, origins.Identification("other", true), "not an engine")
+	n.state.SetUpstreamsUnavailable()
+	require.Equal(t, forward.PreferredIdentification, origins.Identification("s", false))
+	n.state.SetUpstreamsAvailable()
+	require.Equal(t, forward.NoIdentification, origins.Identification("s", false))
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -141,11 +141,23 @@
 		info.LastEventID = strconv.FormatUint(j.lastEventID, 10)
 	}
 	j.handler.Codec.SetUpstreamHeader(j.header, info)
-	return j.handler.Client.Do(ctx, to.Address, upstream.Request{
+	request := upstream.Request{
 		ID: j.info.ID, Method: j.request.Method, URI: j.request.RequestURI,
-		Host: j.request.Host, Header: j.header, Body: j.body, Probe: probe, Process: j.requiredProcess(to),
+		Host: j.request.Host, Header: j.header, Body: j.body, Probe: probe,
 		Permit: func() error { return j.permit(to) },
-	})
+	}
+	identification := j.identification()
+	if identification != NoIdentification {
+		request.Process = to.StartTime
+	}
+	answer, err := j.handler.Client.Do(ctx, to.Address, request)
+	var other *upstream.OtherProcessError
+	j.isProcessUnknown = identification == PreferredIdentification && errors.As(err, &other)
+	if j.isProcessUnknown {
+		request.Process = 0
+		return j.handler.Client.Do(ctx, to.Address, request)
+	}
+	return answer, err
 }
 
 // failSend classifies the failure of an exchange that returned no answer and ends the ticket.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -142,15 +142,26 @@
 	Stage diagnosis.Stage
 }
 
+// Identification is whether a stream may only be sent to the process that an upstream's entry describes.
+type Identification int
+
+// The kinds of identification.
+const (
+	NoIdentification Identification = iota
+	// PreferredIdentification means that another process may get the stream, whose software version then is unknown.
+	PreferredIdentification
+	RequiredIdentification
+)
+
 // Origins knows which software versions began the streams of the fleet. It is safe for concurrent
 // use.
 type Origins interface {
 	// Find returns the software version that began a stream of a service. The error is
 	// *origin.UnknownError if nothing tells it.
 	Find(ctx context.Context, service fleet.ServiceID, stream origin.StreamID) (origin.Finding, error)
-	// MustIdentify reports whether a stream may only be sent to the process that an upstream's entry
-	// describes, because another one could have another software version.
-	MustIdentify(service fleet.ServiceID) bool
+	// Identification returns whether a stream may only be sent to the process that an upstream's entry
+	// describes, because another one could have another software version. continues is set for a stream that has begun.
+	Identification(service fleet.ServiceID, continues bool) Identification
 	// SoftwareOf returns the software version of an upstream that has just answered, empty if that
 	// isn't certain.
 	SoftwareOf(upstream registry.Upstream) fleet.SoftwareVersion
--- a/forward/job.go
+++ b/forward/job.go
@@ -82,7 +82,9 @@
 	sends        int
 	sentAt       time.Time
 	possibleRuns int
-	tried        []turn.Instance
+	// isProcessUnknown is set if the process that got the latest attempt isn't the one that the upstream's entry describes.
+	isProcessUnknown bool
+	tried            []turn.Instance
 	// returnedTurns counts the turns that weren't used.
 	returnedTurns int
 	// progress is how far the answer of the latest attempt has come.
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -11,7 +11,6 @@
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/refusal"
-	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
 )
 
@@ -72,6 +71,9 @@
 	}
 	isNew := j.eventCount == 0 && !j.resumes()
 	software := j.handler.Origins.SoftwareOf(ticket.Upstream())
+	if j.isProcessUnknown {
+		software = ""
+	}
 	if !isNew && software != j.began.Software {
 		return errOtherSoftware
 	}
@@ -106,12 +108,11 @@
 	return isResumable && (j.handler.Origins == nil || j.began.Software != "")
 }
 
-// requiredProcess returns when the process of an upstream must have started for its answer to come
-// from the software version that its entry tells; zero if any will do. An upstream may restart with
-// another version under its id and at its address.
-func (j *job) requiredProcess(to registry.Upstream) registry.StartTime {
-	if j.handler.Origins == nil || j.route.Kind != route.Streaming || !j.handler.Origins.MustIdentify(j.service) {
-		return 0
+// identification returns whether the request may only be sent to the process that an upstream's entry describes. An
+// upstream may restart with another version under its id and at its address.
+func (j *job) identification() Identification {
+	if j.handler.Origins == nil || j.route.Kind != route.Streaming {
+		return NoIdentification
 	}
-	return to.StartTime
+	return j.handler.Origins.Identification(j.service, j.headerSent || j.resumes())
 }
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/registry"
 )
@@ -35,7 +36,9 @@
 	return origin.Finding{Software: software, Source: origin.OtherRecord}, nil
 }
 
-func (o *fixedOrigins) MustIdentify(fleet.ServiceID) bool { return true }
+func (o *fixedOrigins) Identification(fleet.ServiceID, bool) forward.Identification {
+	return forward.RequiredIdentification
+}
 
 func (o *fixedOrigins) SoftwareOf(u registry.Upstream) fleet.SoftwareVersion {
 	o.mu.Lock()
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -300,6 +300,13 @@
 	}
 }
 
+// IsUnavailable reports whether the list can't be read.
+func (d *Directory) IsUnavailable() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.outage.unavailable
+}
+
 // RemoveDue applies the deferred removals that are due, and returns them.
 func (d *Directory) RemoveDue(now time.Time) []Change {
 	d.mu.Lock()
