--- a/deployment/restores.go
+++ b/deployment/restores.go
@@ -20,7 +20,7 @@
 	s.options.Log.Warn("store restored from a copy", "era", restore.After.Era(), "era-before", restore.Before.Era(),
 		"revision", restore.After.Number(), "revision-before", restore.Before.Number(), "from", source, "kept", len(restore.Kept))
 	for _, c := range restore.Kept {
-		s.options.Log.Info("upstream stays away", "upstream", c.Upstream.ID, "service", c.Upstream.Service, "life", c.Upstream.StartTime,
+		s.options.Log.Info("departed upstream ignored", "upstream", c.Upstream.ID, "service", c.Upstream.Service, "life", c.Upstream.StartTime,
 			"draining", c.Upstream.Draining, "gone", c.Removed, "era", c.Revision.Era(), "revision", c.Revision.Number())
 	}
 	if s.options.OnRestore != nil {
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -38,8 +38,8 @@
 	lapsesAt time.Time
 }
 
-// isOutlived reports whether a change in a restored list is older than the end that is known of an evacuation.
-func (e entry) isOutlived(c Change) bool {
+// supersedesCopy reports whether a change in a restored list is older than the end that is known of an evacuation.
+func (e entry) supersedesCopy(c Change) bool {
 	if c.Revision.Era() == e.change.Revision.Era() || c.Ended || !e.change.Ended {
 		return false
 	}
@@ -75,7 +75,7 @@
 	s.listed = max(s.listed, revision)
 	changes := slices.Clone(inForce)
 	if wasRestored {
-		changes = slices.DeleteFunc(changes, func(c Change) bool { return s.outlives(c, revision) })
+		changes = slices.DeleteFunc(changes, func(c Change) bool { return s.keepsEnd(c, revision) })
 	}
 	for id, e := range s.entries {
 		listed := slices.ContainsFunc(inForce, func(c Change) bool { return c.DataCenter == id })
@@ -91,11 +91,11 @@
 	return s.apply(now, changes)
 }
 
-// outlives reports whether the end that is known of an evacuation is later than its start in a restored list. The end then holds as of
+// keepsEnd reports whether the end that is known of an evacuation is later than its start in a restored list. The end then holds as of
 // the list.
-func (s *Set) outlives(c Change, as registry.Revision) bool {
+func (s *Set) keepsEnd(c Change, as registry.Revision) bool {
 	e, known := s.entries[c.DataCenter]
-	if !known || !e.isOutlived(c) {
+	if !known || !e.supersedesCopy(c) {
 		return false
 	}
 	e.change.Revision = as
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -133,8 +133,8 @@
 	}
 	c.Upstream.Software = previous.softwareOf(c)
 	switch {
-	case known && d.isEnteringEra && previous.isOutlived(c):
-		d.outlive(previous, c)
+	case known && d.isEnteringEra && previous.supersedesCopy(c):
+		d.keepAgainstCopy(previous, c)
 		return nil, false
 	case known && previous.supersedes(c):
 		return d.overlook(now, previous, c)
--- a/registry/restore.go
+++ b/registry/restore.go
@@ -53,9 +53,9 @@
 	d.restore = &Restore{Before: before}
 }
 
-// isOutlived reports whether a change in a restored list is older than the entry. The copy is older than what was
-// known before; a later write of the upstream has a higher number than the entry, or lies between its last two.
-func (e entry) isOutlived(c Change) bool {
+// supersedesCopy reports whether the entry is newer than a change in the first list of a restored store. A change that is not
+// from the copy has a number other than those that the copy can have: above the entry's, or above that at which the upstream was last ready.
+func (e entry) supersedesCopy(c Change) bool {
 	if c.Revision.Era() == e.change.Revision.Era() || c.Removed || c.Revision.Number() >= e.change.Revision.Number() && e.deferred == nil {
 		return false
 	}
@@ -70,8 +70,8 @@
 	return ready == 0 || c.Revision.Number() <= ready.Number()
 }
 
-// outlive keeps the state of an entry as of an older change in a restored list. The next write of the upstream replaces it.
-func (d *Directory) outlive(e entry, c Change) {
+// keepAgainstCopy keeps the state of an entry as of an older change in a restored list. The next write of the upstream replaces it.
+func (d *Directory) keepAgainstCopy(e entry, c Change) {
 	e.change.Revision = c.Revision
 	if e.deferred != nil {
 		e.deferred.last = max(e.deferred.last, c.Revision)
