--- a/store/memory/memory.go
+++ b/store/memory/memory.go
@@ -162,7 +162,7 @@
 func (p *Platform) Era() uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.restores + 1
+	return p.restores
 }
 
 // Watch waits up to wait for changes under a prefix after a commit, and returns
@@ -198,7 +198,7 @@
 func (p *Platform) changesAfter(era, after uint64, prefix store.Key) ([]Change, uint64, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after < p.historyStart || after > p.table.lastCommit || era != p.restores+1 {
+	if after < p.historyStart || after > p.table.lastCommit || era != p.restores {
 		return nil, 0, nil, &HistoryLostError{After: after, DroppedThrough: p.historyStart}
 	}
 	if p.nextCommit == nil {
