caller, forward: callers that keep to no limit share one budget

Cause: nobody counted what is kept for all callers together. A body was allocated by its announced length or doubled, copied once more for the upstream, and kept beside whatever others held; heads take 20 times their bytes as map entries; the kernel kept some 400 KB unread for each connection; a connection without a whole request was never closed, and a refusal waited without end for the body of its request. A caller that had pipelined and left kept its request in hand until its timeout.

Change: each connection holds a lease of one budget.Pool, from which heads, bodies and answers take as they come. Beyond three quarters, the account that holds the most gives way, first what doesn't come on. Connections have a limit of their own, and whole requests of one account leave a quarter of it. Sockets' buffers and the backlog are bounded by the VM's memory. Bodies are kept in segments, and not copied for the upstream. Refusals are sent before the body, which gets 50 or 500 ms.

Ruled out: a limit a connection (there are as many as descriptors), a lower SetMemoryLimit (no bound on what lives), splice for relays (its pipes hold a megabyte each).

--- a/deployment/handover_messages.go
+++ b/deployment/handover_messages.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"time"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/handover"
 	"nutmeglock.example/nutmeglock/handover/relay"
 	"nutmeglock.example/nutmeglock/schema"
@@ -117,7 +116,7 @@
 	if h == nil {
 		return
 	}
-	listener, err := openListener(ctx, r.options.HandoverAddress, nil)
+	listener, err := r.openListener(ctx, r.options.HandoverAddress, &r.callers.Pool, nil)
 	if err != nil {
 		r.options.Log.Warn("not listening for relays", "address", r.options.HandoverAddress, "error", err)
 		return
@@ -125,10 +124,6 @@
 	h.address = r.options.HandoverAddress
 	server := r.newServer(r.handler)
 	server.ConnState = r.countConnection
-	server.ConnContext = forward.WithCaller
-	r.actors = append(r.actors, actor{"relays", serveRelays(server, listener, h)})
-}
-
-func serveRelays(server *http.Server, listener net.Listener, admitter relay.Admitter) func(ctx context.Context) error {
-	return serve(server, &relay.Listener{Listener: listener, Admitter: admitter})
+	relays := &relay.Listener{Listener: listener, Admitter: h}
+	r.actors = append(r.actors, actor{"relays", serve(server, &caller.Listener{Listener: relays, Pool: &r.callers.Pool})})
 }
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -17,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/avoidance"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/coldstart"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/follow"
@@ -100,6 +102,8 @@
 	// MaxConnections is the number of callers' connections above which each answer closes its
 	// connection.
 	MaxConnections int
+	// CallerLimits limit what callers' connections take. The zero value has the defaults of a budget.Pool.
+	CallerLimits CallerLimits
 	// StopGrace is the time from the request to stop until the process has to end.
 	StopGrace time.Duration
 	Log       *slog.Logger
@@ -124,7 +128,9 @@
 	registration *registration
 	// openConnections is the number of open connections of callers.
 	openConnections atomic.Int64
-	actors          []actor
+	// callers is the budget of callers' connections.
+	callers caller.Monitor
+	actors  []actor
 }
 
 // actor is a part of the router that runs until its context ends.
@@ -152,6 +158,7 @@
 		OnKept:    func(kept []*schema.UpstreamChange) { r.mesh.announceKept(kept) },
 		OnLeaving: func(age time.Duration) { r.metrics.LeavingSeconds.Observe(age.Seconds()) },
 	})
+	r.callers.SetUp(options.CallerLimits.Bytes, options.CallerLimits.Connections, r.metrics, options.Log)
 	r.client = &upstream.Client{EchoedID: options.EchoedID, Identity: options.Identity, OnOpen: r.metrics.UpstreamConnections.Inc}
 	r.handler = &forward.Handler{
 		Codec: options.Codec, State: r.state, Client: r.client, Metrics: r.metrics,
@@ -163,6 +170,7 @@
 	}
 	r.mesh.requestsInFlight = r.handler.InFlight
 	r.handler.HasCapacity = r.mesh.shedder.Admit
+	r.handler.IsOverloaded = r.mesh.shedder.IsShedding
 	if err := r.setUpHandovers(); err != nil {
 		return nil, err
 	}
@@ -244,44 +252,69 @@
 	metrics.GET("/metrics", echo.WrapHandler(r.withSlowdowns(r.metricsHandler)))
 	callers := r.newServer(r.handler)
 	callers.ConnState = r.countConnection
-	callers.ConnContext = forward.WithCaller
 	for _, l := range []struct {
 		name, address string
 		server        *http.Server
+		pool          *caller.Pool
 		acceptQueue   *overload.StandingQueue
 	}{
-		{"callers", r.options.CallerAddress, callers, &r.mesh.acceptQueue},
-		{"readiness", r.options.ReadyAddress, r.newServer(readiness), nil},
-		{"metrics", r.options.MetricsAddress, r.newServer(metrics), nil},
+		{"callers", r.options.CallerAddress, callers, &r.callers.Pool, &r.mesh.acceptQueue},
+		{"readiness", r.options.ReadyAddress, r.newStatusServer(readiness), newStatusPool(), nil},
+		{"metrics", r.options.MetricsAddress, r.newStatusServer(metrics), newStatusPool(), nil},
 	} {
-		listener, err := openListener(ctx, l.address, l.acceptQueue)
+		listener, err := r.openListener(ctx, l.address, l.pool, l.acceptQueue)
 		if err != nil {
 			return eris.Wrapf(err, "listening for %s on %s", l.name, l.address)
 		}
-		r.actors = append(r.actors, actor{l.name, serve(l.server, listener)})
+		r.actors = append(r.actors, actor{l.name, serve(l.server, &caller.Listener{Listener: listener, Pool: l.pool})})
 	}
 	r.listenForRelays(ctx) // last, as it can do without its port
 	return nil
 }
 
-// openListener listens on an address. If acceptQueue isn't nil, requests in flight take
-// precedence over new connections.
-func openListener(ctx context.Context, address string, acceptQueue *overload.StandingQueue) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{KeepAlive: keepAliveDisabled}).Listen(ctx, "tcp", address)
-	if err != nil || acceptQueue == nil {
-		return listener, err
+// openListener listens on an address, for as many connections as a pool has room for. If acceptQueue isn't nil,
+// requests in flight take precedence over new connections.
+func (r *Router) openListener(ctx context.Context, address string, pool *caller.Pool, acceptQueue *overload.StandingQueue) (net.Listener, error) {
+	limits := r.options.CallerLimits
+	config := net.ListenConfig{KeepAlive: keepAliveDisabled, Control: func(_, _ string, raw syscall.RawConn) error {
+		r.reportLimit("socket buffers", address, limits.setBuffers(raw))
+		return nil
+	}}
+	listener, err := config.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r.reportLimit("backlog", address, limitBacklog(listener, pool))
+	if acceptQueue == nil {
+		return listener, nil
 	}
 	return newYieldingListener(listener, acceptQueue)
 }
 
+// reportLimit logs a limit that can't be set. The router serves without it.
+func (r *Router) reportLimit(limit, address string, err error) {
+	if err != nil {
+		r.options.Log.Warn("limit not set", "limit", limit, "address", address, "error", err)
+	}
+}
+
 func (r *Router) newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxCallerHeaderBytes,
+		ConnState: caller.ConnState, ConnContext: caller.ConnContext,
 		ErrorLog: slog.NewLogLogger(r.options.Log.Handler(), slog.LevelWarn),
 	}
 }
 
-func (r *Router) countConnection(_ net.Conn, state http.ConnState) {
+// newStatusServer returns a server for readiness checks or metrics.
+func (r *Router) newStatusServer(handler http.Handler) *http.Server {
+	server := r.newServer(handler)
+	server.ReadTimeout, server.WriteTimeout = headerTimeout, statusWriteTimeout
+	return server
+}
+
+func (r *Router) countConnection(conn net.Conn, state http.ConnState) {
+	caller.ConnState(conn, state)
 	switch state {
 	case http.StateNew:
 		r.openConnections.Add(1)
@@ -329,6 +362,7 @@
 	defer r.client.Close()
 	return callEvery(ctx, sweepInterval, func(now time.Time) {
 		r.state.expireAvoided(now)
+		r.callers.Check(now, callerTimeouts(r.state.Table()))
 		r.client.Sweep(now, r.state.HasAddress)
 	})
 }
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -3,14 +3,15 @@
 import (
 	"cmp"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
 
 	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/segment"
 )
 
 const (
@@ -24,6 +25,9 @@
 	// sends most retries to the same router, where streams end within some tenths of a second; the
 	// strictest targets leave no time for more.
 	overloadedRetryAfter = 200 * time.Millisecond
+	// memoryRetryAfter is the Retry-After of a request whose body found no memory. Bodies and answers take some
+	// hundred milliseconds, and the retry will probably reach another router.
+	memoryRetryAfter = 500 * time.Millisecond
 	// defaultMaxBody is the maximum body size in bytes if the configuration sets none.
 	defaultMaxBody = 4 << 20
 	// bodyTimeout bounds the time from a request's arrival until its whole body is read.
@@ -49,6 +53,9 @@
 	if err := j.authenticate(table); err != nil {
 		return err
 	}
+	if err := j.admitConnection(); err != nil {
+		return err
+	}
 	if err := j.findDataCenters(table.RegionsOf(j.account)); err != nil {
 		return err
 	}
@@ -116,48 +123,58 @@
 	return refusal.New(refusal.UnknownAccount, "no account has this key", 0)
 }
 
+// admitConnection counts the request towards those that may be in hand.
+func (j *job) admitConnection() *refusal.Error {
+	if err := j.caller.Lease().Admit(j.account); err != nil {
+		return &refusal.Error{
+			Reason: refusal.CallersHoldConnections, Outcome: refusal.NotRun, Detail: "too many requests of the account are in hand",
+			RetryAfter: memoryRetryAfter, Cause: err,
+		}
+	}
+	return nil
+}
+
 // readBody reads the whole body before the request is queued. Otherwise a caller that sends slowly
 // would occupy a slot at an upstream.
 func (j *job) readBody(limits route.Limits) *refusal.Error {
-	if j.request.ContentLength == 0 {
-		return j.prepareHeader(nil)
-	}
 	maxBytes := int64(limits.MaxBodyBytes)
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBody
 	}
-	control := http.NewResponseController(j.writer)
-	_ = control.SetReadDeadline(j.arrived.Add(bodyTimeout)) // fails only for test writers, which have no deadlines
-	body, err := j.readAll(maxBytes)
+	reader := caller.BodyReader{MaxBytes: maxBytes, Deadline: j.arrived.Add(bodyTimeout), IsOverloaded: j.handler.IsOverloaded}
+	body, err := reader.Read(j.writer, j.request)
 	if err != nil {
-		j.writer.Header().Set("Connection", "close")
+		j.bodyRead = bodyBroken
 		return bodyRefusal(err)
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	j.bodyRead = bodyWhole
 	return j.prepareHeader(body)
 }
 
-func (j *job) readAll(maxBytes int64) ([]byte, error) {
-	reader := http.MaxBytesReader(j.writer, j.request.Body, maxBytes)
-	length := j.request.ContentLength
-	if length < 0 || length > maxBytes {
-		return io.ReadAll(reader)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(reader, body)
-	return body, err
-}
-
 func bodyRefusal(err error) *refusal.Error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	var (
+		tooLarge *http.MaxBytesError
+		framing  *caller.FramingError
+	)
+	switch {
+	case errors.As(err, &tooLarge):
 		return refusal.New(refusal.BodyTooLarge, "the body is too large", 0)
+	case caller.IsShortOfMemory(err):
+		return &refusal.Error{
+			Reason: refusal.CallersHoldMemory, Outcome: refusal.NotRun, Detail: "callers hold too much of this router's memory",
+			RetryAfter: memoryRetryAfter, Cause: err,
+		}
+	case errors.As(err, &framing):
+		return &refusal.Error{
+			Reason: refusal.RouterOverloaded, Outcome: refusal.NotRun, Detail: "this router is overloaded, and the body comes in small chunks",
+			RetryAfter: overloadedRetryAfter, Cause: err,
+		}
 	}
 	return &refusal.Error{Reason: refusal.BodyTooSlow, Outcome: refusal.NotRun, Detail: "the body did not arrive completely", Cause: err}
 }
 
 // prepareHeader stores the body and turns the caller's header into the one that upstreams get.
-func (j *job) prepareHeader(body []byte) *refusal.Error {
+func (j *job) prepareHeader(body segment.List) *refusal.Error {
 	j.body = body
 	j.header = j.request.Header
 	attempt.StripHopByHop(j.header)
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/attempt"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
 )
@@ -38,12 +39,12 @@
 
 // writeAnswer sends a buffered answer to the caller.
 func (j *job) writeAnswer(buffered *bufferedAnswer) {
-	length := int64(len(buffered.body))
+	length := int64(buffered.body.Len())
 	if j.request.Method == http.MethodHead {
 		length = -1
 	}
 	j.sendHeader(buffered.status, buffered.header, length)
-	_, err := j.writer.Write(buffered.body)
+	_, err := buffered.body.WriteTo(j.writer)
 	if err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
 		j.handler.Log.Info("answer not delivered", "request", j.info.ID, "error", err)
 	}
@@ -62,6 +63,9 @@
 	if j.headerSent || e.Reason == refusal.CallerGone {
 		panic(http.ErrAbortHandler)
 	}
+	if j.bodyRead != bodyWhole {
+		caller.EndUnread(j.writer, j.request, j.bodyRead == bodyBroken)
+	}
 	status := e.Reason.Status()
 	if e.Outcome != refusal.NotRun && impliesNotRun(status) {
 		status = http.StatusBadGateway
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -14,6 +14,7 @@
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/segment"
 	"nutmeglock.example/nutmeglock/stream"
 	"nutmeglock.example/nutmeglock/turn"
 	"nutmeglock.example/nutmeglock/upstream"
@@ -77,7 +78,7 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   segment.List
 }
 
 // attempt sends the request to the upstream of a ticket. It returns nil once the answer has been
@@ -243,13 +244,13 @@
 
 // relayPlain relays an answer that isn't a stream, buffered if it is small enough.
 func (j *job) relayPlain(ctx context.Context, ticket home.Ticket, answer *upstream.Answer, watch *silenceWatch) *failure {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxBuffered+1))
+	body, whole, err := j.buffer(answer)
 	if err != nil {
 		return j.fail(ctx, ticket, &failure{reason: retry.BrokenBeforeAnswer, sent: true, cause: err})
 	}
 	ticket.RecordFirstEvent(time.Now())
 	buffered := &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
-	if len(body) > maxBuffered {
+	if !whole {
 		if !watch.keepUpstream() {
 			ticket.End(time.Now(), turn.Failed)
 			return &failure{reason: retry.BrokenBeforeAnswer, sent: true, cause: errUpstreamSilent}
@@ -272,6 +273,40 @@
 	return nil
 }
 
+// errTooLong ends the buffering of an answer that is passed on as it comes.
+var errTooLong = eris.New("the answer is too long to be buffered")
+
+// buffer reads an answer into memory. If it is too long, or callers hold too much memory, it returns the first part and
+// whole is false.
+func (j *job) buffer(answer *upstream.Answer) (body segment.List, whole bool, err error) {
+	reader := segment.Reader{
+		Take: func(bytes int64) error {
+			if j.caller.Lease().Take(time.Now(), bytes) != nil {
+				return errTooLong // its caller gets it all the same
+			}
+			return nil
+		},
+		OnRead: func(total int64) error {
+			if total > maxBuffered {
+				return errTooLong
+			}
+			return nil
+		},
+	}
+	length := answer.Length
+	if j.request.Method == http.MethodHead {
+		length = -1 // the length is that of an answer with a body
+	}
+	body, err = reader.ReadAll(answer.Body, length)
+	switch {
+	case errors.Is(err, errTooLong):
+		return body, false, nil
+	case err == nil && length >= 0:
+		_, err = io.Copy(io.Discard, answer.Body) // its end, so that the connection can be used again
+	}
+	return body, err == nil, err
+}
+
 // relayUnbuffered relays an answer that is too long to be buffered. buffered holds the
 // part that was already read.
 func (j *job) relayUnbuffered(ctx context.Context, ticket home.Ticket, buffered *bufferedAnswer, answer *upstream.Answer) *failure {
@@ -279,7 +314,7 @@
 		return &failure{reason: retry.StreamBroken, sent: true, final: true, cause: errNotResumed}
 	}
 	j.sendHeader(buffered.status, buffered.header, answer.Length)
-	_, _ = j.writer.Write(buffered.body) // if the caller has disconnected, ctx ends
+	_, _ = buffered.body.WriteTo(j.writer) // if the caller has disconnected, ctx ends
 	_, err := io.Copy(j.writer, answer.Body)
 	if err == nil && j.isCutOff(ctx, ticket, answer) {
 		err = io.ErrUnexpectedEOF
--- a/forward/caller.go
+++ b/forward/caller.go
@@ -1,26 +1,16 @@
 package forward
 
 import (
-	"context"
-	"net"
 	"syscall"
 	"time"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/socket"
 	"nutmeglock.example/nutmeglock/turn"
 )
 
-// callerConnKey is the context key of a caller's connection.
-type callerConnKey struct{}
-
-// WithCaller adds a caller's connection to the context of its requests, so that a Handler can
-// detect that the caller has disconnected. Use it as the server's ConnContext.
-func WithCaller(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
-}
-
 // isCallerGone reports whether the caller has closed its connection.
 //
 // The server notices this too, but on a background goroutine. On a router short of processor time,
@@ -28,7 +18,7 @@
 // disconnected while their requests were still unread, and the callers that wait would be served
 // late.
 func (j *job) isCallerGone() bool {
-	conn, ok := j.request.Context().Value(callerConnKey{}).(syscall.Conn)
+	conn, ok := caller.ConnOf(j.request.Context()).(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -183,7 +183,7 @@
 }
 
 // Handler is the http.Handler for callers. All fields are required but RoutineLog,
-// Regions, TooManyConnections, HasCapacity, Handover, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
+// Regions, TooManyConnections, HasCapacity, IsOverloaded, Handover, OnShed, LeavingSince, Avoidance, Quarantine, Origins, Guard and SchedulingLatency.
 type Handler struct {
 	Codec   HeaderCodec
 	State   RoutingState
@@ -200,6 +200,8 @@
 	// HasCapacity reports whether the router has processor time for an account's request that has
 	// just arrived; nil means always.
 	HasCapacity func(now time.Time, account fleet.AccountID) bool
+	// IsOverloaded reports whether the router refuses requests for lack of processor time; nil means never.
+	IsOverloaded func() bool
 	// Handover hands over requests for which HasCapacity reports false; nil means that all of them
 	// are refused.
 	Handover Handover
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/metric"
@@ -144,7 +145,7 @@
 		Metrics: metric.New(prometheus.NewRegistry()), Log: slog.New(slog.DiscardHandler),
 	}
 	f.router = httptest.NewUnstartedServer(f.handler)
-	f.router.Config.ConnContext = forward.WithCaller
+	f.router.Config.ConnContext = caller.ConnContext
 	f.router.Start()
 	t.Cleanup(f.router.Close)
 	return f
--- a/forward/handover.go
+++ b/forward/handover.go
@@ -6,9 +6,13 @@
 	"net/http"
 	"time"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
+// relayBytes is the memory in bytes for the buffers of a relay.
+const relayBytes = 64 << 10
+
 // Handover hands over requests for which this router has no processor time to other routers. It is
 // safe for concurrent use.
 type Handover interface {
@@ -44,17 +48,21 @@
 // relayedAt returns when the router that handed a request over read its head, and whether it was
 // handed over.
 func relayedAt(r *http.Request) (time.Time, bool) {
-	conn, ok := r.Context().Value(callerConnKey{}).(relayedConn)
+	conn := caller.ConnOf(r.Context())
+	if counted, ok := conn.(*caller.Conn); ok {
+		conn = counted.NetConn()
+	}
+	relayed, ok := conn.(relayedConn)
 	if !ok {
 		return time.Time{}, false
 	}
-	return conn.Arrived(), true
+	return relayed.Arrived(), true
 }
 
 // newJob returns the job of a request. One that was handed over arrived when the first router read
 // it, so that its caller's time runs from there.
 func (h *Handler) newJob(w http.ResponseWriter, r *http.Request) *job {
-	j := &job{handler: h, writer: w, request: r, arrived: time.Now()}
+	j := &job{handler: h, writer: w, request: r, caller: caller.FromContext(r.Context()), arrived: time.Now()}
 	if at, ok := relayedAt(r); ok {
 		j.arrived, j.isRelayed = at, true
 	}
@@ -66,7 +74,7 @@
 // time could otherwise pass it back and forth.
 func (j *job) handOver() bool {
 	h := j.handler
-	if h.Handover == nil || j.isRelayed || j.isCallerGone() {
+	if h.Handover == nil || j.isRelayed || j.isCallerGone() || j.caller.Lease().Take(time.Now(), relayBytes) != nil {
 		return false
 	}
 	relay, err := h.Handover.Connect(HandedRequest{
--- a/forward/handover_test.go
+++ b/forward/handover_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/handover"
@@ -53,7 +54,7 @@
 	t.Helper()
 	sender, helper = start(t, fn), start(t, fn)
 	server := httptest.NewUnstartedServer(helper.handler)
-	server.Config.ConnContext = forward.WithCaller
+	server.Config.ConnContext = caller.ConnContext
 	handed = &testHandover{address: server.Listener.Addr().String()}
 	server.Listener = &relay.Listener{Listener: server.Listener, Admitter: openAdmitter{}}
 	server.Start()
--- a/forward/job.go
+++ b/forward/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/home"
@@ -18,6 +19,7 @@
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
 	"nutmeglock.example/nutmeglock/route"
+	"nutmeglock.example/nutmeglock/segment"
 	"nutmeglock.example/nutmeglock/turn"
 )
 
@@ -56,6 +58,8 @@
 	handler *Handler
 	writer  http.ResponseWriter
 	request *http.Request
+	// caller is the caller's connection, nil if it has no limits.
+	caller  *caller.Conn
 	arrived time.Time
 	// isRelayed is set if another router has handed the request over, and isHandedOver once this one
 	// has.
@@ -70,7 +74,9 @@
 	// dataCenters are those in which the request may be served; empty means all.
 	dataCenters []fleet.DataCenterID
 	header      http.Header
-	body        []byte
+	body        segment.List
+	// bodyRead is how far the body has been read.
+	bodyRead bodyState
 	// cachedSubject is zero until subject has computed it.
 	cachedSubject quarantine.Subject
 	// cachedParts are the parts of the prompt once hasParts is set.
@@ -115,6 +121,15 @@
 	spentPatience time.Duration
 }
 
+// bodyState is how far the body of a request has been read.
+type bodyState int
+
+const (
+	bodyUnread bodyState = iota
+	bodyBroken
+	bodyWhole
+)
+
 // progress describes how much of an attempt's answer has arrived.
 type progress struct {
 	// headerAt and firstEventAt are when the header and the first event arrived, zero if they didn't.
--- a/handover/relay/relay.go
+++ b/handover/relay/relay.go
@@ -172,8 +172,8 @@
 	if r.bodySent.Load() {
 		return
 	}
-	if tcp, ok := r.Caller.(*net.TCPConn); ok {
-		_ = tcp.CloseWrite()
+	if half, ok := r.Caller.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
 	}
 	_ = r.Caller.SetReadDeadline(time.Now().Add(lingerTime))
 	<-uploaded
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -6,6 +6,7 @@
 	dto "github.com/prometheus/client_model/go"
 
 	"nutmeglock.example/nutmeglock/avoidance"
+	"nutmeglock.example/nutmeglock/budget"
 	"nutmeglock.example/nutmeglock/handover"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/pace"
@@ -86,10 +87,15 @@
 	StatedSlowdown prometheus.Histogram
 	// Slowdowns is the number of upstreams by their estimated slowdown. It has only those that state it.
 	Slowdowns *prometheus.GaugeVec
-	// Panics counts recovered panics.
+	// CallerBytes is the memory that is kept for callers, and CallerConnections the number of their connections by stage.
+	CallerBytes       prometheus.Gauge
+	CallerConnections *prometheus.GaugeVec
+	// Evictions counts callers' connections that had to give way, by what was short and the stage.
+	Evictions *prometheus.CounterVec
 	// StoreRestores counts the restores of the store from a copy.
 	StoreRestores prometheus.Counter
-	Panics        prometheus.Counter
+	// Panics counts recovered panics.
+	Panics prometheus.Counter
 	// NoteVersion is the release note version that this router uses.
 	NoteVersion prometheus.Gauge
 	// Routers is the number of routers considered alive, including this one.
@@ -139,6 +145,9 @@
 		RejectedLoads:        newCounterVec("rejected_loads_total", "Statements of upstreams about their load that aren't used in full, by reason.", "reason"),
 		StatedSlowdown:       newSlowdownHistogram("stated_slowdown", "Slowdowns that upstreams have stated."),
 		Slowdowns:            newSlowdowns(),
+		CallerBytes:          newGauge("caller_bytes", "Memory that is kept for callers."),
+		CallerConnections:    newStageGauge("caller_connections", "Connections of callers by stage."),
+		Evictions:            newCounterVec("caller_evictions_total", "Connections of callers that were closed or refused for others, by what was short.", "resource", "stage"),
 		StoreRestores:        newCounter("store_restores_total", "Restores of the store from a copy that the router has learnt of."),
 		Panics:               newCounter("panics_total", "Panics contained."),
 		NoteVersion:          newGauge("note_version", "The release note version in force."),
@@ -147,7 +156,7 @@
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
 		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
 	registry.MustRegister(s.Handovers, s.AcceptedHandovers, s.RejectedLoads, s.StatedSlowdown, s.Slowdowns, s.PromptTokens, s.CacheLosses,
-		s.StoreRestores, s.TurnReservations, s.TurnReturns, s.DueReturns, s.WaitErrorSeconds)
+		s.CallerBytes, s.CallerConnections, s.Evictions, s.StoreRestores, s.TurnReservations, s.TurnReturns, s.DueReturns, s.WaitErrorSeconds)
 	s.initReasons()
 	return s
 }
@@ -162,6 +171,11 @@
 	for _, lack := range turn.Lacks() {
 		s.RefusedTurns.WithLabelValues(string(lack))
 	}
+	for _, resource := range budget.Resources() {
+		for _, stage := range budget.Stages() {
+			s.Evictions.WithLabelValues(string(resource), stage.String())
+		}
+	}
 	s.initReservations()
 	for _, reason := range turn.ColdReasons() {
 		s.ColdSkipped.WithLabelValues(string(reason))
@@ -235,6 +249,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func newStageGauge(name, help string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{"stage"})
+}
+
 func newGaugeVec(name, help string) *prometheus.GaugeVec {
 	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, []string{"service"})
 }
--- a/quarantine/fingerprint.go
+++ b/quarantine/fingerprint.go
@@ -7,6 +7,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/prompt"
+	"nutmeglock.example/nutmeglock/segment"
 )
 
 // Fingerprint identifies equal requests: those with the same account, method, host, path
@@ -27,7 +28,7 @@
 	Host    string
 	// URI is the path with its query.
 	URI  string
-	Body []byte
+	Body segment.List
 }
 
 // Subject is what the quarantine recognises a request by.
@@ -44,6 +45,6 @@
 		_, _ = digest.WriteString(field)
 		_, _ = digest.Write([]byte{0}) // separates the fields
 	}
-	_, _ = digest.Write(r.Body)
+	_, _ = r.Body.WriteTo(digest)
 	return Fingerprint(max(digest.Sum64(), 1))
 }
--- a/quarantine/fingerprint_test.go
+++ b/quarantine/fingerprint_test.go
@@ -8,11 +8,12 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/quarantine"
+	"nutmeglock.example/nutmeglock/segment"
 )
 
 func TestFingerprintTellsRequestsApart(t *testing.T) {
 	t.Parallel()
-	base := quarantine.Request{Account: "ada", Method: "POST", Host: "h", URI: "/a/1", Body: []byte("b")}
+	base := quarantine.Request{Account: "ada", Method: "POST", Host: "h", URI: "/a/1", Body: segment.Of([]byte("b"))}
 	cases := []struct {
 		name   string
 		change func(*quarantine.Request)
@@ -23,7 +24,7 @@
 		{"another method", func(r *quarantine.Request) { r.Method = "PUT" }, false},
 		{"another host", func(r *quarantine.Request) { r.Host = "g" }, false},
 		{"another path", func(r *quarantine.Request) { r.URI = "/a/2" }, false},
-		{"another body", func(r *quarantine.Request) { r.Body = []byte("c") }, false},
+		{"another body", func(r *quarantine.Request) { r.Body = segment.Of([]byte("c")) }, false},
 		{"a byte moved to the next field", func(r *quarantine.Request) { r.Host = "h/"; r.URI = "a/1" }, false},
 	}
 	for _, c := range cases {
--- a/refusal/refusal.go
+++ b/refusal/refusal.go
@@ -25,45 +25,47 @@
 
 // The reasons. They are documented for operators in docs/operator/refusals.md.
 const (
-	BadRequest         Reason = "bad-request"
-	BodyTooLarge       Reason = "body-too-large"
-	BodyTooSlow        Reason = "body-too-slow"
-	HeaderTooLarge     Reason = "header-too-large"
-	UnknownAccount     Reason = "unknown-account"
-	UnknownService     Reason = "unknown-service"
-	UnknownRoute       Reason = "unknown-route"
-	ServiceNotAllowed  Reason = "service-not-allowed"
-	AccountQueueFull   Reason = "account-queue-full"
-	AccountAhead       Reason = "account-ahead"
-	RouterQueueFull    Reason = "router-queue-full"
-	RouterOverloaded   Reason = "router-overloaded"
-	DeadlineBeforeTurn Reason = "deadline-before-turn"
-	DeadlinePassed     Reason = "deadline-passed"
-	NoUpstream         Reason = "no-upstream"
-	UpstreamsLeaving   Reason = "upstreams-leaving"
-	UpstreamsBackOff   Reason = "upstreams-back-off"
-	SoftwareReplaced   Reason = "software-replaced"
-	OriginUnknown      Reason = "stream-origin-unknown"
-	UpstreamFailed     Reason = "upstream-failed"
-	UpstreamBusy       Reason = "upstream-busy"
-	CrashesUpstreams   Reason = "crashes-upstreams"
-	RetriesExhausted   Reason = "retries-exhausted"
-	Stopping           Reason = "stopping"
-	NotReady           Reason = "not-ready"
-	ClaimsUnavailable  Reason = "claims-unavailable"
-	DuplicateInFlight  Reason = "duplicate-in-flight"
-	KeyReused          Reason = "idempotency-key-reused"
-	OutcomeLost        Reason = "outcome-lost"
-	BadResumeToken     Reason = "bad-resume-token"
-	ResumeExpired      Reason = "resume-expired"
-	CallerGone         Reason = "caller-gone"
-	Internal           Reason = "internal"
+	BadRequest             Reason = "bad-request"
+	BodyTooLarge           Reason = "body-too-large"
+	BodyTooSlow            Reason = "body-too-slow"
+	CallersHoldMemory      Reason = "callers-hold-memory"
+	CallersHoldConnections Reason = "callers-hold-connections"
+	HeaderTooLarge         Reason = "header-too-large"
+	UnknownAccount         Reason = "unknown-account"
+	UnknownService         Reason = "unknown-service"
+	UnknownRoute           Reason = "unknown-route"
+	ServiceNotAllowed      Reason = "service-not-allowed"
+	AccountQueueFull       Reason = "account-queue-full"
+	AccountAhead           Reason = "account-ahead"
+	RouterQueueFull        Reason = "router-queue-full"
+	RouterOverloaded       Reason = "router-overloaded"
+	DeadlineBeforeTurn     Reason = "deadline-before-turn"
+	DeadlinePassed         Reason = "deadline-passed"
+	NoUpstream             Reason = "no-upstream"
+	UpstreamsLeaving       Reason = "upstreams-leaving"
+	UpstreamsBackOff       Reason = "upstreams-back-off"
+	SoftwareReplaced       Reason = "software-replaced"
+	OriginUnknown          Reason = "stream-origin-unknown"
+	UpstreamFailed         Reason = "upstream-failed"
+	UpstreamBusy           Reason = "upstream-busy"
+	CrashesUpstreams       Reason = "crashes-upstreams"
+	RetriesExhausted       Reason = "retries-exhausted"
+	Stopping               Reason = "stopping"
+	NotReady               Reason = "not-ready"
+	ClaimsUnavailable      Reason = "claims-unavailable"
+	DuplicateInFlight      Reason = "duplicate-in-flight"
+	KeyReused              Reason = "idempotency-key-reused"
+	OutcomeLost            Reason = "outcome-lost"
+	BadResumeToken         Reason = "bad-resume-token"
+	ResumeExpired          Reason = "resume-expired"
+	CallerGone             Reason = "caller-gone"
+	Internal               Reason = "internal"
 )
 
 // Reasons returns all reasons, for counters that start at zero.
 func Reasons() []Reason {
 	return []Reason{
-		BadRequest, BodyTooLarge, BodyTooSlow, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
+		BadRequest, BodyTooLarge, BodyTooSlow, CallersHoldMemory, CallersHoldConnections, HeaderTooLarge, UnknownAccount, UnknownService, UnknownRoute,
 		ServiceNotAllowed, AccountQueueFull, AccountAhead, RouterQueueFull, RouterOverloaded, DeadlineBeforeTurn, DeadlinePassed,
 		NoUpstream, UpstreamsLeaving, UpstreamsBackOff, SoftwareReplaced, OriginUnknown, UpstreamFailed, UpstreamBusy, CrashesUpstreams, RetriesExhausted, Stopping, NotReady,
 		ClaimsUnavailable, DuplicateInFlight, KeyReused, OutcomeLost, BadResumeToken,
@@ -101,37 +103,39 @@
 }
 
 var statuses = map[Reason]int{
-	BadRequest:         http.StatusBadRequest,
-	BodyTooLarge:       http.StatusRequestEntityTooLarge,
-	BodyTooSlow:        http.StatusRequestTimeout,
-	HeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
-	UnknownAccount:     http.StatusUnauthorized,
-	UnknownService:     http.StatusNotFound,
-	UnknownRoute:       http.StatusNotFound,
-	ServiceNotAllowed:  http.StatusForbidden,
-	AccountQueueFull:   http.StatusTooManyRequests,
-	AccountAhead:       http.StatusTooManyRequests,
-	RouterQueueFull:    http.StatusServiceUnavailable,
-	RouterOverloaded:   http.StatusServiceUnavailable,
-	DeadlineBeforeTurn: http.StatusServiceUnavailable,
-	DeadlinePassed:     http.StatusGatewayTimeout,
-	NoUpstream:         http.StatusServiceUnavailable,
-	UpstreamsLeaving:   http.StatusServiceUnavailable,
-	UpstreamsBackOff:   http.StatusServiceUnavailable,
-	SoftwareReplaced:   http.StatusServiceUnavailable,
-	OriginUnknown:      http.StatusServiceUnavailable,
-	UpstreamFailed:     http.StatusBadGateway,
-	UpstreamBusy:       http.StatusServiceUnavailable,
-	CrashesUpstreams:   http.StatusServiceUnavailable,
-	RetriesExhausted:   http.StatusBadGateway,
-	Stopping:           http.StatusServiceUnavailable,
-	NotReady:           http.StatusServiceUnavailable,
-	ClaimsUnavailable:  http.StatusServiceUnavailable,
-	DuplicateInFlight:  http.StatusConflict,
-	KeyReused:          http.StatusUnprocessableEntity,
-	OutcomeLost:        http.StatusConflict,
-	BadResumeToken:     http.StatusBadRequest,
-	ResumeExpired:      http.StatusGone,
+	BadRequest:             http.StatusBadRequest,
+	BodyTooLarge:           http.StatusRequestEntityTooLarge,
+	BodyTooSlow:            http.StatusRequestTimeout,
+	CallersHoldMemory:      http.StatusServiceUnavailable,
+	CallersHoldConnections: http.StatusServiceUnavailable,
+	HeaderTooLarge:         http.StatusRequestHeaderFieldsTooLarge,
+	UnknownAccount:         http.StatusUnauthorized,
+	UnknownService:         http.StatusNotFound,
+	UnknownRoute:           http.StatusNotFound,
+	ServiceNotAllowed:      http.StatusForbidden,
+	AccountQueueFull:       http.StatusTooManyRequests,
+	AccountAhead:           http.StatusTooManyRequests,
+	RouterQueueFull:        http.StatusServiceUnavailable,
+	RouterOverloaded:       http.StatusServiceUnavailable,
+	DeadlineBeforeTurn:     http.StatusServiceUnavailable,
+	DeadlinePassed:         http.StatusGatewayTimeout,
+	NoUpstream:             http.StatusServiceUnavailable,
+	UpstreamsLeaving:       http.StatusServiceUnavailable,
+	UpstreamsBackOff:       http.StatusServiceUnavailable,
+	SoftwareReplaced:       http.StatusServiceUnavailable,
+	OriginUnknown:          http.StatusServiceUnavailable,
+	UpstreamFailed:         http.StatusBadGateway,
+	UpstreamBusy:           http.StatusServiceUnavailable,
+	CrashesUpstreams:       http.StatusServiceUnavailable,
+	RetriesExhausted:       http.StatusBadGateway,
+	Stopping:               http.StatusServiceUnavailable,
+	NotReady:               http.StatusServiceUnavailable,
+	ClaimsUnavailable:      http.StatusServiceUnavailable,
+	DuplicateInFlight:      http.StatusConflict,
+	KeyReused:              http.StatusUnprocessableEntity,
+	OutcomeLost:            http.StatusConflict,
+	BadResumeToken:         http.StatusBadRequest,
+	ResumeExpired:          http.StatusGone,
 }
 
 // Status returns the HTTP status of a reason, 500 if none is defined.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
+	"nutmeglock.example/nutmeglock/segment"
 )
 
 const (
@@ -34,7 +35,7 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   segment.List
 	// Process is when the upstream's process must have started; zero means any time.
 	Process registry.StartTime
 	// Probe, unless nil, is attached to the request's connection.
@@ -51,11 +52,11 @@
 	return r.Permit()
 }
 
-// encode returns the request in wire format. The body always has a Content-Length, even if the
-// caller sent it in chunks.
-func (r Request) encode() []byte {
+// encodeHead returns the request's head in wire format, with room for more bytes behind it. The body always has a
+// Content-Length, even if the caller sent it in chunks.
+func (r Request) encodeHead(length, room int) []byte {
 	var b bytes.Buffer
-	b.Grow(len(r.Body) + 1024)
+	b.Grow(room + 1024)
 	b.WriteString(r.Method)
 	b.WriteByte(' ')
 	b.WriteString(r.URI)
@@ -70,16 +71,28 @@
 			b.WriteString("\r\n")
 		}
 	}
-	if len(r.Body) > 0 || !attempt.IsBodyless(r.Method) {
+	if length > 0 || !attempt.IsBodyless(r.Method) {
 		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString(strconv.Itoa(length))
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
 	return b.Bytes()
 }
 
+// encode returns the request in wire format, in few segments. A long body isn't copied.
+func (r Request) encode() segment.List {
+	length := r.Body.Len()
+	if length > maxInlineRequest {
+		return append(segment.List{r.encodeHead(length, 0)}, r.Body...)
+	}
+	data := r.encodeHead(length, length)
+	for _, s := range r.Body {
+		data = append(data, s...)
+	}
+	return segment.List{data}
+}
+
 // exchange is one request and its answer on a connection.
 type exchange struct {
 	client  *Client
@@ -98,7 +111,7 @@
 
 func (x *exchange) send(request Request) {
 	data := request.encode()
-	if len(data) <= maxInlineRequest {
+	if data.Len() <= maxInlineRequest {
 		x.write(data)
 		return
 	}
@@ -108,8 +121,8 @@
 
 // write writes the request and records whether a byte may have been sent. An answer may follow even
 // if it fails: an upstream that refuses early closes its receiving side.
-func (x *exchange) write(data []byte) {
-	n, err := x.conn.Write(data)
+func (x *exchange) write(data segment.List) {
+	n, err := data.WriteTo(x.conn)
 	if n > 0 {
 		x.sent = true
 	}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/segment"
 	"nutmeglock.example/nutmeglock/upstream"
 )
 
@@ -74,7 +75,7 @@
 func newRequest(id string, body []byte) upstream.Request {
 	return upstream.Request{
 		ID: fleet.RequestID(id), Method: http.MethodPost, URI: "/a?b=c", Host: "orders.example",
-		Header: http.Header{idField: {id}}, Body: body,
+		Header: http.Header{idField: {id}}, Body: segment.Of(body),
 	}
 }
 
