fleet: long ids of requests are cut off in the log

Callers choose the ids of their requests, up to the 64 KiB of a head. The queue of 1,024 lines could hold 64 MB of them, and the sums of refusals 12 MB.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,7 +2,10 @@
 // imports no other package of the project.
 package fleet
 
-import "time"
+import (
+	"log/slog"
+	"time"
+)
 
 // AccountID identifies a client account.
 type AccountID string
@@ -39,6 +42,15 @@
 // RequestID identifies a caller's request. Every answer carries it.
 type RequestID string
 
+// maxLoggedID is the length in bytes up to which ids are logged. Callers choose them.
+const maxLoggedID = 64
+
+// Short returns the first part of the id.
+func (id RequestID) Short() RequestID { return id[:min(len(id), maxLoggedID)] }
+
+// LogValue returns the first part of the id.
+func (id RequestID) LogValue() slog.Value { return slog.StringValue(string(id.Short())) }
+
 // ShortID identifies an account, a service or an upstream in control messages. A release note
 // assigns it, and it is never reused.
 type ShortID uint32
--- a/forward/panic.go
+++ b/forward/panic.go
@@ -13,7 +13,7 @@
 type requestIDValue struct{ job *job }
 
 // LogValue returns the id.
-func (r requestIDValue) LogValue() slog.Value { return slog.StringValue(string(r.job.info.ID)) }
+func (r requestIDValue) LogValue() slog.Value { return r.job.info.ID.LogValue() }
 
 // handle admits the request and serves it.
 func (j *job) handle() error {
--- a/refusal/summary.go
+++ b/refusal/summary.go
@@ -63,7 +63,7 @@
 	sum.Count++
 	sum.LongestWait = max(sum.LongestWait, waited)
 	if len(sum.FirstIDs) < maxFirstIDs {
-		sum.FirstIDs = append(sum.FirstIDs, id)
+		sum.FirstIDs = append(sum.FirstIDs, id.Short())
 	}
 	return true
 }
--- a/refusal/summary_test.go
+++ b/refusal/summary_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -56,3 +57,13 @@
 	}
 	require.Equal(t, 9_950, total)
 }
+
+// Guards against callers that fill the memory of sums with long ids.
+func TestLongIDsAreCutOffInSums(t *testing.T) {
+	t.Parallel()
+	var s refusal.Summary
+	for range 51 {
+		s.Add(start, refusal.Kind{}, fleet.RequestID(strings.Repeat("x", 16<<10)), 0)
+	}
+	require.Less(t, len(s.Take()[0].FirstIDs[0]), 100)
+}
