router, daemon: the product's own interface counts callers' memory and connections, too

Settings callers.max-held-bytes (256 MiB) and callers.max-connections (4,096); the administration API has 64 connections and 32 MiB. Bodies are refused as callers-hold-memory, and refusals don't wait for bodies.

--- a/daemon/administration.go
+++ b/daemon/administration.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/operator"
 )
@@ -20,6 +21,7 @@
 		Metrics:  promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}),
 		Registry: p.Registry,
 	})
-	p.AddActor("administration", serverActor(newServer(p, handler), p.Listeners.Admin))
+	pool := &caller.Pool{Bytes: administrationBytes, MaxConnections: administrationConnections}
+	p.AddActor("administration", serverActor(newServer(p, handler), &caller.Listener{Listener: p.Listeners.Admin, Pool: pool}))
 	return nil
 }
--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"nutmeglock.example/nutmeglock/budget"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/router"
 	"nutmeglock.example/nutmeglock/settings"
 )
@@ -22,6 +24,13 @@
 	// headerLimitFactor sets the limit of net/http above the router's own, so
 	// that the router refuses most oversized headers itself, with a reason.
 	headerLimitFactor = 4
+	// unreadTimeout is how long a caller may read nothing of its answer.
+	unreadTimeout = 15 * time.Second
+	// checkInterval is the time between two checks of callers' connections.
+	checkInterval = time.Second
+	// administrationConnections and administrationBytes limit what operators' connections take.
+	administrationConnections = 64
+	administrationBytes       = 32 << 20
 )
 
 // callersExtension serves the HTTP API for callers.
@@ -43,7 +52,16 @@
 	})
 	p.CallerHandler = handler
 	server := newServer(p, handler)
-	p.AddActor("callers", serverActor(server, p.Listeners.Callers))
+	callers := &caller.Monitor{}
+	callers.SetUp(settings.MaxHeldBytes(p.Settings), settings.MaxConnections(p.Settings), p.Metrics, p.Log)
+	serve := serverActor(server, &caller.Listener{Listener: p.Listeners.Callers, Pool: &callers.Pool})
+	p.AddActor("callers", func(ctx context.Context) error {
+		checks := p.Timer.Every(checkInterval, func(now time.Time) {
+			callers.Check(now, budget.Timeouts{Head: readHeaderTimeout, Sending: unreadTimeout})
+		})
+		defer checks.Cancel()
+		return serve(ctx)
+	})
 	p.OnStop(0, "notify the load balancer", func(ctx context.Context) {
 		p.Stopping.Store(true)
 		p.sleep(ctx, settings.StopNotice(p.Settings))
@@ -57,6 +75,8 @@
 func newServer(p *Parts, handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
+		ConnState:         caller.ConnState,
+		ConnContext:       caller.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimitFactor * settings.MaxHeaderBytes(p.Settings),
--- a/daemon/parts.go
+++ b/daemon/parts.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rotisserie/eris"
@@ -20,9 +21,14 @@
 	"nutmeglock.example/nutmeglock/operator"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/schema"
+	"nutmeglock.example/nutmeglock/socket"
 	"nutmeglock.example/nutmeglock/timer"
 )
 
+// socketBuffer is the size in bytes of the buffers that the kernel keeps for a connection in each direction. It doubles
+// them.
+const socketBuffer = 32 << 10
+
 // Priority orders extensions. Those with lower values are set up first, and
 // stopped first.
 type Priority int
@@ -133,7 +139,10 @@
 		{p.Settings.GetPeerAddress(), &p.Listeners.Peers},
 		{p.Settings.GetAdminAddress(), &p.Listeners.Admin},
 	} {
-		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", l.address)
+		config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+			return socket.SetBuffers(raw, socketBuffer, socketBuffer)
+		}}
+		listener, err := config.Listen(ctx, "tcp", l.address)
 		if err != nil {
 			p.closeListeners()
 			return eris.Wrapf(err, "listening on %s", l.address)
--- a/router/answer.go
+++ b/router/answer.go
@@ -24,6 +24,7 @@
 	r.logRefusal(c, refused)
 	r.reportRefusal(c, refused.Reason)
 	if !c.Response().Committed {
+		endUnreadBody(c)
 		writeRefusal(c, refused)
 		return
 	}
--- a/router/body.go
+++ b/router/body.go
@@ -3,31 +3,50 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/refusal"
 )
 
+// contextBody is the key of how far a request's body was read, in the context of its handler.
+const contextBody = "body"
+
+// Values of contextBody.
+const (
+	bodyBroken = "broken"
+	bodyWhole  = "whole"
+)
+
+// memoryRetryAfter is about the time for which requests hold memory. The load balancer may route the retry to another
+// router.
+const memoryRetryAfter = time.Second
+
 // readBody reads the whole request body before the request is queued. A slow
 // sender would otherwise occupy an upstream slot, and a broken connection would
 // leave a partial request at the upstream.
-func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *refusal.Error) {
-	controller := http.NewResponseController(w)
-	// Only response writers of tests do not support deadlines.
-	_ = controller.SetReadDeadline(time.Now().Add(r.Limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.Limits.MaxBodyBytes))
+func (r *Router) readBody(c echo.Context) ([]byte, *refusal.Error) {
+	reader := caller.BodyReader{MaxBytes: r.Limits.MaxBodyBytes, Deadline: time.Now().Add(r.Limits.BodyTimeout)}
+	body, err := reader.Read(c.Response(), c.Request())
+	if err == nil {
+		err = caller.FromContext(c.Request().Context()).Lease().Take(time.Now(), int64(body.Len())) // for the copy
+	}
 	if err != nil {
-		// The deadline stays set: net/http reads the rest of the body before it
-		// sends the response. Without a deadline it would wait for a slow caller
-		// that itself waits for the refusal.
-		w.Header().Set("Connection", "close")
+		c.Set(contextBody, bodyBroken)
 		return nil, r.bodyRefusal(err)
 	}
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
+	c.Set(contextBody, bodyWhole)
+	return body.Join(), nil
+}
+
+// endUnreadBody bounds what becomes of the body of a request that is refused.
+func endUnreadBody(c echo.Context) {
+	if read := c.Get(contextBody); read != bodyWhole {
+		caller.EndUnread(c.Response(), c.Request(), read == bodyBroken)
+	}
 }
 
 // bodyRefusal returns the refusal for an error of reading the body.
@@ -36,7 +55,12 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return refusal.New(refusal.BodyTooLarge, fmt.Sprintf("the body is longer than %d bytes", r.Limits.MaxBodyBytes), 0)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case caller.IsShortOfMemory(err):
+		return &refusal.Error{
+			Reason: refusal.CallersHoldMemory, Outcome: refusal.NotRun, Detail: "callers hold too much of this router's memory",
+			RetryAfter: memoryRetryAfter, Cause: err,
+		}
+	case caller.IsTooSlow(err):
 		return refusal.New(refusal.BodyTooSlow, fmt.Sprintf("the body did not arrive within %s", r.Limits.BodyTimeout), time.Second)
 	default:
 		return &refusal.Error{
--- a/router/request.go
+++ b/router/request.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"nutmeglock.example/nutmeglock/call"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/estimate"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/refusal"
@@ -37,6 +38,12 @@
 		return parsedRequest{}, refused
 	}
 	c.Set(contextAccount, account.GetId())
+	if err := caller.FromContext(req.Context()).Lease().Admit(fleet.AccountID(account.GetId())); err != nil {
+		return parsedRequest{}, &refusal.Error{
+			Reason: refusal.CallersHoldConnections, Outcome: refusal.NotRun, Detail: "too many requests of the account are in hand",
+			RetryAfter: memoryRetryAfter, Cause: err,
+		}
+	}
 	deadline, refused := r.parseDeadline(req)
 	if refused != nil {
 		return parsedRequest{}, refused
@@ -45,7 +52,7 @@
 	if refused != nil {
 		return parsedRequest{}, refused
 	}
-	body, refused := r.readBody(c.Response(), req)
+	body, refused := r.readBody(c)
 	if refused != nil {
 		return parsedRequest{}, refused
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -17,6 +17,8 @@
 	defaultPlatformTimeout = time.Second
 	defaultMaxBodyBytes    = 1 << 20
 	defaultMaxHeaderBytes  = 16 << 10
+	defaultMaxHeldBytes    = 256 << 20
+	defaultMaxConnections  = 4096
 	defaultBodyTimeout     = 10 * time.Second
 	defaultDeadline        = 2 * time.Minute
 	defaultMaxDeadline     = 10 * time.Minute
@@ -62,6 +64,16 @@
 	return int(orDefault(s.GetCallers().GetMaxHeaderBytes(), defaultMaxHeaderBytes))
 }
 
+// MaxHeldBytes returns the maximum memory in bytes for the requests and answers of all callers.
+func MaxHeldBytes(s *schema.RouterSettings) int64 {
+	return int64(orDefault(s.GetCallers().GetMaxHeldBytes(), defaultMaxHeldBytes))
+}
+
+// MaxConnections returns the maximum number of callers' connections.
+func MaxConnections(s *schema.RouterSettings) int {
+	return int(orDefault(s.GetCallers().GetMaxConnections(), defaultMaxConnections))
+}
+
 // BodyTimeout returns the time limit for a caller to send its request body.
 func BodyTimeout(s *schema.RouterSettings) time.Duration {
 	return durationOrDefault(s.GetCallers().GetBodyTimeoutMs(), defaultBodyTimeout)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -36,6 +36,8 @@
 	require.Equal(t, settings.PlatformTimeout(shown), settings.PlatformTimeout(empty))
 	require.Equal(t, settings.MaxBodyBytes(shown), settings.MaxBodyBytes(empty))
 	require.Equal(t, settings.MaxHeaderBytes(shown), settings.MaxHeaderBytes(empty))
+	require.Equal(t, settings.MaxHeldBytes(shown), settings.MaxHeldBytes(empty))
+	require.Equal(t, settings.MaxConnections(shown), settings.MaxConnections(empty))
 	require.Equal(t, settings.BodyTimeout(shown), settings.BodyTimeout(empty))
 	require.Equal(t, settings.DefaultDeadline(shown), settings.DefaultDeadline(empty))
 	require.Equal(t, settings.MaxDeadline(shown), settings.MaxDeadline(empty))
