caller, budget: crowds that return at once don't keep ordinary callers out

Cause: heads of thousands of lines took a millisecond each to parse (CPU profile: readMIMEHeader 88 %), and connections that were closed at once came back at once, so that the accept queue was always full. Of connections without an account the newest gave way, ordinary ones too.

Change: heads end at the configuration's limit, and at 128 lines while time or memory is short; a refused head or body keeps its connection for a second, or half of one, unless others need it; what holds less than half of the mean doesn't give way.

--- a/budget/eviction.go
+++ b/budget/eviction.go
@@ -132,12 +132,20 @@
 }
 
 // worst returns the connection of an account that gives way first: the largest of those that make no progress, else the
-// one whose stage began last; nil if none may be evicted.
+// one whose stage began last; nil if none may be evicted. Those that hold less than half of the mean are left out: they free
+// little, and may be ordinary ones beside a crowd.
 func (u *accountUse[A]) worst(now time.Time) *Lease[A] {
+	var total, count int64
+	for l := range u.leases {
+		if l.isEvictable(now) {
+			total += l.bytes
+			count++
+		}
+	}
 	var slow, newest *Lease[A]
 	for l := range u.leases {
 		switch {
-		case !l.isEvictable(now):
+		case !l.isEvictable(now) || 2*count*l.bytes < total:
 		case l.isSlow(now):
 			if slow == nil || l.bytes > slow.bytes {
 				slow = l
@@ -182,17 +190,21 @@
 	if !isFull && p.connections-p.evicted.length < most {
 		return nil, nil
 	}
-	var l *Lease[A]
+	var victims []victim[A]
 	if isFull {
 		// Those that were evicted while a body arrived still send their refusals.
-		if l = p.evicted.find(func(l *Lease[A]) bool { return l.stage == Closing }); l != nil {
-			return []victim[A]{l.asVictim(Connections)}, nil
+		if l := p.evicted.find(func(l *Lease[A]) bool { return l.stage == Closing }); l != nil {
+			victims = append(victims, l.asVictim(Connections))
 		}
 	}
-	if l = p.leastNeeded(now); l == nil {
-		return nil, &ExhaustedError{Resource: Connections, Held: int64(p.connections), Limit: int64(most)}
+	if len(victims) == 0 || p.connections-p.evicted.length >= most {
+		l := p.leastNeeded(now)
+		if l == nil {
+			return victims, &ExhaustedError{Resource: Connections, Held: int64(p.connections), Limit: int64(most)}
+		}
+		victims = append(victims, p.markEvicted(l, Connections))
 	}
-	return []victim[A]{p.markEvicted(l, Connections)}, nil
+	return victims, nil
 }
 
 // leastNeeded returns the connection that gives way to a new one: the first of those that only close, that have had no
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -6,7 +6,7 @@
 // counts towards one Pool: its buffers, the head and the body of a request, and the answer.
 //
 // Beyond the soft limit, connections of the account that holds the most give way: first those that make no progress, the
-// largest first, and then those whose requests began last, so that others can end. What was begun by an account that holds
+// largest first, and then those whose requests began last, so that others can end. Those that hold little stay. What was begun by an account that holds
 // less than its even share may use the rest, up to the limit. Requests that are whole are never evicted.
 //
 // A Pool needs no clock and no network: times are passed in.
@@ -95,6 +95,13 @@
 	return u
 }
 
+// IsShort reports whether callers hold more than half of the memory.
+func (p *Pool[A]) IsShort() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return 2*p.held > p.maxBytes()
+}
+
 func (p *Pool[A]) maxBytes() int64 {
 	if p.Bytes > 0 {
 		return p.Bytes
--- a/budget/pool_test.go
+++ b/budget/pool_test.go
@@ -133,6 +133,28 @@
 	require.Greater(t, whole, 20)
 }
 
+// Guards against crowds whose connections come on, and ordinary callers beside them of whom nothing else is known that give way since
+// they came last.
+func TestSmallRequestsStayBesideACrowd(t *testing.T) {
+	t.Parallel()
+	p := pool{Bytes: 16 * mib}
+	var heads []*sender
+	for range 100 {
+		s := open(t, &p, start, "", budget.Head)
+		heads = append(heads, s)
+		require.NoError(t, s.receive(start, mib))
+		small := open(t, &p, start, "", budget.Head)
+		require.NoError(t, small.receive(start, 1<<10))
+		for _, h := range heads {
+			if h.evicted != nil {
+				h.Close()
+			}
+		}
+		require.Nil(t, small.evicted)
+		small.Close()
+	}
+}
+
 // Guards against one account's crowd by which other accounts are refused, whether its requests are whole or not.
 func TestCrowdOfOneAccountLeavesRoomForOthers(t *testing.T) {
 	t.Parallel()
--- a/caller/body.go
+++ b/caller/body.go
@@ -122,7 +122,7 @@
 	}
 	now := time.Now()
 	conn := FromContext(r.Context())
-	conn.allowReads()
+	conn.refuseBody()
 	_ = conn.Lease().Enter(now, budget.Body) // evicted or not, it ends soon
 	wait := drainTime
 	if begun || r.ContentLength > maxDrained {
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -27,6 +27,10 @@
 	// reader reads the bodies, and handle, unless it is nil, handles requests in place of that.
 	reader caller.BodyReader
 	handle http.HandlerFunc
+	// maxHeadBytes is the limit of the listener.
+	maxHeadBytes int64
+	// isOverloaded is that of the listener.
+	isOverloaded func() bool
 }
 
 func (s *server) start(t *testing.T) *server {
@@ -35,7 +39,9 @@
 	require.NoError(t, err)
 	s.address = listener.Addr().String()
 	h := &http.Server{Handler: s, ConnState: caller.ConnState, ConnContext: caller.ConnContext}
-	go func() { _ = h.Serve(&caller.Listener{Listener: listener, Pool: s.pool}) }()
+	callers := &caller.Listener{Listener: listener, Pool: s.pool, IsOverloaded: s.isOverloaded}
+	callers.MaxHeadBytes.Store(s.maxHeadBytes)
+	go func() { _ = h.Serve(callers) }()
 	t.Cleanup(func() { _ = h.Close() })
 	return s
 }
@@ -192,6 +198,39 @@
 	require.Equal(t, "0", answer(t, s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")))
 }
 
+// Guards against heads that are longer than callers may send, which take memory and time until the server's own limit.
+func TestHeadOverTheLimitIsRefused(t *testing.T) {
+	t.Parallel()
+	s := (&server{pool: &caller.Pool{}, maxHeadBytes: 4 * kib}).start(t)
+	conn := s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n", "A: ", strings.Repeat("a", 8*kib))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	kept := s.dial(t)
+	for range 8 {
+		_, err := io.WriteString(kept, "GET / HTTP/1.1\r\nHost: h\r\nA: "+strings.Repeat("a", 3*kib)+"\r\n\r\n")
+		require.NoError(t, err)
+		require.Equal(t, "0", answer(t, kept), "each head counts by itself")
+	}
+}
+
+// Guards against an overloaded router that spends its time on heads of many short lines, and refuses the others.
+func TestHeadOfManyLinesIsRefusedUnderOverload(t *testing.T) {
+	t.Parallel()
+	var overloaded atomic.Bool
+	s := (&server{pool: &caller.Pool{}, isOverloaded: overloaded.Load}).start(t)
+	many := "GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("a:\r\n", 500) + "\r\n"
+	require.Equal(t, "0", answer(t, s.dial(t, many)))
+	overloaded.Store(true)
+	conn := s.dial(t, many)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.Equal(t, "0", answer(t, s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")))
+}
+
 // Guards against silent connections that keep new callers out.
 func TestSilentConnectionsGiveWayToNewOnes(t *testing.T) {
 	t.Parallel()
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -8,6 +8,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -25,6 +27,10 @@
 	// entry of a map, which takes more than a short line itself.
 	headByteCost = 2
 	headLineCost = 128
+	// maxHeadLines is the number of lines that a head may have while the process is short of processor time or memory.
+	maxHeadLines = 128
+	// headLingerTime is how long a connection stays open after its head was refused.
+	headLingerTime = time.Second
 	// writePiece is the size in bytes of the pieces in which answers are written, so that one which is read slowly shows
 	// progress.
 	writePiece = 64 << 10
@@ -40,6 +46,15 @@
 type Listener struct {
 	net.Listener
 	Pool *Pool
+	// MaxHeadBytes limits the bytes of a head, and of what arrives with it; zero means that only the server does.
+	MaxHeadBytes atomic.Int64
+	// IsOverloaded reports whether the process is short of processor time; nil means never.
+	IsOverloaded func() bool
+}
+
+// isShort reports whether the process is short of processor time or of memory. It then has none for heads of many lines.
+func (l *Listener) isShort() bool {
+	return l.Pool.IsShort() || (l.IsOverloaded != nil && l.IsOverloaded())
 }
 
 // Accept waits for the next connection that there is room for.
@@ -49,7 +64,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: conn}
+		c := &Conn{Conn: conn, listener: l, closed: make(chan struct{})}
 		c.lease, err = l.Pool.Open(time.Now(), c)
 		if err == nil {
 			return c, nil
@@ -58,15 +73,45 @@
 	}
 }
 
+// headTooLarge is the answer to a head over the limit.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// overloaded is the answer to a head for which there is no time. Its request can't have run.
+const overloaded = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// HeadLinesError is returned by Read for a head of many lines in a process that has no time or memory for it.
+type HeadLinesError struct{ Lines int64 }
+
+// Error includes the number of lines.
+func (e *HeadLinesError) Error() string {
+	return fmt.Sprintf("a head of %d lines and more while the process is short of time or memory", e.Lines)
+}
+
+// HeadTooLargeError is returned by Read for a head over the limit.
+type HeadTooLargeError struct{ Limit int64 }
+
+// Error includes the limit.
+func (e *HeadTooLargeError) Error() string {
+	return fmt.Sprintf("the head is longer than %d bytes", e.Limit)
+}
+
 // Conn is a caller's connection.
 type Conn struct {
 	net.Conn
-	lease *Lease
+	lease    *Lease
+	listener *Listener
+	// headBytes and headLines are the length of the head so far. Only one goroutine reads heads.
+	headBytes, headLines int64
 	// received counts the bytes that were read.
 	received atomic.Int64
 	// isPipelined is set once a byte of another request was read while one is in hand. The server doesn't notice then that the
 	// caller leaves.
 	isPipelined atomic.Bool
+	// isRefused is set once a request was refused whose body isn't read.
+	isRefused atomic.Bool
+	// closed is closed with the connection.
+	closed    chan struct{}
+	closeOnce sync.Once
 	// mu guards the rest. evicted is set once reads must fail, and cancel ends the requests.
 	mu      sync.Mutex
 	evicted bool
@@ -119,8 +164,39 @@
 	if err := c.lease.Enter(now, budget.Head); err != nil {
 		return err
 	}
+	lines := int64(bytes.Count(part, []byte{'\n'}))
+	c.headBytes += int64(len(part))
+	c.headLines += lines
+	if answer, err := c.checkHead(); err != nil {
+		_, _ = io.WriteString(c.Conn, answer) // the connection ends either way
+		c.linger()
+		return err
+	}
 	c.lease.Advance(now, len(part))
-	return c.lease.Take(now, int64(headByteCost*len(part)+headLineCost*bytes.Count(part, []byte{'\n'})))
+	return c.lease.Take(now, headByteCost*int64(len(part))+headLineCost*lines)
+}
+
+// checkHead returns the answer to a head that isn't read on, and why.
+func (c *Conn) checkHead() (answer string, err error) {
+	if most := c.listener.MaxHeadBytes.Load(); most > 0 && c.headBytes > most {
+		return headTooLarge, &HeadTooLargeError{Limit: most}
+	}
+	if c.headLines > maxHeadLines && c.listener.isShort() {
+		return overloaded, &HeadLinesError{Lines: c.headLines}
+	}
+	return "", nil
+}
+
+// linger waits before a connection is closed whose head was refused: its caller may still read the answer, and one that
+// returns at once costs more than one that waits.
+func (c *Conn) linger() {
+	_ = c.lease.Enter(time.Now(), budget.Closing)
+	timer := time.NewTimer(headLingerTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.closed:
+	}
 }
 
 // Write writes, and shows while the caller isn't reading.
@@ -172,19 +248,24 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// allowReads ends the effect of an eviction on reads. The connection stays evicted.
-func (c *Conn) allowReads() {
+// refuseBody ends the effect of an eviction on reads, so that the refusal isn't lost. The connection stays evicted.
+func (c *Conn) refuseBody() {
 	if c == nil {
 		return
 	}
+	c.isRefused.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.evicted = false
 }
 
-// CloseWrite ends the answers. The caller may still read them.
+// CloseWrite ends the answers. The caller may still read them. After a refusal of a body, which says that the connection
+// closes, the end isn't sent: a caller that returns at once costs more than one that waits.
 func (c *Conn) CloseWrite() error {
 	_ = c.lease.Enter(time.Now(), budget.Closing) // an evicted connection closes anyway
+	if c.isRefused.Load() {
+		return nil
+	}
 	half, ok := c.Conn.(interface{ CloseWrite() error })
 	if !ok {
 		return nil
@@ -195,6 +276,7 @@
 // Close closes the connection, gives back what it holds and ends its requests.
 func (c *Conn) Close() error {
 	err := c.Conn.Close()
+	c.closeOnce.Do(func() { close(c.closed) })
 	c.lease.Close()
 	c.mu.Lock()
 	cancel := c.cancel
@@ -222,9 +304,11 @@
 	}
 	switch state {
 	case http.StateActive:
+		c.headBytes, c.headLines = 0, 0
 		_ = c.lease.Enter(time.Now(), budget.Serving) // what is read or written next fails if it was evicted
 	case http.StateIdle:
 		c.isPipelined.Store(false)
+		c.isRefused.Store(false)
 		_ = c.lease.Enter(time.Now(), budget.Idle)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
--- a/deployment/callers.go
+++ b/deployment/callers.go
@@ -7,13 +7,15 @@
 
 	"nutmeglock.example/nutmeglock/budget"
 	"nutmeglock.example/nutmeglock/caller"
-	"nutmeglock.example/nutmeglock/route"
 	"nutmeglock.example/nutmeglock/socket"
 )
 
 const (
 	// headerMargin is how much longer than the configuration's limit a header may take, since the router may read it late.
 	headerMargin = 2 * time.Second
+	// headBytesMargin is the number of bytes beyond the configuration's limit on headers that a head may have: for its first
+	// line, and for what of a body is read with it.
+	headBytesMargin = 8 << 10
 	// unreadTimeout is how long a caller may read nothing of its answer.
 	unreadTimeout = 15 * time.Second
 	// statusWriteTimeout bounds the time in which an answer about the router itself is read.
@@ -61,11 +63,17 @@
 	return &caller.Pool{Bytes: statusBytes, MaxConnections: statusConnections}
 }
 
-// callerTimeouts returns how long callers' connections may stay in a stage.
-func callerTimeouts(table *route.Table) budget.Timeouts {
+// checkCallers applies the configuration's limits on callers, and reports what gave way.
+func (r *Router) checkCallers(now time.Time) {
 	timeouts := budget.Timeouts{Sending: unreadTimeout}
-	if table != nil && table.Limits().HeaderTimeout > 0 {
-		timeouts.Head = table.Limits().HeaderTimeout + headerMargin
+	if table := r.state.Table(); table != nil {
+		limits := table.Limits()
+		if limits.HeaderTimeout > 0 {
+			timeouts.Head = limits.HeaderTimeout + headerMargin
+		}
+		if limits.MaxHeaderBytes > 0 {
+			r.callerListener.MaxHeadBytes.Store(int64(limits.MaxHeaderBytes + headBytesMargin))
+		}
 	}
-	return timeouts
+	r.callers.Check(now, timeouts)
 }
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -129,8 +129,9 @@
 	// openConnections is the number of open connections of callers.
 	openConnections atomic.Int64
 	// callers is the budget of callers' connections.
-	callers caller.Monitor
-	actors  []actor
+	callers        caller.Monitor
+	callerListener *caller.Listener
+	actors         []actor
 }
 
 // actor is a part of the router that runs until its context ends.
@@ -266,7 +267,12 @@
 		if err != nil {
 			return eris.Wrapf(err, "listening for %s on %s", l.name, l.address)
 		}
-		r.actors = append(r.actors, actor{l.name, serve(l.server, &caller.Listener{Listener: listener, Pool: l.pool})})
+		counted := &caller.Listener{Listener: listener, Pool: l.pool}
+		if l.server == callers {
+			counted.IsOverloaded = r.mesh.shedder.IsShedding
+			r.callerListener = counted
+		}
+		r.actors = append(r.actors, actor{l.name, serve(l.server, counted)})
 	}
 	r.listenForRelays(ctx) // last, as it can do without its port
 	return nil
@@ -362,7 +368,7 @@
 	defer r.client.Close()
 	return callEvery(ctx, sweepInterval, func(now time.Time) {
 		r.state.expireAvoided(now)
-		r.callers.Check(now, callerTimeouts(r.state.Table()))
+		r.checkCallers(now)
 		r.client.Sweep(now, r.state.HasAddress)
 	})
 }
