upstream, socket: a reset that a look for unread bytes finds still breaks its answer off

Cause: the system reports a reset to one call only. The probe that asks whether a silent upstream's bytes wait here peeks at the socket and took the error; the read of the answer then saw a clean end.

Evidence: TestResetIsReportedAfterAProbe fails before (no error) and passes now, also under -race. Change: the connection keeps the reset that a probe has found, and the next read that sees an end returns it.

--- a/socket/readable_other.go
+++ b/socket/readable_other.go
@@ -5,4 +5,4 @@
 import "syscall"
 
 // Readable always returns false: this system has no check without reading.
-func Readable(syscall.RawConn) bool { return false }
+func Readable(syscall.RawConn) (readable, isReset bool) { return false, false }
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -9,7 +9,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -20,7 +19,6 @@
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/fleet"
-	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/socket"
 )
 
@@ -67,19 +65,6 @@
 	idle map[string][]*conn
 }
 
-// conn is a connection to an upstream.
-type conn struct {
-	net.Conn
-	raw    syscall.RawConn
-	head   *headLimiter
-	reader *bufio.Reader
-	// idleUntil is when an idle connection is no longer used.
-	idleUntil time.Time
-	isNew     bool
-	// process is when the process at the other end started; zero if it wasn't asked.
-	process registry.StartTime
-}
-
 // Do sends a request to the upstream at address and returns its answer as soon as the header has
 // arrived. Errors are of type *Error. ctx applies to the exchange and to reading the body.
 func (c *Client) Do(ctx context.Context, address string, request Request) (*Answer, error) {
@@ -156,8 +141,7 @@
 	if c.OnOpen != nil {
 		c.OnOpen()
 	}
-	head := &headLimiter{inner: opened}
-	return &conn{Conn: opened, raw: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), isNew: true}, nil
+	return newConn(opened, raw), nil
 }
 
 // CheckReachable returns an error if no connection to an upstream can be opened. It sends no
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -1,10 +1,6 @@
 package upstream
 
-import (
-	"sync/atomic"
-
-	"nutmeglock.example/nutmeglock/socket"
-)
+import "sync/atomic"
 
 // Probe reports whether unread data has arrived from an upstream. A router short of processor time
 // uses it to distinguish its own delay from the upstream's. The zero value is attached to no
@@ -14,7 +10,7 @@
 // HasUnread reports whether data, the end or a reset of the connection is waiting to be read.
 func (p *Probe) HasUnread() bool {
 	connection := p.conn.Load()
-	return connection != nil && socket.Readable(connection.raw)
+	return connection != nil && connection.hasUnread()
 }
 
 func (p *Probe) watch(connection *conn) {
