caller: a connection stays open for a second after a refusal whose request doesn't come whole

What callers saw: beside 1,500 callers with an unknown key and an unfinished body (one router, 284 MB, 8 s) 14 of 40 ordinary requests were served, on an unknown route 16 of 40; the others were refused as router-overloaded.

Cause: a refused connection was closed as soon as its body had not come for 50 ms, and its caller came back at once: 122,000 connections in 8 s. A refused head kept its goroutine and what was parsed of it for a second.

Change: Close defers the end of such a connection, which holds nothing but its place and gives that up to others. The test of a caller that pipelined and left could see its handler twice, the one of a stopped body no memory given back yet; both are as strict as before.

--- a/budget/lease.go
+++ b/budget/lease.go
@@ -174,6 +174,16 @@
 	return l.stage, l.since
 }
 
+// Bytes returns what the connection holds.
+func (l *Lease[A]) Bytes() int64 {
+	if l == nil {
+		return 0
+	}
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return l.bytes
+}
+
 // Close gives back everything. Calls after the first do nothing.
 func (l *Lease[A]) Close() {
 	if l == nil {
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -8,10 +8,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,8 +31,9 @@
 	headLineCost = 128
 	// maxHeadLines is the number of lines that a head may have while the process is short of processor time or memory.
 	maxHeadLines = 128
-	// headLingerTime is how long a connection stays open after its head was refused.
-	headLingerTime = time.Second
+	// stalledCloseDelay is how long a connection stays open after a refusal if the rest of its request doesn't come or isn't
+	// awaited. A caller that connects again at once costs more than one that waits.
+	stalledCloseDelay = time.Second
 	// writePiece is the size in bytes of the pieces in which answers are written, so that one which is read slowly shows
 	// progress.
 	writePiece = 64 << 10
@@ -64,7 +67,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &Conn{Conn: conn, listener: l, closed: make(chan struct{})}
+		c := &Conn{Conn: conn, listener: l}
 		c.lease, err = l.Pool.Open(time.Now(), c)
 		if err == nil {
 			return c, nil
@@ -107,11 +110,9 @@
 	// isPipelined is set once a byte of another request was read while one is in hand. The server doesn't notice then that the
 	// caller leaves.
 	isPipelined atomic.Bool
-	// isRefused is set once a request was refused whose body isn't read.
-	isRefused atomic.Bool
-	// closed is closed with the connection.
-	closed    chan struct{}
-	closeOnce sync.Once
+	// isRefused is set once a request was refused whose body isn't read, and isStalled once the rest of a refused request
+	// hasn't come.
+	isRefused, isStalled atomic.Bool
 	// mu guards the rest. evicted is set once reads must fail, and cancel ends the requests.
 	mu      sync.Mutex
 	evicted bool
@@ -141,6 +142,9 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n <= 0 {
+		if c.isRefused.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
+			c.isStalled.Store(true)
+		}
 		return n, err
 	}
 	c.received.Add(int64(n))
@@ -169,7 +173,7 @@
 	c.headLines += lines
 	if answer, err := c.checkHead(); err != nil {
 		_, _ = io.WriteString(c.Conn, answer) // the connection ends either way
-		c.linger()
+		c.isStalled.Store(true)
 		return err
 	}
 	c.lease.Advance(now, len(part))
@@ -187,18 +191,6 @@
 	return "", nil
 }
 
-// linger waits before a connection is closed whose head was refused: its caller may still read the answer, and one that
-// returns at once costs more than one that waits.
-func (c *Conn) linger() {
-	_ = c.lease.Enter(time.Now(), budget.Closing)
-	timer := time.NewTimer(headLingerTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.closed:
-	}
-}
-
 // Write writes, and shows while the caller isn't reading.
 func (c *Conn) Write(p []byte) (int, error) {
 	before, _ := c.lease.Stage()
@@ -220,7 +212,7 @@
 // Evict ends what the caller does.
 func (c *Conn) Evict(e budget.Eviction) {
 	if e.Stage != budget.Body {
-		_ = c.Close()
+		_ = c.closeNow()
 		return
 	}
 	c.mu.Lock()
@@ -273,10 +265,20 @@
 	return half.CloseWrite()
 }
 
-// Close closes the connection, gives back what it holds and ends its requests.
+// Close closes the connection, gives back what it holds and ends its requests. A stalled one is closed later, unless others
+// need its place.
 func (c *Conn) Close() error {
+	if !c.isStalled.Load() {
+		return c.closeNow()
+	}
+	_ = c.lease.Enter(time.Now(), budget.Closing)
+	c.lease.Give(c.lease.Bytes() - budget.ConnectionBytes)
+	time.AfterFunc(stalledCloseDelay, func() { _ = c.closeNow() })
+	return nil
+}
+
+func (c *Conn) closeNow() error {
 	err := c.Conn.Close()
-	c.closeOnce.Do(func() { close(c.closed) })
 	c.lease.Close()
 	c.mu.Lock()
 	cancel := c.cancel
@@ -309,6 +311,7 @@
 	case http.StateIdle:
 		c.isPipelined.Store(false)
 		c.isRefused.Store(false)
+		c.isStalled.Store(false)
 		_ = c.lease.Enter(time.Now(), budget.Idle)
 	case http.StateNew, http.StateHijacked, http.StateClosed:
 	}
