--- a/budget/eviction.go
+++ b/budget/eviction.go
@@ -14,11 +14,6 @@
 	silentTime = time.Second
 	// stallTime is how long a caller that reads no answer is waited for while others need room.
 	stallTime = 2 * time.Second
-	// maxLookups bounds how many connections of a stage are looked at to find one that makes no progress.
-	maxLookups = 16
-	// servingFraction is the fraction of the connections up to which whole requests are in hand whose accounts aren't
-	// compared.
-	servingFraction = 0.75
 )
 
 // victim is a connection that was evicted.
@@ -115,22 +110,6 @@
 	return victim[A]{lease: l, account: l.account, Eviction: Eviction{Resource: r, Stage: l.stage, Bytes: l.bytes}}
 }
 
-// mayServe reports whether another whole request of an account may be in hand. Beyond a part of the connections, an account has no
-// more than its even share, so that there is always room for connections whose account isn't known yet.
-func (p *Pool[A]) mayServe(account A) bool {
-	limit := int(servingFraction * float64(p.maxConnections()))
-	if p.serving < limit {
-		return true
-	}
-	accounts := 0
-	for _, u := range p.accounts {
-		if u.serving > 0 {
-			accounts++
-		}
-	}
-	return p.serving < p.maxConnections() && p.use(account).serving < limit/max(accounts, 1)
-}
-
 // worst returns the connection of an account that gives way first: the largest of those that make no progress, else the
 // one whose stage began last; nil if none may be evicted. Those that hold less than half of the mean are left out: they free
 // little, and may be ordinary ones beside a crowd.
@@ -182,97 +161,3 @@
 	}
 	return now.Sub(l.progressAt) >= silentTime || float64(l.bytes) > l.progress.At(now, progressTime)*(slowTime.Seconds()/progressTime.Seconds())
 }
-
-// makeRoom evicts a connection if there is no room for another one. The lock must be held.
-func (p *Pool[A]) makeRoom(now time.Time) ([]victim[A], error) {
-	most := p.maxConnections()
-	isFull := p.connections >= most+max(1, int(excessFraction*float64(most)))
-	if !isFull && p.connections-p.evicted.length < most {
-		return nil, nil
-	}
-	var victims []victim[A]
-	if isFull {
-		// Those that were evicted while a body arrived still send their refusals.
-		if l := p.evicted.find(func(l *Lease[A]) bool { return l.stage == Closing }); l != nil {
-			victims = append(victims, l.asVictim(Connections))
-		}
-	}
-	if len(victims) == 0 || p.connections-p.evicted.length >= most {
-		l := p.leastNeeded(now)
-		if l == nil {
-			return victims, &ExhaustedError{Resource: Connections, Held: int64(p.connections), Limit: int64(most)}
-		}
-		victims = append(victims, p.markEvicted(l, Connections))
-	}
-	return victims, nil
-}
-
-// leastNeeded returns the connection that gives way to a new one: the first of those that only close, that have had no
-// whole head for some time, whose bodies make no progress, that are idle, or whose callers read nothing; else the oldest without
-// a whole request. It returns nil if all are needed.
-func (p *Pool[A]) leastNeeded(now time.Time) *Lease[A] {
-	hasWaited := func(l *Lease[A]) bool { return now.Sub(l.since) > graceTime }
-	always := func(*Lease[A]) bool { return true }
-	for _, candidate := range []struct {
-		stage Stage
-		fits  func(*Lease[A]) bool
-	}{
-		{Closing, always},
-		{Head, hasWaited},
-		{Body, func(l *Lease[A]) bool { return l.isSlow(now) }},
-		{Idle, always},
-		{Sending, func(l *Lease[A]) bool { return now.Sub(l.progressAt) > stallTime }},
-		{Head, always},
-		{Body, always},
-	} {
-		if l := p.stages[candidate.stage].find(candidate.fits); l != nil {
-			return l
-		}
-	}
-	return nil
-}
-
-// find returns the first lease of the queue that fits. It looks at the first few only.
-func (q *queue[A]) find(fits func(*Lease[A]) bool) *Lease[A] {
-	l := q.first
-	for looked := 0; l != nil && looked < maxLookups; looked++ {
-		if fits(l) {
-			return l
-		}
-		l = l.next
-	}
-	return nil
-}
-
-// Timeouts limit how long connections stay in a stage. Zero means no limit.
-type Timeouts struct {
-	// Head limits the time in which a head that has begun must come, from the start of the connection or the first byte.
-	Head time.Duration
-	// Sending limits the time for which a caller reads nothing of its answer.
-	Sending time.Duration
-}
-
-// Expire evicts the connections that have stayed in a stage for too long, and those whose callers have left.
-func (p *Pool[A]) Expire(now time.Time, t Timeouts) {
-	p.mu.Lock()
-	victims := p.expire(now, Head, t.Head, func(l *Lease[A]) bool { return l.bytes > ConnectionBytes })
-	victims = append(victims, p.expire(now, Sending, t.Sending, func(*Lease[A]) bool { return true })...)
-	victims = append(victims, p.expire(now, Serving, graceTime, func(l *Lease[A]) bool { return l.holder.IsGone() })...)
-	p.mu.Unlock()
-	p.notify(victims)
-}
-
-func (p *Pool[A]) expire(now time.Time, stage Stage, timeout time.Duration, fits func(*Lease[A]) bool) []victim[A] {
-	var victims []victim[A]
-	if timeout <= 0 {
-		return nil
-	}
-	for l := p.stages[stage].first; l != nil && now.Sub(l.since) > timeout; {
-		next := l.next
-		if fits(l) {
-			victims = append(victims, p.markEvicted(l, Time))
-		}
-		l = next
-	}
-	return victims
-}
--- a/budget/lease.go
+++ b/budget/lease.go
@@ -23,8 +23,8 @@
 	progress rate.DecayingSum
 	evicted  *EvictedError
 	closed   bool
-	// counted is set while the request counts as whole.
-	counted bool
+	// isInHand is set while the request counts towards those that may be in hand.
+	isInHand bool
 
 	queue          *queue[A]
 	previous, next *Lease[A]
@@ -46,7 +46,7 @@
 	return err
 }
 
-// Give gives bytes back.
+// Give gives bytes back, if they are more than zero.
 func (l *Lease[A]) Give(bytes int64) {
 	if l == nil {
 		return
@@ -54,7 +54,7 @@
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	if !l.closed {
-		l.pool.charge(l, -min(bytes, l.bytes))
+		l.pool.charge(l, -max(min(bytes, l.bytes), 0))
 	}
 }
 
@@ -82,7 +82,7 @@
 		return nil
 	}
 	l.moveTo(account)
-	if l.counted {
+	if l.isInHand {
 		return nil
 	}
 	if !p.mayServe(account) {
@@ -94,7 +94,7 @@
 
 // count adds to the number of requests in hand.
 func (l *Lease[A]) count(change int) {
-	l.counted = change > 0
+	l.isInHand = change > 0
 	l.pool.serving += change
 	l.pool.use(l.account).serving += change
 }
@@ -105,7 +105,7 @@
 	}
 	p, before, bytes := l.pool, l.account, l.bytes
 	p.charge(l, -bytes)
-	if l.counted {
+	if l.isInHand {
 		l.count(-1)
 		defer l.count(1)
 	}
@@ -136,7 +136,7 @@
 		}
 	}
 	if stage == Idle {
-		if l.counted {
+		if l.isInHand {
 			l.count(-1)
 		}
 		var none A
@@ -196,7 +196,7 @@
 		return
 	}
 	p.charge(l, -l.bytes)
-	if l.counted {
+	if l.isInHand {
 		l.count(-1)
 	}
 	l.closed = true
--- a/budget/pool.go
+++ b/budget/pool.go
@@ -31,8 +31,6 @@
 	// evictionMargin is the fraction of the soft limit that an eviction frees beyond what is asked for, so that not
 	// each request under pressure looks for victims.
 	evictionMargin = 1.0 / 16
-	// excessFraction is the fraction of the connections that may be open beyond their limit, while evicted ones close.
-	excessFraction = 1.0 / 8
 )
 
 // Pool limits what the connections of a process hold. A is the type of accounts; its zero value stands for
--- a/caller/body.go
+++ b/caller/body.go
@@ -2,11 +2,8 @@
 
 import (
 	"cmp"
-	"errors"
-	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"nutmeglock.example/nutmeglock/budget"
@@ -26,17 +23,6 @@
 	lingerTime = 500 * time.Millisecond
 )
 
-// FramingError is returned for a body that takes many more bytes than it holds, in a process that has no time for it.
-type FramingError struct {
-	// Bytes is how many bytes were read, and Body how many of them belong to the body itself.
-	Bytes, Body int64
-}
-
-// Error includes the sizes.
-func (e *FramingError) Error() string {
-	return fmt.Sprintf("%d bytes were read for %d bytes of a body", e.Bytes, e.Body)
-}
-
 // BodyReader reads the bodies of requests. Its zero value has no limits but those of the connection's pool.
 type BodyReader struct {
 	// MaxBytes limits the length of a body; zero means none.
@@ -102,18 +88,6 @@
 	return &FramingError{Bytes: received, Body: body}
 }
 
-// IsShortOfMemory reports whether a body wasn't read because callers hold too much memory.
-func IsShortOfMemory(err error) bool {
-	var (
-		exhausted *budget.ExhaustedError
-		evicted   *budget.EvictedError
-	)
-	return errors.As(err, &exhausted) || errors.As(err, &evicted)
-}
-
-// IsTooSlow reports whether a body didn't come in time.
-func IsTooSlow(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
-
 // EndUnread bounds what becomes of a body that isn't read, before its request is answered: the server would wait
 // for it without end. begun is set if a part was read.
 func EndUnread(w http.ResponseWriter, r *http.Request, begun bool) {
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -9,7 +9,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -82,22 +81,6 @@
 // overloaded is the answer to a head for which there is no time. Its request can't have run.
 const overloaded = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.2\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
-// HeadLinesError is returned by Read for a head of many lines in a process that has no time or memory for it.
-type HeadLinesError struct{ Lines int64 }
-
-// Error includes the number of lines.
-func (e *HeadLinesError) Error() string {
-	return fmt.Sprintf("a head of %d lines and more while the process is short of time or memory", e.Lines)
-}
-
-// HeadTooLargeError is returned by Read for a head over the limit.
-type HeadTooLargeError struct{ Limit int64 }
-
-// Error includes the limit.
-func (e *HeadTooLargeError) Error() string {
-	return fmt.Sprintf("the head is longer than %d bytes", e.Limit)
-}
-
 // Conn is a caller's connection.
 type Conn struct {
 	net.Conn
