peer, platform: connections to the ports of the fleet and of the platform have limits that fit together

What callers saw: nothing yet; a crowd that reaches a router's VM at the port for other routers opens as many connections as it likes, each for two seconds and anew.

Cause: limits were set port by port, and the port for routers had none, as it was taken to be reached by the fleet only.

Change: accepted connections that haven't proved to belong to the fleet have a limit (peer.Options.MaxHandshakes; a sixteenth of the sockets on the platform, else 128); the oldest gives way, but each gets 50 ms. Ports for readiness and metrics have a sixteenth of the sockets each, 64 at most as before. A router dials others with less than that at once: handshakes take milliseconds. Failed handshakes are logged once a second, with the number of the others.

--- a/deployment/callers.go
+++ b/deployment/callers.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"cmp"
 	"net"
 	"syscall"
 	"time"
@@ -20,9 +21,9 @@
 	unreadTimeout = 15 * time.Second
 	// statusWriteTimeout bounds the time in which an answer about the router itself is read.
 	statusWriteTimeout = 30 * time.Second
-	// statusConnections and statusBytes limit what connections for readiness checks, or for metrics, take.
-	statusConnections = 64
-	statusBytes       = 4 << 20
+	// defaultStatusConnections is the default of CallerLimits.StatusConnections, and statusBytes limits the memory of as many.
+	defaultStatusConnections = 64
+	statusBytes              = 4 << 20
 )
 
 // CallerLimits limit what the connections of callers take of the machine.
@@ -34,6 +35,8 @@
 	// ReceiveBuffer and SendBuffer are the sizes of each connection's buffers in the kernel, in bytes; zero means those of
 	// the system.
 	ReceiveBuffer, SendBuffer int
+	// StatusConnections is the number of connections for readiness checks, and for metrics; zero means 64.
+	StatusConnections int
 }
 
 func (l CallerLimits) setBuffers(raw syscall.RawConn) error {
@@ -59,8 +62,8 @@
 
 // newStatusPool returns the pool of a port that answers about the router itself. It is no part of the callers' one, so
 // that a crowd of callers can't keep the load balancer out.
-func newStatusPool() *caller.Pool {
-	return &caller.Pool{Bytes: statusBytes, MaxConnections: statusConnections}
+func (l CallerLimits) newStatusPool() *caller.Pool {
+	return &caller.Pool{Bytes: statusBytes, MaxConnections: cmp.Or(l.StatusConnections, defaultStatusConnections)}
 }
 
 // checkCallers applies the configuration's limits on callers, and reports what gave way.
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -57,7 +57,7 @@
 	maxPeerBackoff = time.Second
 )
 
-// Options configure a Router. All are required but RecoveryTime, History, ColdTolerance,
+// Options configure a Router. All are required but RecoveryTime, History, ColdTolerance, MaxHandshakes,
 // HandoverAddress and MixedServiceStore.
 type Options struct {
 	Self       fleet.RouterID
@@ -85,6 +85,9 @@
 	// which routers authenticate each other as members of one fleet.
 	PeerAddress string
 	FleetKey    []byte
+	// MaxHandshakes is the number of connections of other routers that may be open before they have proved that they hold the
+	// key; zero means the default of package peer.
+	MaxHandshakes int
 	// HandoverAddress is the address at which other routers hand over requests; empty if none are
 	// handed over.
 	HandoverAddress string
@@ -225,6 +228,7 @@
 		Self: r.options.Self, DataCenter: r.options.DataCenter, Incarnation: fleet.IncarnationAt(time.Now()),
 		Address: r.options.PeerAddress, Key: r.options.FleetKey, Listener: listener,
 		Metrics: r.metrics, Logger: r.options.Log, Guard: r.guard, MaxBackoff: maxPeerBackoff,
+		MaxHandshakes: r.options.MaxHandshakes,
 	}, r.client.CheckReachable)
 	r.mesh.crashMonitor.checkProcess = r.client.CheckProcess
 	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor, r.options.Log)
@@ -260,8 +264,8 @@
 		acceptQueue   *overload.StandingQueue
 	}{
 		{"callers", r.options.CallerAddress, callers, &r.callers.Pool, &r.mesh.acceptQueue},
-		{"readiness", r.options.ReadyAddress, r.newStatusServer(readiness), newStatusPool(), nil},
-		{"metrics", r.options.MetricsAddress, r.newStatusServer(metrics), newStatusPool(), nil},
+		{"readiness", r.options.ReadyAddress, r.newStatusServer(readiness), r.options.CallerLimits.newStatusPool(), nil},
+		{"metrics", r.options.MetricsAddress, r.newStatusServer(metrics), r.options.CallerLimits.newStatusPool(), nil},
 	} {
 		listener, err := r.openListener(ctx, l.address, l.pool, l.acceptQueue)
 		if err != nil {
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -23,6 +23,8 @@
 	// greaterIDDelay is how long the router with the greater id waits before it
 	// first dials a target, so that two routers rarely dial each other at once.
 	greaterIDDelay = 500 * time.Millisecond
+	// failureLogInterval is the least time between two log lines about failed handshakes.
+	failureLogInterval = time.Second
 )
 
 // dialState is the state of the attempts at one address.
@@ -169,7 +171,7 @@
 	return hello, nil
 }
 
-// recordHandshakeError counts and logs a failed handshake.
+// recordHandshakeError counts a failed handshake, and logs it unless others failed within the last second.
 func (p *Peers) recordHandshakeError(c *bufferedConn, err error) {
 	var wrongKey *WrongKeyError
 	var malformed *MalformedFrameError
@@ -179,26 +181,15 @@
 	case errors.As(err, &malformed):
 		p.counters.malformed.Add(1)
 	}
-	p.options.Logger.Warn("handshake failed", "remote", c.RemoteAddr().String(), "error", err)
-}
-
-// acceptLoop accepts connections until the listener is closed or ctx ends.
-func (p *Peers) acceptLoop(ctx context.Context) {
-	if p.options.Listener == nil {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Timer.Now()
+	if now.Sub(p.failureLoggedAt) < failureLogInterval {
+		p.unloggedFailures++
 		return
 	}
-	for ctx.Err() == nil {
-		raw, err := p.options.Listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			p.options.Logger.Warn("accept failed", "error", err)
-			p.sleep(ctx, minBackoff)
-			continue
-		}
-		p.group.Go(func() { p.serve(ctx, raw) })
-	}
+	p.options.Logger.Warn("handshake failed", "remote", c.RemoteAddr().String(), "error", err, "others-since-last", p.unloggedFailures)
+	p.failureLoggedAt, p.unloggedFailures = now, 0
 }
 
 // sleep waits for pause or until ctx ends.
@@ -211,18 +202,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// serve performs the handshake on an accepted connection and runs the
-// connection until it ends.
-func (p *Peers) serve(ctx context.Context, raw net.Conn) {
-	c := newBufferedConn(raw)
-	hello, err := p.handshake(c, p.handshakeAsAcceptor)
-	if err != nil {
-		return
-	}
-	if fleet.RouterID(hello.GetRouter()) == p.options.Self {
-		_ = c.Close()
-		return
-	}
-	newLink(p, c, hello, false).run(ctx)
-}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -123,6 +123,7 @@
 	queueFull atomic.Int64
 	silent    atomic.Int64
 	duplicate atomic.Int64
+	crowded   atomic.Int64
 }
 
 // Faults holds the numbers of connections that were closed or rejected, by cause.
@@ -139,6 +140,8 @@
 	Silent int64
 	// Duplicate counts second connections to a router that was already connected.
 	Duplicate int64
+	// Crowded counts connections that gave way to newer ones before their handshakes were complete.
+	Crowded int64
 }
 
 // Faults returns the numbers of connections closed or rejected so far.
@@ -146,6 +149,6 @@
 	return Faults{
 		Malformed: p.counters.malformed.Load(), Rejected: p.counters.rejected.Load(),
 		QueueFull: p.counters.queueFull.Load(), Silent: p.counters.silent.Load(),
-		Duplicate: p.counters.duplicate.Load(),
+		Duplicate: p.counters.duplicate.Load(), Crowded: p.counters.crowded.Load(),
 	}
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -59,6 +59,9 @@
 	// MaxBackoff bounds the delay between attempts at an address that doesn't
 	// answer; zero means 5 s.
 	MaxBackoff time.Duration
+	// MaxHandshakes is the number of accepted connections that may be open before their routers have proved that they hold
+	// the key; zero means 128.
+	MaxHandshakes int
 }
 
 // Handler handles calls of one JSON-RPC method.
@@ -88,6 +91,10 @@
 	closed       bool
 	counters     faultCounters
 	group        sync.WaitGroup
+	pending      pendingHandshakes
+	// failureLoggedAt is when a failed handshake was last logged, and unloggedFailures how many failed since then.
+	failureLoggedAt  time.Time
+	unloggedFailures int
 
 	// changeMu makes the onChange calls run in the order of the changes.
 	changeMu sync.Mutex
@@ -107,6 +114,9 @@
 	if options.MaxBackoff <= 0 {
 		options.MaxBackoff = defaultMaxBackoff
 	}
+	if options.MaxHandshakes <= 0 {
+		options.MaxHandshakes = defaultMaxHandshakes
+	}
 	return &Peers{
 		options:      options,
 		links:        make(map[fleet.RouterID]*link),
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -45,7 +45,9 @@
 	key         string
 	heartbeat   time.Duration
 	seeds       []string
-	readGate    chan struct{}
+	// maxHandshakes is Options.MaxHandshakes.
+	maxHandshakes int
+	readGate      chan struct{}
 }
 
 func startNode(t *testing.T, c nodeConfig) *testNode {
@@ -58,7 +60,7 @@
 	n := &testNode{address: listener.Addr().String(), metrics: metric.New(prometheus.NewRegistry()), readGate: c.readGate}
 	n.Peers = peer.New(peer.Options{
 		Self: fleet.RouterID(c.id), Incarnation: max(1, c.incarnation), Address: n.address, Key: []byte(c.key),
-		Listener: listener, Seeds: c.seeds, Metrics: n.metrics, Heartbeat: c.heartbeat,
+		Listener: listener, Seeds: c.seeds, Metrics: n.metrics, Heartbeat: c.heartbeat, MaxHandshakes: c.maxHandshakes,
 		Guard: &recovery.Guard{Log: slog.New(slog.DiscardHandler)},
 	})
 	n.OnBatch(n.recordBatch)
@@ -409,3 +411,19 @@
 	}, waitTimeout, pollInterval)
 	require.Less(t, after["r01"], after["r02"]-heartbeat)
 }
+
+// Guards against a router that runs out of descriptors because of connections that never prove that they belong to the fleet,
+// and against routers that these keep out.
+func TestSilentConnectionsGiveWayToRouters(t *testing.T) {
+	t.Parallel()
+	const limit, crowd = 16, 200
+	a := startNode(t, nodeConfig{id: "a", maxHandshakes: limit})
+	for range crowd {
+		conn, err := net.Dial("tcp", a.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	b := startNode(t, nodeConfig{id: "b", seeds: []string{a.address}})
+	waitConnected(t, a, b)
+	require.GreaterOrEqual(t, a.Faults().Crowded, int64(crowd-limit))
+}
