command: the heap of a router has a soft limit by what its callers may hold

Cause: what callers hold is bounded, garbage isn't: 11,000 connections a second leave so much that the heap grows to several times what lives before the collector is through. On the platform the soft limit of the Go runtime follows the VM's memory; elsewhere nothing set one.

Change: `nutmeglock router` sets the soft limit to twice max-held-bytes, half of the memory that the same settings are for on the platform, unless GOMEMLIMIT is set. The library leaves the runtime as it is. It limits no caller.

--- a/command/router.go
+++ b/command/router.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 
 	"github.com/rotisserie/eris"
 	"github.com/urfave/cli/v3"
@@ -63,7 +64,19 @@
 	Admin   string `json:"admin-address"`
 }
 
+// heapFactor is the soft limit of the heap as a multiple of what callers may hold. The rest is for the state of the fleet, and for
+// garbage, of which crowds of short connections make much.
+const heapFactor = 2
+
+// limitHeap sets the soft limit of the heap, unless the environment does.
+func limitHeap(s *schema.RouterSettings) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(heapFactor * settings.MaxHeldBytes(s))
+	}
+}
+
 func runRouter(ctx context.Context, c *cli.Command, s *schema.RouterSettings) error {
+	limitHeap(s)
 	ctx, unregister := signal.NotifyContext(ctx, stopSignals()...)
 	defer unregister()
 	r, err := nutmeglock.New(ctx, s, nutmeglock.WithLog(newLog(c.Root().ErrWriter, s)))
