budget, caller: connections are accepted no faster than each gets time for its head

What callers saw: beside 3,000 callers of a crowd that connect, send nothing or one byte of a head, and come back as soon as they are closed, 7 and 6 of 75 ordinary requests were served within 10 s (trial: TestMisbehavingCallersSoak with 3,000 in place of 500 callers of one kind, one router with the limits of a small VM, one processor, before any change of this part). With 500 callers, who all have room, 75 of 75.

Cause: with all 1,560 connections taken, each new one evicts the oldest without a head at once, and its caller connects again: 726,395 and 652,892 connections in 15 s. That takes all of the processor's time, a connection lives for 30 ms, and the queue of connections to accept is never empty, which counts as overload, so that requests are shed.

Change: if the connection that would give way only waits for its head and is younger than 200 ms, none is accepted meanwhile (budget.Pool.OpenDelay). A listener that is full doesn't report its queue as a lack of processor time.

Ruled out: a longer grace time alone (the last resort, any connection without a head, would still evict); refusing new connections, which keeps out whoever comes last.

--- a/budget/pool.go
+++ b/budget/pool.go
@@ -100,6 +100,13 @@
 	return 2*p.held > p.maxBytes()
 }
 
+// IsFull reports whether there are as many connections as may be open.
+func (p *Pool[A]) IsFull() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.connections-p.evicted.length >= p.maxConnections()
+}
+
 func (p *Pool[A]) maxBytes() int64 {
 	if p.Bytes > 0 {
 		return p.Bytes
--- a/budget/pool_test.go
+++ b/budget/pool_test.go
@@ -396,3 +396,25 @@
 		_ = lease.Enter(start, budget.Idle)
 	}
 }
+
+// Guards against crowds that connect again as soon as they are evicted, and take all of the processor time so.
+func TestConnectionsGetTimeForTheirHeads(t *testing.T) {
+	t.Parallel()
+	p := pool{MaxConnections: 2}
+	require.Zero(t, p.OpenDelay(start))
+	first := open(t, &p, start, crowd, budget.Head)
+	require.False(t, p.IsFull())
+	require.Zero(t, p.OpenDelay(start), "room for another one")
+	second := open(t, &p, start.Add(50*time.Millisecond), crowd, budget.Head)
+	require.True(t, p.IsFull())
+	now := start.Add(80 * time.Millisecond)
+	delay := p.OpenDelay(now)
+	require.Positive(t, delay)
+	require.Zero(t, p.OpenDelay(now.Add(delay)))
+	require.NoError(t, second.Enter(now, budget.Idle))
+	require.Zero(t, p.OpenDelay(now), "an idle connection gives way at once")
+	for _, s := range []*sender{first, second} {
+		require.NoError(t, s.Enter(now, budget.Serving))
+	}
+	require.Zero(t, p.OpenDelay(now), "a new connection is closed at once, so that its caller can go elsewhere")
+}
--- a/budget/room.go
+++ b/budget/room.go
@@ -10,6 +10,8 @@
 	// servingFraction is the fraction of the connections up to which whole requests are in hand whose accounts aren't
 	// compared.
 	servingFraction = 0.75
+	// minOpenTime is the time that a connection gets for its head before it gives way to a new one.
+	minOpenTime = 200 * time.Millisecond
 )
 
 // makeRoom evicts a connection if there is no room for another one. The lock must be held.
@@ -36,6 +38,22 @@
 	return victims, nil
 }
 
+// OpenDelay returns how long no connection should be opened, zero if there is room, or some connection is needed less than a new one.
+// Connections that are closed soon after they were opened come back at once: accepting as fast as they do takes all of the
+// processor time, and closes those of ordinary callers before their heads have come.
+func (p *Pool[A]) OpenDelay(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.connections-p.evicted.length < p.maxConnections() {
+		return 0
+	}
+	l := p.leastNeeded(now)
+	if l == nil || l.stage != Head {
+		return 0
+	}
+	return max(minOpenTime-now.Sub(l.since), 0)
+}
+
 // leastNeeded returns the connection that gives way to a new one: the first of those that only close, that have had no
 // whole head for some time, whose bodies make no progress, that are idle, or whose callers read nothing; else the oldest without
 // a whole request. It returns nil if all are needed.
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -69,6 +69,7 @@
 		c := &Conn{Conn: conn, listener: l}
 		c.lease, err = l.Pool.Open(time.Now(), c)
 		if err == nil {
+		time.Sleep(l.Pool.OpenDelay(time.Now()))
 			return c, nil
 		}
 		_ = conn.Close()
--- a/deployment/listener.go
+++ b/deployment/listener.go
@@ -17,11 +17,13 @@
 	net.Listener
 	raw         syscall.RawConn
 	acceptQueue *overload.StandingQueue
+	// isFull reports whether connections wait because others have to be closed first, which says nothing of processor time.
+	isFull func() bool
 }
 
-// newYieldingListener returns a listener that reports to acceptQueue whether connections wait.
-func newYieldingListener(inner net.Listener, acceptQueue *overload.StandingQueue) (net.Listener, error) {
-	l := &yieldingListener{Listener: inner, acceptQueue: acceptQueue}
+// newYieldingListener returns a listener that reports to acceptQueue whether connections wait for processor time.
+func newYieldingListener(inner net.Listener, acceptQueue *overload.StandingQueue, isFull func() bool) (net.Listener, error) {
+	l := &yieldingListener{Listener: inner, acceptQueue: acceptQueue, isFull: isFull}
 	conn, ok := inner.(syscall.Conn)
 	if !ok {
 		return l, nil
@@ -37,12 +39,17 @@
 // Accept waits for the next connection.
 func (l *yieldingListener) Accept() (net.Conn, error) {
 	runtime.Gosched()
-	l.acceptQueue.Observe(time.Now(), !l.hasPendingConnection())
+	l.observe(l.hasPendingConnection())
 	conn, err := l.Listener.Accept()
-	l.acceptQueue.Observe(time.Now(), false)
+	l.observe(true)
 	return conn, err
 }
 
+// observe records whether connections wait for processor time.
+func (l *yieldingListener) observe(isPending bool) {
+	l.acceptQueue.Observe(time.Now(), !isPending || l.isFull())
+}
+
 func (l *yieldingListener) hasPendingConnection() bool {
 	return l.raw != nil && socket.AcceptPending(l.raw)
 }
--- a/deployment/listener_test.go
+++ b/deployment/listener_test.go
@@ -56,7 +56,7 @@
 		require.NoError(t, err)
 		defer conn.Close()
 	}
-	listener, err := deployment.NewYieldingListener(inner, &overload.StandingQueue{})
+	listener, err := deployment.NewYieldingListener(inner, &overload.StandingQueue{}, neverFull)
 	require.NoError(t, err)
 	ctx, answered := context.WithCancel(t.Context())
 	go func() {
@@ -80,7 +80,7 @@
 	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	var queue overload.StandingQueue
-	listener, err := deployment.NewYieldingListener(inner, &queue)
+	listener, err := deployment.NewYieldingListener(inner, &queue, neverFull)
 	require.NoError(t, err)
 	for range 3 {
 		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", inner.Addr().String())
@@ -98,3 +98,25 @@
 	require.Eventually(t, empty, 5*time.Second, time.Millisecond)
 	require.NoError(t, inner.Close())
 }
+
+// Guards against requests that are shed because connections wait that may not be opened, whatever the processor time.
+func TestFullListenerIsNotShortOfTime(t *testing.T) {
+	t.Parallel()
+	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = inner.Close() }()
+	var queue overload.StandingQueue
+	listener, err := deployment.NewYieldingListener(inner, &queue, func() bool { return true })
+	require.NoError(t, err)
+	for range 3 {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", inner.Addr().String())
+		require.NoError(t, err)
+		defer conn.Close()
+	}
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	require.Zero(t, queue.Duration(time.Now().Add(time.Second)))
+}
+
+func neverFull() bool { return false }
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -298,7 +298,7 @@
 	if acceptQueue == nil {
 		return listener, nil
 	}
-	return newYieldingListener(listener, acceptQueue)
+	return newYieldingListener(listener, acceptQueue, pool.IsFull)
 }
 
 // reportLimit logs a limit that can't be set. The router serves without it.
