caller: heads of many lines take no more than a quarter of the processors' time

Cause: 92 % of the processor's time went into net/textproto.ReadMIMEHeader: up to 24 KB of a head, 3,500 lines, take 1.3 ms, and are answered 431 only then. Heads of more than 128 lines are refused early while requests are shed or callers hold half of the memory; neither holds here: some 200 connections hold little, and requests that cost little don't show in the wait of most goroutines. Connections wait meanwhile for the accept loop, which runs after all other goroutines.

Change: the time that the server works on parts of heads of more than 128 lines is measured (overload.TimeShare). Beyond a quarter of the processors', such heads are refused as not run (503, Retry-After), as they are under overload. So are they, and bodies with more than 64 KiB around their own, while connections wait 50 ms to be accepted.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -232,6 +234,39 @@
 	require.Equal(t, "0", answer(t, s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")))
 }
 
+// Guards against heads of many lines that take all of the processor time though the process doesn't count as overloaded.
+func TestHeadsOfManyLinesLeaveTimeForOthers(t *testing.T) {
+	t.Parallel()
+	s := (&server{pool: &caller.Pool{}}).start(t)
+	var many strings.Builder
+	for i := range 8000 {
+		fmt.Fprintf(&many, "%x:\r\n", i)
+	}
+	long := "GET / HTTP/1.1\r\nHost: h\r\n" + many.String() + "\r\n"
+	require.Equal(t, "0", answer(t, s.dial(t, long)), "in calm")
+	var refused atomic.Bool
+	var crowd sync.WaitGroup
+	for range 2 * runtime.GOMAXPROCS(0) {
+		crowd.Go(func() {
+			for end := time.Now().Add(20 * time.Second); !refused.Load() && time.Now().Before(end); {
+				conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.address)
+				if err != nil {
+					continue
+				}
+				_, _ = io.WriteString(conn, long) // ends early if it is refused
+				if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+					refused.CompareAndSwap(false, response.StatusCode == http.StatusServiceUnavailable)
+					_ = response.Body.Close()
+				}
+				_ = conn.Close()
+			}
+		})
+	}
+	crowd.Wait()
+	require.True(t, refused.Load())
+	require.Equal(t, "0", answer(t, s.dial(t, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")))
+}
+
 // Guards against silent connections that keep new callers out.
 func TestSilentConnectionsGiveWayToNewOnes(t *testing.T) {
 	t.Parallel()
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,6 +21,7 @@
 
 	"nutmeglock.example/nutmeglock/budget"
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/overload"
 	"nutmeglock.example/nutmeglock/socket"
 )
 
@@ -28,8 +30,10 @@
 	// entry of a map, which takes more than a short line itself.
 	headByteCost = 2
 	headLineCost = 128
-	// maxHeadLines is the number of lines that a head may have while the process is short of processor time or memory.
+	// maxHeadLines is the number of lines that a head may have while the process is short of processor time or memory, or while
+	// heads with more lines take maxHeadTime of the processors' time.
 	maxHeadLines = 128
+	maxHeadTime  = 0.25
 	// stalledCloseDelay is how long a connection stays open after a refusal if the rest of its request doesn't come or isn't
 	// awaited. A caller that connects again at once costs more than one that waits.
 	stalledCloseDelay = time.Second
@@ -52,16 +56,20 @@
 	MaxHeadBytes atomic.Int64
 	// IsOverloaded reports whether the process is short of processor time; nil means never.
 	IsOverloaded func() bool
+
+	// longHeads measures heads of more than maxHeadLines lines.
+	longHeads overload.TimeShare
 }
 
 // isShort reports whether the process is short of processor time or of memory. It then has none for heads of many lines.
 func (l *Listener) isShort() bool {
-	return l.Pool.IsShort() || (l.IsOverloaded != nil && l.IsOverloaded())
+	return l.longHeads.At(time.Now()) > maxHeadTime*float64(runtime.GOMAXPROCS(0)) || l.Pool.IsShort() || (l.IsOverloaded != nil && l.IsOverloaded())
 }
 
 // Accept waits for the next connection that there is room for.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		time.Sleep(l.Pool.OpenDelay(time.Now()))
 		conn, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -69,7 +77,6 @@
 		c := &Conn{Conn: conn, listener: l}
 		c.lease, err = l.Pool.Open(time.Now(), c)
 		if err == nil {
-		time.Sleep(l.Pool.OpenDelay(time.Now()))
 			return c, nil
 		}
 		_ = conn.Close()
@@ -89,6 +96,8 @@
 	listener *Listener
 	// headBytes and headLines are the length of the head so far. Only one goroutine reads heads.
 	headBytes, headLines int64
+	// headReadAt is when a part of a long head was read that the server is working on, else zero. Only one goroutine reads heads.
+	headReadAt time.Time
 	// received counts the bytes that were read.
 	received atomic.Int64
 	// isPipelined is set once a byte of another request was read while one is in hand. The server doesn't notice then that the
@@ -124,6 +133,7 @@
 
 // Read reads, and counts the bytes of heads.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.endHeadPart()
 	n, err := c.Conn.Read(p)
 	if n <= 0 {
 		if c.isRefused.Load() && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -160,6 +170,9 @@
 		c.isStalled.Store(true)
 		return err
 	}
+	if c.headLines > maxHeadLines {
+		c.headReadAt = now
+	}
 	c.lease.Advance(now, len(part))
 	return c.lease.Take(now, headByteCost*int64(len(part))+headLineCost*lines)
 }
@@ -175,6 +188,16 @@
 	return "", nil
 }
 
+// endHeadPart records the time that the server took for the last part of a long head.
+func (c *Conn) endHeadPart() {
+	if c.headReadAt.IsZero() {
+		return
+	}
+	now := time.Now()
+	c.listener.longHeads.Add(now, now.Sub(c.headReadAt))
+	c.headReadAt = time.Time{}
+}
+
 // Write writes, and shows while the caller isn't reading.
 func (c *Conn) Write(p []byte) (int, error) {
 	before, _ := c.lease.Stage()
@@ -291,6 +314,7 @@
 	switch state {
 	case http.StateActive:
 		c.headBytes, c.headLines = 0, 0
+		c.endHeadPart()
 		_ = c.lease.Enter(time.Now(), budget.Serving) // what is read or written next fails if it was evicted
 	case http.StateIdle:
 		c.isPipelined.Store(false)
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -379,6 +379,15 @@
 // isOverloaded reports whether callers should go to other routers.
 func (m *mesh) isOverloaded() bool { return m.overload.IsOverloaded() || m.link.IsOverloaded() }
 
+// shortOfTimeWait is for how long connections wait to be accepted, or goroutines for the processor, if time is short.
+const shortOfTimeWait = 50 * time.Millisecond
+
+// isShortOfTime reports whether heads and bodies that take much processor time for their bytes have to be refused. It is
+// earlier than shedding, which also counts requests that cost little.
+func (m *mesh) isShortOfTime() bool {
+	return m.shedder.IsShedding() || m.schedulingLatency() > shortOfTimeWait || m.acceptQueue.Duration(time.Now()) > shortOfTimeWait
+}
+
 // schedulingLatency returns the latest wait for the processor that one goroutine in ten
 // exceeded.
 func (m *mesh) schedulingLatency() time.Duration { return time.Duration(m.latency.Load()) }
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -174,7 +174,7 @@
 	}
 	r.mesh.requestsInFlight = r.handler.InFlight
 	r.handler.HasCapacity = r.mesh.shedder.Admit
-	r.handler.IsOverloaded = r.mesh.shedder.IsShedding
+	r.handler.IsOverloaded = r.mesh.isShortOfTime
 	if err := r.setUpHandovers(); err != nil {
 		return nil, err
 	}
@@ -273,7 +273,7 @@
 		}
 		counted := &caller.Listener{Listener: listener, Pool: l.pool}
 		if l.server == callers {
-			counted.IsOverloaded = r.mesh.shedder.IsShedding
+			counted.IsOverloaded = r.mesh.isShortOfTime
 			r.callerListener = counted
 		}
 		r.actors = append(r.actors, actor{l.name, serve(l.server, counted)})
