deployment: other routers learn which version began a stream while a service has one version, too

Cause: the assumption that the router that began a stream can still tell once it matters. Records were sent to two other routers only from the moment at which the router itself knew of two versions; one that is frozen, cut off or killed by then tells nobody.

Change: records are sent to their two holders from the first event on. While there is one version they are gathered for 100 ms, so that a router sends each other one at most ten small messages a second; with several versions it is 10 ms as before. What holds them, their bound (32,768 records) and their time are unchanged.

Ruled out: to deduce the version from the time at which the router fell silent: it may be cut from the others only, learn of the new version from the store and begin streams there. Engines' own memory as a witness: parts belong to sessions, which may have run at both versions, and may have yielded at one. A row for each stream: a write to the store each.

Streams that began less than 100 ms before their router stops are still refused, and all after a restart of all routers.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -68,6 +68,9 @@
 // Run stores changes until ctx ends.
 func (m *mixedServices) Run(ctx context.Context) error { return m.run(ctx) }
 
+// SoleOriginDelay is the longest time for which records of a service with one version wait.
+const SoleOriginDelay = soleOriginDelay
+
 // RecordCount returns the number of records that a router holds.
 func (k *originKeeper) RecordCount() int { return k.table.Len() }
 
--- a/deployment/origin_records.go
+++ b/deployment/origin_records.go
@@ -9,9 +9,14 @@
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// originDelay is how long records wait to be sent together. It is shorter than the time in which a
-// caller notices a broken connection and returns.
-const originDelay = 10 * time.Millisecond
+const (
+	// mixedOriginDelay is how long records wait to be sent together while a service has several versions. It is shorter than the
+	// time in which a caller notices a broken connection and returns.
+	mixedOriginDelay = 10 * time.Millisecond
+	// soleOriginDelay is the delay while it has one. Other routers need the records only if a second version appears after
+	// this router has stopped.
+	soleOriginDelay = 100 * time.Millisecond
+)
 
 // receive handles the records in a batch from another router.
 func (k *originKeeper) receive(batch *schema.Batch) {
@@ -28,11 +33,10 @@
 	}
 }
 
-// queue queues records for the routers that hold them.
-func (k *originKeeper) queue(now time.Time, records map[origin.Key]origin.Record) {
+// queue queues records for the routers that hold them, and sends them after a delay at the latest.
+func (k *originKeeper) queue(now time.Time, records map[origin.Key]origin.Record, delay time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	wasEmpty := len(k.pending) == 0
 	for key, r := range records {
 		message := &schema.StreamOrigin{
 			Stream: key[:], Service: string(r.Service), SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Until.Sub(now)),
@@ -44,8 +48,9 @@
 			k.pending[router] = append(k.pending[router], message)
 		}
 	}
-	if wasEmpty && len(k.pending) > 0 {
-		time.AfterFunc(originDelay, func() { k.guard.Run(recovery.Message, k.flush) })
+	if at := now.Add(delay); len(k.pending) > 0 && (k.flushAt.IsZero() || at.Before(k.flushAt)) {
+		k.flushAt = at
+		time.AfterFunc(delay, func() { k.guard.Run(recovery.Message, k.flush) })
 	}
 }
 
@@ -53,7 +58,7 @@
 func (k *originKeeper) flush() {
 	k.mu.Lock()
 	pending := k.pending
-	k.pending = nil
+	k.pending, k.flushAt = nil, time.Time{}
 	k.mu.Unlock()
 	for router, origins := range pending {
 		k.send(router, &schema.Batch{StreamOrigins: origins})
--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -26,8 +26,8 @@
 )
 
 // originKeeper knows which software versions began the streams of this router, and asks the other
-// routers for theirs. Once a service has several versions, it also sends each record to two of them,
-// so that a stream can be taken up again when its router is gone.
+// routers for theirs. It also sends each record to two of them, so that a stream can be taken up again when its
+// router is gone. It does so, too, while a service has one version: this router may stop before it learns of the second one.
 type originKeeper struct {
 	state *State
 	send  func(to fleet.RouterID, batch *schema.Batch)
@@ -46,10 +46,11 @@
 	// others are the connected routers, of which holders are chosen.
 	others  map[fleet.RouterID]fleet.DataCenterID
 	holders origin.Holders
-	// mixed holds the services whose records are sent to other routers.
+	// mixed holds the services that have, or had lately, several versions.
 	mixed map[fleet.ServiceID]bool
-	// pending holds the records to be sent.
+	// pending holds the records to be sent, at flushAt.
 	pending map[fleet.RouterID][]*schema.StreamOrigin
+	flushAt time.Time
 }
 
 var _ forward.Origins = (*originKeeper)(nil)
@@ -88,9 +89,11 @@
 	key := stream.ID.Key()
 	record := origin.Record{Service: stream.Service, Software: stream.Software, Until: now.Add(timeout)}
 	k.table.Set(now, key, record)
+	delay := soleOriginDelay
 	if k.isMixed(stream.Service) {
-		k.queue(now, map[origin.Key]origin.Record{key: record})
+		delay = mixedOriginDelay
 	}
+	k.queue(now, map[origin.Key]origin.Record{key: record}, delay)
 }
 
 // Identification returns whether a stream may only be sent to the process that an upstream's entry describes. While
@@ -167,7 +170,7 @@
 }
 
 // updateMixed sends the records of each service that has come to have several versions to other
-// routers. Until then they were only here.
+// routers once more, as other routers may be connected by now.
 func (k *originKeeper) updateMixed() {
 	now := time.Now()
 	for _, service := range k.state.history.Services() {
@@ -182,7 +185,7 @@
 		k.mu.Unlock()
 		if isMixed && !wasMixed {
 			k.log.Info("service has several software versions", "service", service, "versions", k.view(now, service).Versions)
-			k.queue(now, k.table.OfService(now, service))
+			k.queue(now, k.table.OfService(now, service), mixedOriginDelay)
 		}
 	}
 }
