diagnosis, quarantine: copies of a request that crash upstreams side by side count by upstream

Cause: crashes under one request count only if the copy was sent after the crash before, as upstreams that lose power together may all have run one. So however many upstreams end under copies side by side, they count once, and it takes three such waves. The routers that count know nothing of the other upstreams.

Change: the routers that count the crashes of a service do: they have all ends and all that ran there. If exactly the upstreams ended that ran a copy, for a second before and after, each counts, unless chance explains it (1 in 16 or more, by the number of upstreams, of those that ended and of requests with copies there), or all upstreams ended. The other routers are asked for 0.3 s whether they have served the request since; a verdict that is withdrawn makes earlier crashes tell nothing.

Ruled out: each crash of a copy by itself, if 50 ms apart: power cuts that spread refuse sound requests that had copies at three upstreams. The first crash that is common to fewer than half of the upstreams: says nothing of who ran what.

What remains: a lone request whose copies ran at exactly the upstreams that a power cut takes.

--- a/deployment/crashes.go
+++ b/deployment/crashes.go
@@ -39,8 +39,9 @@
 	// otherRouters returns the other routers that are connected.
 	otherRouters func() []fleet.RouterID
 	send         func(to fleet.RouterID, batch *schema.Batch)
-	// upstreamEntry returns the latest change of an upstream's entry.
-	upstreamEntry func(id fleet.UpstreamID) (registry.Change, bool)
+	// upstreamEntry returns the latest change of an upstream's entry, and listedUpstreams the number of a service's upstreams.
+	upstreamEntry   func(id fleet.UpstreamID) (registry.Change, bool)
+	listedUpstreams func(service fleet.ServiceID) int
 	// checkReachable returns an error if an upstream can't be reached.
 	checkReachable func(ctx context.Context, address string) error
 	// checkProcess also returns an error if the process at the address started at another time.
@@ -262,9 +263,13 @@
 	}
 }
 
-// activate makes this router record which requests are served, as long as a verdict counts.
+// activate makes this router record which requests are served, as long as a verdict counts. Earlier crashes no longer tell against a
+// request that is cleared.
 func (c *crashMonitor) activate(now time.Time, v quarantine.Verdict) {
 	c.parts.tracker.Activate(now)
+	if v.Status == quarantine.NotSuspected {
+		c.parts.tracker.ClearRequest(now, v.Request)
+	}
 	if v.Status == quarantine.Refused {
 		c.parts.tracker.ActivateUntil(quarantine.Term{Until: now.Add(v.Remaining)}.ProbationEnd())
 	}
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -100,7 +100,7 @@
 	m.coordinator = &home.Coordinator{Self: options.Self, Send: m.peers.Send, Pool: state.Pool, Log: options.Logger, Guard: options.Guard}
 	m.group = &follow.Group{Self: options.Self, IsSilent: m.peers.IsSilent}
 	m.crashMonitor = crashMonitor{
-		self: options.Self, otherRouters: m.peers.Routers, send: m.peers.Send, upstreamEntry: state.Upstream, checkReachable: checkReachable,
+		self: options.Self, otherRouters: m.peers.Routers, send: m.peers.Send, upstreamEntry: state.Upstream, listedUpstreams: state.countUpstreams, checkReachable: checkReachable,
 		saveVerdict: m.quarantinePersister.enqueue, saveCause: m.quarantinePersister.enqueueCause, log: options.Logger, guard: options.Guard,
 	}
 	m.crashMonitor.checkProcess = func(ctx context.Context, address string, _ registry.StartTime) error {
--- a/deployment/part_crashes.go
+++ b/deployment/part_crashes.go
@@ -103,8 +103,16 @@
 	p.mu.Lock()
 	delete(p.pending, service)
 	p.mu.Unlock()
-	decision := p.tracker.Decide(now, service)
+	decision := p.tracker.Decide(now, service, p.listedUpstreams(service))
 	p.broadcastCauses(now, decision.Verdicts)
+	for _, suspect := range decision.Suspected {
+		p.suspectRequest(now, suspect)
+	}
+	for _, found := range decision.Repeated {
+		if v, refuses := p.crashMonitor.tracker.Refuse(now, found.Request, now.Sub(found.FirstCrash)); refuses {
+			p.broadcast(v)
+		}
+	}
 	if decision.IsPending {
 		p.schedule(service, diagnosis.AnswerTime)
 	}
@@ -121,6 +129,15 @@
 	}
 }
 
+// suspectRequest asks the routers to object if they have served a request since the first crash under it.
+func (p *partMonitor) suspectRequest(now time.Time, suspect diagnosis.RepeatedRequest) {
+	v := quarantine.Verdict{Request: suspect.Request, Status: quarantine.Suspected, FirstCrashAgo: now.Sub(suspect.FirstCrash)}
+	if objection, objects, _ := p.crashMonitor.tracker.ApplyVerdict(now, v); objects {
+		v = objection
+	}
+	p.broadcast(v)
+}
+
 // broadcastCauses logs and stores verdicts that are already in force here, and sends them to all other
 // routers.
 func (p *partMonitor) broadcastCauses(now time.Time, verdicts []diagnosis.Verdict) {
--- a/deployment/state.go
+++ b/deployment/state.go
@@ -371,6 +371,11 @@
 // Upstream returns the latest change of an upstream's entry, and whether there is one.
 func (s *State) Upstream(id fleet.UpstreamID) (registry.Change, bool) { return s.directory.Get(id) }
 
+// countUpstreams returns the number of upstreams of a service that are listed.
+func (s *State) countUpstreams(service fleet.ServiceID) int {
+	return len(s.directory.Ready()[service]) + len(s.directory.Draining()[service])
+}
+
 // LeavingSince returns when the first router read that an upstream drains or is gone, zero if that
 // is unknown, and whether it does.
 func (s *State) LeavingSince(u registry.Upstream) (time.Time, bool) {
--- a/diagnosis/counting.go
+++ b/diagnosis/counting.go
@@ -70,9 +70,9 @@
 	return out
 }
 
-// Decide returns what follows from the crashes of a service. It is called a little after each, so that all
-// routers have reported it.
-func (t *Tracker) Decide(now time.Time, service fleet.ServiceID) Decision {
+// Decide returns what follows from the crashes of a service, which has a number of listed upstreams. It is called a little after
+// each, so that all routers have reported it.
+func (t *Tracker) Decide(now time.Time, service fleet.ServiceID, listed int) Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[service]
@@ -90,6 +90,9 @@
 		}
 		out.Verdicts = append(out.Verdicts, t.judge(now, f)...)
 	}
+	repeated, isPending := r.repeated(now, listed)
+	out.Suspected, out.Repeated = r.suspectRepeated(now, repeated)
+	out.IsPending = out.IsPending || isPending || len(out.Suspected) > 0
 	if asked = r.toAsk(now, sortedSet(asked)); len(asked) > 0 {
 		out.Questions = append(out.Questions, Question{Service: service, Parts: asked})
 	}
--- a/diagnosis/model_test.go
+++ b/diagnosis/model_test.go
@@ -430,7 +430,7 @@
 }
 
 func (m *model) decide() {
-	decision := m.trackers[0].Decide(m.now, modelService)
+	decision := m.trackers[0].Decide(m.now, modelService, len(m.upstreams))
 	m.broadcast(decision.Verdicts)
 	if decision.IsPending {
 		m.after(diagnosis.AnswerTime, m.decide)
--- a/diagnosis/record.go
+++ b/diagnosis/record.go
@@ -83,6 +83,9 @@
 	// askedAt holds when the other routers were last asked about a part, and firstAskedAt since when
 	// they have been.
 	askedAt, firstAskedAt map[prompt.Part]time.Time
+	// suspectedAt holds since when repeated requests are suspected, and clearedAt until when crashes tell nothing against a
+	// request.
+	suspectedAt, clearedAt map[quarantine.Fingerprint]time.Time
 }
 
 // add adds what one router knows of a crash.
--- a/diagnosis/tracker_test.go
+++ b/diagnosis/tracker_test.go
@@ -60,7 +60,7 @@
 }
 
 func (s *scene) decide() {
-	s.verdicts = append(s.verdicts, s.tracker.Decide(s.now, modelService).Verdicts...)
+	s.verdicts = append(s.verdicts, s.tracker.Decide(s.now, modelService, upstreamCount).Verdicts...)
 }
 
 // refuses reports whether requests with some parts are refused once the time for a probe is over.
@@ -263,7 +263,7 @@
 				}
 				s.tracker.Count(s.now, crash)
 			},
-			"decide": func(*rapid.T) { s.tracker.Decide(s.now, "s") },
+			"decide": func(*rapid.T) { s.tracker.Decide(s.now, "s", upstreamCount) },
 			"sound":  func(t *rapid.T) { s.tracker.CountSound(s.now, "s", sound(t)) },
 			"record": func(t *rapid.T) {
 				s.tracker.RecordSound(s.now, "s", parts.Draw(t, "parts"), rapid.Bool().Draw(t, "whole"))
--- a/diagnosis/verdict.go
+++ b/diagnosis/verdict.go
@@ -42,6 +42,8 @@
 type Decision struct {
 	Verdicts  []Verdict
 	Questions []Question
+	// Suspected are repeated requests that routers may have served, and Repeated those that are to be refused.
+	Suspected, Repeated []RepeatedRequest
 	// IsPending is set if a cause is found, but others may still have an answer to a question. Then
 	// the router decides again after AnswerTime.
 	IsPending bool
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -94,6 +94,18 @@
 	return Verdict{Request: request, Status: Refused, FirstCrashAgo: firstCrashAgo, Term: term.Length, Remaining: term.Length}
 }
 
+// Refuse refuses a request that is known to crash upstreams, unless it is refused or on probation already, or this router has served it
+// since its first crash. It returns a verdict to broadcast, if there is one.
+func (t *Tracker) Refuse(now time.Time, request Fingerprint, firstCrashAgo time.Duration) (Verdict, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, known := t.refusals.Find(now, request)
+	if known || t.servedSinceFirstCrash(now, Verdict{Request: request, FirstCrashAgo: firstCrashAgo}) {
+		return Verdict{}, false
+	}
+	return t.startTerm(now, request, firstCrashAgo), true
+}
+
 // CountCrash counts a crash that a router reported to this one as a counting router. It
 // returns a verdict to broadcast, if there is one.
 func (t *Tracker) CountCrash(now time.Time, crash Crash) (Verdict, bool) {
