--- a/diagnosis/repeated.go
+++ b/diagnosis/repeated.go
@@ -42,20 +42,10 @@
 		if len(crashes) < minCrashes {
 			continue
 		}
-		count, chance, hasOverlap, isSettled := 0, 0.0, false, true
-		for i, cluster := range clusters(crashes) {
-			counted, logChance := r.weigh(request, cluster, listed)
-			count += counted
-			if len(cluster) == 1 && i == 0 {
-				continue // any request there is as likely
-			}
-			chance += logChance
-			hasOverlap = hasOverlap || len(cluster) > 1
-			isSettled = isSettled && (len(cluster) == 1 || now.Sub(cluster[len(cluster)-1].at) >= aloneTime)
-		}
+		e := r.evidence(now, request, crashes, listed)
 		switch {
-		case !hasOverlap || count < minCrashes || chance > math.Log(maxOverlapCoincidence):
-		case isSettled:
+		case !e.hasOverlap || e.count < minCrashes || e.logChance > math.Log(maxOverlapCoincidence):
+		case e.isSettled:
 			found = append(found, RepeatedRequest{Request: request, FirstCrash: crashes[0].at})
 		default:
 			isPending = true
@@ -64,6 +54,31 @@
 	return found, isPending
 }
 
+// copyEvidence is what the crashes under a request tell against it.
+type copyEvidence struct {
+	// count is the number of crashes that count, and logChance the logarithm of the probability that all have other causes.
+	count     int
+	logChance float64
+	// hasOverlap is set if copies ran side by side, and isSettled once no upstream can turn out to have ended beside them.
+	hasOverlap, isSettled bool
+}
+
+func (r *record) evidence(now time.Time, request quarantine.Fingerprint, crashes []copyCrash, listed int) copyEvidence {
+	e := copyEvidence{isSettled: true}
+	for i, cluster := range clusters(crashes) {
+		count, logChance := r.weigh(request, cluster, listed)
+		e.count += count
+		if len(cluster) > 1 {
+			e.hasOverlap = true
+			e.isSettled = e.isSettled && now.Sub(cluster[len(cluster)-1].at) >= aloneTime
+		}
+		if len(cluster) > 1 || i > 0 { // any request is as likely to be at a single first crash
+			e.logChance += logChance
+		}
+	}
+	return e
+}
+
 // copies returns the crashes under each request that count, in order of time.
 func (r *record) copies() map[quarantine.Fingerprint][]copyCrash {
 	out := make(map[quarantine.Fingerprint][]copyCrash)
--- a/diagnosis/repeated_test.go
+++ b/diagnosis/repeated_test.go
@@ -38,7 +38,7 @@
 
 // findRepeated plays ends of upstreams in order of time, and decisions after each as routers take them. It returns the requests that are
 // to be refused, with the time of that.
-func findRepeated(ended []endedUpstream, listed int, clear func(now time.Time, t *diagnosis.Tracker)) map[quarantine.Fingerprint]time.Duration {
+func findRepeated(ended []endedUpstream, listed int, onSuspicion func(now time.Time, t *diagnosis.Tracker)) map[quarantine.Fingerprint]time.Duration {
 	var tracker diagnosis.Tracker
 	found := make(map[quarantine.Fingerprint]time.Duration)
 	next := 0
@@ -55,8 +55,8 @@
 			continue
 		}
 		decision := tracker.Decide(now, modelService, listed)
-		if len(decision.Suspected) > 0 && clear != nil {
-			clear(now, &tracker)
+		if len(decision.Suspected) > 0 && onSuspicion != nil {
+			onSuspicion(now, &tracker)
 		}
 		for _, f := range decision.Repeated {
 			if _, known := found[f.Request]; !known {
