budget, caller, diagnosis, segment, socket: one piece of code where the change had several

- diagnosis: which requests an upstream ran, and when the first copy of each was sent, was computed anew for each group of crashes, crash and request; it is kept as the runs arrive, as the parts are.
- caller: the refusals for memory and for connections stood in forward and in router, alike to the word (RefuseMemory, RefuseConnection).
- segment: List.AppendTo serves Join and the encoding of requests to upstreams.
- budget: whether all connections are taken is asked in one place.
What is sent is the same to the byte.

Left, and why: budget.queue and waiting both link items by hand, but one moves items between queues and the other keeps a heap beside it. peer's limit on handshakes and budget.Pool are alike; the pool's times would keep routers out behind a crowd. forward's count of open connections could be the pool's, which also counts connections that only wait for their end.

--- a/budget/pool.go
+++ b/budget/pool.go
@@ -104,9 +104,12 @@
 func (p *Pool[A]) IsFull() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.connections-p.evicted.length >= p.maxConnections()
+	return p.isFull()
 }
 
+// isFull is IsFull with the lock held. Evicted connections are about to close.
+func (p *Pool[A]) isFull() bool { return p.connections-p.evicted.length >= p.maxConnections() }
+
 func (p *Pool[A]) maxBytes() int64 {
 	if p.Bytes > 0 {
 		return p.Bytes
--- a/budget/room.go
+++ b/budget/room.go
@@ -17,18 +17,18 @@
 // makeRoom evicts a connection if there is no room for another one. The lock must be held.
 func (p *Pool[A]) makeRoom(now time.Time) ([]victim[A], error) {
 	most := p.maxConnections()
-	isFull := p.connections >= most+max(1, int(excessFraction*float64(most)))
-	if !isFull && p.connections-p.evicted.length < most {
+	isOverfull := p.connections >= most+max(1, int(excessFraction*float64(most)))
+	if !isOverfull && !p.isFull() {
 		return nil, nil
 	}
 	var victims []victim[A]
-	if isFull {
+	if isOverfull {
 		// Those that were evicted while a body arrived still send their refusals.
 		if l := p.evicted.find(func(l *Lease[A]) bool { return l.stage == Closing }); l != nil {
 			victims = append(victims, l.asVictim(Connections))
 		}
 	}
-	if len(victims) == 0 || p.connections-p.evicted.length >= most {
+	if len(victims) == 0 || p.isFull() {
 		l := p.leastNeeded(now)
 		if l == nil {
 			return victims, &ExhaustedError{Resource: Connections, Held: int64(p.connections), Limit: int64(most)}
@@ -44,7 +44,7 @@
 func (p *Pool[A]) OpenDelay(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.connections-p.evicted.length < p.maxConnections() {
+	if !p.isFull() {
 		return 0
 	}
 	l := p.leastNeeded(now)
--- a/diagnosis/record.go
+++ b/diagnosis/record.go
@@ -25,8 +25,9 @@
 	upstream turn.Instance
 	at       time.Time
 	runs     []Run
-	// parts holds the runs of each part.
-	parts map[prompt.Part]*partRuns
+	// parts holds the runs of each part, and copies when the first copy of each request was sent.
+	parts  map[prompt.Part]*partRuns
+	copies map[quarantine.Fingerprint]time.Time
 	// size is the number of parts of all runs.
 	size int
 }
@@ -50,6 +51,9 @@
 		}
 		number := len(c.runs)
 		c.runs = append(c.runs, run)
+		if sentAt, known := c.copies[run.Request]; !known || run.SentAt.Before(sentAt) {
+			c.copies[run.Request] = run.SentAt
+		}
 		for _, part := range run.Parts {
 			c.addPart(part, number)
 		}
@@ -101,7 +105,9 @@
 	r.expire(now)
 	known := r.find(crash.Upstream)
 	if known == nil {
-		known = &upstreamCrash{upstream: crash.Upstream, at: crash.At, parts: make(map[prompt.Part]*partRuns)}
+		known = &upstreamCrash{
+			upstream: crash.Upstream, at: crash.At, parts: make(map[prompt.Part]*partRuns), copies: make(map[quarantine.Fingerprint]time.Time),
+		}
 		r.crashes = append(r.crashes, known)
 	}
 	if crash.At.Before(known.at) {
--- a/diagnosis/repeated.go
+++ b/diagnosis/repeated.go
@@ -83,7 +83,7 @@
 func (r *record) copies() map[quarantine.Fingerprint][]copyCrash {
 	out := make(map[quarantine.Fingerprint][]copyCrash)
 	for _, crash := range r.crashes {
-		for request, sentAt := range crash.firstCopies() {
+		for request, sentAt := range crash.copies {
 			if crash.at.After(r.clearedAt[request]) {
 				out[request] = append(out[request], copyCrash{upstreamCrash: crash, sentAt: sentAt})
 			}
@@ -92,17 +92,6 @@
 	return out
 }
 
-// firstCopies returns the requests that the upstream ran, and when the first copy of each was sent.
-func (c *upstreamCrash) firstCopies() map[quarantine.Fingerprint]time.Time {
-	out := make(map[quarantine.Fingerprint]time.Time, len(c.runs))
-	for _, run := range c.runs {
-		if sentAt, known := out[run.Request]; !known || run.SentAt.Before(sentAt) {
-			out[run.Request] = run.SentAt
-		}
-	}
-	return out
-}
-
 // clusters returns the crashes under a request, those together that may have a common cause: the copy was sent before the previous
 // crash, or may have been sent again because of it and met the same cause.
 func clusters(crashes []copyCrash) [][]copyCrash {
@@ -133,11 +122,10 @@
 		if crash.at.Before(first) || crash.at.After(last) {
 			continue
 		}
-		requests := crash.firstCopies()
-		if _, hasCopy := requests[request]; !hasCopy {
+		if _, hasCopy := crash.copies[request]; !hasCopy {
 			return 1, 0
 		}
-		for other := range requests {
+		for other := range crash.copies {
 			crashesOf[other]++
 		}
 	}
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -126,10 +126,7 @@
 // admitConnection counts the request towards those that may be in hand.
 func (j *job) admitConnection() *refusal.Error {
 	if err := j.caller.Lease().Admit(j.account); err != nil {
-		return &refusal.Error{
-			Reason: refusal.CallersHoldConnections, Outcome: refusal.NotRun, Detail: "too many requests of the account are in hand",
-			RetryAfter: memoryRetryAfter, Cause: err,
-		}
+		return caller.RefuseConnection(err, memoryRetryAfter)
 	}
 	return nil
 }
@@ -160,10 +157,7 @@
 	case errors.As(err, &tooLarge):
 		return refusal.New(refusal.BodyTooLarge, "the body is too large", 0)
 	case caller.IsShortOfMemory(err):
-		return &refusal.Error{
-			Reason: refusal.CallersHoldMemory, Outcome: refusal.NotRun, Detail: "callers hold too much of this router's memory",
-			RetryAfter: memoryRetryAfter, Cause: err,
-		}
+		return caller.RefuseMemory(err, memoryRetryAfter)
 	case errors.As(err, &framing):
 		return &refusal.Error{
 			Reason: refusal.RouterOverloaded, Outcome: refusal.NotRun, Detail: "this router is overloaded, and the body comes in small chunks",
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -200,7 +200,7 @@
 	// HasCapacity reports whether the router has processor time for an account's request that has
 	// just arrived; nil means always.
 	HasCapacity func(now time.Time, account fleet.AccountID) bool
-	// IsOverloaded reports whether the router refuses requests for lack of processor time; nil means never.
+	// IsOverloaded reports whether the router is short of processor time; nil means never.
 	IsOverloaded func() bool
 	// Handover hands over requests for which HasCapacity reports false; nil means that all of them
 	// are refused.
--- a/router/body.go
+++ b/router/body.go
@@ -56,10 +56,7 @@
 	case errors.As(err, &tooLarge):
 		return refusal.New(refusal.BodyTooLarge, fmt.Sprintf("the body is longer than %d bytes", r.Limits.MaxBodyBytes), 0)
 	case caller.IsShortOfMemory(err):
-		return &refusal.Error{
-			Reason: refusal.CallersHoldMemory, Outcome: refusal.NotRun, Detail: "callers hold too much of this router's memory",
-			RetryAfter: memoryRetryAfter, Cause: err,
-		}
+		return caller.RefuseMemory(err, memoryRetryAfter)
 	case caller.IsTooSlow(err):
 		return refusal.New(refusal.BodyTooSlow, fmt.Sprintf("the body did not arrive within %s", r.Limits.BodyTimeout), time.Second)
 	default:
--- a/router/request.go
+++ b/router/request.go
@@ -39,10 +39,7 @@
 	}
 	c.Set(contextAccount, account.GetId())
 	if err := caller.FromContext(req.Context()).Lease().Admit(fleet.AccountID(account.GetId())); err != nil {
-		return parsedRequest{}, &refusal.Error{
-			Reason: refusal.CallersHoldConnections, Outcome: refusal.NotRun, Detail: "too many requests of the account are in hand",
-			RetryAfter: memoryRetryAfter, Cause: err,
-		}
+		return parsedRequest{}, caller.RefuseConnection(err, memoryRetryAfter)
 	}
 	deadline, refused := r.parseDeadline(req)
 	if refused != nil {
--- a/segment/segment.go
+++ b/segment/segment.go
@@ -40,11 +40,15 @@
 	if len(l) == 1 {
 		return l[0]
 	}
-	out := make([]byte, 0, l.Len())
+	return l.AppendTo(make([]byte, 0, l.Len()))
+}
+
+// AppendTo appends the text to data.
+func (l List) AppendTo(data []byte) []byte {
 	for _, s := range l {
-		out = append(out, s...)
+		data = append(data, s...)
 	}
-	return out
+	return data
 }
 
 // WriteTo writes the text.
--- a/socket/user_timeout_linux.go
+++ b/socket/user_timeout_linux.go
@@ -14,12 +14,7 @@
 // hour, and its caller waits until the deadline; keep-alive probes aren't sent while data is
 // unacknowledged.
 func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
-	var failed error
-	err := raw.Control(func(fd uintptr) {
-		failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+	return control(raw, func(fd int) error {
+		return syscall.SetsockoptInt(fd, syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	})
-	if err != nil {
-		return err
-	}
-	return failed
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -86,11 +86,7 @@
 	if length > maxInlineRequest {
 		return append(segment.List{r.encodeHead(length, 0)}, r.Body...)
 	}
-	data := r.encodeHead(length, length)
-	for _, s := range r.Body {
-		data = append(data, s...)
-	}
-	return segment.List{data}
+	return segment.List{r.Body.AppendTo(r.encodeHead(length, length))}
 }
 
 // exchange is one request and its answer on a connection.
