upload, upstream, attempt, platform: an answer that ends before its request was taken isn't whole

What callers saw. An upstream answered a long upload at once with a 200 that had neither a length nor chunks, sent half of the body and reset the connection while the upload was still being written. Callers got that half as a whole answer (MIXED). As such an upstream answers first, it got much of the work, too.

The system reports a reset once. While a request is written by one goroutine and the answer read by another, the write may get the report; the read then ends with io.EOF, as after an ordinary close, and an answer that ends with its connection is whole. If the upstream closes its side first, the read ends so even before the reset.

At the end of the connection it returns io.EOF only once the whole request was written and the server has acknowledged it (TCP_INFO), and *upload.CutOffError once a write has failed, the connection is closed, or the server has acknowledged nothing for 700 ms. Answers with a length or chunks never read up to that end, so nothing changes for them, nor for uploads that go on after such an answer. An upstream that closes its side and takes the rest of the request afterwards is still whole (two tests).

Health checks, copies of memory and cache lists aren't used. Not to be told from a whole one: an answer without a length that ends without a reset after the upstream's system has acknowledged the whole request.

--- a/attempt/client.go
+++ b/attempt/client.go
@@ -18,6 +18,7 @@
 	"github.com/rotisserie/eris"
 
 	"nutmeglock.example/nutmeglock/socket"
+	"nutmeglock.example/nutmeglock/upload"
 )
 
 const (
@@ -65,7 +66,7 @@
 func (c *Client) Do(ctx context.Context, address string, request Request) (*Answer, error) {
 	c.once.Do(c.initTransports)
 	start := time.Now()
-	x := &exchange{}
+	x := &exchange{bodyBytes: int64(len(request.Body))}
 	out, err := newRequest(httptrace.WithClientTrace(ctx, x.trace()), address, request)
 	if err != nil {
 		return nil, &Error{Address: address, Cause: err}
@@ -122,7 +123,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: inner}, nil
+			return &conn{Conn: &upload.Conn{Conn: inner}}, nil
 		},
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxIdle,
--- a/attempt/conn.go
+++ b/attempt/conn.go
@@ -1,25 +1,26 @@
 package attempt
 
 import (
-	"bytes"
-	"net"
 	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"nutmeglock.example/nutmeglock/upload"
 )
 
 var errSealed = eris.New("the exchange has ended")
 
 // conn is a connection that records how much of the current request was written.
 type conn struct {
-	net.Conn
+	*upload.Conn
 
 	mu      sync.Mutex
 	current *writeRecord
 }
 
-// begin starts a writeRecord for a new request on the connection.
-func (c *conn) begin() *writeRecord {
+// begin starts a writeRecord for a new request on the connection, whose body has a length in bytes.
+func (c *conn) begin(bodyBytes int64) *writeRecord {
+	c.Begin(bodyBytes)
 	r := &writeRecord{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -49,8 +50,8 @@
 	sealed bool
 	// completed counts the writes that have returned, and upperBound also the one in
 	// progress, as if all its bytes were written.
-	completed  progress
-	upperBound progress
+	completed  upload.Progress
+	upperBound upload.Progress
 }
 
 func (r *writeRecord) beginWrite(p []byte) bool {
@@ -59,14 +60,14 @@
 	if r.sealed {
 		return false
 	}
-	r.upperBound = r.completed.add(p)
+	r.upperBound = r.completed.Add(p)
 	return true
 }
 
 func (r *writeRecord) endWrite(written []byte) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.completed = r.completed.add(written)
+	r.completed = r.completed.Add(written)
 	r.upperBound = r.completed
 }
 
@@ -75,34 +76,9 @@
 // When a context ends, net/http returns while the goroutine that writes the request
 // may not have started. A request reported as not-run from the count alone would then
 // be sent a moment later, and run in addition to the caller's retry.
-func (r *writeRecord) seal() progress {
+func (r *writeRecord) seal() upload.Progress {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.sealed = true
 	return r.upperBound
 }
-
-// progress counts a request's bytes and detects the end of its header.
-type progress struct {
-	written    int64
-	headerSent bool
-	// tail is the last bytes of an incomplete header, which may be part of headerEnd.
-	tail string
-}
-
-var headerEnd = []byte("\r\n\r\n")
-
-func (p progress) add(b []byte) progress {
-	p.written += int64(len(b))
-	if p.headerSent {
-		return p
-	}
-	seen := append([]byte(p.tail), b...)
-	if bytes.Contains(seen, headerEnd) {
-		p.headerSent = true
-		p.tail = ""
-		return p
-	}
-	p.tail = string(seen[max(0, len(seen)-len(headerEnd)+1):])
-	return p
-}
--- a/attempt/exchange.go
+++ b/attempt/exchange.go
@@ -7,6 +7,8 @@
 
 // exchange collects the Facts of one Client.Do.
 type exchange struct {
+	bodyBytes int64
+
 	mu            sync.Mutex
 	record        *writeRecord
 	bodySent      bool
@@ -29,10 +31,10 @@
 	if !ok {
 		return
 	}
-	next := tracked.begin()
+	next := tracked.begin(e.bodyBytes)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.record != nil && e.record.seal().written > 0 {
+	if e.record != nil && e.record.seal().Written > 0 {
 		next.seal()
 		return
 	}
@@ -61,7 +63,7 @@
 	}
 	sent := e.record.seal()
 	facts.Connected = true
-	facts.Written = sent.written
-	facts.HeaderSent = sent.headerSent
+	facts.Written = sent.Written
+	facts.HeaderSent = sent.HeaderSent
 	return facts
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -11,11 +11,12 @@
 
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/socket"
+	"nutmeglock.example/nutmeglock/upload"
 )
 
 // conn is a connection to an upstream.
 type conn struct {
-	net.Conn
+	*upload.Conn
 	raw    syscall.RawConn
 	head   *headLimiter
 	reader *bufio.Reader
@@ -31,7 +32,7 @@
 }
 
 func newConn(opened net.Conn, raw syscall.RawConn) *conn {
-	c := &conn{Conn: opened, raw: raw, isNew: true}
+	c := &conn{Conn: &upload.Conn{Conn: opened}, raw: raw, isNew: true}
 	c.head = &headLimiter{inner: c}
 	c.reader = bufio.NewReaderSize(c.head, readBufferSize)
 	return c
--- /dev/null
+++ b/upstream/early_end_test.go
@@ -0,0 +1,69 @@
+package upstream_test
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"nutmeglock.example/nutmeglock/standin/unframed"
+	"nutmeglock.example/nutmeglock/upstream"
+)
+
+const (
+	unframedAnswer = "HTTP/1.1 200 OK\r\n" + idField + ": 1\r\n\r\nsome"
+	longBody       = 1 << 20
+)
+
+// exchangeLong exchanges a long request and returns the body of the answer.
+func exchangeLong(t *testing.T, address string) (string, error) {
+	t.Helper()
+	got, err := newClient(t).Do(t.Context(), address, newRequest("1", make([]byte, longBody)))
+	if err != nil {
+		return "", err
+	}
+	defer got.Body.Close()
+	body, err := io.ReadAll(got.Body)
+	return string(body), err
+}
+
+// Guards against a part of an answer that passes for a whole one because its connection ended while the request was still
+// being sent.
+func TestAnswerThatEndsBeforeItsRequestWasTaken(t *testing.T) {
+	t.Parallel()
+	for _, end := range unframed.CutOffs() {
+		t.Run(string(end), func(t *testing.T) {
+			t.Parallel()
+			address, err := unframed.Start(t.Context(), unframedAnswer, end)
+			require.NoError(t, err)
+			begin := time.Now()
+			errs := unframed.Play(64, func() error {
+				_, err := exchangeLong(t, address)
+				return err
+			})
+			require.NotContains(t, errs, nil, "a part of an answer passed for a whole one")
+			for _, err := range errs {
+				var failed *upstream.Error
+				require.ErrorAs(t, err, &failed)
+				require.True(t, failed.Sent)
+			}
+			require.Less(t, time.Since(begin), 20*time.Second, "none is waited for until its upstream's end")
+		})
+	}
+}
+
+// Guards against losing an answer that is whole: its upstream ends it early and takes the rest of the request then.
+func TestEarlyAnswerWithoutLengthIsWholeOnceItsRequestWasTaken(t *testing.T) {
+	t.Parallel()
+	for _, end := range []unframed.End{unframed.TakeAll, unframed.TakeSlowly} {
+		t.Run(string(end), func(t *testing.T) {
+			t.Parallel()
+			address, err := unframed.Start(t.Context(), unframedAnswer, end)
+			require.NoError(t, err)
+			got, err := exchangeLong(t, address)
+			require.NoError(t, err)
+			require.Equal(t, "some", got)
+		})
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -107,6 +107,7 @@
 
 func (x *exchange) send(request Request) {
 	data := request.encode()
+	x.conn.Begin(int64(request.Body.Len()))
 	if data.Len() <= maxInlineRequest {
 		x.write(data)
 		return
