answer, upstream, attempt, platform, scheduler, operator: a head with a blank in a field name is no answer

What callers saw. An upstream in trouble sent a head with a blank in the name of a field. Callers got it as an answer without that line; with the blank before the colon of Content-Length or Transfer-Encoding they got a body that wasn't the upstream's, with bytes that follow it or with the lines of its chunks.

Cause. net/textproto accepts blanks in names of fields, returns such a field under its own name, and net/http doesn't obey it. HTTP allows none: where a recipient and a proxy read such a line differently, they disagree about the length of the body.

The attempt counts as malformed and is tried again where that is allowed.

--- a/attempt/client.go
+++ b/attempt/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/answer"
 	"nutmeglock.example/nutmeglock/socket"
 	"nutmeglock.example/nutmeglock/upload"
 )
@@ -71,10 +72,14 @@
 	if err != nil {
 		return nil, &Error{Address: address, Cause: err}
 	}
-	response, err := c.transportFor(request).RoundTrip(out) //nolint:bodyclose // the answer's reader closes it
+	response, err := c.transportFor(request).RoundTrip(out)
 	if err != nil {
 		return nil, &Error{Address: address, Facts: x.close(), Cause: err}
 	}
+	if err := answer.CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, &Error{Address: address, Facts: x.close(), Cause: err}
+	}
 	if refused := refusalOf(response); refused != "" {
 		drainAndClose(response.Body)
 		facts := x.close()
--- a/call/plain_test.go
+++ b/call/plain_test.go
@@ -119,6 +119,42 @@
 	require.Equal(t, 1, runs())
 }
 
+// withHead sends an answer with a head of its own, and closes the connection.
+func withHead(head string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+head+"\r\n\r\nboo")
+			_ = conn.Close()
+		}
+	}
+}
+
+// Guards against a panic, or an answer with a body that isn't the upstream's, because its head isn't one in HTTP.
+func TestAnswerWithAnInvalidHeadIsNone(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{
+		"200 OK\r\nContent-Length : 2", "200 OK\r\nContent-Length: 3\r\nX Odd: 1", "200 OK\r\nContent-Length: 3\r\nX\x01Odd: 1",
+	} {
+		t.Run(head, func(t *testing.T) {
+			t.Parallel()
+			address, runs := plainService(t, withHead(head), ok)
+			request := orderRequest()
+			var refused *refusal.Error
+			require.ErrorAs(t, newRunner(newSource(address)).Run(t.Context(), httptest.NewRecorder(), request), &refused)
+			require.Equal(t, refusal.UpstreamFailed, refused.Reason)
+			require.Equal(t, refusal.Unknown, refused.Outcome)
+			require.Equal(t, 1, runs())
+
+			address, _ = plainService(t, withHead(head), ok)
+			request.Idempotent = true
+			w := httptest.NewRecorder()
+			require.NoError(t, newRunner(newSource(address)).Run(t.Context(), w, request))
+			require.Equal(t, "booked", w.Body.String())
+		})
+	}
+}
+
 // A model's answer is cut off while it is still buffered. It must be fetched from
 // another engine.
 func TestBufferedAnswerIsFetchedFromAnotherUpstream(t *testing.T) {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/answer"
 	"nutmeglock.example/nutmeglock/home"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/retry"
@@ -187,11 +188,12 @@
 func isMalformed(err error) bool {
 	var (
 		head     *upstream.HeadTooLargeError
+		invalid  *answer.InvalidHeadError
 		stray    *upstream.StrayAnswersError
 		event    *stream.TooLargeError
 		progress *stream.NoProgressError
 	)
-	return errors.As(err, &head) || errors.As(err, &stray) || errors.As(err, &event) || errors.As(err, &progress)
+	return errors.As(err, &head) || errors.As(err, &invalid) || errors.As(err, &stray) || errors.As(err, &event) || errors.As(err, &progress)
 }
 
 // drain reads a body that nobody needs, so that its connection can be used again, unless that takes too long.
--- a/operator/client.go
+++ b/operator/client.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
+	"nutmeglock.example/nutmeglock/answer"
 	"nutmeglock.example/nutmeglock/note"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -259,20 +260,23 @@
 
 // do sends one request and decodes the response. It fails with *ResponseError
 // when the router responds with an error.
-func (c *Client) do(request *http.Request, base string, answer proto.Message) error {
+func (c *Client) do(request *http.Request, base string, out proto.Message) error {
 	request.Header.Set(echo.HeaderAuthorization, bearerPrefix+c.key)
 	response, err := c.http.Do(request)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
+	if err := answer.CheckHead(response); err != nil {
+		return eris.Wrapf(err, "response from %s", base)
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return eris.Wrapf(err, "incomplete response from %s", base)
 	}
 	lenient := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if response.StatusCode < http.StatusMultipleChoices {
-		return eris.Wrapf(lenient.Unmarshal(data, answer), "response from %s", base)
+		return eris.Wrapf(lenient.Unmarshal(data, out), "response from %s", base)
 	}
 	body := &schema.OperatorErrorBody{}
 	if err := lenient.Unmarshal(data, body); err != nil || body.GetError() == nil {
--- a/scheduler/load.go
+++ b/scheduler/load.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"nutmeglock.example/nutmeglock/answer"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/inflight"
 	"nutmeglock.example/nutmeglock/metric"
@@ -132,6 +133,9 @@
 		return inflight.Load{}, eris.Wrap(err, "request load")
 	}
 	defer response.Body.Close()
+	if err := answer.CheckHead(response); err != nil {
+		return inflight.Load{}, eris.Wrap(err, "request load")
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
 	if err != nil {
 		return inflight.Load{}, eris.Wrap(err, "read load report")
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"nutmeglock.example/nutmeglock/answer"
 	"nutmeglock.example/nutmeglock/attempt"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/registry"
@@ -157,6 +158,9 @@
 		if x.conn.head.exceeded {
 			return nil, &HeadTooLargeError{Bytes: maxHeadBytes}
 		}
+		if err == nil {
+			err = answer.CheckHead(response)
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
