answer: a status below 100 is no answer, and no interim one

What callers saw. An upstream in trouble sent an answer with status 000 (or 099, or +20) and no body, and kept the connection. On routes the caller waited for the whole of its deadline: streams and orders got their refusal after 3.0 s of 3 s, reads were tried elsewhere after 0.8 s. With a body the attempt failed at once, as no status line followed. On the own interface the status reached the answer to the caller, which panics.

The other statuses held on routes; those tests stay.

Cause. net/http returns statuses below 100. upstream took each below 200 for an interim answer and waited for the one behind it, or would have taken the body for that; attempt passed them on.

--- a/answer/head_test.go
+++ b/answer/head_test.go
@@ -25,6 +25,7 @@
 func TestHeadsThatAreNotOnesInHTTP(t *testing.T) {
 	t.Parallel()
 	for _, head := range []string{
+		"HTTP/1.1 000 Odd", "HTTP/1.1 000", "HTTP/1.1 099 Odd", "HTTP/1.1 001 Odd", "HTTP/1.1 +20 Odd", "HTTP/1.1 -20 Odd", "HTTP/1.1 20 Odd", "HTTP/1.1 2000 Odd",
 		"HTTP/1.1 200 OK\r\nX Odd: 1", "HTTP/1.1 200 OK\r\nX-Odd : 1", "HTTP/1.1 200 OK\r\n X-Odd: 1", "HTTP/1.1 200 OK\r\nX\tOdd: 1",
 		"HTTP/1.1 200 OK\r\nX-Odd\t: 1", "HTTP/1.1 200 OK\r\nX\x01Odd: 1", "HTTP/1.1 200 OK\r\nX\x7fOdd: 1", "HTTP/1.1 200 OK\r\nX\x80Odd: 1",
 		"HTTP/1.1 200 OK\r\nContent-Length : 5", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked", "HTTP/1.1 200 OK\r\n: 1", "HTTP/1.1 200 OK\r\nX(Odd): 1",
@@ -32,7 +33,7 @@
 	} {
 		require.Error(t, readHead(head), "%q", head)
 	}
-	for _, head := range []string{"HTTP/1.1 100 Continue", "HTTP/1.1 200", "HTTP/1.1 200 OK\r\nX-!#$%&'*+.^_`|~9: a b"} {
+	for _, head := range []string{"HTTP/1.1 100 Continue", "HTTP/1.1 200", "HTTP/1.1 599 Odd", "HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 200 OK\r\nX-!#$%&'*+.^_`|~9: a b"} {
 		require.NoError(t, readHead(head), "%q", head)
 	}
 }
--- a/call/plain_test.go
+++ b/call/plain_test.go
@@ -134,6 +134,7 @@
 func TestAnswerWithAnInvalidHeadIsNone(t *testing.T) {
 	t.Parallel()
 	for _, head := range []string{
+		"000 Odd\r\nContent-Length: 3", "000\r\nContent-Length: 3", "099 Odd\r\nContent-Length: 3", "+20 Odd\r\nContent-Length: 3",
 		"200 OK\r\nContent-Length : 2", "200 OK\r\nContent-Length: 3\r\nX Odd: 1", "200 OK\r\nContent-Length: 3\r\nX\x01Odd: 1",
 	} {
 		t.Run(head, func(t *testing.T) {
