--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -335,6 +335,28 @@
 	require.Equal(t, 2, f.count())
 }
 
+// Guards against a status without a meaning in HTTP that is changed on its way, or counts as a success.
+func TestStatusBeyondTheClassesOfHTTPIsAnError(t *testing.T) {
+	t.Parallel()
+	for _, status := range []int{600, 999} {
+		odd := func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("X-Signed", "yes")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, "odd")
+		}
+		got, body, header, err := start(t, odd).post(t, "/order/1")
+		require.NoError(t, err)
+		require.Equal(t, status, got)
+		require.Equal(t, "odd", body)
+		require.Equal(t, "yes", header.Get("X-Signed"))
+		for range 4 {
+			got, _, _, err = start(t, odd, answersOK).post(t, "/read/1")
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, got)
+		}
+	}
+}
+
 // When the route's timeout passes, the caller gets a final answer and the upstream's request is
 // cancelled.
 func TestRouteTimeoutEndsARequest(t *testing.T) {
