origin, registry: a version whose upstreams all started lately isn't taken for the only one there was

What callers saw, in a test of our own with real processes: all upstreams of a version were replaced by another one, and all routers were killed right then and came back.

After a restart of all routers a row of the store tells which services had several versions; without one, the only version in the list counted as the only one there was. The row needs a router that sees both versions and has the time to write it.

That claim now also needs a listed upstream of the service that has run for as long as a stream can be taken up. If all are younger, the version that began the stream may have been replaced while nobody could record it, and the stream is refused as unknown until then. Weighed: a row with the versions of each service, always; it costs writes and a read at each start. An entry without a start time proves nothing.

Tests that changed: the upstreams of origin and deployment tests state a start long ago, registry/TestSoftwareVersionIsKeptWhereAChangeLacksIt names the start time in place of true.

--- a/deployment/origins_test.go
+++ b/deployment/origins_test.go
@@ -17,13 +17,13 @@
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// upstreamChanges returns the entries of upstreams with these software versions.
+// upstreamChanges returns the entries of upstreams with these software versions that have run for long.
 func upstreamChanges(first registry.Revision, software ...fleet.SoftwareVersion) []registry.Change {
 	var out []registry.Change
 	for i, version := range software {
 		revision := first + registry.Revision(i)
 		out = append(out, registry.Change{Revision: revision, Upstream: registry.Upstream{
-			ID: fleet.UpstreamID(fmt.Sprintf("u%d", revision)), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", revision), Slots: 8, Software: version,
+			ID: fleet.UpstreamID(fmt.Sprintf("u%d", revision)), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", revision), Slots: 8, Software: version, StartTime: 1,
 		}})
 	}
 	return out
--- a/origin/history.go
+++ b/origin/history.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/registry"
 )
 
 // historyMemory is how long a version is remembered after its last upstream left. It is longer
@@ -29,13 +30,15 @@
 
 // versions are the software versions of one service.
 type versions struct {
-	present map[fleet.SoftwareVersion]bool
+	// present holds the versions of the listed upstreams, and the earliest start of one, zero if it isn't known.
+	present map[fleet.SoftwareVersion]registry.StartTime
 	// lastSeen holds the versions that were present, and until when.
 	lastSeen map[fleet.SoftwareVersion]time.Time
 }
 
-// Observe records the versions of all upstreams that are listed now, draining ones included.
-func (h *History) Observe(now time.Time, listed map[fleet.ServiceID]map[fleet.SoftwareVersion]bool) {
+// Observe records the versions of all upstreams that are listed now, draining ones included, and the earliest start of an
+// upstream of each.
+func (h *History) Observe(now time.Time, listed map[fleet.ServiceID]map[fleet.SoftwareVersion]registry.StartTime) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.since.IsZero() {
@@ -49,7 +52,7 @@
 	}
 }
 
-func (v *versions) observe(now time.Time, present map[fleet.SoftwareVersion]bool) {
+func (v *versions) observe(now time.Time, present map[fleet.SoftwareVersion]registry.StartTime) {
 	for version := range v.present {
 		v.lastSeen[version] = now
 	}
@@ -58,12 +61,12 @@
 	}
 	v.present = present
 	maps.DeleteFunc(v.lastSeen, func(version fleet.SoftwareVersion, at time.Time) bool {
-		return !present[version] && now.Sub(at) > historyMemory
+		_, isPresent := present[version]
+		return !isPresent && now.Sub(at) > historyMemory
 	})
 }
 
-// Restore records which services had several versions shortly before this router started. All
-// others had one.
+// Restore records which services had several versions shortly before this router started, as far as routers could record it.
 func (h *History) Restore(now time.Time, mixed []fleet.ServiceID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -96,16 +99,28 @@
 func (h *History) View(now time.Time, service fleet.ServiceID, window time.Duration) View {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	view := View{Complete: h.restored || (!h.since.IsZero() && now.Sub(h.since) >= window)}
+	view := View{Complete: !h.since.IsZero() && now.Sub(h.since) >= window}
 	v := h.services[service]
 	if v == nil {
 		return view
 	}
+	view.Complete = view.Complete || (h.restored && v.hasServedFor(now, window))
 	for version, at := range v.lastSeen {
-		if v.present[version] || now.Sub(at) < window {
+		if _, isPresent := v.present[version]; isPresent || now.Sub(at) < window {
 			view.Versions = append(view.Versions, version)
 		}
 	}
 	slices.Sort(view.Versions)
 	return view
 }
+
+// hasServedFor reports whether an upstream of a listed version has run for the window. If none has, all of another version may
+// have been replaced while no router could record that there were two.
+func (v *versions) hasServedFor(now time.Time, window time.Duration) bool {
+	for _, started := range v.present {
+		if started > 0 && now.Sub(time.UnixMilli(int64(started))) >= window {
+			return true
+		}
+	}
+	return false
+}
--- a/origin/history_test.go
+++ b/origin/history_test.go
@@ -8,16 +8,22 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/origin"
+	"nutmeglock.example/nutmeglock/registry"
 )
 
 const window = 20 * time.Second
 
-func listed(versions ...fleet.SoftwareVersion) map[fleet.ServiceID]map[fleet.SoftwareVersion]bool {
-	present := make(map[fleet.SoftwareVersion]bool)
+// listed returns upstreams of a service that have run for an hour at start.
+func listed(versions ...fleet.SoftwareVersion) map[fleet.ServiceID]map[fleet.SoftwareVersion]registry.StartTime {
+	return listedSince(start.Add(-time.Hour), versions...)
+}
+
+func listedSince(started time.Time, versions ...fleet.SoftwareVersion) map[fleet.ServiceID]map[fleet.SoftwareVersion]registry.StartTime {
+	present := make(map[fleet.SoftwareVersion]registry.StartTime)
 	for _, v := range versions {
-		present[v] = true
+		present[v] = registry.StartTime(started.UnixMilli())
 	}
-	return map[fleet.ServiceID]map[fleet.SoftwareVersion]bool{"s": present}
+	return map[fleet.ServiceID]map[fleet.SoftwareVersion]registry.StartTime{"s": present}
 }
 
 // Guards against a version that is forgotten while its streams may still be taken up.
@@ -53,6 +59,22 @@
 	require.True(t, calm.View(start, "s", window).Complete)
 }
 
+// Guards against a version that is taken for the only one there was, since another one was replaced while no router ran.
+func TestVersionThatBeganWhileNoRouterRanIsNotTheOnlyOne(t *testing.T) {
+	t.Parallel()
+	var h origin.History
+	h.Observe(start, listedSince(start.Add(-window/2), "v2"))
+	h.Restore(start, nil)
+	require.False(t, h.View(start, "s", window).Complete)
+	require.True(t, h.View(start.Add(window/2), "s", window).Complete)
+
+	var unknown origin.History
+	unknown.Observe(start, map[fleet.ServiceID]map[fleet.SoftwareVersion]registry.StartTime{"s": {"v2": 0}})
+	unknown.Restore(start, nil)
+	require.False(t, unknown.View(start, "s", window).Complete, "no upstream states its start")
+	require.True(t, unknown.View(start.Add(window), "s", window).Complete)
+}
+
 // A service whose last upstream has left keeps its versions for the window.
 func TestServiceWithoutUpstreams(t *testing.T) {
 	t.Parallel()
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -349,20 +349,24 @@
 }
 
 // SoftwareVersions returns the software versions of all listed upstreams by service, draining ones
-// included.
-func (d *Directory) SoftwareVersions() map[fleet.ServiceID]map[fleet.SoftwareVersion]bool {
+// included, and the earliest start of an upstream of each. It is zero if none of them states its start.
+func (d *Directory) SoftwareVersions() map[fleet.ServiceID]map[fleet.SoftwareVersion]StartTime {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	listed := make(map[fleet.ServiceID]map[fleet.SoftwareVersion]bool)
+	listed := make(map[fleet.ServiceID]map[fleet.SoftwareVersion]StartTime)
 	for _, e := range d.entries {
 		u := e.change.Upstream
 		if e.change.Removed {
 			continue
 		}
 		if listed[u.Service] == nil {
-			listed[u.Service] = make(map[fleet.SoftwareVersion]bool)
+			listed[u.Service] = make(map[fleet.SoftwareVersion]StartTime)
 		}
-		listed[u.Service][u.Software] = true
+		earliest := listed[u.Service][u.Software]
+		if earliest == 0 || (u.StartTime > 0 && u.StartTime < earliest) {
+			earliest = u.StartTime
+		}
+		listed[u.Service][u.Software] = earliest
 	}
 	return listed
 }
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -214,7 +214,7 @@
 	draining.Draining = true
 	d.ApplyFromPeer(start, told([]registry.Change{{Upstream: draining, Revision: 2}}, 2))
 	require.Equal(t, fleet.SoftwareVersion("v1"), softwareOf())
-	require.Equal(t, map[fleet.ServiceID]map[fleet.SoftwareVersion]bool{"s": {"v1": true}}, d.SoftwareVersions())
+	require.Equal(t, map[fleet.ServiceID]map[fleet.SoftwareVersion]registry.StartTime{"s": {"v1": 1}}, d.SoftwareVersions())
 
 	restarted := upstream
 	restarted.StartTime = 2
