deployment, origin: one version counts as the only one after the store has said so

What callers saw, in a test of our own: a router was cut off from another one and the store.

The test failed before: deployment/TestRouterThatIsCutOffDoesNotGuess (no error, version v1).

Without a record of a stream, the version followed from the list if that had been confirmed within 3 s, or if most of the fleet could be reached. A list that was confirmed a moment ago lacks what has registered since, and the routers that are reached may be cut off together.

Before one version counts as the only one, the store is asked for the changes since (one call that doesn't wait). It is shared by requests that wait, and a router's calls begin 200 ms apart: 200 streams at once make at most 10 (test). If the store doesn't answer in 300 ms, the stream is refused as unknown with a time to come back. Streams with a record, the usual ones, aren't asked about. A frozen other router still stops none (third case of the test).

Cost: while the store can't be reached, a stream whose router and holders of the record are gone isn't taken up, also with one version.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -9,6 +9,7 @@
 
 	"nutmeglock.example/nutmeglock/diagnosis"
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/follow"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/handover/relay"
 	"nutmeglock.example/nutmeglock/metric"
@@ -65,6 +66,11 @@
 // SetMixedServiceStore sets where the services with several versions are stored.
 func (m *mesh) SetMixedServiceStore(store MixedServiceStore) { m.origins.mixedServices.setUp(store) }
 
+// SetUpstreamFeed sets where the list of upstreams is confirmed.
+func (m *mesh) SetUpstreamFeed(feed follow.Feed[registry.Change, registry.Revision]) {
+	m.origins.listCheck.feed = feed
+}
+
 // Run stores changes until ctx ends.
 func (m *mixedServices) Run(ctx context.Context) error { return m.run(ctx) }
 
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -113,6 +113,7 @@
 	}
 	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, log: options.Logger, guard: options.Guard, dataCenter: options.DataCenter}
 	m.origins.mixedServices = mixedServices{self: options.Self, history: &state.history, otherRouters: m.peers.Routers, log: options.Logger}
+	m.origins.listCheck.state, m.origins.listCheck.log = state, options.Logger
 	m.configurationPuller = puller{
 		name: "configuration", heldVersion: m.configurationVersion, fetch: m.fetchConfiguration, timer: timer.System{}, log: options.Logger,
 		guard: options.Guard,
--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -39,6 +39,7 @@
 	table      origin.Table
 	// mixedServices persists which services have several versions.
 	mixedServices mixedServices
+	listCheck     listCheck
 	// longestTimeout is the longest time, in nanoseconds, for which callers waited for streams.
 	longestTimeout atomic.Int64
 
@@ -147,10 +148,17 @@
 		own = k.statement(now, service, key)
 		found, ok = origin.Resolve(own, others, k.state.reachesMajority())
 	}
-	if ok {
+	isUnconfirmed := false
+	if ok && found.Source == origin.OnlyVersion {
+		// The stream may have begun at a version that has registered since the list was confirmed.
+		isUnconfirmed = !k.listCheck.confirm(ctx)
+		own = k.statement(time.Now(), service, key)
+		found, ok = origin.Resolve(own, others, k.state.reachesMajority())
+	}
+	if ok && !isUnconfirmed {
 		return found, nil
 	}
-	unknown := &origin.UnknownError{Service: service, Versions: own.Versions, Asked: len(holders), Answered: len(others)}
+	unknown := &origin.UnknownError{Service: service, Versions: own.Versions, Asked: len(holders), Answered: len(others), IsUnconfirmed: isUnconfirmed}
 	for _, s := range others {
 		unknown.AddVersions(s.Versions)
 	}
--- a/deployment/origins_test.go
+++ b/deployment/origins_test.go
@@ -1,7 +1,10 @@
 package deployment_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -176,6 +179,95 @@
 	require.NoError(t, err)
 }
 
+// upstreamTable is a store's list of upstreams.
+type upstreamTable struct {
+	changes []registry.Change
+	// isDown makes all calls fail, and calls counts them.
+	isDown bool
+	calls  atomic.Int64
+}
+
+func (u *upstreamTable) Read(context.Context) ([]registry.Change, registry.Revision, error) {
+	return nil, 0, errors.New("the whole list isn't needed")
+}
+
+func (u *upstreamTable) Watch(_ context.Context, after registry.Revision, _ time.Duration) ([]registry.Change, registry.Revision, error) {
+	u.calls.Add(1)
+	if u.isDown {
+		return nil, after, errors.New("the store is down")
+	}
+	var rows []registry.Change
+	for _, c := range u.changes {
+		if c.Revision > after {
+			rows, after = append(rows, c), c.Revision
+		}
+	}
+	return rows, after, nil
+}
+
+// newCutOffNode returns a router that knows one version and whose connection to another one is silent. A stream has begun
+// there at the second version that comes meanwhile, if there is one.
+func newCutOffNode(t *testing.T, second ...registry.Change) *node {
+	t.Helper()
+	nodes := make([]*node, 2)
+	for i := range nodes {
+		nodes[i] = newNode(t, fleet.RouterID(fmt.Sprintf("r%d", i)))
+		nodes[i].state.Configure(testConfiguration(1), "store")
+		nodes[i].state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+		nodes[i].state.ConfirmUpstreams(time.Now())
+		nodes[i].state.RestoreMixedServices(nil)
+	}
+	proxy := newPausableProxy(t, nodes[1].address)
+	nodes[0].connect(t, map[fleet.RouterID]string{"r1": proxy.address})
+	proxy.pause()
+	nodes[1].state.ApplyUpstreams(second, "store")
+	nodes[1].began("stream", "v2")
+	return nodes[0]
+}
+
+// Guards against a router that is cut off while a second version comes, and takes the only version in its list for the only one
+// there is; and against one that refuses streams because another router is frozen.
+func TestRouterThatIsCutOffDoesNotGuess(t *testing.T) {
+	t.Parallel()
+	second := upstreamChanges(2, "v2")
+	var unknown *origin.UnknownError
+
+	n := newCutOffNode(t, second...)
+	n.mesh.SetUpstreamFeed(&upstreamTable{isDown: true})
+	_, err := n.find(t, "stream")
+	require.ErrorAs(t, err, &unknown, "cut from the store, too")
+	require.True(t, unknown.IsUnconfirmed)
+
+	n = newCutOffNode(t, second...)
+	n.mesh.SetUpstreamFeed(&upstreamTable{changes: second})
+	_, err = n.find(t, "stream")
+	require.ErrorAs(t, err, &unknown, "the store knows the second version")
+	require.Equal(t, []fleet.SoftwareVersion{"v1", "v2"}, unknown.Versions)
+
+	n = newCutOffNode(t)
+	n.mesh.SetUpstreamFeed(&upstreamTable{})
+	found, err := n.find(t, "stream")
+	require.NoError(t, err, "the store knows no other version")
+	require.Equal(t, origin.Finding{Software: "v1", Source: origin.OnlyVersion}, found)
+}
+
+// Guards against a call to the store for each of many streams that are taken up at the same time.
+func TestStreamsThatAreTakenUpTogetherShareACheckOfTheList(t *testing.T) {
+	t.Parallel()
+	const streams = 200
+	n := newCutOffNode(t)
+	table := &upstreamTable{}
+	n.mesh.SetUpstreamFeed(table)
+	errs := make([]error, streams)
+	var finding sync.WaitGroup
+	for i := range errs {
+		finding.Go(func() { _, errs[i] = n.find(t, fleet.RequestID(fmt.Sprintf("stream-%d", i))) })
+	}
+	finding.Wait()
+	require.Equal(t, make([]error, streams), errs)
+	require.LessOrEqual(t, table.calls.Load(), int64(10))
+}
+
 // Guards against a restart of all routers after which a version that has just been replaced is
 // forgotten.
 func TestReplacedVersionIsRemembered(t *testing.T) {
--- a/deployment/router.go
+++ b/deployment/router.go
@@ -233,6 +233,7 @@
 	r.mesh.crashMonitor.checkProcess = r.client.CheckProcess
 	r.mesh.quarantinePersister.setUp(r.options.QuarantineStore, &r.mesh.crashMonitor, r.options.Log)
 	r.mesh.origins.mixedServices.setUp(r.options.MixedServiceStore)
+	r.mesh.origins.listCheck.feed = r.options.UpstreamFeed
 	members := &memberSink{self: r.options.Self, peers: r.mesh.peers, state: r.state}
 	r.mesh.peers.OnChange(members.handleConnectionChange)
 	r.mesh.crashMonitor.trials.knownRouters = members.otherRouters
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -14,8 +14,8 @@
 	"nutmeglock.example/nutmeglock/route"
 )
 
-// originRetryAfter is the Retry-After of a stream whose origin isn't known because other routers
-// didn't answer in time.
+// originRetryAfter is the Retry-After of a stream whose origin isn't known because other routers, or
+// the store, didn't answer in time.
 const originRetryAfter = 150 * time.Millisecond
 
 // errOtherSoftware is the cause of a failed resumption at an upstream that isn't certain to have the
@@ -56,7 +56,7 @@
 	refused := refusal.New(refusal.OriginUnknown, "it isn't known which software version began the stream", 0)
 	refused.Cause = err
 	var unknown *origin.UnknownError
-	if errors.As(err, &unknown) && unknown.Answered < unknown.Asked {
+	if errors.As(err, &unknown) && (unknown.Answered < unknown.Asked || unknown.IsUnconfirmed) {
 		refused.RetryAfter = originRetryAfter
 	}
 	return refused
--- a/origin/resolve.go
+++ b/origin/resolve.go
@@ -44,11 +44,13 @@
 	Versions []fleet.SoftwareVersion
 	// Asked and Answered count the other routers that were asked and have answered.
 	Asked, Answered int
+	// IsUnconfirmed is set if only one version is known, but the store didn't confirm that there is no other.
+	IsUnconfirmed bool
 }
 
 // Error implements error.
 func (e *UnknownError) Error() string {
-	return fmt.Sprintf("unknown which software version of %s began the stream, of %q; %d of %d routers answered", e.Service, e.Versions, e.Answered, e.Asked)
+	return fmt.Sprintf("unknown which software version of %s began the stream, of %q; %d of %d routers answered, unconfirmed %t", e.Service, e.Versions, e.Answered, e.Asked, e.IsUnconfirmed)
 }
 
 // Source is how the version that began a stream is known.
