caller, forward, router: an answer that breaks off ends with a reset at a caller of HTTP/1.0

What callers saw. An answer that broke off in the middle ended with an ordinary close. A caller of HTTP/1.0, whose answers have neither chunks nor, for a stream, a length, got the part as a whole answer. Callers of HTTP/1.1, which the users' page asks for, weren't affected: the end of the chunks is missing.

The tests failed before: forward and router TestBrokenAnswerIsSeenByACallerOfHTTP10.

An answer is broken off by http.ErrAbortHandler, which closes the connection; the server sends no reset.

Change. caller.Abort sets the connection of such a caller to be reset by its close. A request of HTTP/1.0 that is handed over to another router isn't covered: its relay closes the caller's connection.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -61,7 +61,7 @@
 		h.Metrics.RefusedTokens.WithLabelValues(string(j.account), string(e.Reason)).Add(j.cost())
 	}
 	if j.headerSent || e.Reason == refusal.CallerGone {
-		panic(http.ErrAbortHandler)
+		caller.Abort(j.request)
 	}
 	if j.bodyRead != bodyWhole {
 		caller.EndUnread(j.writer, j.request, j.bodyRead == bodyBroken)
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -162,3 +163,26 @@
 		t.Fatal("the upstream's request was not cancelled")
 	}
 }
+
+// Guards against a part of an answer that passes for a whole one at a caller of HTTP/1.0, where it ends with its connection.
+func TestBrokenAnswerIsSeenByACallerOfHTTP10(t *testing.T) {
+	t.Parallel()
+	f := start(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Signed", "yes")
+		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.router.Listener.Addr().String())
+		require.NoError(t, err)
+		_, err = io.WriteString(conn, "POST /once/1 "+proto+"\r\nHost: h\r\nX-Id: a\r\nX-Key: k\r\nContent-Length: 0\r\n\r\n")
+		require.NoError(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, proto)
+		body, err := io.ReadAll(response.Body)
+		require.Error(t, err, "%s: %q passes for a whole answer", proto, body)
+		_ = response.Body.Close()
+		_ = conn.Close()
+	}
+}
--- a/router/answer.go
+++ b/router/answer.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"nutmeglock.example/nutmeglock/call"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/refusal"
 	"nutmeglock.example/nutmeglock/schema"
 )
@@ -29,9 +30,8 @@
 		return
 	}
 	// A truncated response would look complete if its connection were closed
-	// cleanly. Aborting the handler breaks the connection, so that every HTTP
-	// client reports an error.
-	panic(http.ErrAbortHandler)
+	// cleanly.
+	caller.Abort(c.Request())
 }
 
 // asRefusal returns the refusal for an error of a handler or of echo.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -20,6 +20,7 @@
 	"github.com/stretchr/testify/require"
 
 	"nutmeglock.example/nutmeglock/call"
+	"nutmeglock.example/nutmeglock/caller"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/note"
@@ -184,6 +185,29 @@
 	require.InDelta(t, 1, testutil.ToFloat64(r.Metrics.Refusals.WithLabelValues("upstream-failed")), 0)
 }
 
+// Guards against a part of an answer that passes for a whole one at a caller of HTTP/1.0, where it ends with its connection.
+func TestBrokenAnswerIsSeenByACallerOfHTTP10(t *testing.T) {
+	t.Parallel()
+	r, runner := newRouter(note.NewView(fleetState))
+	runner.run = func(w http.ResponseWriter) error {
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		return &call.BrokenError{Outcome: refusal.Run, Cause: io.ErrUnexpectedEOF}
+	}
+	address := startWithPool(t, r, &caller.Pool{})
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST /v1/services/orders/1 HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer mwanga-key\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer answer.Body.Close()
+	require.Equal(t, http.StatusOK, answer.StatusCode)
+	_, err = io.ReadAll(answer.Body)
+	require.Error(t, err)
+}
+
 // A caller sends the beginning of its body and then stalls. The router must not
 // wait longer than BodyTimeout, and must send a refusal.
 func TestSlowBodyIsRefused(t *testing.T) {
