--- a/standin/unframed/unframed.go
+++ b/standin/unframed/unframed.go
@@ -23,9 +23,9 @@
 	ResetLater End = "reset after a pause"
 	Close      End = "closed with unread data"
 	// The upstream closes its side first in these.
-	HalfCloseThenReset End = "closed for sending, then reset"
-	HalfCloseThenAmid  End = "closed for sending, then reset amid the request"
-	HalfCloseThenStall End = "closed for sending, the rest is never read"
+	HalfCloseThenReset     End = "closed for sending, then reset"
+	HalfCloseThenResetAmid End = "closed for sending, then reset amid the request"
+	HalfCloseThenStall     End = "closed for sending, the rest is never read"
 )
 
 // Ends at which the upstream takes the whole request after it has closed its side.
@@ -36,7 +36,7 @@
 
 // CutOffs returns the ends at which the upstream hasn't taken the whole request.
 func CutOffs() []End {
-	return []End{Reset, ResetLater, Close, HalfCloseThenReset, HalfCloseThenAmid, HalfCloseThenStall}
+	return []End{Reset, ResetLater, Close, HalfCloseThenReset, HalfCloseThenResetAmid, HalfCloseThenStall}
 }
 
 const (
@@ -96,7 +96,7 @@
 	switch e {
 	case HalfCloseThenReset:
 		time.Sleep(halfClosedTime)
-	case HalfCloseThenAmid:
+	case HalfCloseThenResetAmid:
 		_ = conn.SetReadBuffer(smallBuffer)
 		_, _ = io.CopyN(io.Discard, in, slowPart)
 	case HalfCloseThenStall:
