--- a/deployment/origins_test.go
+++ b/deployment/origins_test.go
@@ -32,23 +32,27 @@
 	return out
 }
 
+// newOriginNode returns a router that has just started and knows one upstream of version v1.
+func newOriginNode(t *testing.T, number int) *node {
+	t.Helper()
+	n := newNode(t, fleet.RouterID(fmt.Sprintf("r%d", number)))
+	n.state.Configure(testConfiguration(1), "store")
+	n.state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
+	n.state.ConfirmUpstreams(time.Now())
+	return n
+}
+
 // newOriginNodes returns connected routers that know one upstream of version v1. All but those that
 // have just started know that there was no other version before.
 func newOriginNodes(t *testing.T, count int, justStarted ...int) []*node {
 	t.Helper()
 	nodes := make([]*node, count)
 	for i := range nodes {
-		nodes[i] = newNode(t, fleet.RouterID(fmt.Sprintf("r%d", i)))
-		nodes[i].state.Configure(testConfiguration(1), "store")
-		nodes[i].state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
-		nodes[i].state.ConfirmUpstreams(time.Now())
+		nodes[i] = newOriginNode(t, i)
 		nodes[i].state.RestoreMixedServices(nil)
 	}
 	for _, i := range justStarted {
-		nodes[i] = newNode(t, fleet.RouterID(fmt.Sprintf("r%d", i)))
-		nodes[i].state.Configure(testConfiguration(1), "store")
-		nodes[i].state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
-		nodes[i].state.ConfirmUpstreams(time.Now())
+		nodes[i] = newOriginNode(t, i)
 	}
 	for i, n := range nodes {
 		others := make(map[fleet.RouterID]string)
@@ -211,10 +215,7 @@
 	t.Helper()
 	nodes := make([]*node, 2)
 	for i := range nodes {
-		nodes[i] = newNode(t, fleet.RouterID(fmt.Sprintf("r%d", i)))
-		nodes[i].state.Configure(testConfiguration(1), "store")
-		nodes[i].state.ApplyUpstreams(upstreamChanges(1, "v1"), "store")
-		nodes[i].state.ConfirmUpstreams(time.Now())
+		nodes[i] = newOriginNode(t, i)
 		nodes[i].state.RestoreMixedServices(nil)
 	}
 	proxy := newPausableProxy(t, nodes[1].address)
