origin, deployment, metric: records of streams that reach no other router are counted and logged

Callers of a stream can take it up after its router is lost only if another router holds the record of its software version. Whether one does could not be told: a router that is connected with no other sent nothing and said nothing, and a copy that got lost on its way looked like one that arrived.

origin_records_total counts records, those that no connected router could hold, and copies sent and received; the first record without a holder, and the first one that has holders again, have a log line.

--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -111,7 +111,7 @@
 	m.crashMonitor.trials = trialGranter{
 		self: options.Self, otherRouters: m.peers.Routers, knownRouters: m.peers.Routers, call: m.peers.Call,
 	}
-	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, log: options.Logger, guard: options.Guard, dataCenter: options.DataCenter}
+	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, metrics: options.Metrics, log: options.Logger, guard: options.Guard, dataCenter: options.DataCenter}
 	m.origins.mixedServices = mixedServices{self: options.Self, history: &state.history, otherRouters: m.peers.Routers, log: options.Logger}
 	m.origins.listCheck.state, m.origins.listCheck.log = state, options.Logger
 	m.configurationPuller = puller{
--- a/deployment/mesh_test.go
+++ b/deployment/mesh_test.go
@@ -9,12 +9,14 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
 	"nutmeglock.example/nutmeglock/deployment"
 	"nutmeglock.example/nutmeglock/evacuation"
 	"nutmeglock.example/nutmeglock/fleet"
+	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/registry"
 	"nutmeglock.example/nutmeglock/route"
@@ -35,6 +37,7 @@
 	address string
 	state   *deployment.State
 	mesh    *deployment.Mesh
+	metrics *metric.Set
 	// reachable holds the addresses of the upstreams that can be reached; nil means none.
 	reachable map[string]bool
 	// stop ends the connections.
@@ -52,13 +55,13 @@
 func newUnconnectedNode(id fleet.RouterID) *node { return newNodeAt(id, "", nil) }
 
 func newNodeAt(id fleet.RouterID, address string, listener net.Listener) *node {
-	n := &node{address: address}
+	n := &node{address: address, metrics: metric.New(prometheus.NewRegistry())}
 	n.state = deployment.NewState(deployment.StateOptions{
 		Log: slog.New(slog.DiscardHandler), OnChange: func(source string) { n.mesh.AnnounceUpdate(source) },
 	})
 	n.mesh = deployment.NewMesh(n.state, peer.Options{
 		Self: id, Incarnation: 1, Address: address, Key: []byte("one fleet"), Listener: listener,
-		Logger: slog.New(slog.DiscardHandler), Heartbeat: 10 * time.Second,
+		Metrics: n.metrics, Logger: slog.New(slog.DiscardHandler), Heartbeat: 10 * time.Second,
 	}, n.check)
 	return n
 }
--- a/deployment/origin_records.go
+++ b/deployment/origin_records.go
@@ -26,6 +26,7 @@
 		if copy(key[:], o.GetStream()) != len(key) {
 			continue
 		}
+		k.count(origin.CopyReceived, 1)
 		left := min(schema.Duration(o.GetLeftMs()), maxCallerTimeout)
 		k.table.Set(now, key, origin.Record{
 			Service: fleet.ServiceID(o.GetService()), Software: fleet.SoftwareVersion(o.GetSoftwareVersion()), Until: now.Add(left),
@@ -41,7 +42,9 @@
 		message := &schema.StreamOrigin{
 			Stream: key[:], Service: string(r.Service), SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Until.Sub(now)),
 		}
-		for _, router := range k.holders.ForRecord(key) {
+		holders := k.holders.ForRecord(key)
+		k.observeHolders(len(holders))
+		for _, router := range holders {
 			if k.pending == nil {
 				k.pending = make(map[fleet.RouterID][]*schema.StreamOrigin)
 			}
@@ -61,6 +64,31 @@
 	k.pending, k.flushAt = nil, time.Time{}
 	k.mu.Unlock()
 	for router, origins := range pending {
+		k.count(origin.CopySent, len(origins))
 		k.send(router, &schema.Batch{StreamOrigins: origins})
 	}
 }
+
+// observeHolders counts a record that no other router holds, and logs the first one and the end of that state. mu must be held.
+func (k *originKeeper) observeHolders(holders int) {
+	isUnheld := holders == 0
+	if isUnheld {
+		k.count(origin.Unheld, 1)
+	}
+	if k.isUnheld == isUnheld {
+		return
+	}
+	k.isUnheld = isUnheld
+	if isUnheld {
+		k.log.Warn("stream origins have no holder", "routers", len(k.others))
+		return
+	}
+	k.log.Info("stream origins have holders again", "routers", len(k.others))
+}
+
+// count counts what happened to records.
+func (k *originKeeper) count(event origin.Event, records int) {
+	if k.metrics != nil {
+		k.metrics.OriginRecords.WithLabelValues(string(event)).Add(float64(records))
+	}
+}
--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -10,6 +10,7 @@
 
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
+	"nutmeglock.example/nutmeglock/metric"
 	"nutmeglock.example/nutmeglock/origin"
 	"nutmeglock.example/nutmeglock/peer"
 	"nutmeglock.example/nutmeglock/recovery"
@@ -32,8 +33,10 @@
 	state *State
 	send  func(to fleet.RouterID, batch *schema.Batch)
 	call  func(ctx context.Context, to fleet.RouterID, method string, params, result any) error
-	log   *slog.Logger
-	guard *recovery.Guard
+	// metrics may be nil.
+	metrics *metric.Set
+	log     *slog.Logger
+	guard   *recovery.Guard
 	// dataCenter is that of this router.
 	dataCenter fleet.DataCenterID
 	table      origin.Table
@@ -52,6 +55,8 @@
 	// pending holds the records to be sent, at flushAt.
 	pending map[fleet.RouterID][]*schema.StreamOrigin
 	flushAt time.Time
+	// isUnheld is set while no other router is connected that could hold the records.
+	isUnheld bool
 }
 
 var _ forward.Origins = (*originKeeper)(nil)
@@ -90,6 +95,7 @@
 	key := stream.ID.Key()
 	record := origin.Record{Service: stream.Service, Software: stream.Software, Until: now.Add(timeout)}
 	k.table.Set(now, key, record)
+	k.count(origin.Recorded, 1)
 	delay := soleOriginDelay
 	if k.isMixed(stream.Service) {
 		delay = mixedOriginDelay
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -77,6 +77,8 @@
 	// ResumedStreams counts streams that went on at an upstream, by who resumed them and by the
 	// software version compared with that of the upstream that began them.
 	ResumedStreams *prometheus.CounterVec
+	// OriginRecords counts what happened to the records of the software versions that began streams, by origin.Event.
+	OriginRecords *prometheus.CounterVec
 	// Handovers counts the requests for which this router had no processor time and another router was
 	// sought, by result, and AcceptedHandovers those that this router accepted from others.
 	Handovers         *prometheus.CounterVec
@@ -140,6 +142,7 @@
 		PromptTokens:         newCounterVec("prompt_tokens_total", "Tokens of prompts, by where engines are expected to take them from.", "from"),
 		CacheLosses:          newCounter("cache_losses_total", "Engines found to have lost what they kept of prompts."),
 		ResumedStreams:       newCounterVec("resumed_streams_total", "Streams that went on at an upstream, by who resumed them and its software version.", "by", "software"),
+		OriginRecords:        newCounterVec("origin_records_total", "Records of the software versions that began streams, by what happened to them.", "event"),
 		Handovers:            newCounterVec("handovers_total", "Requests that were to be handed over to another router, by result.", "result"),
 		AcceptedHandovers:    newCounter("accepted_handovers_total", "Requests accepted from other routers."),
 		RejectedLoads:        newCounterVec("rejected_loads_total", "Statements of upstreams about their load that aren't used in full, by reason.", "reason"),
@@ -154,7 +157,7 @@
 		Routers:              newGauge("routers", "Routers believed alive, this one included."),
 	}
 	registry.MustRegister(s.Requests, s.Refusals, s.Retries, s.ServiceTokens, s.RefusedTokens, s.InFlight, s.Waiting,
-		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.Panics, s.NoteVersion, s.Routers)
+		s.QueueSeconds, s.FirstByteSeconds, s.ControlBytes, s.ControlMessages, s.UpstreamConnections, s.RefusedTurns, s.ColdSkipped, s.AvoidedSends, s.LeavingSeconds, s.SentToLeavingSeconds, s.ResumedStreams, s.OriginRecords, s.Panics, s.NoteVersion, s.Routers)
 	registry.MustRegister(s.Handovers, s.AcceptedHandovers, s.RejectedLoads, s.StatedSlowdown, s.Slowdowns, s.PromptTokens, s.CacheLosses,
 		s.CallerBytes, s.CallerConnections, s.Evictions, s.StoreRestores, s.TurnReservations, s.TurnReturns, s.DueReturns, s.WaitErrorSeconds)
 	s.initReasons()
@@ -190,6 +193,9 @@
 		s.RejectedLoads.WithLabelValues(string(reason))
 	}
 	s.CountCacheUse(turn.CacheUse{})
+	for _, event := range origin.Events() {
+		s.OriginRecords.WithLabelValues(string(event))
+	}
 	for _, by := range origin.Resumers() {
 		for _, match := range origin.Matches() {
 			s.ResumedStreams.WithLabelValues(string(by), string(match))
