origin, deployment: copies of stream records are restored when the routers that hold them restart

Callers took up streams whose router was lost and got 503 stream-origin-unknown everywhere, though a router that lived in the meantime had known the software version all along.

Cause: the record of the version that began a stream is sent once, to two other routers. If they restart, one by one or together, nobody sends it again, and the router that made it may be frozen or lost afterwards. If it is lost first, the holders don't look after what they hold.

Change: each record has a keeper, which chooses its two holders again whenever routers connect or disconnect, and sends copies to new holders and to those that have connected again. Holders take over the records of a keeper that is lost. At most ten choices a second, 128 copies in 10 ms; a router that starts gets its share in a message from each other one, nothing is sent without records. Copies that contradict each other leave the version unknown. The pure part is origin.Replicator. Records are no longer sent once more when a second version appears, as their holders have them already.

Table.OfService is gone with its only use; the test that used it looks the same record up with Get and Len.

--- a/deployment/export_test.go
+++ b/deployment/export_test.go
@@ -74,11 +74,8 @@
 // Run stores changes until ctx ends.
 func (m *mixedServices) Run(ctx context.Context) error { return m.run(ctx) }
 
-// OriginDelay is the longest time for which records wait to be sent together.
-const OriginDelay = originDelay
-
 // RecordCount returns the number of records that a router holds.
-func (k *originKeeper) RecordCount() int { return k.table.Len() }
+func (k *originKeeper) RecordCount() int { return k.records.Len() }
 
 // ConfirmUpstreams records that the list of upstreams was current at a time.
 func (s *State) ConfirmUpstreams(at time.Time) { s.confirmUpstreams(at) }
--- a/deployment/mesh.go
+++ b/deployment/mesh.go
@@ -111,7 +111,8 @@
 	m.crashMonitor.trials = trialGranter{
 		self: options.Self, otherRouters: m.peers.Routers, knownRouters: m.peers.Routers, call: m.peers.Call,
 	}
-	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, metrics: options.Metrics, log: options.Logger, guard: options.Guard, dataCenter: options.DataCenter}
+	m.origins = originKeeper{state: state, send: m.peers.Send, call: m.peers.Call, metrics: options.Metrics, log: options.Logger, guard: options.Guard}
+	m.origins.records.DataCenter = options.DataCenter
 	m.origins.mixedServices = mixedServices{self: options.Self, history: &state.history, otherRouters: m.peers.Routers, log: options.Logger}
 	m.origins.listCheck.state, m.origins.listCheck.log = state, options.Logger
 	m.configurationPuller = puller{
@@ -248,7 +249,7 @@
 	}
 	m.coordinator.HandleBatch(from, batch)
 	m.crashMonitor.receive(from, batch)
-	m.origins.receive(batch)
+	m.origins.receive(from, batch)
 	m.handovers.receive(from, batch)
 	if a := batch.GetAnnouncement(); a != nil {
 		m.handleAnnouncement(from, a)
--- a/deployment/origin_records.go
+++ b/deployment/origin_records.go
@@ -9,12 +9,8 @@
 	"nutmeglock.example/nutmeglock/schema"
 )
 
-// originDelay is how long records wait to be sent together. It is shorter than the time in which a caller notices a broken
-// connection and returns.
-const originDelay = 10 * time.Millisecond
-
 // receive handles the records in a batch from another router.
-func (k *originKeeper) receive(batch *schema.Batch) {
+func (k *originKeeper) receive(from fleet.RouterID, batch *schema.Batch) {
 	now := time.Now()
 	for _, o := range batch.GetStreamOrigins() {
 		var key origin.Key
@@ -23,62 +19,67 @@
 		}
 		k.count(origin.CopyReceived, 1)
 		left := min(schema.Duration(o.GetLeftMs()), maxCallerTimeout)
-		k.table.Set(now, key, origin.Record{
+		k.records.Receive(now, from, key, origin.Record{
 			Service: fleet.ServiceID(o.GetService()), Software: fleet.SoftwareVersion(o.GetSoftwareVersion()), Until: now.Add(left),
 		})
 	}
 }
 
-// queue queues records for the routers that hold them, and sends them after originDelay at the latest.
-func (k *originKeeper) queue(now time.Time, records map[origin.Key]origin.Record) {
+// schedule sends the pending copies once they are due.
+func (k *originKeeper) schedule(now time.Time) {
+	due := k.records.DueAt()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for key, r := range records {
-		message := &schema.StreamOrigin{
-			Stream: key[:], Service: string(r.Service), SoftwareVersion: string(r.Software), LeftMs: schema.Millis(r.Until.Sub(now)),
-		}
-		holders := k.holders.ForRecord(key)
-		k.observeHolders(len(holders))
-		for _, router := range holders {
-			if k.pending == nil {
-				k.pending = make(map[fleet.RouterID][]*schema.StreamOrigin)
-			}
-			k.pending[router] = append(k.pending[router], message)
-		}
-	}
-	if len(k.pending) > 0 && k.flushAt.IsZero() {
-		k.flushAt = now.Add(originDelay)
-		time.AfterFunc(originDelay, func() { k.guard.Run(recovery.Message, k.flush) })
+	if due.IsZero() || (!k.flushAt.IsZero() && !due.Before(k.flushAt)) {
+		return
 	}
+	k.flushAt = due
+	time.AfterFunc(due.Sub(now), func() { k.guard.Run(recovery.Message, k.flush) })
 }
 
-// flush sends the queued records.
+// flush sends the copies that are due.
 func (k *originKeeper) flush() {
 	k.mu.Lock()
-	pending := k.pending
-	k.pending, k.flushAt = nil, time.Time{}
+	k.flushAt = time.Time{}
 	k.mu.Unlock()
-	for router, origins := range pending {
-		k.count(origin.CopySent, len(origins))
-		k.send(router, &schema.Batch{StreamOrigins: origins})
+	now := time.Now()
+	due, takenOver := k.records.Take(now)
+	k.count(origin.TakenOver, takenOver)
+	for router, copies := range due {
+		batch := &schema.Batch{}
+		for _, c := range copies {
+			event := origin.CopySent
+			if c.Moved {
+				event = origin.CopyMoved
+			}
+			k.count(event, 1)
+			batch.StreamOrigins = append(batch.StreamOrigins, &schema.StreamOrigin{
+				Stream: c.Key[:], Service: string(c.Record.Service), SoftwareVersion: string(c.Record.Software),
+				LeftMs: schema.Millis(c.Record.Until.Sub(now)),
+			})
+		}
+		k.send(router, batch)
 	}
+	k.schedule(now)
 }
 
-// observeHolders counts a record that no other router holds, and logs the first one and the end of that state. mu must be held.
+// observeHolders counts a record that no other router holds, and logs the first one and the end of that state.
 func (k *originKeeper) observeHolders(holders int) {
 	isUnheld := holders == 0
 	if isUnheld {
 		k.count(origin.Unheld, 1)
 	}
-	if k.isUnheld == isUnheld {
-		return
-	}
+	k.mu.Lock()
+	changed := k.isUnheld != isUnheld
 	k.isUnheld = isUnheld
-	if isUnheld {
-		k.log.Warn("stream origins have no holder", "routers", len(k.others))
-		return
+	k.mu.Unlock()
+	switch {
+	case !changed:
+	case isUnheld:
+		k.log.Warn("stream origins have no holder", "routers", k.records.Routers())
+	default:
+		k.log.Info("stream origins have holders again", "routers", k.records.Routers())
 	}
-	k.log.Info("stream origins have holders again", "routers", len(k.others))
 }
 
 // count counts what happened to records.
--- a/deployment/origin_records_test.go
+++ b/deployment/origin_records_test.go
@@ -28,9 +28,11 @@
 	nodes[0].connect(t, map[fleet.RouterID]string{"r1": nodes[1].address})
 	nodes[0].began("held", "v1")
 	require.Eventually(t, func() bool {
-		received := nodes[1].recordEvents(origin.CopyReceived)
-		return received > 0 && received == nodes[0].recordEvents(origin.CopySent)
+		sent := nodes[0].recordEvents(origin.CopySent) + nodes[0].recordEvents(origin.CopyMoved)
+		return nodes[1].mesh.Origins().RecordCount() == 2 && nodes[1].recordEvents(origin.CopyReceived) == sent
 	}, 5*time.Second, time.Millisecond)
 	require.Equal(t, 2, nodes[0].recordEvents(origin.Recorded))
 	require.Equal(t, 1, nodes[0].recordEvents(origin.Unheld))
+	require.Equal(t, 1, nodes[0].recordEvents(origin.CopySent))
+	require.Positive(t, nodes[0].recordEvents(origin.CopyMoved))
 }
--- a/deployment/origins.go
+++ b/deployment/origins.go
@@ -27,8 +27,8 @@
 )
 
 // originKeeper knows which software versions began the streams of this router, and asks the other
-// routers for theirs. It also sends each record to two of them, so that a stream can be taken up again when its
-// router is gone. It does so, too, while a service has one version: this router may stop before it learns of the second one.
+// routers for theirs. Two of them hold copies of its records, so that a stream can be taken up again when this router
+// is gone, also if it stops before it learns of a second version.
 type originKeeper struct {
 	state *State
 	send  func(to fleet.RouterID, batch *schema.Batch)
@@ -37,9 +37,7 @@
 	metrics *metric.Set
 	log     *slog.Logger
 	guard   *recovery.Guard
-	// dataCenter is that of this router.
-	dataCenter fleet.DataCenterID
-	table      origin.Table
+	records origin.Replicator
 	// mixedServices persists which services have several versions.
 	mixedServices mixedServices
 	listCheck     listCheck
@@ -47,13 +45,9 @@
 	longestTimeout atomic.Int64
 
 	mu sync.Mutex
-	// others are the connected routers, of which holders are chosen.
-	others  map[fleet.RouterID]fleet.DataCenterID
-	holders origin.Holders
 	// mixed holds the services that have, or had lately, several versions.
 	mixed map[fleet.ServiceID]bool
-	// pending holds the records to be sent, at flushAt.
-	pending map[fleet.RouterID][]*schema.StreamOrigin
+	// flushAt is when copies are sent next, zero if none are pending.
 	flushAt time.Time
 	// isUnheld is set while no other router is connected that could hold the records.
 	isUnheld bool
@@ -77,7 +71,7 @@
 
 // statement returns what this router knows of the origin of a stream.
 func (k *originKeeper) statement(now time.Time, service fleet.ServiceID, key origin.Key) origin.Statement {
-	record, recorded := k.table.Get(now, key)
+	record, recorded := k.records.Get(now, key)
 	return origin.Statement{View: k.view(now, service), Recorded: recorded, Software: record.Software}
 }
 
@@ -92,11 +86,11 @@
 func (k *originKeeper) Record(now time.Time, stream origin.Stream, until time.Time) {
 	timeout := min(until.Sub(now), maxCallerTimeout)
 	k.observeTimeout(timeout)
-	key := stream.ID.Key()
 	record := origin.Record{Service: stream.Service, Software: stream.Software, Until: now.Add(timeout)}
-	k.table.Set(now, key, record)
+	holders := k.records.Begin(now, stream.ID.Key(), record)
 	k.count(origin.Recorded, 1)
-	k.queue(now, map[origin.Key]origin.Record{key: record})
+	k.observeHolders(holders)
+	k.schedule(now)
 }
 
 // Identification returns whether a stream may only be sent to the process that an upstream's entry describes. While
@@ -143,7 +137,7 @@
 	if !own.IsMixed() && own.Complete && own.Current {
 		timeout = soleQueryTimeout
 	}
-	holders := k.holdersOf(key)
+	holders := k.records.ForQuery(key)
 	others := k.query(ctx, holders, service, key, timeout)
 	found, ok := origin.Resolve(own, others, k.state.reachesMajority())
 	if !ok && !own.IsMixed() && !isComplete(own, others) && k.mixedServices.ensureLoaded(ctx) {
@@ -172,15 +166,7 @@
 	return own.Complete || slices.ContainsFunc(others, func(s origin.Statement) bool { return s.Complete })
 }
 
-// holdersOf returns the routers to ask for the record of a stream.
-func (k *originKeeper) holdersOf(key origin.Key) []fleet.RouterID {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.holders.ForQuery(key)
-}
-
-// updateMixed sends the records of each service that has come to have several versions to other
-// routers once more, as other routers may be connected by now.
+// updateMixed notes which services have several versions.
 func (k *originKeeper) updateMixed() {
 	now := time.Now()
 	for _, service := range k.state.history.Services() {
@@ -195,22 +181,17 @@
 		k.mu.Unlock()
 		if isMixed && !wasMixed {
 			k.log.Info("service has several software versions", "service", service, "versions", k.view(now, service).Versions)
-			k.queue(now, k.table.OfService(now, service))
 		}
 	}
 }
 
 // handleConnectionChange records which routers are connected.
 func (k *originKeeper) handleConnectionChange(c peer.Change) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.others == nil {
-		k.others = make(map[fleet.RouterID]fleet.DataCenterID)
-	}
+	now := time.Now()
 	if c.Connected {
-		k.others[c.Router] = c.DataCenter
+		k.records.Connect(now, c.Router, c.DataCenter)
 	} else {
-		delete(k.others, c.Router)
+		k.records.Disconnect(now, c.Router)
 	}
-	k.holders = origin.NewHolders(k.dataCenter, k.others)
+	k.schedule(now)
 }
--- a/deployment/origins_test.go
+++ b/deployment/origins_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"nutmeglock.example/nutmeglock/deployment"
 	"nutmeglock.example/nutmeglock/fleet"
 	"nutmeglock.example/nutmeglock/forward"
 	"nutmeglock.example/nutmeglock/origin"
@@ -138,7 +137,7 @@
 	for i := range streams {
 		nodes[0].began(fleet.RequestID(fmt.Sprintf("stream-%d", i)), "v1")
 	}
-	flushes := 1 + int64(time.Since(began)/deployment.OriginDelay)
+	flushes := 1 + int64(time.Since(began)/origin.SendDelay)
 	for _, n := range nodes[1:] {
 		require.Eventually(t, func() bool { return n.mesh.Origins().RecordCount() == streams }, 5*time.Second, time.Millisecond)
 	}
--- a/origin/bench_test.go
+++ b/origin/bench_test.go
@@ -39,3 +39,42 @@
 	runtime.ReadMemStats(&stats)
 	return stats.HeapAlloc
 }
+
+// Measures the choice of holders after a router of a fleet of 300 has restarted, at one that began 4,500 streams and holds the
+// records of 9,000 others.
+func BenchmarkRestartOfAnotherRouter(b *testing.B) {
+	const own, held = 4_500, 9_000
+	all := dataCentersOf(300, 3)
+	r := origin.Replicator{DataCenter: all["r0"]}
+	for id, dataCenter := range all {
+		if id != "r0" {
+			r.Connect(start, id, dataCenter)
+		}
+	}
+	for i := range own + held {
+		record := origin.Record{Service: "s", Software: "v1", Until: start.Add(1000 * time.Hour)}
+		if i < own {
+			r.Begin(start, keyOf(i), record)
+		} else {
+			r.Receive(start, "r2", keyOf(i), record)
+		}
+	}
+	now := start
+	send := func() (sent int) {
+		for now = now.Add(time.Second); !r.DueAt().IsZero(); now = now.Add(origin.SendDelay) {
+			out, _ := r.Take(now)
+			for _, copies := range out {
+				sent += len(copies)
+			}
+		}
+		return sent
+	}
+	send()
+	sent := 0
+	for b.Loop() {
+		r.Disconnect(now, "r1")
+		r.Connect(now, "r1", all["r1"])
+		sent += send()
+	}
+	b.ReportMetric(float64(sent)/float64(b.N), "copies/op")
+}
--- a/origin/holders.go
+++ b/origin/holders.go
@@ -9,17 +9,21 @@
 	"nutmeglock.example/nutmeglock/rendezvous"
 )
 
+// copies is the number of other routers that hold a record.
+const copies = 2
+
 // Holders chooses the routers that hold the records of other routers' streams. All routers with the
 // same list choose the same ones, without communication. Its zero value knows no other router.
 type Holders struct {
 	dataCenters map[fleet.RouterID]fleet.DataCenterID
+	dataCenter  fleet.DataCenterID
 	// near are the other routers of this router's data centre, and far those elsewhere, sorted.
 	near, far []fleet.RouterID
 }
 
 // NewHolders returns the Holders of a router in a data centre that is connected with others.
 func NewHolders(dataCenter fleet.DataCenterID, others map[fleet.RouterID]fleet.DataCenterID) Holders {
-	h := Holders{dataCenters: maps.Clone(others)}
+	h := Holders{dataCenters: maps.Clone(others), dataCenter: dataCenter}
 	for _, router := range slices.Sorted(maps.Keys(others)) {
 		if others[router] == dataCenter {
 			h.near = append(h.near, router)
@@ -65,6 +69,27 @@
 	return out
 }
 
+// among returns the Holders that choose only routers that match.
+func (h Holders) among(matches func(id fleet.RouterID) bool) Holders {
+	skip := func(id fleet.RouterID) bool { return !matches(id) }
+	h.near = slices.DeleteFunc(slices.Clone(h.near), skip)
+	h.far = slices.DeleteFunc(slices.Clone(h.far), skip)
+	return h
+}
+
+// with returns the Holders that also choose these routers.
+func (h Holders) with(routers []fleet.RouterID) Holders {
+	h.near, h.far = slices.Clip(h.near), slices.Clip(h.far)
+	for _, id := range routers {
+		if h.dataCenters[id] == h.dataCenter {
+			h.near = append(h.near, id)
+		} else {
+			h.far = append(h.far, id)
+		}
+	}
+	return h
+}
+
 // first returns the router that is preferred for a key.
 func first(key Key, routers []fleet.RouterID) fleet.RouterID {
 	return rendezvous.Pick(rendezvous.KeyOfNumber("origin", binary.BigEndian.Uint64(key[:])), routers)
@@ -72,8 +97,7 @@
 
 // firstTwo returns the two routers that are preferred for a key, or all if there are fewer.
 func firstTwo(key Key, routers []fleet.RouterID) []fleet.RouterID {
-	const count = 2
-	if len(routers) <= count {
+	if len(routers) <= copies {
 		return slices.Clone(routers)
 	}
 	best := first(key, routers)
--- a/origin/table.go
+++ b/origin/table.go
@@ -8,7 +8,7 @@
 	"nutmeglock.example/nutmeglock/fleet"
 )
 
-// maxRecords bounds the records of a Table. With 150 bytes for each record the table takes 5 MB
+// maxRecords bounds the records of a Table. With 250 bytes for each record the table takes 8 MB
 // at most.
 const maxRecords = 32 << 10
 
@@ -49,6 +49,10 @@
 	Software fleet.SoftwareVersion
 	// Until is when the stream can't be taken up again any more.
 	Until time.Time
+
+	// keeper is the router that chooses the holders, empty if it is this one, and holders are those that it has chosen.
+	keeper  fleet.RouterID
+	holders []fleet.RouterID
 }
 
 // Table holds the records of streams until they expire. When it is full, the older half is
@@ -113,17 +117,15 @@
 	return len(t.current) + len(t.previous)
 }
 
-// OfService returns the records of a service's streams.
-func (t *Table) OfService(now time.Time, service fleet.ServiceID) map[Key]Record {
+// update calls fn with the records that haven't expired, and replaces those that fn has changed. It must not use the table.
+func (t *Table) update(now time.Time, fn func(key Key, r *Record) (changed bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := make(map[Key]Record)
 	for _, generation := range []map[Key]Record{t.previous, t.current} {
 		for key, r := range generation {
-			if r.Service == service && now.Before(r.Until) {
-				out[key] = r
+			if now.Before(r.Until) && fn(key, &r) {
+				generation[key] = r
 			}
 		}
 	}
-	return out
 }
--- a/origin/table_test.go
+++ b/origin/table_test.go
@@ -60,9 +60,9 @@
 	table.Set(start, keyOf(1), origin.Record{Service: "s", Software: "v1", Until: start.Add(time.Second)})
 	_, known := table.Get(start.Add(9*time.Second), keyOf(1))
 	require.True(t, known)
-	require.Len(t, table.OfService(start, "s"), 1)
-	require.Empty(t, table.OfService(start, "other"))
-	require.Empty(t, table.OfService(start.Add(11*time.Second), "s"))
+	require.Equal(t, 1, table.Len())
+	_, known = table.Get(start.Add(11*time.Second), keyOf(1))
+	require.False(t, known)
 }
 
 // Guards against a caller that doesn't name its stream and gets the version of another one.
