--- a/attempt/early_end_test.go
+++ b/attempt/early_end_test.go
@@ -19,10 +19,16 @@
 
 // exchangeLong exchanges a long request and returns the body of the answer.
 func exchangeLong(t *testing.T, address string) (string, error) {
+	t.Helper()
+	return exchangeUpload(t, address, longBody)
+}
+
+// exchangeUpload exchanges a request with a body of so many bytes and returns the body of the answer.
+func exchangeUpload(t *testing.T, address string, upload int) (string, error) {
 	t.Helper()
 	client := &attempt.Client{}
 	defer client.Close()
-	answer, err := client.Do(t.Context(), address, request(http.MethodPost, strings.Repeat("u", longBody), true))
+	answer, err := client.Do(t.Context(), address, request(http.MethodPost, strings.Repeat("u", upload), true))
 	if err != nil {
 		return "", err
 	}
--- a/standin/unframed/unframed.go
+++ b/standin/unframed/unframed.go
@@ -122,6 +122,24 @@
 // Play plays an exchange many times and returns its errors, nil for each that succeeded. In which order the system tells
 // the reader and the writer of a reset isn't fixed.
 func Play(times int, exchange func() error) []error {
+	return play(times, func(int) error { return exchange() })
+}
+
+// PlayAnswers plays an exchange with an upstream for each of the answers, which ends its connection in the same way after all
+// of them, and returns the errors in their order.
+func PlayAnswers(ctx context.Context, answers []string, end End, exchange func(address string) error) []error {
+	return play(len(answers), func(number int) error {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		address, err := Start(ctx, answers[number], end)
+		if err != nil {
+			return err
+		}
+		return exchange(address)
+	})
+}
+
+func play(times int, exchange func(number int) error) []error {
 	errs := make([]error, times)
 	numbers := make(chan int, times)
 	for number := range times {
@@ -132,10 +150,31 @@
 	for range playersAtOnce {
 		players.Go(func() {
 			for number := range numbers {
-				errs[number] = exchange()
+				errs[number] = exchange(number)
 			}
 		})
 	}
 	players.Wait()
 	return errs
 }
+
+// CutHeads returns the beginnings of an answer without a length, with a length, with chunks and after an interim answer, that stop
+// within the head or the size of the first chunk. line is a line of the head, with its end.
+func CutHeads(line string) []string {
+	const status = "HTTP/1.1 200 OK\r\n"
+	var out []string
+	for _, head := range []string{
+		status + line + "\r\n",
+		status + line + "Content-Length: 12\r\n\r\n",
+		status + line + "Transfer-Encoding: chunked\r\n\r\n1c\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" + status + line + "\r\n",
+	} {
+		for end := 1; end < len(head); end++ {
+			out = append(out, head[:end])
+		}
+	}
+	return out
+}
+
+// HeadEnds returns ways in which an upstream ends its connection after a part of a head.
+func HeadEnds() []End { return []End{Reset, Close, HalfCloseThenReset, TakeAll} }
--- a/upstream/early_end_test.go
+++ b/upstream/early_end_test.go
@@ -19,7 +19,13 @@
 // exchangeLong exchanges a long request and returns the body of the answer.
 func exchangeLong(t *testing.T, address string) (string, error) {
 	t.Helper()
-	got, err := newClient(t).Do(t.Context(), address, newRequest("1", make([]byte, longBody)))
+	return exchangeUpload(t, address, longBody)
+}
+
+// exchangeUpload exchanges a request with a body of so many bytes and returns the body of the answer.
+func exchangeUpload(t *testing.T, address string, upload int) (string, error) {
+	t.Helper()
+	got, err := newClient(t).Do(t.Context(), address, newRequest("1", make([]byte, upload)))
 	if err != nil {
 		return "", err
 	}
