--- a/origin/replicator.go
+++ b/origin/replicator.go
@@ -99,31 +99,28 @@
 func (r *Replicator) Connect(now time.Time, router fleet.RouterID, dataCenter fleet.DataCenterID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.change(now, &r.connected, router, func() { r.others[router] = dataCenter })
+	put(&r.others, router, dataCenter)
+	put(&r.connected, router, true)
+	r.noteChange(now)
 }
 
 // Disconnect notes that a router isn't connected any more.
 func (r *Replicator) Disconnect(now time.Time, router fleet.RouterID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.change(now, &r.disconnected, router, func() { delete(r.others, router) })
+	delete(r.others, router)
 	delete(r.connected, router)
+	put(&r.disconnected, router, true)
 	delete(r.fresh, router) // its records get another holder
 	delete(r.moved, router)
+	r.noteChange(now)
 }
 
-func (r *Replicator) change(now time.Time, set *map[fleet.RouterID]bool, router fleet.RouterID, apply func()) {
-	if r.others == nil {
-		r.others = make(map[fleet.RouterID]fleet.DataCenterID)
-	}
-	if *set == nil {
-		*set = make(map[fleet.RouterID]bool)
-	}
-	(*set)[router] = true
+// noteChange has the holders of all records chosen again soon, and those of new ones among the routers that are connected now.
+func (r *Replicator) noteChange(now time.Time) {
 	if r.changedAt.IsZero() {
 		r.changedAt = now
 	}
-	apply()
 	r.holders = NewHolders(r.DataCenter, r.others)
 }
 
@@ -231,9 +228,15 @@
 	return !slices.Equal(before, record.holders)
 }
 
+// enqueue adds a record to those that are pending for a router.
 func enqueue(pending *map[fleet.RouterID][]Key, router fleet.RouterID, key Key) {
-	if *pending == nil {
-		*pending = make(map[fleet.RouterID][]Key)
+	put(pending, router, append((*pending)[router], key))
+}
+
+// put sets a value of a map, which may be nil.
+func put[K comparable, V any](m *map[K]V, key K, value V) {
+	if *m == nil {
+		*m = make(map[K]V)
 	}
-	(*pending)[router] = append((*pending)[router], key)
+	(*m)[key] = value
 }
